Set the interfaces between the parts

Cause: several parts are to be built side by side; each needs to know what the others offer. Conclusion: parts can start; nothing serves a call yet.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each prints its figures and ends with one line."""
--- /dev/null
+++ b/sequoiabridge/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP server side, towards callers."""
--- /dev/null
+++ b/sequoiabridge/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one thin module for each verb."""
--- /dev/null
+++ b/sequoiabridge/exceptions.py
@@ -0,0 +1,79 @@
+"""Error kinds of the project; each message says what is wrong and what to do about it."""
+
+from .outcome import Outcome, Reason
+
+
+class SequoiaError(Exception):
+    """Base of all errors that the project raises on purpose.
+
+    The command line prints the message as one sentence and exits with `exit_code`.
+    """
+
+    exit_code = 1
+
+
+class ConfigurationError(SequoiaError):
+    """A settings file or a fleet configuration is not valid."""
+
+    exit_code = 2
+
+
+class ConflictError(SequoiaError):
+    """Another operator's change came first; the message names the newer version and its author."""
+
+    exit_code = 3
+
+
+class StoreUnavailable(SequoiaError):
+    """The platform's service gave no answer in time; nothing is known to have been written."""
+
+    exit_code = 4
+
+
+class AdminError(SequoiaError):
+    """A daemon's admin port refused a command or could not be reached."""
+
+    exit_code = 5
+
+
+class CallerGone(SequoiaError):
+    """The caller closed its connection before its request or its answer was complete."""
+
+
+class UpstreamFailed(SequoiaError):
+    """An attempt at an upstream failed.
+
+    `sent` is true if a byte of the request may have reached the upstream, and then only the
+    upstream's own word can prove that the request did not run.
+    """
+
+    def __init__(self, message: str, *, sent: bool, timed_out: bool = False):
+        super().__init__(message)
+        self.sent = sent
+        self.timed_out = timed_out
+
+
+class Refusal(SequoiaError):
+    """A final answer that the daemon makes itself.
+
+    Args:
+        status: HTTP status code.
+        outcome: `NOT_RUN` only when proven; see `Outcome`.
+        reason: Fixed word for metrics, the journal and the `Sequoia-Reason` header.
+        message: One sentence for the caller that names the remedy.
+        retry_after: Seconds after which a new try makes sense, or None.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        outcome: Outcome,
+        reason: Reason,
+        message: str,
+        retry_after: float | None = None,
+    ):
+        super().__init__(message)
+        self.status = status
+        self.outcome = outcome
+        self.reason = reason
+        self.retry_after = retry_after
--- /dev/null
+++ b/sequoiabridge/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and what daemons tell each other."""
--- /dev/null
+++ b/sequoiabridge/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators use: query and command language, state dump, journal of decisions."""
--- /dev/null
+++ b/sequoiabridge/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""The filters that a call passes through, in order."""
--- /dev/null
+++ b/sequoiabridge/pipeline/exchange.py
@@ -0,0 +1,138 @@
+"""One call on its way through the pipeline: the request, the answer, and what was decided."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..config.document import Rule, Service
+
+RawHeaders = Sequence[tuple[bytes, bytes]]
+"""Header fields in order; names in lower case."""
+
+
+class Body(ABC):
+    """A stream of bytes with back pressure: the next piece is read only when asked for.
+
+    Hooks:
+        read: Return the next piece, or b"" at the clean end. A body that was cut short raises
+            `CallerGone` (a request's body) or `UpstreamFailed` (an answer's body), never a
+            clean end.
+        close: Give up the rest; called once the body is of no more use. May be called twice.
+    """
+
+    __slots__ = ()
+
+    @abstractmethod
+    async def read(self) -> bytes:
+        """Return the next piece, b"" at the clean end."""
+
+    async def close(self) -> None:  # noqa: B027
+        """Give up the rest of the body."""
+
+
+class BytesBody(Body):
+    """A body that is in memory already."""
+
+    __slots__ = ("data",)
+
+    def __init__(self, data: bytes):
+        self.data = data
+
+    async def read(self) -> bytes:
+        data, self.data = self.data, b""
+        return data
+
+
+class Request:
+    """The request as the caller sent it, after the HTTP layer has checked its framing.
+
+    `headers` has no hop-by-hop headers and none of `headers.OWN`. `length` is the body's size in
+    bytes, 0 for no body, None for a chunked one. `body` is None when there is none.
+    """
+
+    __slots__ = ("method", "target", "headers", "length", "body", "peer")
+
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: RawHeaders,
+        length: int | None = 0,
+        body: Body | None = None,
+        peer: str = "",
+    ):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.length = length
+        self.body = body
+        self.peer = peer
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of the header `name` (lower case), or None."""
+        for field, value in self.headers:
+            if field == name:
+                return value
+        return None
+
+
+class Answer:
+    """The answer that goes to the caller; `length` as for `Request`, None for a chunked body."""
+
+    __slots__ = ("status", "headers", "length", "body")
+
+    def __init__(self, status: int, headers: RawHeaders, length: int | None, body: Body | None):
+        self.status = status
+        self.headers = headers
+        self.length = length
+        self.body = body
+
+
+class Exchange:
+    """One call: what came in, what was decided, what goes out.
+
+    Times are on the daemon's monotonic clock, in seconds. `deadline` is the time at which the
+    answer is of no more use to the caller. `notes` are lines for the journal of decisions.
+    """
+
+    __slots__ = (
+        "id",
+        "request",
+        "arrived",
+        "deadline",
+        "caller",
+        "key",
+        "service",
+        "rule",
+        "claim",
+        "fingerprint",
+        "attempts",
+        "sent",
+        "answer",
+        "notes",
+    )
+
+    def __init__(self, request_id: str, request: Request, arrived: float):
+        self.id = request_id
+        self.request = request
+        self.arrived = arrived
+        self.deadline = 0.0
+        self.caller = ""
+        self.key: str | None = None
+        self.service: Service | None = None
+        self.rule: Rule | None = None
+        self.claim: object | None = None
+        self.fingerprint: str | None = None
+        self.attempts = 0
+        self.sent = False
+        self.answer: Answer | None = None
+        self.notes: list[str] | None = None
+
+    def note(self, line: str) -> None:
+        """Add a line to the journal of decisions for this call."""
+        if self.notes is None:
+            self.notes = []
+        self.notes.append(line)
--- /dev/null
+++ b/sequoiabridge/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions only: no I/O, no clock, no curio."""
--- /dev/null
+++ b/sequoiabridge/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: table service, object store and VM list; what is kept there."""
--- /dev/null
+++ b/sequoiabridge/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; they mirror the package."""
--- /dev/null
+++ b/sequoiabridge/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests, benchmarks and the demonstration."""
--- /dev/null
+++ b/sequoiabridge/tests/test_timers.py
@@ -0,0 +1,37 @@
+"""The timer service: order, repetition, cancellation, and no catching up after a pause."""
+
+from ..timers import ManualClock, Timers
+
+
+def make():
+    clock = ManualClock()
+    return clock, Timers(clock)
+
+
+def test_calls_in_order_of_time():
+    clock, timers = make()
+    calls = []
+    timers.after(2.0, "late", lambda: calls.append("late"))
+    timers.after(1.0, "early", lambda: calls.append("early"))
+    clock.advance(3.0)
+    timers.run_due()
+    assert calls == ["early", "late"]
+
+
+def test_a_cancelled_subscription_is_never_called():
+    clock, timers = make()
+    calls = []
+    timers.after(1.0, "gone", lambda: calls.append("gone")).cancel()
+    clock.advance(2.0)
+    timers.run_due()
+    assert calls == []
+
+
+def test_a_pause_of_the_process_is_not_made_up_for():
+    clock, timers = make()
+    calls = []
+    timers.every(1.0, "beat", lambda: calls.append(clock.now()))
+    clock.advance(60.0)
+    timers.run_due()
+    assert len(calls) <= 2
+    assert timers.next_due() <= 1.0
--- /dev/null
+++ b/sequoiabridge/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP client side, towards upstreams: connections and probes."""
