Declare options, settings and the fleet's configuration

Cause: every part needs typed settings and one document of services, pools, upstreams and rules.

Change: fields are declared on a class and become its slots; reading reports every problem at once; a document is immutable and shares what a change does not touch; rules of a service are one regular expression for each method; INI, MessagePack and the smallest difference between two documents.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,11 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info
+
+.PHONY: bench-document settings-reference
+
+bench-document: $(VENV)/ready
+	$(BIN)/python -m benchmarks.configuration
+
+settings-reference: $(VENV)/ready
+	$(BIN)/python -m sequoiabridge.config.reference > docs/operators/settings.md
--- /dev/null
+++ b/sequoiabridge/config/document.py
@@ -0,0 +1,219 @@
+"""The fleet's configuration: services, pools, upstreams and rules, under one version.
+
+A document is never changed. `changed` makes a new one that shares all untouched entries and
+indexes with the old, so that a change costs what it touches and not what there is.
+"""
+
+from collections.abc import Iterator
+from typing import Self
+
+from expression import Ok, Result
+
+from .change import ENCODER, SNAPSHOT_DECODER, Change, SetEntry, Snapshot, decoded
+from .draft import Draft
+from .ini import write_sections
+from .kinds import KINDS, EntryId
+from .matching import HostTable, RuleTable, covers
+from .pool import Pool
+from .problem import Problem
+from .rule import Rule
+from .section import Section
+from .service import Service
+from .upstream import Upstream
+
+
+class Document:
+    """One version of the fleet's configuration.
+
+    Attributes:
+        version: 0 for the empty document; each accepted change has a higher one.
+        author: Who made the last change.
+        at: When, in seconds since 1970.
+        services, pools, upstreams, rules: Entries by name.
+        unknown: Options of entries of a kind that this release does not know, by (kind, name).
+        by_address: Upstream names by address.
+        members: Names of what refers to a service or a pool, by (kind of it, its name).
+    """
+
+    __slots__ = (
+        "version",
+        "author",
+        "at",
+        "services",
+        "pools",
+        "upstreams",
+        "rules",
+        "unknown",
+        "by_address",
+        "members",
+        "host_table",
+        "rule_tables",
+        "upstream_lists",
+    )
+
+    def __init__(self, version: int, author: str, at: float):
+        self.version = version
+        self.author = author
+        self.at = at
+        self.services: dict[str, Service] = {}
+        self.pools: dict[str, Pool] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.rules: dict[str, Rule] = {}
+        self.unknown: dict[EntryId, dict[str, str]] = {}
+        self.by_address: dict[str, str] = {}
+        self.members: dict[EntryId, set[EntryId]] = {}
+        self.host_table: HostTable | None = None
+        self.rule_tables: dict[str, RuleTable] = {}
+        self.upstream_lists: dict[str, tuple[Upstream, ...]] = {}
+
+    @classmethod
+    def empty(cls) -> Self:
+        """Return the document before the first change."""
+        return cls(0, "", 0.0)
+
+    def entries(self, kind: str) -> dict[str, Section]:
+        """Return the entries of one kind by name."""
+        return getattr(self, kind + "s")
+
+    def service_for(self, host: bytes | str, path: bytes | str) -> Service | None:
+        """Return the service of a request by its `Host` header and target, or None."""
+        if self.host_table is None:
+            self.host_table = HostTable(self.services.values())
+        return self.host_table.find(host, path)
+
+    def rule_for(self, service: Service | str, method: bytes | str, path: bytes | str) -> Rule:
+        """Return the first rule of `service` that matches, else `Rule.unmatched`."""
+        name = service if isinstance(service, str) else service.name
+        table = self.rule_tables.get(name)
+        if table is None:
+            table = self.rule_tables[name] = RuleTable(name, self.rules_of(name))
+        return table.find(method, path)
+
+    def rules_of(self, service: str) -> list[Rule]:
+        """Return the rules of a service in their order."""
+        names = self.members.get(("service", service), ())
+        rules = [self.rules[name] for kind, name in names if kind == "rule"]
+        return sorted(rules, key=lambda rule: (rule.order, rule.name))
+
+    def upstreams_of(self, service: Service | str) -> tuple[Upstream, ...]:
+        """Return the upstreams of all pools of a service, by name."""
+        name = service if isinstance(service, str) else service.name
+        found = self.upstream_lists.get(name)
+        if found is None:
+            pools = [n for kind, n in self.members.get(("service", name), ()) if kind == "pool"]
+            names = sorted(n for pool in pools for _, n in self.members.get(("pool", pool), ()))
+            found = self.upstream_lists[name] = tuple(self.upstreams[n] for n in names)
+        return found
+
+    def slots_of(self, upstream: Upstream) -> int:
+        """Return the requests that an upstream runs at a time."""
+        return upstream.slots or self.pools[upstream.pool].slots
+
+    def connections_of(self, upstream: Upstream) -> int:
+        """Return the connections that an upstream takes from all VMs together."""
+        return upstream.connections or self.pools[upstream.pool].connections
+
+    def service_of(self, upstream: Upstream) -> str:
+        """Return the name of an upstream's service."""
+        return self.pools[upstream.pool].service
+
+    def changed(
+        self,
+        change: Change,
+        version: int,
+        author: str,
+        at: float,
+        *,
+        committed: bool = False,
+        source: str = "",
+    ) -> Result[Self, list[Problem]]:
+        """Return the document after `change`, validated whole, or every problem of it.
+
+        Args:
+            committed: The fleet has accepted it already, perhaps by a newer release: keep what
+                this release does not understand instead of refusing it.
+            source: Where the change came from, for the problems' texts.
+        """
+        new = type(self)(version, author, at)
+        source = source or (f"change by {author}" if author else "change")
+        return Draft(self, new, source, committed).apply(change)
+
+    def warnings(self, source: str = "configuration") -> list[Problem]:
+        """Return what may stay but deserves a look; takes a while in a large document."""
+        found = list(not_understood(self, source))
+        for service in self.services:
+            found += covered_rules(self.rules_of(service), source)
+            if not self.upstreams_of(service):
+                wrong, instead = "it has no upstream", "add a pool with upstreams"
+                header = f"service {service}"
+                found.append(Problem(source, header, "", wrong, instead, warning=True))
+        return found
+
+    def set_entries(self) -> Iterator[SetEntry]:
+        """Yield an entry for all that the document holds, each after what it refers to."""
+        for kind in KINDS:
+            entries = self.entries(kind)
+            for name in sorted(entries):
+                yield SetEntry(kind, name, entries[name].options())
+        for (kind, name), options in sorted(self.unknown.items()):
+            yield SetEntry(kind, name, options)
+
+    def merged(self, kind: str, name: str, options: dict[str, str]) -> SetEntry:
+        """Return an entry with only the given options changed against what is there."""
+        present = self.entries(kind).get(name) if kind in KINDS else None
+        return SetEntry(kind, name, {**(present.options() if present else {}), **options})
+
+    def to_ini(self) -> str:
+        """Return INI text that `load_document` reads back."""
+        return write_sections({f"{e.kind} {e.name}": e.options for e in self.set_entries()})
+
+    def encode(self) -> bytes:
+        """Return the document as MessagePack."""
+        return ENCODER.encode(
+            Snapshot(self.version, self.author, self.at, list(self.set_entries()))
+        )
+
+    @classmethod
+    def decode(cls, data: bytes, source: str = "document") -> Result[Self, list[Problem]]:
+        """Read what `encode` wrote, also by a newer release of the same format."""
+        record = decoded(SNAPSHOT_DECODER, data, source)
+        if record.is_error():
+            return record
+        found: Snapshot = record.ok
+        if found.version == 0 and not found.entries:
+            return Ok(cls.empty())
+        change = Change(list(found.entries))
+        return cls.empty().changed(
+            change, found.version, found.author, found.at, committed=True, source=source
+        )
+
+    def dump(self) -> dict:
+        """Return what the document is, in short, for the state dump."""
+        counts = {kind + "s": len(self.entries(kind)) for kind in KINDS}
+        return {"version": self.version, "author": self.author, "at": self.at, **counts}
+
+
+def covered_rules(rules: list[Rule], source: str) -> list[Problem]:
+    """Return a warning for each rule that can never match because an earlier one covers it."""
+    found = []
+    for place, later in enumerate(rules):
+        earlier = next((rule for rule in rules[:place] if covers(rule, later)), None)
+        if earlier is None:
+            continue
+        wrong = f"it never matches, because [rule {earlier.name}] before it matches the same"
+        instead = f"give it an order below {earlier.order}, or remove it"
+        found.append(Problem(source, f"rule {later.name}", "path", wrong, instead, warning=True))
+    return found
+
+
+def not_understood(document: Document, source: str) -> Iterator[Problem]:
+    """Yield a warning for each option and entry that this release keeps but cannot use."""
+    instead = "replace this daemon by a release that knows it"
+    for kind in KINDS:
+        for name, entry in document.entries(kind).items():
+            for key in entry.extra:
+                wrong = "this release does not understand the option and keeps it unused"
+                yield Problem(source, f"{kind} {name}", key, wrong, instead, warning=True)
+    for kind, name in document.unknown:
+        wrong = "this release does not understand the section and keeps it unused"
+        yield Problem(source, f"{kind} {name}", "", wrong, instead, warning=True)
--- /dev/null
+++ b/sequoiabridge/config/fields.py
@@ -0,0 +1,225 @@
+"""Option fields: each knows how to read its text, how to write it back, and what to tell people.
+
+Fields are declared on a `Section`, which reads them; see `config.section`. The kinds with units
+and addresses are in `config.units`.
+"""
+
+import re
+from abc import ABC, abstractmethod
+from typing import Any
+
+REQUIRED = object()
+"""Default of a field that must be given."""
+
+MAX_TEXT = 1000
+"""Characters that a text may have."""
+
+MAX_LIST = 1000
+"""Entries that a list may have."""
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+TRUE_WORDS = frozenset({"yes", "true", "on", "1"})
+FALSE_WORDS = frozenset({"no", "false", "off", "0"})
+
+
+class BadValue(ValueError):
+    """A text that a field cannot read; raised by `Field.parse` only."""
+
+    def __init__(self, wrong: str, instead: str):
+        super().__init__(f"{wrong}; {instead}")
+        self.wrong = wrong
+        self.instead = instead
+
+
+class Field(ABC):
+    """One declared option.
+
+    Hooks:
+        parse: Read the text of a file; raise `BadValue` with what to write instead.
+        format: Write a value so that `parse` gives it back exactly.
+        expected: What may be written, for messages and for the reference.
+
+    Args:
+        help: One sentence for the settings reference.
+        default: Value when the option is not given; `REQUIRED` if it must be.
+    """
+
+    secret = False
+
+    def __init__(self, help: str, default: Any = REQUIRED):
+        self.help = help
+        self.default = default
+
+    @property
+    def required(self) -> bool:
+        """True if there is no default."""
+        return self.default is REQUIRED
+
+    @property
+    @abstractmethod
+    def expected(self) -> str:
+        """What may be written, as a noun phrase."""
+
+    @abstractmethod
+    def parse(self, text: str) -> Any:
+        """Return the value that `text` stands for."""
+
+    def format(self, value: Any) -> str:
+        """Return the text that stands for `value`."""
+        return str(value)
+
+    def bad(self, text: str) -> BadValue:
+        """Return the error for a text that is not what is expected."""
+        return BadValue(f"{shorten(text)} is not valid", f"write {self.expected}")
+
+
+class Text(Field):
+    """One line of printable text, without spaces at its ends."""
+
+    expected = "one line of printable text"
+
+    def parse(self, text: str) -> str:
+        if not text or len(text) > MAX_TEXT or not text.isprintable() or text != text.strip():
+            raise self.bad(text)
+        return text
+
+
+class Name(Field):
+    """A name: letters, digits, dots, dashes and underscores."""
+
+    expected = "a name of 1 to 63 letters, digits, '.', '-' or '_'"
+
+    def parse(self, text: str) -> str:
+        if not NAME.fullmatch(text):
+            raise self.bad(text)
+        return text
+
+
+class Secret(Field):
+    """A text that dumps, messages and logs never show."""
+
+    secret = True
+
+    def __init__(self, help: str, default: Any = REQUIRED, *, shortest: int = 16):
+        super().__init__(help, default)
+        self.shortest = shortest
+
+    @property
+    def expected(self) -> str:
+        return f"at least {self.shortest} printable characters without spaces"
+
+    def parse(self, text: str) -> str:
+        if len(text) < self.shortest or not text.isprintable() or " " in text:
+            wrong = f"the value ({len(text)} characters, not shown) is not valid"
+            raise BadValue(wrong, f"write {self.expected}")
+        return text
+
+
+class Choice(Field):
+    """One of some fixed words."""
+
+    def __init__(self, help: str, words: tuple[str, ...], default: Any = REQUIRED):
+        super().__init__(help, default)
+        self.words = words
+
+    @property
+    def expected(self) -> str:
+        return "one of " + ", ".join(self.words)
+
+    def parse(self, text: str) -> str:
+        if text not in self.words:
+            raise self.bad(text)
+        return text
+
+
+class Boolean(Field):
+    """Yes or no."""
+
+    expected = "yes or no"
+
+    def parse(self, text: str) -> bool:
+        word = text.lower()
+        if word in TRUE_WORDS:
+            return True
+        if word in FALSE_WORDS:
+            return False
+        raise self.bad(text)
+
+    def format(self, value: bool) -> str:
+        return "yes" if value else "no"
+
+
+class Integer(Field):
+    """A whole number between two bounds, both included."""
+
+    def __init__(self, help: str, default: Any = REQUIRED, *, least: int = 0, most: int = 10**9):
+        super().__init__(help, default)
+        self.least = least
+        self.most = most
+
+    @property
+    def expected(self) -> str:
+        return f"a whole number from {self.least} to {self.most}"
+
+    def parse(self, text: str) -> int:
+        if not re.fullmatch(r"-?[0-9]{1,15}", text) or not self.least <= int(text) <= self.most:
+            raise self.bad(text)
+        return int(text)
+
+
+class Number(Field):
+    """A number between two bounds, both included."""
+
+    def __init__(
+        self, help: str, default: Any = REQUIRED, *, least: float = 0.0, most: float = 1e9
+    ):
+        super().__init__(help, default)
+        self.least = least
+        self.most = most
+
+    @property
+    def expected(self) -> str:
+        return f"a number from {self.least:g} to {self.most:g}"
+
+    def parse(self, text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError:
+            raise self.bad(text) from None
+        # Written so that "nan" fails as well.
+        if not self.least <= value <= self.most:
+            raise self.bad(text)
+        return value
+
+    def format(self, value: float) -> str:
+        return str(int(value)) if value == int(value) else repr(value)
+
+
+class ListOf(Field):
+    """Values of one kind, separated by commas; a tuple at run time."""
+
+    def __init__(self, help: str, item: Field, default: Any = REQUIRED):
+        super().__init__(help, default)
+        self.item = item
+
+    @property
+    def expected(self) -> str:
+        return f"a list, separated by commas, each {self.item.expected}"
+
+    def parse(self, text: str) -> tuple:
+        parts = [part.strip() for part in text.replace("\n", ",").split(",")]
+        values = tuple(self.item.parse(part) for part in parts if part)
+        if len(values) > MAX_LIST:
+            raise BadValue(f"{len(values)} entries", f"write at most {MAX_LIST}")
+        if len(set(values)) < len(values):
+            raise BadValue("an entry is there twice", "write each entry once")
+        return values
+
+    def format(self, value: tuple) -> str:
+        return ", ".join(self.item.format(part) for part in value)
+
+
+def shorten(text: str, most: int = 60) -> str:
+    """Return `text` in quotes, cut for a message."""
+    return repr(text if len(text) <= most else text[:most] + "…")
--- /dev/null
+++ b/sequoiabridge/config/ini.py
@@ -0,0 +1,108 @@
+"""Reads INI text into sections, with every error of form reported at once."""
+
+import configparser
+from pathlib import Path
+
+from expression import Error, Ok, Result
+
+from .problem import Problem
+
+MAX_REPAIRS = 50
+"""Errors of form after which the rest of a file is not looked at."""
+
+MAX_FILE = 50_000_000
+"""Bytes that a file may have."""
+
+Sections = dict[str, dict[str, str]]
+"""Header to options to text, in the order of the file."""
+
+
+def read_file(path: str | Path) -> Result[str, list[Problem]]:
+    """Return the text of a file."""
+    source = str(path)
+    try:
+        if Path(path).stat().st_size > MAX_FILE:
+            wrong = f"the file has more than {MAX_FILE} bytes"
+            return Error([Problem(source, "", "", wrong, "give a smaller file")])
+        return Ok(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        wrong = f"the file cannot be read ({error.strerror})"
+        return Error([Problem(source, "", "", wrong, "check its name and its rights")])
+    except UnicodeDecodeError as error:
+        wrong = f"byte {error.start} is not UTF-8"
+        return Error([Problem(source, "", "", wrong, "save the file as UTF-8")])
+
+
+def read_sections(text: str, source: str) -> tuple[Sections, list[Problem]]:
+    """Return the sections of INI text and the errors of its form.
+
+    A line that is wrong is noted, taken out, and the text read again, so that one run shows
+    every error.
+    """
+    problems: list[Problem] = []
+    lines = text.splitlines()
+    while True:
+        parser = make_parser()
+        try:
+            parser.read_string("\n".join(lines), source)
+        except configparser.Error as error:
+            problems += repair(error, lines, source)
+            if len(problems) <= MAX_REPAIRS:
+                continue
+            return {}, problems
+        return {name: dict(parser.items(name)) for name in parser.sections()}, problems
+
+
+def make_parser() -> configparser.RawConfigParser:
+    """Return a parser for plain INI: no defaults, no interpolation, `=` between key and value."""
+    parser = configparser.RawConfigParser(
+        delimiters=("=",),
+        comment_prefixes=("#", ";"),
+        strict=True,
+        empty_lines_in_values=False,
+        default_section="\n",
+    )
+    parser.optionxform = str
+    return parser
+
+
+def repair(error: configparser.Error, lines: list[str], source: str) -> list[Problem]:
+    """Take the lines that `error` names out of `lines` and return the problems."""
+    if isinstance(error, configparser.DuplicateOptionError):
+        lines[error.lineno - 1] = ""
+        wrong = f"the option is there twice (line {error.lineno})"
+        return [Problem(source, error.section, error.option, wrong, "remove one of them")]
+    if isinstance(error, configparser.DuplicateSectionError):
+        wrong = f"the section is there twice (line {error.lineno})"
+        cut_section(lines, error.lineno - 1)
+        return [Problem(source, error.section, "", wrong, "make one section of the two")]
+    if isinstance(error, configparser.MissingSectionHeaderError):
+        lines[error.lineno - 1] = ""
+        wrong = f"line {error.lineno} stands before the first section"
+        return [Problem(source, "", "", wrong, "write a header such as [vm] above it")]
+    if isinstance(error, configparser.ParsingError):
+        for number, _ in error.errors:
+            lines[number - 1] = ""
+        wrong = "line {} is neither a section, an option nor a comment"
+        instead = "write it as option = value"
+        return [Problem(source, "", "", wrong.format(n), instead) for n, _ in error.errors]
+    lines.clear()
+    return [Problem(source, "", "", f"not an INI file ({error.message})", "correct its form")]
+
+
+def cut_section(lines: list[str], start: int) -> None:
+    """Empty the section whose header is at `start`."""
+    lines[start] = ""
+    for number in range(start + 1, len(lines)):
+        if lines[number].startswith("["):
+            return
+        lines[number] = ""
+
+
+def write_sections(sections: Sections) -> str:
+    """Return INI text that `read_sections` reads back."""
+    blocks = []
+    for header, options in sections.items():
+        lines = [f"[{header}]"] + [f"{key} = {text}".rstrip() for key, text in options.items()]
+        blocks.append("\n".join(lines) + "\n")
+    return "\n".join(blocks)
--- /dev/null
+++ b/sequoiabridge/config/matching.py
@@ -0,0 +1,165 @@
+"""Finding the service and the rule of a request; all patterns are compiled once."""
+
+import posixpath
+import re
+from collections.abc import Iterable
+from urllib.parse import unquote_to_bytes
+
+from .rule import Rule
+from .service import Service
+
+MAX_HOSTS = 4096
+"""Hosts whose table is remembered; then the memory of them starts anew."""
+
+MAX_HOST = 255
+"""Bytes of a host name that is worth remembering."""
+
+PrefixTable = dict[bytes, Service]
+
+
+def plain_path(target: bytes | str) -> bytes:
+    """Return the path of a request target as rules see it.
+
+    Without the query and a slash at the end, percent-encoding undone, empty and dot segments
+    resolved: two spellings of one path must not meet two rules.
+    """
+    path = target.encode("utf-8", "surrogateescape") if isinstance(target, str) else target
+    if is_plain(path):
+        return path
+    path = unquote_to_bytes(re.split(rb"[?#]", path, maxsplit=1)[0])
+    if not path.startswith(b"/"):
+        return path
+    return b"/" + posixpath.normpath(path).lstrip(b"/")
+
+
+def is_plain(path: bytes) -> bool:
+    """Return True if a path can be matched as it is; plain searches are quicker than one regex."""
+    return not (
+        b"?" in path
+        or b"%" in path
+        or b"//" in path
+        or b"/." in path
+        or b"#" in path
+        or path.endswith(b"/")
+    )
+
+
+def plain_host(host: bytes | str) -> str:
+    """Return a `Host` header's name in lower case, without its port and last dot."""
+    text = host.decode("latin-1") if isinstance(host, bytes) else host
+    name, colon, port = text.rpartition(":")
+    if colon and port.isdigit():
+        text = name
+    return text.lower().rstrip(".")
+
+
+class HostTable:
+    """Services by host and path prefix: exact host, then `*.` patterns, then any host.
+
+    Within a host the longest prefix wins.
+    """
+
+    __slots__ = ("tables", "lengths", "remembered")
+
+    def __init__(self, services: Iterable[Service]):
+        self.tables: dict[str, PrefixTable] = {}
+        for service in services:
+            prefix = service.path_prefix.rstrip("/").encode()
+            for host in service.hosts or ("*",):
+                self.tables.setdefault(host.lower(), {})[prefix] = service
+        self.lengths = {
+            host: sorted({len(prefix) for prefix in table}, reverse=True)
+            for host, table in self.tables.items()
+        }
+        self.remembered: dict[bytes | str, list[str]] = {}
+
+    def find(self, host: bytes | str, target: bytes | str) -> Service | None:
+        """Return the service of a request, or None."""
+        patterns = self.remembered.get(host)
+        if patterns is None:
+            patterns = self.remember(host)
+        path = plain_path(target)
+        for pattern in patterns:
+            table = self.tables[pattern]
+            for length in self.lengths[pattern]:
+                service = table.get(path[:length])
+                if service is not None and path[length : length + 1] in (b"/", b""):
+                    return service
+        return None
+
+    def remember(self, host: bytes | str) -> list[str]:
+        """Return the patterns that `host` meets, the closest first."""
+        name = plain_host(host)
+        labels = name.split(".")
+        wild = ["*." + ".".join(labels[i:]) for i in range(1, min(len(labels), 32))]
+        patterns = [p for p in (name, *wild, "*") if p in self.tables]
+        if len(host) <= MAX_HOST:
+            if len(self.remembered) >= MAX_HOSTS:
+                self.remembered.clear()
+            self.remembered[host] = patterns
+        return patterns
+
+
+class RuleTable:
+    """The rules of one service: one regular expression for each method.
+
+    The expression is the alternatives of all rules in their order, so one match finds the first
+    rule that fits, whatever their number.
+    """
+
+    __slots__ = ("rules", "unmatched", "by_method")
+
+    def __init__(self, service: str, rules: Iterable[Rule]):
+        self.rules = sorted(rules, key=lambda rule: (rule.order, rule.name))
+        self.unmatched = Rule.unmatched(service)
+        named = {method for rule in self.rules for method in rule.methods}
+        self.by_method = {method: self.compile(method) for method in [*named, ""]}
+        self.by_method.update({m.encode(): entry for m, entry in self.by_method.items() if m})
+
+    def compile(self, method: str) -> tuple[re.Pattern[bytes], list[Rule]] | None:
+        """Return the expression for `method` and the rule of each of its groups."""
+        rules = [rule for rule in self.rules if not rule.methods or method in rule.methods]
+        if not rules:
+            return None
+        groups = b"|".join(b"(" + glob_pattern(rule.path) + b")" for rule in rules)
+        return re.compile(groups, re.DOTALL), rules
+
+    def find(self, method: bytes | str, target: bytes | str) -> Rule:
+        """Return the first rule that matches, or the one for unmatched requests."""
+        entry = self.by_method.get(method, self.by_method[""])
+        if entry is None:
+            return self.unmatched
+        pattern, rules = entry
+        match = pattern.fullmatch(plain_path(target))
+        if match is None:
+            return self.unmatched
+        return rules[match.lastindex - 1]
+
+
+def glob_pattern(glob: str) -> bytes:
+    """Return the regular expression of a path pattern; without groups of its own."""
+    parts = []
+    for segment in glob.split("/")[1:]:
+        if segment == "**":
+            parts.append(b"(?:/.*)?")
+            continue
+        text = rb"[^/]*".join(re.escape(part.encode()) for part in segment.split("*"))
+        parts.append(b"/" + text)
+    return b"".join(parts)
+
+
+def covers(earlier: Rule, later: Rule) -> bool:
+    """Return True if `earlier` surely matches all that `later` matches (not in each case)."""
+    if earlier.methods and not (later.methods and set(later.methods) <= set(earlier.methods)):
+        return False
+    if earlier.path in ("/**", later.path):
+        return True
+    # A star of the later pattern stands for text without a slash, so the earlier pattern must
+    # match it as it stands; "**" stands for no segment or for several.
+    if "**" in later.path and not earlier.path.endswith("/**"):
+        return False
+    pattern = re.compile(glob_pattern(earlier.path), re.DOTALL)
+    return all(
+        pattern.fullmatch(later.path.replace("/**", segments).replace("*", "\n").encode())
+        for segments in ("", "/\n", "/\n/\n")
+    )
--- /dev/null
+++ b/sequoiabridge/config/section.py
@@ -0,0 +1,151 @@
+"""The base class of everything that is read from options: declared once, checked, slotted.
+
+A subclass declares its options as fields:
+
+    class Pool(Section):
+        heading = "pool"
+        service = Name("The service that it belongs to.")
+
+The metaclass takes the fields off the class and makes each a slot, so that reading an option on
+the request path costs as much as reading any slot. The declarations stay in `Pool.fields`.
+"""
+
+from collections.abc import Iterator, Mapping
+from difflib import get_close_matches
+from typing import Any, ClassVar, Self
+
+from expression import Error, Ok, Result
+
+from .fields import BadValue, Field
+from .problem import Problem
+
+HIDDEN = "(hidden)"
+"""What dumps show in place of a secret."""
+
+
+class SectionType(type):
+    """Makes a slot of each declared field."""
+
+    def __new__(meta, name: str, bases: tuple, namespace: dict):
+        own = {key: value for key, value in namespace.items() if isinstance(value, Field)}
+        for key in own:
+            del namespace[key]
+        slots = tuple(namespace.get("__slots__", ())) + tuple(own)
+        namespace["__slots__"] = slots
+        inherited = {k: v for base in bases for k, v in getattr(base, "fields", {}).items()}
+        namespace["fields"] = {**inherited, **own}
+        return super().__new__(meta, name, bases, namespace)
+
+
+class Section(metaclass=SectionType):
+    """A checked set of options.
+
+    Attributes:
+        heading: The first word of the section's header.
+        fields: The declared options by name.
+        name: The second word of the header, "" for sections of which there is one.
+        extra: Texts of options that this release does not know or cannot read, kept so that
+            they are not lost when they are written again; nearly always empty.
+    """
+
+    __slots__ = ("name", "extra")
+
+    heading: ClassVar[str] = ""
+    fields: ClassVar[dict[str, Field]]
+
+    @classmethod
+    def read(
+        cls, name: str, mapping: Mapping[str, str], source: str, *, keep_unknown: bool = False
+    ) -> Result[Self, list[Problem]]:
+        """Read all options of `mapping` and report every problem at once.
+
+        Args:
+            keep_unknown: Put what this release does not know into `extra`; use the default in
+                the place of a value that it cannot read. For what is committed already.
+        """
+        header = f"{cls.heading} {name}".strip()
+        section = cls.__new__(cls)
+        section.name = name
+        section.extra = NO_EXTRA
+        problems = section.take_known(mapping, source, header, keep_unknown)
+        unknown = mapping.keys() - cls.fields.keys()
+        if unknown and keep_unknown:
+            section.keep({key: mapping[key] for key in sorted(unknown)})
+        elif unknown:
+            problems += [cls.unknown_option(key, source, header) for key in sorted(unknown)]
+        if problems:
+            return Error(problems)
+        problems = [Problem(source, header, *found) for found in section.check()]
+        if problems and not keep_unknown:
+            return Error(problems)
+        return Ok(section)
+
+    def take_known(
+        self, mapping: Mapping[str, str], source: str, header: str, keep_unknown: bool
+    ) -> list[Problem]:
+        """Set each declared option from its text or its default; return what is wrong."""
+        problems = []
+        for key, field in self.fields.items():
+            text = mapping.get(key)
+            if text is None and field.required:
+                wrong = "the option is missing"
+                problems.append(Problem(source, header, key, wrong, f"write {field.expected}"))
+                continue
+            if text is None:
+                setattr(self, key, field.default)
+                continue
+            try:
+                setattr(self, key, field.parse(text))
+            except BadValue as error:
+                if keep_unknown and not field.required:
+                    setattr(self, key, field.default)
+                    self.keep({key: text})
+                    continue
+                problems.append(Problem(source, header, key, error.wrong, error.instead))
+        return problems
+
+    def keep(self, texts: dict[str, str]) -> None:
+        """Add texts that this release does not understand to `extra`."""
+        self.extra = {**self.extra, **texts}
+
+    def check(self) -> Iterator[tuple[str, str, str]]:
+        """Yield (key, wrong, instead) for options that do not go together; a hook."""
+        return iter(())
+
+    @classmethod
+    def unknown_option(cls, key: str, source: str, header: str) -> Problem:
+        """Return the problem of an option that is not declared, with the nearest that is."""
+        near = get_close_matches(key, cls.fields, n=1)
+        instead = f"write {near[0]}" if near else "use one of " + ", ".join(cls.fields)
+        return Problem(source, header, key, "there is no such option", instead)
+
+    def options(self) -> dict[str, str]:
+        """Return the texts of all options that differ from their defaults, and of `extra`."""
+        texts = {}
+        for key, field in self.fields.items():
+            value = getattr(self, key)
+            if field.required or value != field.default:
+                texts[key] = field.format(value)
+        if self.extra:
+            texts.update(self.extra)
+        return texts
+
+    def dump(self) -> dict[str, Any]:
+        """Return all values for the state dump, secrets hidden."""
+        shown = {k: HIDDEN if f.secret else getattr(self, k) for k, f in self.fields.items()}
+        return {**shown, **({"not_understood": self.extra} if self.extra else {})}
+
+    def __eq__(self, other: object) -> bool:
+        if type(other) is not type(self):
+            return NotImplemented
+        return self.name == other.name and self.options() == other.options()
+
+    def __hash__(self) -> int:
+        return hash((self.heading, self.name))
+
+    def __repr__(self) -> str:
+        return f"{type(self).__name__}({self.name!r}, {self.dump()})"
+
+
+NO_EXTRA: dict[str, str] = {}
+"""Shared by all sections that have nothing extra; never changed."""
--- /dev/null
+++ b/sequoiabridge/config/units.py
@@ -0,0 +1,153 @@
+"""Fields with units (durations, sizes), addresses and path patterns."""
+
+import ipaddress
+import re
+from typing import Any
+
+from .fields import REQUIRED, BadValue, Field
+
+DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,17})?)\s*(ms|s|m|h)")
+SIZE = re.compile(r"([0-9]{1,15})\s*(B|KB|MB|GB|TB)?", re.IGNORECASE)
+
+SECONDS = {"s": 1, "m": 60, "h": 3600}
+BYTES = {"TB": 1000**4, "GB": 1000**3, "MB": 1000**2, "KB": 1000, "B": 1}
+
+MAX_PORT = 65535
+
+
+class Duration(Field):
+    """A time such as `250ms`, `3s` or `5m`; seconds as a float at run time."""
+
+    def __init__(
+        self, help: str, default: Any = REQUIRED, *, least: float = 0.0, most: float = 86400.0
+    ):
+        super().__init__(help, default)
+        self.least = least
+        self.most = most
+
+    @property
+    def expected(self) -> str:
+        least, most = self.format(self.least), self.format(self.most)
+        return f"a duration from {least} to {most}, such as 250ms, 3s or 5m"
+
+    def parse(self, text: str) -> float:
+        match = DURATION.fullmatch(text)
+        if not match:
+            raise self.bad(text)
+        number, unit = float(match[1]), match[2]
+        value = number / 1000 if unit == "ms" else number * SECONDS[unit]
+        if not self.least <= value <= self.most:
+            raise self.bad(text)
+        return value
+
+    def format(self, value: float) -> str:
+        if value and value % 60 == 0:
+            return f"{int(value / 60)}m"
+        if value == int(value):
+            return f"{int(value)}s"
+        thousandths = round(value * 1000)
+        if thousandths / 1000 == value:
+            return f"{thousandths}ms"
+        return f"{value:.17f}".rstrip("0") + "s"
+
+
+class Size(Field):
+    """A number of bytes such as `64KB` or `10MB` (1 KB = 1,000 bytes); an int at run time."""
+
+    def __init__(self, help: str, default: Any = REQUIRED, *, least: int = 0, most: int = 10**12):
+        super().__init__(help, default)
+        self.least = least
+        self.most = most
+
+    @property
+    def expected(self) -> str:
+        least, most = self.format(self.least), self.format(self.most)
+        return f"a size from {least} to {most}, such as 64KB or 10MB"
+
+    def parse(self, text: str) -> int:
+        match = SIZE.fullmatch(text)
+        if not match:
+            raise self.bad(text)
+        value = int(match[1]) * BYTES[(match[2] or "B").upper()]
+        if not self.least <= value <= self.most:
+            raise self.bad(text)
+        return value
+
+    def format(self, value: int) -> str:
+        for unit, size in BYTES.items():
+            if value >= size and value % size == 0:
+                return f"{value // size}{unit}"
+        return f"{value}B"
+
+
+class Address(Field):
+    """`IP:port`, an IP number and never a host name; `[IP]:port` for IPv6. A str at run time.
+
+    Args:
+        listen: The daemon binds it, so port 0 (any free one) is allowed.
+    """
+
+    expected = "an IP number and a port, such as 10.0.0.5:8080 or [fd00::5]:8080"
+
+    def __init__(self, help: str, default: Any = REQUIRED, *, listen: bool = False):
+        super().__init__(help, default)
+        self.listen = listen
+
+    def parse(self, text: str) -> str:
+        try:
+            ip, port = split_address(text)
+        except ValueError:
+            raise self.bad(text) from None
+        if port == 0 and not self.listen:
+            raise BadValue("port 0 stands for no port", f"write {self.expected}")
+        return join_address(ip, port)
+
+
+class PathPrefix(Field):
+    """The start of a path, cut at a slash: `/a` covers `/a` and `/a/b`, not `/ab`."""
+
+    expected = "a path such as / or /reports, without ?, * or a slash at its end"
+
+    def parse(self, text: str) -> str:
+        if text == "/":
+            return text
+        if not re.fullmatch(r"(/[A-Za-z0-9._~!$&'()+,;=:@%-]+)+", text):
+            raise self.bad(text)
+        return text
+
+
+class PathGlob(Field):
+    """A path pattern: `*` is any text inside a segment, `**` any number of whole segments.
+
+    One `**` and one `*` a segment keep matching linear in the path's length.
+    """
+
+    expected = "a path such as /a/*/b or /a/**, with at most one ** and one * a segment"
+
+    def parse(self, text: str) -> str:
+        if not re.fullmatch(r"/[A-Za-z0-9._~!$&'()+,;=:@%*/-]*", text) or "//" in text:
+            raise self.bad(text)
+        if text.endswith("/") and text != "/":
+            raise self.bad(text)
+        segments = text.split("/")
+        wide = segments.count("**")
+        if wide > 1 or any(part.count("*") > 1 and part != "**" for part in segments):
+            raise self.bad(text)
+        return text
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return the IP number and the port of `IP:port`; raise `ValueError` if it is not one."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > MAX_PORT:
+        raise ValueError(f"{text!r} is not IP:port")
+    bracketed = host.startswith("[") and host.endswith("]")
+    ip = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    if (ip.version == 6) != bracketed:
+        raise ValueError(f"{text!r} is not IP:port")
+    return str(ip), int(port)
+
+
+def join_address(ip: str, port: int) -> str:
+    """Return `IP:port`, with brackets around an IPv6 number."""
+    return f"[{ip}]:{port}" if ":" in ip else f"{ip}:{port}"
--- /dev/null
+++ b/sequoiabridge/tests/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command-line tools."""
