Add the operators' tool and the daemon's entry

Cause: operators and scripts need one tool with a verb for each job and exit codes they can rely on.

Ruled out: letting argparse errors and exceptions reach people as tracebacks; retrying a command whose answer was lost (it may have run).

--- /dev/null
+++ b/sequoiabridge/commands/apply.py
@@ -0,0 +1,45 @@
+"""`sequoiactl apply`: make the fleet's configuration what a file says."""
+
+from pathlib import Path
+
+from ..config.loading import load_document
+from ..exceptions import ConfigurationError
+from .client import NOT_ALL_HEARD, TIMEOUT, make_client
+from .tables import all_heard, show
+
+
+def apply(
+    file: Path,
+    *,
+    admin: str,
+    expect: int | None = None,
+    dry_run: bool = False,
+    token_file: Path | None = None,
+    timeout: float = TIMEOUT,
+    json: bool = False,
+    strict: bool = False,
+) -> int:
+    """Make the fleet's configuration what a file says, by the smallest change.
+
+    Args:
+        file: Fleet configuration; it is checked here first.
+        admin: IP:port of a daemon's admin port.
+        expect: Version that must be in force; fails with 3 if another came first.
+        dry_run: Only say what would change.
+        token_file: File with the operator's token; else SEQUOIA_TOKEN is used.
+        timeout: Seconds that the answer may take.
+        json: Print JSON.
+        strict: Send nothing if the file has warnings; fail if a VM was not heard.
+    """
+    client = make_client(admin, token_file, timeout)
+    read = load_document(file)
+    problems = read.error if read.is_error() else read.ok.warnings(str(file))
+    if read.is_error() or (strict and problems):
+        found = "; also: ".join(problem.text for problem in problems)
+        raise ConfigurationError(f"Nothing was sent: {found}.")
+    query = {"dry_run": "1"} if dry_run else {}
+    if expect is not None:
+        query["expect"] = str(expect)
+    answer = client.post("apply", body=file.read_text(encoding="utf-8"), **query)
+    show(answer, json)
+    return 0 if all_heard(answer) or not strict else NOT_ALL_HEARD
--- /dev/null
+++ b/sequoiabridge/commands/client.py
@@ -0,0 +1,158 @@
+"""A daemon's admin port as the tool sees it: one HTTP request, one JSON answer, typed errors."""
+
+import http.client
+import json
+import os
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from ..config.units import split_address
+from ..exceptions import (
+    AdminError,
+    ConfigurationError,
+    ConflictError,
+    SequoiaError,
+    StoreUnavailable,
+)
+
+TOKEN_VARIABLE = "SEQUOIA_TOKEN"
+
+TIMEOUT = 30.0
+"""Seconds that one answer may take."""
+
+NOT_ALL_HEARD = 1
+"""Exit code with `--strict` when a VM was not heard."""
+
+MAX_ANSWER = 100_000_000
+"""Bytes that one answer may have."""
+
+
+class DaemonUnavailable(AdminError):
+    """The daemon could not be reached, or gave no answer."""
+
+    exit_code = 4
+
+
+class NothingFound(SequoiaError):
+    """The daemon knows nothing of the name that was asked for."""
+
+
+ERRORS: dict[int, type[SequoiaError]] = {
+    400: ConfigurationError,
+    401: AdminError,
+    403: AdminError,
+    404: NothingFound,
+    409: ConflictError,
+    503: StoreUnavailable,
+}
+"""What an HTTP status of the admin port stands for; any other is a plain failure."""
+
+
+class AdminClient:
+    """Speaks to one daemon's admin port.
+
+    Args:
+        address: `IP:port` of the admin port.
+        token: The operator's token from that daemon's settings.
+        timeout: Seconds that connecting, and then answering, may take.
+    """
+
+    def __init__(self, address: str, token: str, timeout: float = TIMEOUT):
+        try:
+            self.ip, self.port = split_address(address)
+        except ValueError:
+            message = f"--admin {address} is not valid: write IP:port, such as 10.0.0.5:9000."
+            raise ConfigurationError(message) from None
+        self.address = address
+        self.token = token
+        self.timeout = timeout
+
+    def get(self, *path: str, **query: str) -> Any:
+        """Ask for something; changes nothing."""
+        return self.request("GET", target(path, query), b"")
+
+    def post(self, *path: str, body: str, **query: str) -> Any:
+        """Send a command or a document."""
+        return self.request("POST", target(path, query), body.encode())
+
+    def request(self, method: str, where: str, body: bytes) -> Any:
+        """Make one request and return the JSON of its answer."""
+        connection = http.client.HTTPConnection(self.ip, self.port, timeout=self.timeout)
+        try:
+            connection.connect()
+        except OSError as error:
+            raise DaemonUnavailable(
+                f"No daemon answers at {self.address} ({describe(error)}): "
+                "check the address and that the daemon runs."
+            ) from None
+        headers = {"Authorization": f"Bearer {self.token}", "Content-Length": str(len(body))}
+        try:
+            connection.request(method, where, body, headers)
+            response = connection.getresponse()
+            data = response.read(MAX_ANSWER)
+        except (OSError, http.client.HTTPException) as error:
+            raise self.no_answer(method, error) from None
+        finally:
+            connection.close()
+        return self.result(response.status, data)
+
+    def no_answer(self, method: str, error: Exception) -> DaemonUnavailable:
+        """Return the error of a request that was sent and not answered."""
+        remedy = "Ask again, or ask another VM."
+        if method == "POST":
+            remedy = "What was asked for may have been done: look before asking again."
+        return DaemonUnavailable(
+            f"The daemon at {self.address} gave no answer ({describe(error)}). {remedy}"
+        )
+
+    def result(self, status: int, data: bytes) -> Any:
+        """Return the answer's JSON, or raise the error that it stands for."""
+        try:
+            answer = json.loads(data)
+        except ValueError:
+            message = f"The answer of {self.address} (status {status}) is not JSON: "
+            raise AdminError(message + "check that --admin names an admin port.") from None
+        if status < 300:
+            return answer
+        error = answer.get("error", {}) if isinstance(answer, dict) else {}
+        message = str(error.get("message") or f"The daemon answered with status {status}.")
+        if error.get("column"):
+            message = f"column {error['column']}: {message}"
+        raise ERRORS.get(status, SequoiaError)(message)
+
+
+def make_client(admin: str, token_file: Path | None, timeout: float) -> AdminClient:
+    """Return a client with the token of `token_file`, else of the environment."""
+    return AdminClient(admin, read_token(token_file), timeout)
+
+
+def read_token(token_file: Path | None) -> str:
+    """Return the operator's token."""
+    if token_file is None:
+        token = os.environ.get(TOKEN_VARIABLE, "").strip()
+        source = TOKEN_VARIABLE
+    else:
+        try:
+            token = token_file.read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeDecodeError):
+            message = f"The token file {token_file} cannot be read: check its name and rights."
+            raise ConfigurationError(message) from None
+        source = str(token_file)
+    if not token:
+        message = f"There is no token: give --token-file FILE or set {TOKEN_VARIABLE}."
+        raise ConfigurationError(message)
+    if not token.isascii() or not token.isprintable():
+        raise ConfigurationError(f"The token in {source} is not one line of plain ASCII text.")
+    return token
+
+
+def target(path: tuple[str, ...], query: dict[str, str]) -> str:
+    """Return a request target with all parts quoted."""
+    where = "/" + "/".join(quote(part, safe="") for part in path)
+    return f"{where}?{urlencode(query)}" if query else where
+
+
+def describe(error: Exception) -> str:
+    """Return an error of the network in a few words."""
+    return getattr(error, "strerror", None) or str(error) or type(error).__name__
--- /dev/null
+++ b/sequoiabridge/commands/daemon.py
@@ -0,0 +1,53 @@
+"""Entry of `sequoiabridged`, the daemon."""
+
+import sys
+from pathlib import Path
+
+import curio
+import defopt
+
+from ..config.settings import Settings
+from ..exceptions import ConfigurationError, SequoiaError
+from ..logs import set_up
+
+BAD_INPUT = ConfigurationError.exit_code
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon and return its exit code; `argv` is what follows the program's name."""
+    return defopt.run(
+        run,
+        argv=sys.argv[1:] if argv is None else argv,
+        no_negated_flags=True,
+        argparse_kwargs={"prog": "sequoiabridged"},
+    )
+
+
+def run(settings: Path, *, check: bool = False) -> int:
+    """Run one daemon of the load balancer until it is told to stop.
+
+    Args:
+        settings: INI file with this VM's settings.
+        check: Only check the file.
+    """
+    loaded = Settings.load(settings)
+    if loaded.is_error():
+        for problem in loaded.error:
+            print(problem.text, file=sys.stderr)
+        return BAD_INPUT
+    if check:
+        return 0
+    set_up(loaded.ok.log.level)
+    try:
+        return start(loaded.ok)
+    except SequoiaError as error:
+        print(f"sequoiabridged: {' '.join(str(error).split())}", file=sys.stderr)
+        return error.exit_code
+
+
+def start(settings: Settings) -> int:
+    """Run the daemon on curio's kernel; returns after a planned stop."""
+    # Imported here, so that checking settings does not load the whole daemon.
+    from ..daemon import Daemon
+
+    return curio.run(Daemon(settings).run) or 0
--- /dev/null
+++ b/sequoiabridge/commands/explain.py
@@ -0,0 +1,28 @@
+"""`sequoiactl explain`: what was decided about one request."""
+
+from pathlib import Path
+
+from .client import TIMEOUT, make_client
+from .tables import show
+
+
+def explain(
+    request_id: str,
+    *,
+    admin: str,
+    token_file: Path | None = None,
+    timeout: float = TIMEOUT,
+    json: bool = False,
+) -> int:
+    """Say which upstreams were weighed for a request, on what evidence, and what came of it.
+
+    Args:
+        request_id: The `Sequoia-Request-Id` of its answer.
+        admin: IP:port of the admin port of the daemon that took the request.
+        token_file: File with the operator's token; else SEQUOIA_TOKEN is used.
+        timeout: Seconds that the answer may take.
+        json: Print JSON.
+    """
+    client = make_client(admin, token_file, timeout)
+    show(client.get("explain", request_id), json)
+    return 0
--- /dev/null
+++ b/sequoiabridge/commands/main.py
@@ -0,0 +1,57 @@
+"""Entry of `sequoiactl`, the operators' tool: one verb a job.
+
+Exit codes: 0 done; 1 failed, or not all VMs heard with `--strict`; 2 the input is wrong;
+3 another operator's change came first; 4 the store or the daemon does not answer; 5 refused.
+"""
+
+import json
+import os
+import sys
+
+import defopt
+
+from ..exceptions import SequoiaError
+from .apply import apply
+from .ask import ask
+from .check import check
+from .dump import dump
+from .explain import explain
+from .version import version
+
+VERBS = [check, dump, ask, apply, explain, version]
+
+FAILED = 1
+INTERRUPTED = 130
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one verb and return the exit code; `argv` is what follows the program's name."""
+    argv = sys.argv[1:] if argv is None else argv
+    try:
+        code = defopt.run(
+            VERBS,
+            argv=argv,
+            short={},
+            no_negated_flags=True,
+            argparse_kwargs={"prog": "sequoiactl"},
+        )
+        sys.stdout.flush()
+        return code
+    except SequoiaError as error:
+        return report(error, "--json" in argv)
+    except BrokenPipeError:
+        # The reader of our output has gone; keep Python from failing again as it ends.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return FAILED
+    except KeyboardInterrupt:
+        return INTERRUPTED
+
+
+def report(error: SequoiaError, as_json: bool) -> int:
+    """Print an error as one sentence, and as JSON for machines; return its exit code."""
+    message = " ".join(str(error).split())
+    if as_json:
+        kind = type(error).__name__
+        print(json.dumps({"error": {"kind": kind, "message": message, "exit": error.exit_code}}))
+    print(f"sequoiactl: {message}", file=sys.stderr)
+    return error.exit_code
--- /dev/null
+++ b/sequoiabridge/commands/tables.py
@@ -0,0 +1,113 @@
+"""Plain text for people: tables and nested values; JSON for machines."""
+
+import json
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+INDENT = "  "
+GAP = "  "
+
+
+def table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> Iterator[str]:
+    """Yield the lines of a table; numbers stand to the right."""
+    texts = [[cell(value) for value in row] for row in rows]
+    widths = [len(name) for name in columns]
+    for row in texts:
+        widths = [max(width, len(text)) for width, text in zip(widths, row, strict=False)]
+    right = [all(is_number(row[i]) for row in rows) for i in range(len(columns))]
+    right = [aligned and bool(rows) for aligned in right]
+    yield line(columns, widths, right)
+    yield GAP.join("-" * width for width in widths)
+    for row in texts:
+        yield line(row, widths, right)
+
+
+def line(texts: Sequence[str], widths: list[int], right: list[bool]) -> str:
+    """Return one line of a table."""
+    parts = zip(texts, widths, right, strict=False)
+    return GAP.join(t.rjust(w) if r else t.ljust(w) for t, w, r in parts).rstrip()
+
+
+def tree(value: Any, depth: int = 0) -> Iterator[str]:
+    """Yield the lines of nested maps and lists; a list of alike maps is a table."""
+    space = INDENT * depth
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            if isinstance(inner, dict | list) and inner:
+                yield f"{space}{key}:"
+                yield from tree(inner, depth + 1)
+            else:
+                yield f"{space}{key}: {cell(inner)}"
+    elif is_table(value):
+        columns = list(value[0])
+        rows = [[row[name] for name in columns] for row in value]
+        yield from (space + text for text in table(columns, rows))
+    elif isinstance(value, list):
+        for inner in value:
+            nested = isinstance(inner, dict | list) and inner
+            yield from tree(inner, depth + 1) if nested else (f"{space}- {cell(inner)}",)
+    else:
+        yield space + cell(value)
+
+
+def is_table(value: Any) -> bool:
+    """Return True for a list of maps that all have the same keys and no maps inside."""
+    if not isinstance(value, list) or not value or not isinstance(value[0], dict):
+        return False
+    keys = list(value[0])
+    flat = all(isinstance(row, dict) and list(row) == keys for row in value)
+    return flat and not any(isinstance(v, dict) for row in value for v in row.values())
+
+
+def is_number(value: Any) -> bool:
+    """Return True for what is aligned to the right."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def cell(value: Any) -> str:
+    """Return one value as text without line breaks or control characters."""
+    if value is None or value == [] or value == {}:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list):
+        return ", ".join(cell(part) for part in value)
+    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    return "".join(c if c.isprintable() else "?" for c in text)
+
+
+def show(answer: Any, as_json: bool) -> None:
+    """Print a daemon's answer: its table, its message, and which VMs were heard."""
+    if as_json:
+        print(json.dumps(answer, indent=2, ensure_ascii=False))
+        return
+    if not isinstance(answer, dict) or "columns" not in answer:
+        print("\n".join(tree(answer)))
+        return
+    if answer["columns"]:
+        print("\n".join(table(answer["columns"], answer.get("rows") or [])))
+    if answer.get("message"):
+        print(answer["message"])
+    print(heard(answer))
+
+
+def all_heard(answer: Any) -> bool:
+    """Return False if an answer names VMs that were not heard."""
+    return not (isinstance(answer, dict) and answer.get("not_heard"))
+
+
+def heard(answer: dict) -> str:
+    """Return the line that says whose word an answer is."""
+    parts = []
+    if answer.get("version") is not None:
+        parts.append(f"configuration version {answer['version']}")
+    if "heard" in answer:
+        parts.append(f"heard {count(answer['heard'])} VMs")
+    if answer.get("not_heard"):
+        parts.append("NOT heard " + cell(answer["not_heard"]))
+    return "; ".join(parts)
+
+
+def count(value: Any) -> int:
+    """Return a number that is given as such or as a list of names."""
+    return len(value) if isinstance(value, list) else int(value or 0)
