--- a/sequoiabridge/commands/apply.py
+++ b/sequoiabridge/commands/apply.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 from ..config.loading import load_document
+from ..config.problem import sentence
 from ..exceptions import ConfigurationError
 from .client import NOT_ALL_HEARD, TIMEOUT, make_client
 from .tables import all_heard, show
@@ -35,8 +36,7 @@
     read = load_document(file)
     problems = read.error if read.is_error() else read.ok.warnings(str(file))
     if read.is_error() or (strict and problems):
-        found = "; also: ".join(problem.text for problem in problems)
-        raise ConfigurationError(f"Nothing was sent: {found}.")
+        raise ConfigurationError(f"Nothing was sent: {sentence(problems)}.")
     query = {"dry_run": "1"} if dry_run else {}
     if expect is not None:
         query["expect"] = str(expect)
--- a/sequoiabridge/config/draft.py
+++ b/sequoiabridge/config/draft.py
@@ -197,7 +197,7 @@
         seen: dict[tuple[str, str], str] = {}
         for name, service in self.new.services.items():
             for host in service.hosts or ("*",):
-                other = seen.setdefault((host.lower(), service.path_prefix), name)
+                other = seen.setdefault((host, service.path_prefix), name)
                 if other == name:
                     continue
                 wrong = f"service {other} has the same host and path prefix"
--- a/sequoiabridge/config/matching.py
+++ b/sequoiabridge/config/matching.py
@@ -66,7 +66,7 @@
         for service in services:
             prefix = service.path_prefix.rstrip("/").encode()
             for host in service.hosts or ("*",):
-                self.tables.setdefault(host.lower(), {})[prefix] = service
+                self.tables.setdefault(host, {})[prefix] = service
         self.lengths = {
             host: sorted({len(prefix) for prefix in table}, reverse=True)
             for host, table in self.tables.items()
--- a/sequoiabridge/config/service.py
+++ b/sequoiabridge/config/service.py
@@ -1,8 +1,8 @@
 """A service: what callers ask for, and how its calls are weighed."""
 
-from .fields import Choice, Integer, ListOf, Number, Text
+from .fields import Choice, Integer, ListOf, Number
 from .section import Section
-from .units import PathPrefix
+from .units import HostPattern, PathPrefix
 
 CHOOSERS = ("evidence", "random", "round-robin", "least-in-flight", "two-choices")
 """Names of the ways to choose an upstream; the policy part knows the classes."""
@@ -14,7 +14,7 @@
     heading = "service"
 
     hosts = ListOf(
-        "Host names of its requests, `*.` for all below a name; empty for any.", Text(""), ()
+        "Host names of its requests, `*.` for all below a name; empty for any.", HostPattern(""), ()
     )
     path_prefix = PathPrefix("Start of the path of its requests.", "/")
     tail_weight = Number(
--- a/sequoiabridge/config/settings.py
+++ b/sequoiabridge/config/settings.py
@@ -1,5 +1,6 @@
 """Settings of one daemon: one INI file, read at its start."""
 
+import ipaddress
 from collections.abc import Iterator
 from difflib import get_close_matches
 from pathlib import Path
@@ -81,6 +82,13 @@
         most=10**7,
     )
 
+    def check(self) -> Iterator[tuple[str, str, str]]:
+        if is_unspecified(self.address):
+            wrong = "other daemons cannot reach an address that stands for all of this VM's"
+            yield "address", wrong, "write the VM's own IP number"
+        if self.address in self.seeds:
+            yield "seeds", "this daemon's own address is among them", "list other daemons only"
+
 
 class PlatformSettings(Section):
     """Where the platform's services are, and how much the whole fleet may ask of them."""
@@ -193,11 +201,21 @@
         if header not in read or split_address(read[header].address)[1] == 0:
             continue
         address = read[header].address
-        if address in seen:
-            wrong = f"{address} is the address of [{seen[address]}] as well"
+        other = next((a for a in seen if overlap(a, address)), None)
+        if other is not None:
+            wrong = f"{address} cannot be bound beside {other} of [{seen[other]}]"
             problems.append(Problem(source, header, "address", wrong, "give each its own port"))
         seen.setdefault(address, header)
-    if "fleet" in read and read["fleet"].address in read["fleet"].seeds:
-        wrong = "this daemon's own address is among its seeds"
-        problems.append(Problem(source, "fleet", "seeds", wrong, "list other daemons only"))
     return problems
+
+
+def is_unspecified(address: str) -> bool:
+    """Return True if `IP:port` stands for all addresses of the VM."""
+    return ipaddress.ip_address(split_address(address)[0]).is_unspecified
+
+
+def overlap(one: str, other: str) -> bool:
+    """Return True if two addresses cannot both be bound."""
+    if split_address(one)[1] != split_address(other)[1]:
+        return False
+    return one == other or is_unspecified(one) or is_unspecified(other)
--- a/sequoiabridge/config/units.py
+++ b/sequoiabridge/config/units.py
@@ -1,4 +1,4 @@
-"""Fields with units (durations, sizes), addresses and path patterns."""
+"""Fields with units (durations, sizes), addresses, host and path patterns."""
 
 import ipaddress
 import re
@@ -12,8 +12,13 @@
 SECONDS = {"s": 1, "m": 60, "h": 3600}
 BYTES = {"TB": 1000**4, "GB": 1000**3, "MB": 1000**2, "KB": 1000, "B": 1}
 
+HOST = re.compile(r"(\*\.)?[A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*|\[[0-9A-Fa-f:]+\]")
+
 MAX_PORT = 65535
 
+MAX_HOST = 253
+"""Characters of the longest host name (RFC 1035)."""
+
 
 class Duration(Field):
     """A time such as `250ms`, `3s` or `5m`; seconds as a float at run time."""
@@ -41,6 +46,8 @@
         return value
 
     def format(self, value: float) -> str:
+        if value and value % 3600 == 0:
+            return f"{int(value / 3600)}h"
         if value and value % 60 == 0:
             return f"{int(value / 60)}m"
         if value == int(value):
@@ -103,6 +110,17 @@
         return join_address(ip, port)
 
 
+class HostPattern(Field):
+    """A host name without a port, or `*.` and a name for all hosts below it; in lower case."""
+
+    expected = "a host name such as a.example.org, or *.example.org for all below it"
+
+    def parse(self, text: str) -> str:
+        if len(text) > MAX_HOST or not HOST.fullmatch(text):
+            raise self.bad(text)
+        return text.lower()
+
+
 class PathPrefix(Field):
     """The start of a path, cut at a slash: `/a` covers `/a` and `/a/b`, not `/ab`."""
 
--- a/sequoiabridge/tests/config/test_settings.py
+++ b/sequoiabridge/tests/config/test_settings.py
@@ -58,6 +58,8 @@
     ("old", "new", "where"),
     [
         ("127.0.0.1:8082\n", "127.0.0.1:8081\n", ("fleet", "address")),
+        ("127.0.0.1:8081", "0.0.0.0:8080", ("admin", "address")),
+        ("127.0.0.1:8082\n", "0.0.0.0:8082\n", ("fleet", "address")),
         ("10.0.0.2:8082", "127.0.0.1:8082", ("fleet", "seeds")),
         ("idle_timeout = 5m", "idle_timeout = 2s", ("callers", "idle_timeout")),
         ("a-token-of-some-length", "too-short", ("admin", "token")),
