--- /dev/null
+++ b/sequoiabridge/tests/standins/platform.py
@@ -0,0 +1,210 @@
+"""The platform as a process of its own, for demos, benchmarks and tests over real sockets.
+
+Prints its address as one line when it listens. `POST /control` with JSON fields of `Faults`
+switches faults at run time, `PUT /vms` sets the VM list, `GET /control` returns the counts.
+"""
+
+import sys
+import time
+from http import HTTPStatus
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import curio
+import defopt
+import h11
+import msgspec
+from curio.network import run_server
+
+from ...store.base import ListedVm, StoreErrorKind
+from ...store.http import ENCODER, VMS, ReadBody, ScanBody, TransactBody
+from ...timers import SystemClock
+from .memory import Faults, MemoryObjects, MemoryTables, MemoryVmList
+
+BURST = 0.25
+"""Seconds of the rate that may come at once."""
+
+STATUS_OF = {
+    StoreErrorKind.CONDITION_FAILED: HTTPStatus.CONFLICT,
+    StoreErrorKind.REJECTED: HTTPStatus.TOO_MANY_REQUESTS,
+}
+
+
+class Rate:
+    """Refuses what comes over `per_second`; 0 means no limit."""
+
+    def __init__(self, per_second: float):
+        self.per_second = per_second
+        self.left = per_second * BURST
+        self.at = time.monotonic()
+        self.passed = self.refused = 0
+
+    def allows(self, cost: float = 1.0) -> bool:
+        now = time.monotonic()
+        gain = (now - self.at) * self.per_second
+        self.left, self.at = min(self.per_second * BURST, self.left + gain), now
+        if self.per_second and self.left <= 0:
+            self.refused += 1
+            return False
+        self.left -= cost
+        self.passed += 1
+        return True
+
+
+class Unanswered(Exception):
+    """The connection is closed without an answer."""
+
+
+class Platform:
+    """Table service, object store and VM list behind one port."""
+
+    def __init__(self, writes: float, reads: float, count_rows: bool, vms: list[ListedVm]):
+        self.faults = Faults()
+        self.tables = MemoryTables(self.faults)
+        self.objects = MemoryObjects(self.faults)
+        self.vms = MemoryVmList(SystemClock(), vms, self.faults)
+        self.writes, self.reads = Rate(writes), Rate(reads)
+        self.count_rows = count_rows
+
+    async def answer(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
+        url = urlsplit(target)
+        part, _, rest = url.path.strip("/").partition("/")
+        if part == "control":
+            return self.control(method, body)
+        if self.faults.down:
+            raise Unanswered
+        if part == "vms":
+            return await self.list_vms(method, body)
+        writes = rest == "transact" or method in ("PUT", "DELETE")
+        cost = self.cost(body) if rest == "transact" else 1
+        if not (self.writes.allows(cost) if writes else self.reads.allows()):
+            return HTTPStatus.TOO_MANY_REQUESTS, b""
+        if part == "tables":
+            return await self.use_tables(rest, body)
+        return await self.use_objects(method, unquote(rest), parse_qs(url.query, True), body)
+
+    def cost(self, body: bytes) -> int:
+        if not self.count_rows:
+            return 1
+        return len(msgspec.json.decode(body, type=TransactBody).writes)
+
+    def control(self, method: str, body: bytes) -> tuple[int, bytes]:
+        if method == "POST":
+            for name, value in msgspec.json.decode(body).items():
+                setattr(self.faults, name, value)
+        rates = {"writes": self.writes, "reads": self.reads}
+        counts = {name: {"passed": r.passed, "refused": r.refused} for name, r in rates.items()}
+        return HTTPStatus.OK, ENCODER.encode({"faults": self.faults, **counts})
+
+    async def list_vms(self, method: str, body: bytes) -> tuple[int, bytes]:
+        if method == "PUT":
+            self.vms.set(VMS.decode(body))
+        return self.reply(await self.vms.vms(60.0))
+
+    async def use_tables(self, verb: str, body: bytes) -> tuple[int, bytes]:
+        if verb == "transact":
+            call = msgspec.json.decode(body, type=TransactBody)
+            return await self.write(self.tables, call.conditions, call.writes)
+        if verb == "read":
+            call = msgspec.json.decode(body, type=ReadBody)
+            return self.reply(await self.tables.read(call.table, call.key, 60.0))
+        call = msgspec.json.decode(body, type=ScanBody)
+        return self.reply(
+            await self.tables.scan(call.table, call.prefix, call.after, call.limit, 60.0)
+        )
+
+    async def write(self, tables: MemoryTables, conditions, writes) -> tuple[int, bytes]:
+        late = len(tables.waiting)
+        result = await tables.transact(conditions, writes, 60.0)
+        if len(tables.waiting) > late:
+            await curio.spawn(self.land_later, tables, daemon=True)
+        return self.reply(result)
+
+    async def land_later(self, tables: MemoryTables) -> None:
+        await curio.sleep(self.faults.late_after)
+        tables.land_late()
+
+    async def use_objects(self, method, name, query, body) -> tuple[int, bytes]:
+        if method == "PUT":
+            return self.reply(await self.objects.put(name, body, 60.0))
+        if method == "DELETE":
+            return self.reply(await self.objects.delete(name, 60.0))
+        if not name:
+            prefix, after, limit = (query[key][0] for key in ("prefix", "after", "limit"))
+            return self.reply(await self.objects.names(prefix, after, int(limit), 60.0))
+        found = await self.objects.get(name, 60.0)
+        if found.is_ok():
+            return (HTTPStatus.OK, found.ok) if found.ok is not None else (404, b"")
+        return self.reply(found)
+
+    def reply(self, result) -> tuple[int, bytes]:
+        if result.is_ok():
+            return HTTPStatus.OK, ENCODER.encode(result.ok)
+        if result.error.kind not in STATUS_OF:
+            raise Unanswered
+        return STATUS_OF[result.error.kind], b""
+
+    async def serve(self, sock, _address) -> None:
+        codec, request, parts = h11.Connection(h11.SERVER), None, []
+        async with sock:
+            while True:
+                event = codec.next_event()
+                if event is h11.NEED_DATA:
+                    codec.receive_data(await sock.recv(1 << 18))
+                elif isinstance(event, h11.Request):
+                    request, parts = event, []
+                elif isinstance(event, h11.Data):
+                    parts.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    if not await self.respond(sock, codec, request, b"".join(parts)):
+                        return
+                else:
+                    return
+
+    async def respond(self, sock, codec, request, body: bytes) -> bool:
+        try:
+            status, data = await self.answer(request.method.decode(), request.target.decode(), body)
+        except Unanswered:
+            return False
+        head = h11.Response(status_code=status, headers=[("content-length", str(len(data)))])
+        await sock.sendall(
+            codec.send(head) + codec.send(h11.Data(data=data)) + codec.send(h11.EndOfMessage())
+        )
+        if codec.our_state is not h11.DONE:
+            return False
+        codec.start_next_cycle()
+        return True
+
+
+async def listen(host: str, port: int, platform: Platform) -> None:
+    sock = curio.tcp_server_socket(host, port, backlog=256)
+    print("{}:{}".format(*sock.getsockname()[:2]), flush=True)
+    await run_server(sock, platform.serve)
+
+
+def main(
+    *,
+    address: str = "127.0.0.1:0",
+    writes: float = 300.0,
+    reads: float = 2000.0,
+    count_rows: bool = False,
+    vm: list[str] = (),
+) -> None:
+    """Serve the stand-in platform until stopped.
+
+    :param address: IP:port to listen on; port 0 takes a free one
+    :param writes: writes per second for all clients; 0 means no limit
+    :param reads: reads per second for all clients; 0 means no limit
+    :param count_rows: count each row of a transaction as one write
+    :param vm: entries of the VM list as NAME=IP:port=DATA_CENTRE
+    """
+    host, _, port = address.rpartition(":")
+    vms = [ListedVm(*entry.split("=")) for entry in vm]
+    platform = Platform(writes, reads, count_rows, vms)
+    try:
+        curio.run(listen, host, int(port), platform)
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/sequoiabridge/tests/store/test_http.py
@@ -0,0 +1,98 @@
+"""The HTTP adapters say truthfully what is known after each fault, over real sockets."""
+
+import curio
+import pytest
+from curio.network import run_server
+
+from ...store.base import Condition, ListedVm, StoreErrorKind, Write
+from ...store.http import HttpObjects, HttpTables, HttpVmList
+from ...timers import SystemClock
+from ..standins.platform import Platform
+
+WRITE = [Write("t", "a", b"\x00value")]
+ABSENT = [Condition("t", "a", 0)]
+
+
+def address_of(sock):
+    return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+async def with_platform(check, platform):
+    sock = curio.tcp_server_socket("127.0.0.1", 0)
+    server = await curio.spawn(run_server, sock, platform.serve)
+    try:
+        await check(address_of(sock), platform)
+    finally:
+        await server.cancel()
+
+
+def run(check, writes=0.0):
+    vms = [ListedVm("vm1", "127.0.0.1:9", "dc1")]
+    curio.run(with_platform, check, Platform(writes, 0.0, False, vms))
+
+
+def test_rows_objects_and_list_over_one_connection_each():
+    async def check(address, platform):
+        tables, objects = HttpTables(address, SystemClock()), HttpObjects(address, SystemClock())
+        assert (await tables.transact(ABSENT, WRITE, 5.0)).is_ok()
+        again = await tables.transact(ABSENT, WRITE, 5.0)
+        assert again.error.kind is StoreErrorKind.CONDITION_FAILED
+        assert (await tables.read("t", "a", 5.0)).ok.value == b"\x00value"
+        assert [row.key for row in (await tables.scan("t", "", "", 9, 5.0)).ok] == ["a"]
+        assert (await objects.put("up/1 x", b"data", 5.0)).is_ok()
+        assert (await objects.get("up/1 x", 5.0)).ok == b"data"
+        assert (await objects.get("none", 5.0)).ok is None
+        assert (await objects.names("up/", "", 9, 5.0)).ok == ["up/1 x"]
+        assert (await HttpVmList(address, SystemClock()).vms(5.0)).ok[0].name == "vm1"
+        assert tables.client.opened == 1 and objects.client.opened == 1
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    ("faults", "kind", "stored"),
+    [
+        ({"down": True}, StoreErrorKind.UNKNOWN, False),
+        ({"lose_writes": 1}, StoreErrorKind.UNKNOWN, False),
+        ({"lose_answers": 1}, StoreErrorKind.UNKNOWN, True),
+        ({"slow": 30.0}, StoreErrorKind.UNKNOWN, True),
+        ({"reject": 1}, StoreErrorKind.REJECTED, False),
+    ],
+)
+def test_fault_is_told_truthfully(faults, kind, stored):
+    async def check(address, platform):
+        for name, value in faults.items():
+            setattr(platform.faults, name, value)
+        result = await HttpTables(address, SystemClock()).transact(ABSENT, WRITE, 0.2)
+        assert result.error.kind is kind
+        assert (("t", "a") in platform.tables.rows) is stored
+
+    run(check)
+
+
+def test_refused_connection_is_not_sent_and_rate_is_enforced():
+    async def check(address, platform):
+        tables = HttpTables(address, SystemClock())
+        results = [await tables.transact([], WRITE, 5.0) for _ in range(4)]
+        assert [r.is_ok() for r in results] == [True, False, False, False]
+        assert results[1].error.kind is StoreErrorKind.REJECTED
+
+    run(check, writes=0.01)
+    sock = curio.tcp_server_socket("127.0.0.1", 0)
+    free = address_of(sock)
+    curio.run(sock.close)
+    refused = curio.run(HttpTables(free, SystemClock()).transact, ABSENT, WRITE, 5.0)
+    assert refused.error.kind is StoreErrorKind.NOT_SENT
+
+
+def test_connection_closed_while_idle_is_not_used_for_a_write():
+    async def check(address, platform):
+        tables = HttpTables(address, SystemClock())
+        assert (await tables.read("t", "a", 5.0)).is_ok()
+        platform.faults.down = True
+        await tables.read("t", "a", 5.0)
+        platform.faults.down = False
+        assert (await tables.transact(ABSENT, WRITE, 5.0)).is_ok()
+        assert tables.client.opened == 2
+
+    run(check)
