Add the store client and the configuration's versions

Cause: all parts of a daemon share one small part of the fleet's store rates, and must not take a lost answer for a lost write. Ruled out: one dispatcher per part (no shared rate), per-call retries without a token (a second copy could not be told from the first), counting an impatient caller's timeout as an outage.

--- /dev/null
+++ b/sequoiabridge/store/gate.py
@@ -0,0 +1,125 @@
+"""Admission of calls to the platform's store: this daemon's share of the rates, and the breaker."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+from expression import Error, Result
+
+from ..logs import get_log
+from ..timers import Clock
+from .base import StoreError, StoreErrorKind
+from .breaker import Breaker
+from .rates import Priority, RateShare
+
+log = get_log("store")
+
+FAIR_WAIT = 0.2
+"""Seconds that the store must have had before silence counts as a failure of its own."""
+
+
+def store_error(kind: StoreErrorKind, message: str) -> Result:
+    """Return the error result of a call."""
+    return Error(StoreError(kind, message))
+
+
+class Counts:
+    """Plain counters for metrics and the dump.
+
+    `asked` transactions were wanted, `writes` calls carried them, `grouped` of them went in groups
+    of two or more, `splits` groups failed as a whole. `unanswered` calls ended in silence.
+    """
+
+    __slots__ = ("asked", "writes", "grouped", "splits", "reads", "refused", "unanswered")
+    __slots__ += ("rejected", "settled", "unsettled")
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
+
+
+class Gate:
+    """Lets calls out at this daemon's share of the rates, and none while the store is down."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        live_count: Callable[[], int],
+        fleet_writes: float,
+        fleet_reads: float,
+        count_rows: bool = False,
+    ):
+        self.clock = clock
+        self.live_count = live_count
+        self.count_rows = count_rows
+        self.writes = RateShare(fleet_writes, clock.now())
+        self.reads = RateShare(fleet_reads, clock.now())
+        self.breaker = Breaker()
+        self.counts = Counts()
+        self.probed_apart = False
+
+    def closed(self) -> Result | None:
+        """Return the error for a call made while the store is down, else None."""
+        now = self.clock.now()
+        if not self.breaker.is_open:
+            return None
+        if not self.probed_apart and self.breaker.allows(now):
+            return None
+        self.counts.refused += 1
+        wait = self.breaker.retry_after(now)
+        text = f"the platform's store does not answer; it is tried again in {wait:.1f} s"
+        return store_error(StoreErrorKind.NOT_SENT, text)
+
+    async def pay(
+        self, share: RateShare, priority: Priority, deadline: float, cost: int = 1
+    ) -> bool:
+        """Wait until `share` allows a call; false if that would be after `deadline`."""
+        while True:
+            now = self.clock.now()
+            wait = share.take(now, self.live_count(), priority, cost)
+            if wait <= 0:
+                return True
+            if now + wait >= deadline:
+                return False
+            await curio.sleep(wait)
+
+    async def paid(
+        self,
+        share: RateShare,
+        priority: Priority,
+        timeout: float,
+        call: Callable[[float], Awaitable[Result]],
+    ) -> Result:
+        """Await `call(seconds left)` when the breaker and the rate allow it."""
+        refusal = self.closed()
+        if refusal is not None:
+            return refusal
+        deadline = self.clock.now() + timeout
+        if not await self.pay(share, priority, deadline):
+            text = "no room in this VM's share of the rate; try again later"
+            return store_error(StoreErrorKind.NOT_SENT, text)
+        left = deadline - self.clock.now()
+        result = await call(left)
+        self.judge(result, share, left)
+        return result
+
+    def judge(self, result: Result, share: RateShare, waited: float) -> None:
+        """Learn from a call that was given `waited` seconds whether the service is there."""
+        kind = None if result.is_ok() else result.error.kind
+        if kind is StoreErrorKind.UNKNOWN and waited < FAIR_WAIT:
+            return
+        if kind in (StoreErrorKind.UNKNOWN, StoreErrorKind.NOT_SENT):
+            self._failed(result.error)
+            return
+        if self.breaker.is_open:
+            log.info("Store answers again.")
+        self.breaker.succeeded()
+        if kind is StoreErrorKind.REJECTED:
+            self.counts.rejected += 1
+            share.pressed()
+
+    def _failed(self, error: StoreError) -> None:
+        self.counts.unanswered += 1
+        was_open = self.breaker.is_open
+        self.breaker.failed(self.clock.now())
+        if self.breaker.is_open and not was_open:
+            log.warning("Store is down: %s.", error.message)
--- /dev/null
+++ b/sequoiabridge/store/groups.py
@@ -0,0 +1,79 @@
+"""Group commit: which waiting transactions may go to the table service as one."""
+
+import curio
+from expression import Result
+
+from .base import Condition, StoreError, Write
+from .rates import Priority
+
+MAX_ROWS = 25
+"""Rows written by one group."""
+
+MAX_BYTES = 256 * 1024
+"""Bytes of values written by one group."""
+
+
+class Waiting:
+    """One transaction that waits to be sent; `taken` once it is part of a group."""
+
+    __slots__ = ("conditions", "writes", "priority", "deadline", "keys", "size")
+    __slots__ += ("taken", "given_up", "result", "done")
+
+    def __init__(
+        self,
+        conditions: list[Condition],
+        writes: list[Write],
+        priority: Priority,
+        deadline: float,
+    ):
+        self.conditions = conditions
+        self.writes = writes
+        self.priority = priority
+        self.deadline = deadline
+        self.keys = {(row.table, row.key) for row in (*conditions, *writes)}
+        self.size = sum(len(write.value or b"") for write in writes)
+        self.taken = False
+        self.given_up = False
+        self.result: Result[None, StoreError] | None = None
+        self.done = curio.Event()
+
+    async def finish(self, result: Result[None, StoreError]) -> None:
+        """Hand the result to whoever waits for it."""
+        if self.result is None:
+            self.result = result
+            await self.done.set()
+
+
+def take_group(waiting: list[Waiting], grouping: bool = True) -> list[Waiting]:
+    """Take out of `waiting` the transactions to send next: most urgent first, oldest first.
+
+    Two transactions that name the same row never share a group: they depend on each other.
+    """
+    group: list[Waiting] = []
+    keys: set[tuple[str, str]] = set()
+    rows = size = 0
+    for entry in sorted((e for e in waiting if e.result is None), key=lambda e: e.priority):
+        if group and not _fits(entry, keys, rows, size):
+            continue
+        group.append(entry)
+        keys |= entry.keys
+        rows += len(entry.writes)
+        size += entry.size
+        if not grouping:
+            break
+    for entry in group:
+        entry.taken = True
+        waiting.remove(entry)
+    return group
+
+
+def merged(group: list[Waiting]) -> tuple[list[Condition], list[Write]]:
+    """Return the conditions and the writes of the whole group."""
+    conditions = [condition for entry in group for condition in entry.conditions]
+    return conditions, [write for entry in group for write in entry.writes]
+
+
+def _fits(entry: Waiting, keys: set, rows: int, size: int) -> bool:
+    if rows + len(entry.writes) > MAX_ROWS or size + entry.size > MAX_BYTES:
+        return False
+    return keys.isdisjoint(entry.keys)
--- /dev/null
+++ b/sequoiabridge/store/metered_objects.py
@@ -0,0 +1,58 @@
+"""The object store at this daemon's share of the fleet's rates."""
+
+from expression import Result
+
+from .base import ObjectStore, StoreError
+from .gate import Gate
+from .rates import Priority
+
+
+class MeteredObjects(ObjectStore):
+    """Passes calls on when the breaker and the share of the rates allow.
+
+    Puts and deletes count as writes, gets and lists as reads.
+    """
+
+    def __init__(self, gate: Gate, objects: ObjectStore):
+        self.gate = gate
+        self.objects = objects
+
+    async def put(
+        self, name: str, data: bytes, timeout: float, priority: Priority = Priority.NORMAL
+    ) -> Result[None, StoreError]:
+        """Store an object; `CONDITION_FAILED` if the name is taken."""
+        return await self.gate.paid(
+            self.gate.writes, priority, timeout, lambda left: self.objects.put(name, data, left)
+        )
+
+    async def get(
+        self, name: str, timeout: float, priority: Priority = Priority.NORMAL
+    ) -> Result[bytes | None, StoreError]:
+        """Return the object, or None if there is none of that name."""
+        return await self.gate.paid(
+            self.gate.reads, priority, timeout, lambda left: self.objects.get(name, left)
+        )
+
+    async def delete(
+        self, name: str, timeout: float, priority: Priority = Priority.NORMAL
+    ) -> Result[None, StoreError]:
+        """Remove the object; fine if there is none."""
+        return await self.gate.paid(
+            self.gate.writes, priority, timeout, lambda left: self.objects.delete(name, left)
+        )
+
+    async def names(
+        self,
+        prefix: str,
+        after: str,
+        limit: int,
+        timeout: float,
+        priority: Priority = Priority.NORMAL,
+    ) -> Result[list[str], StoreError]:
+        """Return up to `limit` names in order."""
+        return await self.gate.paid(
+            self.gate.reads,
+            priority,
+            timeout,
+            lambda left: self.objects.names(prefix, after, limit, left),
+        )
--- /dev/null
+++ b/sequoiabridge/store/versions.py
@@ -0,0 +1,246 @@
+"""Versions of the fleet's configuration: one head row advanced by compare-and-set.
+
+"Accepted" is said only when the change row with this proposal's token has been proven to be in
+the table. A change row is never written over, so that it settles a lost answer at any later time.
+"""
+
+from expression import Error, Ok, Result
+
+from ..timers import Clock
+from .base import Condition, ObjectStore, Row, StoreError, StoreErrorKind, Write
+from .claim_rows import new_token
+from .client import CALL_TIMEOUT, StoreClient
+from .rates import Priority
+from .version_rows import (
+    CHANGE_DECODER,
+    CHANGES,
+    ENCODER,
+    HEAD,
+    HEAD_DECODER,
+    NO_SNAPSHOT,
+    NO_VERSION,
+    SNAPSHOT_EVERY,
+    SNAPSHOTS,
+    TABLE,
+    Accepted,
+    ChangeRow,
+    Conflict,
+    HeadRow,
+    Loaded,
+    NotAccepted,
+    Proposal,
+    Snapshot,
+    Unproven,
+    change_key,
+    snapshot_name,
+)
+
+CHANGES_AT_ONCE = 100
+"""Change rows read by one scan."""
+
+PROPOSE_ROUNDS = 3
+"""Times that a proposal is made when only a fence moved the head row."""
+
+SNAPSHOTS_SEEN = 100
+"""Intervals between snapshots in which the newest is looked for."""
+
+CHANGES_KEPT = 20_000
+"""Changes kept for the history; more than `SNAPSHOTS_SEEN` intervals."""
+
+PRUNE_BATCH = 25
+"""Changes removed by one transaction."""
+
+SNAPSHOT_TIMEOUT = 5.0
+"""Seconds for reading or writing a snapshot."""
+
+
+class Versions:
+    """The configuration's rows and snapshots; changes and snapshots are opaque bytes here."""
+
+    def __init__(self, store: StoreClient, clock: Clock, snapshot_every: int = SNAPSHOT_EVERY):
+        self.store = store
+        self.objects: ObjectStore = store.objects
+        self.clock = clock
+        self.snapshot_every = snapshot_every
+
+    async def propose(
+        self, expected_version: int, change: bytes, author: str, timeout: float
+    ) -> Proposal:
+        """Commit `change` as version `expected_version + 1` if that is still the next one."""
+        deadline = self.clock.now() + timeout
+        row = ChangeRow(expected_version + 1, author, self.clock.wall(), new_token(), bytes(change))
+        for _ in range(PROPOSE_ROUNDS):
+            found = await self._head_row(deadline)
+            if found.is_error():
+                return NotAccepted(found.error.message)
+            head = _head(found.ok)
+            if head.version != expected_version:
+                return Conflict(head.version, head.author, head.at)
+            result = await self._commit(row, found.ok, deadline)
+            if result.is_ok():
+                return Accepted(row.version)
+            if result.error.kind is StoreErrorKind.UNKNOWN:
+                return Unproven(row.version, row.token, result.error.message)
+            if result.error.kind is not StoreErrorKind.CONDITION_FAILED:
+                return NotAccepted(result.error.message)
+        return NotAccepted("the head row changed each time; read it and propose again")
+
+    async def resolve(self, unproven: Unproven, timeout: float) -> Proposal:
+        """Find out what became of a proposal, and rule out that it is committed later.
+
+        If its change row is not there, the head row is rewritten unchanged: its new version makes
+        the proposal's condition fail for ever.
+        """
+        deadline = self.clock.now() + timeout
+        for _ in range(PROPOSE_ROUNDS):
+            outcome = await self._outcome(unproven, deadline)
+            if outcome is not None:
+                return outcome
+            fenced = await self._fence(deadline)
+            if fenced.is_error() and fenced.error.kind is not StoreErrorKind.CONDITION_FAILED:
+                return Unproven(unproven.version, unproven.token, fenced.error.message)
+            outcome = await self._outcome(unproven, deadline)
+            if outcome is not None:
+                return outcome
+            if fenced.is_ok():
+                return NotAccepted("the change was not committed; propose it again")
+        return Unproven(unproven.version, unproven.token, "the head row changes; try again")
+
+    async def latest(self, timeout: float = CALL_TIMEOUT) -> Result[HeadRow, StoreError]:
+        """Return the newest committed version; version 0 if there is none yet."""
+        found = await self.store.read(TABLE, HEAD, timeout)
+        return found.map(_head)
+
+    async def changes_since(
+        self, version: int, limit: int = CHANGES_AT_ONCE
+    ) -> Result[list[ChangeRow], StoreError]:
+        """Return up to `limit` changes after `version`, in order and without a gap."""
+        rows = await self.store.scan(TABLE, CHANGES, change_key(version), limit, CALL_TIMEOUT)
+        return rows.map(lambda found: _without_gap(version, found))
+
+    async def history(self, limit: int) -> Result[list[ChangeRow], StoreError]:
+        """Return the last `limit` changes, newest first."""
+        head = await self.latest()
+        if head.is_error():
+            return head
+        rows = await self.changes_since(max(0, head.ok.version - limit), limit)
+        return rows.map(lambda changes: changes[::-1])
+
+    def snapshot_due(self, version: int) -> bool:
+        """True if whoever had `version` accepted is to save a snapshot of it."""
+        return version > 0 and version % self.snapshot_every == 0
+
+    async def save_snapshot(self, version: int, data: bytes) -> Result[None, StoreError]:
+        """Store the whole configuration as of `version`; fine if another VM has done so."""
+        result = await self.objects.put(snapshot_name(version), data, SNAPSHOT_TIMEOUT)
+        if result.is_error() and result.error.kind is StoreErrorKind.CONDITION_FAILED:
+            return Ok(None)
+        return result
+
+    async def snapshot(self, version: int) -> Result[Snapshot, StoreError]:
+        """Return the newest snapshot up to `version` of the last `SNAPSHOTS_SEEN`, 0 if none."""
+        oldest = max(0, version - SNAPSHOTS_SEEN * self.snapshot_every)
+        names = await self.objects.names(
+            SNAPSHOTS, snapshot_name(oldest), SNAPSHOTS_SEEN + 1, SNAPSHOT_TIMEOUT
+        )
+        if names.is_error():
+            return names
+        wanted = [name for name in names.ok if name <= snapshot_name(version)]
+        if not wanted:
+            return Ok(NO_SNAPSHOT)
+        data = await self.objects.get(wanted[-1], SNAPSHOT_TIMEOUT)
+        at = int(wanted[-1].removeprefix(SNAPSHOTS))
+        return data.map(lambda found: NO_SNAPSHOT if found is None else Snapshot(at, found))
+
+    async def load(self) -> Result[Loaded, StoreError]:
+        """Read what a new VM needs to be at the newest version."""
+        head = await self.latest()
+        if head.is_error():
+            return head
+        snapshot = await self.snapshot(head.ok.version)
+        if snapshot.is_error():
+            return snapshot
+        changes: list[ChangeRow] = []
+        version = snapshot.ok.version
+        while version < head.ok.version:
+            batch = await self.changes_since(version)
+            if batch.is_error():
+                return batch
+            if not batch.ok:
+                text = f"change {version + 1} is gone; save a snapshot from a VM that runs"
+                return Error(StoreError(StoreErrorKind.REJECTED, text))
+            changes += batch.ok
+            version = batch.ok[-1].version
+        return Ok(Loaded(head.ok, snapshot.ok, changes))
+
+    async def prune(self, keep: int = CHANGES_KEPT) -> int:
+        """Remove some of the changes that are older than the last `keep`; return how many.
+
+        Only with a recent snapshot, so that a new VM needs none of them.
+        """
+        head = await self.latest()
+        cut = head.ok.version - keep if head.is_ok() else 0
+        if cut <= 0:
+            return 0
+        snapshot = await self.snapshot(head.ok.version)
+        if snapshot.is_error() or snapshot.ok.version <= cut:
+            return 0
+        rows = await self.store.scan(TABLE, CHANGES, "", PRUNE_BATCH, CALL_TIMEOUT)
+        old = [row for row in rows.default_value([]) if row.key <= change_key(cut)]
+        if not old:
+            return 0
+        writes = [Write(TABLE, row.key, None) for row in old]
+        result = await self.store.transact([], writes, CALL_TIMEOUT, Priority.BACKGROUND)
+        return len(old) if result.is_ok() else 0
+
+    async def _head_row(self, deadline: float) -> Result[Row | None, StoreError]:
+        left = min(CALL_TIMEOUT, max(0.0, deadline - self.clock.now()))
+        return await self.store.read(TABLE, HEAD, left)
+
+    async def _commit(self, row: ChangeRow, found: Row | None, deadline: float) -> Result:
+        head = HeadRow(row.version, row.author, row.at, row.token)
+        change = Write(TABLE, change_key(row.version), ENCODER.encode(row))
+        conditions = [
+            Condition(TABLE, HEAD, found.version if found else 0),
+            Condition(TABLE, change.key, 0),
+        ]
+        writes = [Write(TABLE, HEAD, ENCODER.encode(head)), change]
+        return await self.store.transact_settled(conditions, writes, change, deadline)
+
+    async def _outcome(self, unproven: Unproven, deadline: float) -> Proposal | None:
+        """Return what the change row proves, None if it is not there."""
+        left = min(CALL_TIMEOUT, max(0.0, deadline - self.clock.now()))
+        found = await self.store.read(TABLE, change_key(unproven.version), left)
+        if found.is_error():
+            return Unproven(unproven.version, unproven.token, found.error.message)
+        if found.ok is None:
+            return None
+        row = CHANGE_DECODER.decode(found.ok.value)
+        if row.token == unproven.token:
+            return Accepted(row.version)
+        return Conflict(row.version, row.author, row.at)
+
+    async def _fence(self, deadline: float) -> Result[None, StoreError]:
+        found = await self._head_row(deadline)
+        if found.is_error():
+            return found
+        head = _head(found.ok)
+        fence = HeadRow(head.version, head.author, head.at, head.token, head.fences + 1)
+        write = Write(TABLE, HEAD, ENCODER.encode(fence))
+        condition = Condition(TABLE, HEAD, found.ok.version if found.ok else 0)
+        left = min(CALL_TIMEOUT, max(0.0, deadline - self.clock.now()))
+        return await self.store.transact([condition], [write], left, Priority.NORMAL)
+
+
+def _head(row: Row | None) -> HeadRow:
+    return NO_VERSION if row is None else HEAD_DECODER.decode(row.value)
+
+
+def _without_gap(version: int, rows: list[Row]) -> list[ChangeRow]:
+    changes: list[ChangeRow] = []
+    for row in rows:
+        change = CHANGE_DECODER.decode(row.value)
+        if change.version != version + len(changes) + 1:
+            break
+        changes.append(change)
+    return changes
--- /dev/null
+++ b/sequoiabridge/tests/store/test_versions.py
@@ -0,0 +1,92 @@
+"""Configuration versions: accepted only when proven, one winner, nothing lands later."""
+
+import curio
+import pytest
+
+from ...store.version_rows import Accepted, Conflict, NotAccepted, Unproven
+from ...store.versions import Versions
+from ..standins.memory import ALWAYS
+from .store_fakes import Bench
+
+
+def versions(bench, **options):
+    return Versions(bench.client(), bench.clock, **options)
+
+
+def propose(of, expected, change=b"c", author="anna"):
+    return curio.run(of.propose, expected, change, author, 5.0)
+
+
+def test_two_operators_one_winner_and_the_loser_learns_who():
+    bench = Bench()
+    anna, ben = versions(bench), versions(bench)
+
+    async def race():
+        async with curio.TaskGroup() as group:
+            await group.spawn(anna.propose, 0, b"a", "anna", 5.0)
+            await group.spawn(ben.propose, 0, b"b", "ben", 5.0)
+        return group.results
+
+    accepted, conflict = sorted(curio.run(race), key=lambda r: isinstance(r, Conflict))
+    assert isinstance(accepted, Accepted) and accepted.version == 1
+    assert isinstance(conflict, Conflict) and conflict.version == 1
+    assert conflict.author == curio.run(anna.history, 9).ok[0].author
+
+
+@pytest.mark.parametrize("lost", ["lose_answers", "lose_writes", "late"])
+def test_lost_answer_is_accepted_once(lost):
+    bench = Bench()
+    setattr(bench.faults, lost, 1)
+    assert isinstance(propose(versions(bench), 0), Accepted)
+    bench.tables.land_late()
+    assert curio.run(versions(bench).latest).ok.version == 1
+
+
+def test_unproven_proposal_is_settled_and_cannot_land_later():
+    bench = Bench()
+    bench.faults.late = ALWAYS
+    unproven = propose(versions(bench), 0)
+    assert isinstance(unproven, Unproven)
+    bench.faults.late = 0
+    assert isinstance(curio.run(versions(bench).resolve, unproven, 5.0), NotAccepted)
+    assert bench.tables.land_late() == 0
+    assert isinstance(propose(versions(bench), 0, b"again"), Accepted)
+
+
+@pytest.mark.parametrize(("first", "outcome"), [("late", Accepted), ("other", Conflict)])
+def test_unproven_proposal_is_told_by_its_token(first, outcome):
+    bench = Bench()
+    bench.faults.late = ALWAYS
+    unproven = propose(versions(bench), 0)
+    bench.faults.late = 0
+    if first == "late":
+        assert bench.tables.land_late() == 1
+    else:
+        assert isinstance(propose(versions(bench), 0, b"x", "ben"), Accepted)
+    assert isinstance(curio.run(versions(bench).resolve, unproven, 5.0), outcome)
+
+
+def test_store_down_is_never_accepted():
+    bench = Bench()
+    bench.faults.down = True
+    assert isinstance(propose(versions(bench), 0), NotAccepted)
+    assert not bench.tables.rows
+
+
+def test_new_vm_loads_a_snapshot_and_the_changes_after_it():
+    bench = Bench()
+    store = versions(bench, snapshot_every=4)
+    for version in range(10):
+        assert propose(store, version, b"%d" % (version + 1)).version == version + 1
+        if store.snapshot_due(version + 1):
+            assert curio.run(store.save_snapshot, version + 1, b"s%d" % (version + 1)).is_ok()
+    assert curio.run(store.save_snapshot, 8, b"another VM's").is_ok()
+    loaded = curio.run(store.load).ok
+    assert (loaded.snapshot.version, loaded.snapshot.data) == (8, b"s8")
+    assert [change.version for change in loaded.changes] == [9, 10]
+    assert curio.run(store.prune, 3) == 7
+    assert [c.change for c in curio.run(versions(bench, snapshot_every=4).load).ok.changes] == [
+        b"9",
+        b"10",
+    ]
+    assert [change.version for change in curio.run(store.history, 2).ok] == [10, 9]
