Add spooled uploads: manifest, chunks, delivery and clean-up

Cause: no accepted upload may be lost, whatever fails. Ruled out: leases for correctness, ages for deciding that a chunk is dead, one commit a chunk. Not tested yet.

--- /dev/null
+++ b/sequoiabridge/pipeline/uploads.py
@@ -0,0 +1,192 @@
+"""Spooled uploads over HTTP: a caller's request becomes an upload, its state becomes an answer.
+
+The caller guide (docs/callers/uploads.md) documents the headers and answers.
+"""
+
+import msgspec
+
+from .. import headers as names
+from ..exceptions import Refusal, SequoiaError, StoreUnavailable
+from ..outcome import Outcome, Reason
+from ..store.upload_delivery import Delivery, Sent
+from ..store.upload_manifest import (
+    Manifest,
+    UploadConflict,
+    UploadKeyReused,
+    UploadState,
+    UploadTooLarge,
+    UploadUnknown,
+)
+from ..store.upload_table import Unsettled
+from ..store.upload_writer import IncomingUpload, Received
+from ..store.uploads import Uploads
+from ..upstreams.base import UpstreamRequest
+from .exchange import Answer, Body, BytesBody, Exchange, Request
+
+RETRY_AFTER = 5.0
+"""Seconds after which a caller may try again when the store did not answer."""
+
+NOT_PASSED_ON = frozenset(
+    {
+        b"content-length",
+        b"host",
+        names.DEADLINE,
+        names.IDEMPOTENCY_KEY,
+        names.UPLOAD_ID,
+        names.UPLOAD_OFFSET,
+        names.UPLOAD_DIGEST,
+    }
+)
+"""Request headers that are not stored for the delivery; the upload has its own in their place."""
+
+REFUSES_CONTENT = frozenset({400, 409, 413, 415, 422})
+"""Statuses by which an upstream refuses an upload for good."""
+
+REFUSALS: dict[type[SequoiaError], tuple[int, Reason]] = {
+    Unsettled: (503, Reason.STORE_DOWN),
+    StoreUnavailable: (503, Reason.STORE_DOWN),
+    UploadConflict: (409, Reason.UPLOAD_CONFLICT),
+    UploadKeyReused: (422, Reason.KEY_REUSED),
+    UploadUnknown: (404, Reason.BAD_REQUEST),
+    UploadTooLarge: (413, Reason.BODY_TOO_LARGE),
+}
+"""Status and reason of the refusal for each error; an unsettled commit alone is `unknown`."""
+
+HEX_DIGEST = 64
+"""Characters of a SHA-256 in hexadecimal."""
+
+
+class UploadStatus(msgspec.Struct, frozen=True):
+    """The body of an answer about an upload, as JSON."""
+
+    id: str
+    state: UploadState
+    offset: int
+    digest: str
+    error: str
+
+
+class UploadHandler:
+    """Answers the calls of rules with `upload = spool`."""
+
+    __slots__ = ("uploads",)
+
+    def __init__(self, uploads: Uploads):
+        self.uploads = uploads
+
+    async def handle(self, exchange: Exchange) -> Answer:
+        """Receive, resume or look up an upload. Raises `Refusal` or `CallerGone`."""
+        incoming = _incoming(exchange)
+        try:
+            received = await self.uploads.receive(incoming)
+        except tuple(REFUSALS) as error:
+            raise _refusal(error) from error
+        exchange.note(f"upload {received.id} {received.state.value} at {received.offset}")
+        return _answer(received, is_lookup=incoming.offset is None and bool(incoming.upload_id))
+
+
+def delivery_request(manifest: Manifest, body: Body) -> UpstreamRequest:
+    """Return the request that delivers an upload; the caller adds `Host` for its upstream."""
+    headers = [
+        *manifest.headers,
+        (names.CALLER, manifest.caller.encode()),
+        (names.UPLOAD_ID, manifest.id.encode()),
+        (names.UPLOAD_DIGEST, manifest.digest.encode()),
+    ]
+    return UpstreamRequest(manifest.method, manifest.target, headers, manifest.size, body)
+
+
+def delivery_result(manifest: Manifest, answer: Answer) -> Sent:
+    """Judge an upstream's answer to a delivery; only a 2xx confirms.
+
+    An answer that carries `Sequoia-Upload-Digest` confirms that content, even if the upstream did
+    not read the body again.
+    """
+    echoed = next((v for f, v in answer.headers if f == names.UPLOAD_DIGEST), None)
+    if answer.status in REFUSES_CONTENT:
+        return Sent(Delivery.REFUSED, f"the upstream answered {answer.status}; see its log")
+    if not 200 <= answer.status < 300:
+        return Sent(Delivery.RETRY, f"the upstream answered {answer.status}")
+    if echoed is None:
+        return Sent(Delivery.CONFIRMED)
+    if echoed.lower() != manifest.digest.encode():
+        return Sent(Delivery.RETRY, "the upstream confirmed another digest; see its log")
+    return Sent(Delivery.HELD_ALREADY)
+
+
+def _incoming(exchange: Exchange) -> IncomingUpload:
+    request = exchange.request
+    upload_id = _upload_id(request)
+    offset = _offset(request)
+    if offset is not None and upload_id is None:
+        raise _bad("Sequoia-Upload-Offset needs Sequoia-Upload-Id; send both")
+    if upload_id is not None and offset is None and request.length != 0:
+        raise _bad("a body with Sequoia-Upload-Id needs Sequoia-Upload-Offset; send both")
+    return IncomingUpload(
+        exchange.service.name,
+        exchange.caller,
+        request.method,
+        request.target,
+        [field for field in request.headers if field[0] not in NOT_PASSED_ON | {names.CALLER}],
+        request.body,
+        request.length,
+        key=exchange.key or _text(request, names.IDEMPOTENCY_KEY),
+        upload_id=upload_id,
+        offset=offset,
+        digest=_digest(request),
+        max_size=exchange.rule.max_body,
+    )
+
+
+def _upload_id(request: Request) -> str | None:
+    text = _text(request, names.UPLOAD_ID)
+    if text is not None and not (text.isascii() and text.isalnum() and len(text) <= HEX_DIGEST):
+        raise _bad("Sequoia-Upload-Id is not an id of this system; start a new upload")
+    return text
+
+
+def _offset(request: Request) -> int | None:
+    text = _text(request, names.UPLOAD_OFFSET)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdecimal() and len(text) < 19):
+        raise _bad("Sequoia-Upload-Offset is not a number of bytes; look it up")
+    return int(text)
+
+
+def _digest(request: Request) -> str:
+    text = (_text(request, names.UPLOAD_DIGEST) or "").lower()
+    if text and (len(text) != HEX_DIGEST or set(text) - set("0123456789abcdef")):
+        raise _bad("Sequoia-Upload-Digest is not a SHA-256 in hexadecimal; correct or omit it")
+    return text
+
+
+def _text(request: Request, name: bytes) -> str | None:
+    value = request.header(name)
+    return None if value is None else value.decode("latin-1")
+
+
+def _answer(received: Received, is_lookup: bool) -> Answer:
+    status = UploadStatus(
+        received.id, received.state, received.offset, received.digest, received.error
+    )
+    body = msgspec.json.encode(status) + b"\n"
+    headers = [
+        (b"content-type", b"application/json"),
+        (names.UPLOAD_ID, received.id.encode()),
+        (names.UPLOAD_OFFSET, str(received.offset).encode()),
+    ]
+    if received.replayed:
+        headers.append((names.REPLAYED, b"1"))
+    return Answer(200 if is_lookup else 202, headers, len(body), BytesBody(body))
+
+
+def _bad(message: str) -> Refusal:
+    return Refusal(400, Outcome.NOT_RUN, Reason.BAD_REQUEST, message)
+
+
+def _refusal(error: SequoiaError) -> Refusal:
+    status, reason = REFUSALS[type(error)]
+    outcome = Outcome.UNKNOWN if isinstance(error, Unsettled) else Outcome.NOT_RUN
+    retry_after = RETRY_AFTER if isinstance(error, StoreUnavailable) else None
+    return Refusal(status, outcome, reason, str(error), retry_after)
--- /dev/null
+++ b/sequoiabridge/store/upload_chunks.py
@@ -0,0 +1,140 @@
+"""Chunks of an upload: cut from a caller's body, put in the object store, read back whole."""
+
+import hashlib
+from collections.abc import Callable
+
+from expression import Result
+
+from ..exceptions import CallerGone, StoreUnavailable
+from ..pipeline.exchange import Body
+from .base import ObjectStore, StoreErrorKind
+from .upload_index import CHUNK_PREFIX, chunk_name
+from .upload_manifest import Chunk, Manifest
+from .upload_table import Patience
+
+PUT_TIMEOUT = 30.0
+"""Seconds for one call to the object store."""
+
+
+class UploadCut(CallerGone):
+    """A delivery's body ended early: a chunk is missing or damaged, or the lease was lost."""
+
+
+class Piece:
+    """Bytes cut from a body, and their SHA-256."""
+
+    __slots__ = ("data", "digest")
+
+    def __init__(self, data: bytes, digest: bytes):
+        self.data = data
+        self.digest = digest
+
+
+class Cutter:
+    """Cuts a body into pieces of a given size; holds one piece at a time.
+
+    Hashes bytes as they come, so that the event loop is never held for a whole chunk.
+
+    Attributes:
+        whole: SHA-256 of everything that was taken.
+        gone: Why the body was cut short, once it was.
+    """
+
+    __slots__ = ("body", "rest", "whole", "gone")
+
+    def __init__(self, body: Body | None):
+        self.body = body
+        self.rest = b""
+        self.whole = hashlib.sha256()
+        self.gone: CallerGone | None = None
+
+    async def take(self, size: int) -> Piece:
+        """Return the next `size` bytes; fewer only at the end or when `gone` is set."""
+        parts, missing, digest = [], size, hashlib.sha256()
+        while missing:
+            data = self.rest or await self._read()
+            if not data:
+                break
+            part, self.rest = data[:missing], data[missing:]
+            digest.update(part)
+            self.whole.update(part)
+            parts.append(part)
+            missing -= len(part)
+        return Piece(b"".join(parts), digest.digest())
+
+    async def _read(self) -> bytes:
+        if self.body is None or self.gone is not None:
+            return b""
+        try:
+            return await self.body.read()
+        except CallerGone as error:
+            self.gone = error
+            return b""
+
+
+class ChunkStore:
+    """Puts and reads chunks; a lost answer is settled by the name, which is written only once."""
+
+    def __init__(self, objects: ObjectStore, patience: Callable[[], Patience]):
+        self.objects = objects
+        self.patience = patience
+
+    async def put(self, upload: str, chunk: Chunk, data: bytes) -> None:
+        """Store a chunk. Raises `StoreUnavailable` if it is not known to be stored in time."""
+        name = chunk_name(upload, chunk)
+        waiting = self.patience()
+        while True:
+            match await self.objects.put(name, data, PUT_TIMEOUT):
+                case Result(tag="ok"):
+                    return
+                case Result(error=error):
+                    # The name is this writer's alone: if it is taken, an earlier try took effect.
+                    if error.kind is StoreErrorKind.CONDITION_FAILED:
+                        return
+                    if not await waiting.wait():
+                        raise StoreUnavailable(f"{error.message}; resume the upload later")
+
+    async def get(self, upload: str, chunk: Chunk) -> bytes:
+        """Return a chunk's bytes, checked. Raises `UploadCut` if it is missing or damaged."""
+        name = chunk_name(upload, chunk)
+        waiting = self.patience()
+        while True:
+            match await self.objects.get(name, PUT_TIMEOUT):
+                case Result(tag="ok", ok=data):
+                    return _checked(name, chunk, data)
+                case Result(error=error):
+                    if not await waiting.wait():
+                        raise StoreUnavailable(f"{error.message}; the delivery is tried again")
+
+    async def digest(self, manifest: Manifest) -> str:
+        """Return the SHA-256 of all committed chunks, in hexadecimal."""
+        whole = hashlib.sha256()
+        for chunk in manifest.chunks:
+            data = memoryview(await self.get(manifest.id, chunk))
+            for start in range(0, len(data), HASH_STEP):
+                whole.update(data[start : start + HASH_STEP])
+        return whole.hexdigest()
+
+    async def names(self, after: str, limit: int) -> list[str]:
+        """Return up to `limit` names of chunks of all uploads, in order, over `after`."""
+        match await self.objects.names(CHUNK_PREFIX, after, limit, PUT_TIMEOUT):
+            case Result(tag="ok", ok=names):
+                return names
+            case Result(error=error):
+                raise StoreUnavailable(f"{error.message}; the clean-up goes on later")
+
+    async def discard(self, name: str) -> bool:
+        """Remove a chunk by its name; return whether it is known to be gone."""
+        return (await self.objects.delete(name, PUT_TIMEOUT)).is_ok()
+
+
+HASH_STEP = 1 << 20
+"""Bytes hashed in one go when chunks are read back."""
+
+
+def _checked(name: str, chunk: Chunk, data: bytes | None) -> bytes:
+    if data is None:
+        raise UploadCut(f"chunk {name} is not in the object store; look at the upload's state")
+    if len(data) != chunk.length or hashlib.sha256(data).digest() != chunk.digest:
+        raise UploadCut(f"chunk {name} is damaged; ask the platform, its content has changed")
+    return data
--- /dev/null
+++ b/sequoiabridge/store/upload_delivery.py
@@ -0,0 +1,265 @@
+"""Takes accepted uploads to their upstreams until one confirms each.
+
+A lease keeps two VMs from delivering the same upload most of the time. When it does not (a paused
+VM wakes up, a lease lapses), both deliver: the upstream tells by id and digest that it is
+the same upload. An upload counts as delivered only by a commit made after a confirmation.
+"""
+
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from random import Random
+
+import curio
+
+from ..exceptions import SequoiaError, StoreUnavailable
+from ..logs import get_log
+from ..parts import Part
+from ..pipeline.exchange import Body
+from ..timers import Clock
+from .upload_chunks import UploadCut
+from .upload_index import WORK, UploadEntry, chunk_name
+from .upload_manifest import (
+    Manifest,
+    UploadConflict,
+    UploadState,
+    backoff,
+    claimable,
+    claimed,
+    delivered,
+    failed,
+    postponed,
+    renewed,
+)
+from .upload_table import Held
+from .uploads import Uploads
+
+log = get_log("uploads")
+
+LEASE = 30.0
+"""Seconds for which a VM has a delivery to itself; renewed by thirds while bytes move."""
+
+RETENTION = 7 * 86400.0
+"""Seconds for which a delivered or abandoned upload is remembered for duplicates."""
+
+PARALLEL = 2
+"""Deliveries at a time on one VM, by default."""
+
+PAGE = 100
+"""Index entries looked at in one step."""
+
+
+class Delivery(Enum):
+    """What an attempt at a delivery came to."""
+
+    CONFIRMED = "confirmed"
+    """The upstream took the whole body and has it for good."""
+    HELD_ALREADY = "held-already"
+    """The upstream says that it has this id with this digest; the body need not be read."""
+    RETRY = "retry"
+    """Not confirmed; try again later."""
+    REFUSED = "refused"
+    """The upstream will never take it; hold it for the operator."""
+
+
+class Sent:
+    """The result of one attempt; `error` says why it was not confirmed."""
+
+    __slots__ = ("delivery", "error")
+
+    def __init__(self, delivery: Delivery, error: str = ""):
+        self.delivery = delivery
+        self.error = error
+
+
+Send = Callable[[Manifest, Body], Awaitable[Sent]]
+"""Sends a whole upload to an upstream; may raise any `SequoiaError`, which means `RETRY`."""
+
+
+class ChunkBody(Body):
+    """An upload's content, read chunk by chunk; never a clean end unless it was whole.
+
+    Renews the lease as it goes and ends with `UploadCut` when the lease is someone else's.
+    """
+
+    __slots__ = ("deliveries", "held", "next", "complete")
+
+    def __init__(self, deliveries: "Deliveries", held: Held):
+        self.deliveries = deliveries
+        self.held = held
+        self.next = 0
+        self.complete = not held.manifest.chunks
+
+    async def read(self) -> bytes:
+        manifest = self.held.manifest
+        if self.next == len(manifest.chunks):
+            self.complete = True
+            return b""
+        await self._renew()
+        chunk = manifest.chunks[self.next]
+        data = await self.deliveries.uploads.chunks.get(manifest.id, chunk)
+        self.next += 1
+        self.deliveries.progress[manifest.id] = chunk.offset + chunk.length
+        return data
+
+    async def _renew(self) -> None:
+        try:
+            self.held = await self.deliveries.renew(self.held, self.held.manifest.digest)
+        except UploadConflict as error:
+            raise UploadCut(str(error)) from error
+
+
+class Deliveries(Part):
+    """Delivers accepted uploads.
+
+    Attributes:
+        progress: Bytes sent of each upload that this VM is delivering, by id.
+        stopping: Set before a planned stop: begin no more deliveries.
+    """
+
+    name = "deliveries"
+
+    def __init__(
+        self,
+        uploads: Uploads,
+        send: Send,
+        clock: Clock,
+        *,
+        random: Random | None = None,
+        parallel: int = PARALLEL,
+        lease: float = LEASE,
+        retention: float = RETENTION,
+    ):
+        self.uploads = uploads
+        self.send = send
+        self.clock = clock
+        self.random = random or Random()
+        self.parallel = parallel
+        self.lease = lease
+        self.retention = retention
+        self.progress: dict[str, int] = {}
+        self.stopping = False
+        self.after = ""
+        self.confirmed = 0
+        self.postponed = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is being delivered."""
+        return not self.progress
+
+    async def step(self, now: float) -> None:
+        """Look at a page of accepted uploads and deliver those that are due; `now` is wall time.
+
+        Called each second or so, also while an earlier step still delivers.
+        """
+        free = self.parallel - len(self.progress)
+        if self.stopping or free <= 0:
+            return
+        try:
+            due = await self._due(now)
+        except StoreUnavailable as error:
+            log.debug("Cannot list uploads: %s.", error)
+            return
+        chosen = due[: self.parallel - len(self.progress)]
+        for upload in chosen:
+            self.progress[upload] = 0
+        async with curio.TaskGroup() as group:
+            for upload in chosen:
+                await group.spawn(self.deliver, upload)
+
+    async def deliver(self, upload: str) -> None:
+        """Make one attempt at one upload, if it is due."""
+        self.progress[upload] = 0
+        try:
+            held = await self._claim(upload)
+            if held is not None:
+                await self._attempt(held)
+        except (StoreUnavailable, UploadConflict) as error:
+            log.info("Upload %s is left for later: %s.", upload, error)
+        finally:
+            self.progress.pop(upload, None)
+
+    async def renew(self, held: Held, digest: str) -> Held:
+        """Keep the lease, when a third of it has passed or there is a new digest to record."""
+        manifest = held.manifest
+        stamp = self.uploads.stamp()
+        if digest == manifest.digest and stamp.now < manifest.due - self.lease * 2 / 3:
+            return held
+        sent = self.progress.get(manifest.id, 0)
+        return await self._advance(held, renewed(manifest, self.lease, sent, digest, stamp))
+
+    def dump(self) -> dict:
+        """Describe deliveries that are running here, and counts since the start."""
+        return {
+            "sent": dict(self.progress),
+            "confirmed": self.confirmed,
+            "postponed": self.postponed,
+            "stopping": self.stopping,
+        }
+
+    async def _due(self, now: float) -> list[str]:
+        rows = await self.uploads.table.entries(WORK, self.after, PAGE)
+        self.after = rows[-1][0] if len(rows) == PAGE else ""
+        due = [e.id for _, e in rows if self._wanted(e, now) and e.id not in self.progress]
+        self.random.shuffle(due)
+        return due
+
+    def _wanted(self, entry: UploadEntry, now: float) -> bool:
+        fresh = entry.state is UploadState.ACCEPTED and entry.attempts == 0
+        return entry.due <= now or (fresh and entry.holder == self.uploads.vm_name)
+
+    async def _claim(self, upload: str) -> Held | None:
+        held = await self.uploads.table.read(upload)
+        stamp = self.uploads.stamp()
+        if held is None or not claimable(held.manifest, self.uploads.vm_name, stamp.now):
+            return None
+        return await self._advance(
+            held, claimed(held.manifest, self.uploads.vm_name, self.lease, stamp)
+        )
+
+    async def _attempt(self, held: Held) -> None:
+        manifest = held.manifest
+        body = ChunkBody(self, held)
+        try:
+            if not manifest.digest:
+                body.held = await self.renew(held, await self.uploads.chunks.digest(manifest))
+            sent = await self.send(body.held.manifest, body)
+        except SequoiaError as error:
+            sent = Sent(Delivery.RETRY, str(error))
+        if sent.delivery is Delivery.CONFIRMED and not body.complete:
+            sent = Sent(Delivery.RETRY, "the upstream answered before it had the whole body")
+        if sent.delivery in (Delivery.CONFIRMED, Delivery.HELD_ALREADY):
+            await self._confirm(manifest.id)
+            return
+        await self._give_back(body.held, sent)
+
+    async def _confirm(self, upload: str) -> None:
+        """Commit that it is delivered, whoever holds the lease by now, and drop the chunks."""
+        while True:
+            held = await self.uploads.table.read(upload, self.uploads.patience_seconds)
+            if held is None or held.manifest.state is UploadState.DELIVERED:
+                return
+            change = delivered(held.manifest, self.retention, self.uploads.stamp())
+            try:
+                await self._advance(held, change)
+                break
+            except UploadConflict:
+                continue
+        self.confirmed += 1
+        log.info("Upload %s is delivered.", upload)
+        for chunk in held.manifest.chunks:
+            await self.uploads.chunks.discard(chunk_name(upload, chunk))
+
+    async def _give_back(self, held: Held, sent: Sent) -> None:
+        self.postponed += 1
+        manifest, stamp = held.manifest, self.uploads.stamp()
+        log.warning("Upload %s is not delivered: %s.", manifest.id, sent.error)
+        if sent.delivery is Delivery.REFUSED:
+            change = failed(manifest, sent.error, stamp)
+        else:
+            delay = backoff(manifest.attempts, self.random)
+            change = postponed(manifest, sent.error, delay, stamp)
+        await self._advance(held, change)
+
+    async def _advance(self, held: Held, manifest: Manifest) -> Held:
+        return await self.uploads.table.advance(held, manifest, self.uploads.patience_seconds)
--- /dev/null
+++ b/sequoiabridge/store/upload_index.py
@@ -0,0 +1,126 @@
+"""Rows and names of uploads: the manifest's row, its index entry, the names of its chunks.
+
+The index has one entry for each manifest, under a prefix for its state, written by the same
+transaction. It spares deliverers and operators from reading manifests; it decides nothing.
+"""
+
+import msgspec
+
+from .base import Write
+from .upload_manifest import Chunk, Manifest, UploadState
+
+MANIFESTS = "uploads"
+"""Table of manifests by id."""
+
+INDEX = "uploads-index"
+"""Table of index entries by prefix and id."""
+
+OPEN = "open/"
+WORK = "work/"
+HELD = "held/"
+DONE = "done/"
+
+PREFIXES = {
+    UploadState.OPEN: OPEN,
+    UploadState.ACCEPTED: WORK,
+    UploadState.DELIVERING: WORK,
+    UploadState.FAILED: HELD,
+    UploadState.DELIVERED: DONE,
+    UploadState.ABANDONED: DONE,
+}
+
+CHUNK_PREFIX = "uploads/"
+"""Prefix of the names of all chunks."""
+
+IN_NAME = 20
+"""Digits of the numbers in a chunk's name, so that names sort as numbers do."""
+
+
+class UploadEntry(msgspec.Struct, frozen=True):
+    """An upload in the index and in lists for operators; see `Manifest` for the fields."""
+
+    id: str
+    service: str
+    caller: str
+    state: UploadState
+    size: int
+    length: int | None
+    created: float
+    holder: str
+    due: float
+    attempts: int
+    sent: int
+    error: str
+
+
+def entry_of(manifest: Manifest) -> UploadEntry:
+    """Return the index entry for a manifest."""
+    return UploadEntry(
+        id=manifest.id,
+        service=manifest.service,
+        caller=manifest.caller,
+        state=manifest.state,
+        size=manifest.size,
+        length=manifest.length,
+        created=manifest.created,
+        holder=manifest.holder,
+        due=manifest.due,
+        attempts=manifest.attempts,
+        sent=manifest.sent,
+        error=manifest.error,
+    )
+
+
+def index_key(manifest: Manifest) -> str:
+    """Return the key of a manifest's index entry."""
+    return PREFIXES[manifest.state] + manifest.id
+
+
+def writes(before: Manifest | None, after: Manifest) -> list[Write]:
+    """Return the writes that take the store from one manifest to the next.
+
+    The index entry of an open upload is not rewritten for each commit of chunks.
+    """
+    rows = [Write(MANIFESTS, after.id, msgspec.msgpack.encode(after))]
+    key = index_key(after)
+    if before is not None and index_key(before) != key:
+        rows.append(Write(INDEX, index_key(before), None))
+    if before is None or index_key(before) != key or after.state is not UploadState.OPEN:
+        rows.append(Write(INDEX, key, msgspec.msgpack.encode(entry_of(after))))
+    return rows
+
+
+def removal(manifest: Manifest) -> list[Write]:
+    """Return the writes that remove a manifest and its index entry."""
+    return [Write(MANIFESTS, manifest.id, None), Write(INDEX, index_key(manifest), None)]
+
+
+def chunk_name(upload: str, chunk: Chunk) -> str:
+    """Return the object's name of a chunk: unique to one writer and its epoch."""
+    return (
+        f"{CHUNK_PREFIX}{upload}/{chunk.epoch:0{IN_NAME}}/{chunk.offset:0{IN_NAME}}-{chunk.nonce}"
+    )
+
+
+def owner_of(name: str) -> tuple[str, int] | None:
+    """Return upload id and epoch of a chunk by its name, or None if it is no such name."""
+    parts = name.removeprefix(CHUNK_PREFIX).split("/")
+    if not name.startswith(CHUNK_PREFIX) or len(parts) != 3 or not parts[1].isdecimal():
+        return None
+    return parts[0], int(parts[1])
+
+
+def is_dead(name: str, epoch: int, manifest: Manifest | None) -> bool:
+    """Return whether a chunk can never become part of an upload, by fencing and not by age.
+
+    `manifest` must have been read after the name was listed. A writer inserts its manifest before
+    its first chunk, so without a manifest the upload is gone. A chunk of the present epoch
+    of an open upload may be committed yet, however old it is.
+    """
+    if manifest is None or manifest.state is UploadState.DELIVERED:
+        return True
+    if epoch > manifest.epoch:
+        return False
+    if manifest.state is UploadState.OPEN and epoch == manifest.epoch:
+        return False
+    return all(chunk_name(manifest.id, chunk) != name for chunk in manifest.chunks)
--- /dev/null
+++ b/sequoiabridge/store/upload_table.py
@@ -0,0 +1,152 @@
+"""Manifests in the table service: conditional commits, and lost answers settled by the token."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import msgspec
+from expression import Result
+
+from ..exceptions import StoreUnavailable
+from ..timers import Clock
+from .base import Condition, Row, StoreError, StoreErrorKind, TableService, Write
+from .upload_index import INDEX, MANIFESTS, UploadEntry, removal, writes
+from .upload_manifest import Manifest, UploadConflict
+
+CALL_TIMEOUT = 5.0
+"""Seconds for one call to the table service."""
+
+FIRST_PAUSE = 0.05
+"""Seconds before a call is tried again; doubled each time."""
+
+LONGEST_PAUSE = 2.0
+"""Seconds between two tries at most."""
+
+
+class Unsettled(StoreUnavailable):
+    """A commit got no answer in time: it may have taken effect or take effect later."""
+
+
+class Held:
+    """A manifest and the version of its row as this VM last knew them."""
+
+    __slots__ = ("manifest", "version")
+
+    def __init__(self, manifest: Manifest, version: int):
+        self.manifest = manifest
+        self.version = version
+
+
+class Patience:
+    """Pauses between tries until the time is up."""
+
+    __slots__ = ("clock", "sleep", "until", "pause")
+
+    def __init__(self, clock: Clock, sleep: Callable[[float], Awaitable], seconds: float):
+        self.clock = clock
+        self.sleep = sleep
+        self.until = clock.now() + seconds
+        self.pause = FIRST_PAUSE
+
+    async def wait(self) -> bool:
+        """Pause; return False, without a pause, if the time is up."""
+        if self.clock.now() + self.pause > self.until:
+            return False
+        await self.sleep(self.pause)
+        self.pause = min(LONGEST_PAUSE, self.pause * 2)
+        return True
+
+
+class ManifestTable:
+    """Reads and advances manifests.
+
+    Raises `UploadConflict` when another change came first, `StoreUnavailable` when nothing was
+    written, and `Unsettled` when that is not known. A commit without an answer is sent again with
+    the same token and condition: at most one of the copies can take effect, whenever it lands.
+    """
+
+    def __init__(self, tables: TableService, clock: Clock, sleep=curio.sleep):
+        self.tables = tables
+        self.clock = clock
+        self.sleep = sleep
+
+    async def read(self, upload: str, patience: float = 0.0) -> Held | None:
+        """Return an upload's manifest, or None if there is none."""
+        waiting = Patience(self.clock, self.sleep, patience)
+        while True:
+            match await self.tables.read(MANIFESTS, upload, CALL_TIMEOUT):
+                case Result(tag="ok", ok=row):
+                    return _held(row)
+                case Result(error=error):
+                    if not await waiting.wait():
+                        raise _unavailable(error)
+
+    async def insert(self, manifest: Manifest, patience: float = 0.0) -> Held:
+        """Insert a new manifest."""
+        return await self._commit(None, 0, manifest, patience)
+
+    async def advance(self, held: Held, manifest: Manifest, patience: float = 0.0) -> Held:
+        """Replace the manifest that is held by the next one."""
+        return await self._commit(held.manifest, held.version, manifest, patience)
+
+    async def remove(self, held: Held) -> bool:
+        """Remove a manifest if it is still as held; return whether it is known to be gone."""
+        conditions = [Condition(MANIFESTS, held.manifest.id, held.version)]
+        result = await self.tables.transact(conditions, removal(held.manifest), CALL_TIMEOUT)
+        return result.is_ok()
+
+    async def entries(self, prefix: str, after: str, limit: int) -> list[tuple[str, UploadEntry]]:
+        """Return up to `limit` index entries in order with their keys, which are over `after`."""
+        match await self.tables.scan(INDEX, prefix, after, limit, CALL_TIMEOUT):
+            case Result(tag="ok", ok=rows):
+                return [(r.key, msgspec.msgpack.decode(r.value, type=UploadEntry)) for r in rows]
+            case Result(error=error):
+                raise _unavailable(error)
+
+    async def _commit(
+        self, before: Manifest | None, version: int, after: Manifest, patience: float
+    ) -> Held:
+        waiting = Patience(self.clock, self.sleep, patience)
+        rows = writes(before, after)
+        lost = False
+        while True:
+            error = await self._try(version, after, rows)
+            if error is None:
+                return Held(after, version + 1)
+            if error.kind is StoreErrorKind.CONDITION_FAILED:
+                row = await self._settled(after, waiting, lost)
+                if row is not None and row.manifest.token == after.token:
+                    return row
+                if row is None or before is None or row.manifest.token != before.token:
+                    raise UploadConflict(f"upload {after.id} was changed elsewhere; ask its offset")
+                version = row.version
+                continue
+            lost = lost or error.kind is StoreErrorKind.UNKNOWN
+            if not await waiting.wait():
+                raise Unsettled(error.message) if lost else _unavailable(error)
+
+    async def _try(self, version: int, after: Manifest, rows: list[Write]) -> StoreError | None:
+        conditions = [Condition(MANIFESTS, after.id, version)]
+        match await self.tables.transact(conditions, rows, CALL_TIMEOUT):
+            case Result(tag="ok"):
+                return None
+            case Result(error=error):
+                return error
+
+    async def _settled(self, after: Manifest, waiting: Patience, lost: bool) -> Held | None:
+        while True:
+            match await self.tables.read(MANIFESTS, after.id, CALL_TIMEOUT):
+                case Result(tag="ok", ok=row):
+                    return _held(row)
+                case Result(error=error):
+                    if not await waiting.wait():
+                        raise Unsettled(error.message) if lost else _unavailable(error)
+
+
+def _held(row: Row | None) -> Held | None:
+    if row is None:
+        return None
+    return Held(msgspec.msgpack.decode(row.value, type=Manifest), row.version)
+
+
+def _unavailable(error: StoreError) -> StoreUnavailable:
+    return StoreUnavailable(f"{error.message}; try again when the platform answers")
--- /dev/null
+++ b/sequoiabridge/store/upload_writer.py
@@ -0,0 +1,240 @@
+"""One caller's body on its way into one upload: compare, cut, put, commit, accept."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..exceptions import StoreUnavailable
+from ..pipeline.exchange import Body, RawHeaders
+from .upload_chunks import Cutter, Piece
+from .upload_manifest import (
+    Chunk,
+    Manifest,
+    UploadConflict,
+    UploadKeyReused,
+    UploadState,
+    UploadTooLarge,
+    accepted,
+    extended,
+)
+from .upload_table import Held
+
+if TYPE_CHECKING:
+    from .uploads import Uploads
+
+
+class IncomingUpload:
+    """A caller's request to start, resume or look up an upload.
+
+    Attributes:
+        key: The caller's `Idempotency-Key`, or None.
+        length: Size of this body in bytes, or None if it is chunked.
+        upload_id: Set when the caller names an upload that exists.
+        offset: Where this body begins; None on a start, or to look up the offset.
+        digest: SHA-256 of the whole in hexadecimal if the caller gave it, or "".
+        max_size: Bytes that the whole may have, 0 for no limit.
+    """
+
+    __slots__ = (
+        "service",
+        "caller",
+        "key",
+        "method",
+        "target",
+        "headers",
+        "body",
+        "length",
+        "upload_id",
+        "offset",
+        "digest",
+        "max_size",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        caller: str,
+        method: bytes,
+        target: bytes,
+        headers: RawHeaders,
+        body: Body | None,
+        length: int | None,
+        *,
+        key: str | None = None,
+        upload_id: str | None = None,
+        offset: int | None = None,
+        digest: str = "",
+        max_size: int = 0,
+    ):
+        self.service = service
+        self.caller = caller
+        self.key = key
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.length = length
+        self.upload_id = upload_id
+        self.offset = offset
+        self.digest = digest
+        self.max_size = max_size
+
+    @property
+    def total(self) -> int | None:
+        """Size of the whole upload as far as this request tells it."""
+        return None if self.length is None else (self.offset or 0) + self.length
+
+
+class Received:
+    """What became of a request: `offset` is the next byte that is expected."""
+
+    __slots__ = ("id", "state", "offset", "digest", "replayed", "error")
+
+    def __init__(self, manifest: Manifest, replayed: bool = False):
+        self.id = manifest.id
+        self.state = manifest.state
+        self.offset = manifest.size
+        self.digest = manifest.digest
+        self.error = manifest.error
+        self.replayed = replayed
+
+
+class Writer:
+    """Takes a caller's body into an upload of which it holds the newest epoch.
+
+    Holds one chunk in memory. Ends by accepting the upload, or by raising with everything that
+    was stored so far committed, so that the caller can resume.
+    """
+
+    def __init__(self, uploads: Uploads, held: Held, incoming: IncomingUpload):
+        self.uploads = uploads
+        self.held = held
+        self.incoming = incoming
+        self.cutter = Cutter(incoming.body)
+        self.start = incoming.offset or 0
+        self.pending: list[Chunk] = []
+        self.committed_at = uploads.clock.now()
+
+    @property
+    def offset(self) -> int:
+        """The next byte that is expected, counting chunks that are stored but not committed."""
+        last = self.pending[-1] if self.pending else None
+        return last.offset + last.length if last else self.held.manifest.size
+
+    async def run(self) -> Received:
+        """Take the whole body and accept the upload."""
+        await compare(self.cutter, self.held.manifest, self.start)
+        more = True
+        while more:
+            more = await self._take_chunk()
+            if more and self._commit_due():
+                await self._commit()
+        return await self._accept()
+
+    async def _take_chunk(self) -> bool:
+        piece = await self.cutter.take(self.uploads.chunk_size)
+        if piece.data:
+            self._check_size(len(piece.data))
+            await self._store(piece)
+        if self.cutter.gone is not None:
+            await self._keep()
+            raise self.cutter.gone
+        return len(piece.data) == self.uploads.chunk_size
+
+    async def _store(self, piece: Piece) -> None:
+        chunk = Chunk(
+            epoch=self.held.manifest.epoch,
+            offset=self.offset,
+            length=len(piece.data),
+            digest=piece.digest,
+            nonce=self.uploads.token(),
+        )
+        await self.uploads.chunks.put(self.held.manifest.id, chunk, piece.data)
+        self.pending.append(chunk)
+        self.uploads.progress[self.held.manifest.id] = self.offset
+
+    def _check_size(self, more: int) -> None:
+        limit = self.incoming.max_size
+        if limit and self.offset + more > limit:
+            raise UploadTooLarge(f"the upload is over {limit} bytes; split it")
+
+    def _commit_due(self) -> bool:
+        waited = self.uploads.clock.now() - self.committed_at
+        return len(self.pending) >= self.uploads.commit_every or (
+            bool(self.pending) and waited >= self.uploads.commit_interval
+        )
+
+    async def _commit(self) -> None:
+        stamp = self.uploads.stamp()
+        manifest = extended(self.held.manifest, self.pending, stamp)
+        self.held = await self.uploads.table.advance(
+            self.held, manifest, self.uploads.patience_seconds
+        )
+        self.pending = []
+        self.committed_at = self.uploads.clock.now()
+
+    async def _keep(self) -> None:
+        if not self.pending:
+            return
+        try:
+            await self._commit()
+        except (StoreUnavailable, UploadConflict):
+            # Nothing was promised: the caller resumes from what is committed.
+            return
+
+    async def _accept(self) -> Received:
+        digest = await self._whole_digest()
+        manifest = accepted(
+            self.held.manifest,
+            self.pending,
+            digest,
+            self.uploads.vm_name,
+            self.uploads.head_start,
+            self.uploads.stamp(),
+        )
+        try:
+            self.held = await self.uploads.table.advance(
+                self.held, manifest, self.uploads.patience_seconds
+            )
+        except UploadConflict:
+            self.held = await self._accepted_before(manifest)
+        return Received(self.held.manifest)
+
+    async def _whole_digest(self) -> str:
+        """SHA-256 of the whole if it is known cheaply or was announced, else ""."""
+        announced = self.incoming.digest
+        digest = self.cutter.whole.hexdigest() if self.start == 0 else ""
+        if announced and not digest:
+            if self.pending:
+                await self._commit()
+            digest = await self.uploads.chunks.digest(self.held.manifest)
+        if announced and announced != digest:
+            raise UploadKeyReused(f"the content has digest {digest}, not {announced}; send it anew")
+        return digest
+
+    async def _accepted_before(self, manifest: Manifest) -> Held:
+        """Settle a lost answer to the accepting commit after a deliverer's change on top of it."""
+        now = await self.uploads.table.read(manifest.id, self.uploads.patience_seconds)
+        if (
+            now is not None
+            and now.manifest.epoch == manifest.epoch
+            and now.manifest.state not in (UploadState.OPEN, UploadState.ABANDONED)
+        ):
+            return now
+        raise UploadConflict(f"upload {manifest.id} was taken over; ask for its offset and resume")
+
+
+async def compare(cutter: Cutter, manifest: Manifest, start: int) -> None:
+    """Compare the body, which begins at `start`, with the chunks that are committed from there.
+
+    Costs no call to the store. Raises `UploadKeyReused` if they differ. `start` must be where a
+    chunk begins or the last one ends.
+    """
+    for chunk in manifest.chunks:
+        if chunk.offset < start:
+            continue
+        piece = await cutter.take(chunk.length)
+        if cutter.gone is not None:
+            raise cutter.gone
+        if piece.digest != chunk.digest:
+            raise UploadKeyReused(f"the body differs from upload {manifest.id}; use another key")
--- /dev/null
+++ b/sequoiabridge/store/uploads.py
@@ -0,0 +1,240 @@
+"""Uploads that are spooled: received into the object store, accepted by one commit.
+
+An upload is accepted when the transaction that says so is proven committed, and only then is the
+caller told. `store.upload_delivery` takes it to an upstream.
+"""
+
+import secrets
+from collections import Counter
+from collections.abc import Callable
+
+import curio
+
+from ..parts import Part
+from ..timers import Clock
+from .base import ObjectStore, TableService
+from .upload_chunks import ChunkStore, Cutter
+from .upload_index import HELD, OPEN, WORK, UploadEntry
+from .upload_manifest import (
+    Manifest,
+    Stamp,
+    UploadConflict,
+    UploadKeyReused,
+    UploadState,
+    UploadUnknown,
+    keyed_id,
+    released,
+    taken_over,
+)
+from .upload_table import Held, ManifestTable, Patience
+from .upload_writer import IncomingUpload, Received, Writer, compare
+
+CHUNK_SIZE = 4 << 20
+"""Bytes of a chunk, by default."""
+
+COMMIT_EVERY = 4
+"""Chunks that are committed together, by default."""
+
+COMMIT_INTERVAL = 10.0
+"""Seconds after which a stored chunk is committed even if it is alone."""
+
+START_PATIENCE = 1.0
+"""Seconds to settle the insert of a manifest; a store that is known to be down costs none."""
+
+PATIENCE = 30.0
+"""Seconds that a running upload waits for the store before it is refused, to be resumed."""
+
+HEAD_START = 5.0
+"""Seconds during which only the accepting VM delivers."""
+
+
+NONCE_BYTES = 12
+"""Random bytes in tokens, in names of chunks and in generated ids."""
+
+
+def _token() -> str:
+    return secrets.token_hex(NONCE_BYTES)
+
+
+class Uploads(Part):
+    """Receives uploads.
+
+    Attributes:
+        receiving: How many requests are being received now.
+        progress: Bytes stored of each upload that is being received here, by id.
+    """
+
+    name = "uploads"
+
+    def __init__(
+        self,
+        tables: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        vm_name: str,
+        *,
+        chunk_size: int = CHUNK_SIZE,
+        commit_every: int = COMMIT_EVERY,
+        commit_interval: float = COMMIT_INTERVAL,
+        patience: float = PATIENCE,
+        head_start: float = HEAD_START,
+        token: Callable[[], str] = _token,
+        sleep=curio.sleep,
+    ):
+        self.clock = clock
+        self.vm_name = vm_name
+        self.chunk_size = chunk_size
+        self.commit_every = commit_every
+        self.commit_interval = commit_interval
+        self.patience_seconds = patience
+        self.head_start = head_start
+        self.token = token
+        self.table = ManifestTable(tables, clock, sleep)
+        self.chunks = ChunkStore(objects, lambda: Patience(clock, sleep, patience))
+        self.receiving = 0
+        self.progress: dict[str, int] = {}
+        self.counts: Counter[str] = Counter()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no upload is being received: a planned stop waits for it."""
+        return self.receiving == 0
+
+    def stamp(self) -> Stamp:
+        """Return the time and a fresh token for one change."""
+        return Stamp(self.clock.wall(), self.token())
+
+    async def receive(self, incoming: IncomingUpload) -> Received:
+        """Start, resume or look up an upload.
+
+        Raises:
+            StoreUnavailable: Nothing was accepted; the caller may resume.
+            Unsettled: Whether it was accepted is not known yet; the caller looks it up.
+            UploadConflict: Another writer came first, or the offset does not fit.
+            UploadKeyReused: The content differs from what the key or id names.
+            UploadUnknown: No such upload of this caller.
+            CallerGone: The body was cut short; what came is kept for a resume.
+        """
+        self.receiving += 1
+        try:
+            received = await self._receive(incoming)
+        finally:
+            self.receiving -= 1
+        self.counts["replayed" if received.replayed else received.state.value] += 1
+        return received
+
+    async def listed(self, limit: int) -> list[UploadEntry]:
+        """Return up to `limit` uploads that are not delivered: held, waiting, then open."""
+        found: list[UploadEntry] = []
+        for prefix in (HELD, WORK, OPEN):
+            rows = await self.table.entries(prefix, "", limit - len(found))
+            found += [entry for _, entry in rows]
+            if len(found) >= limit:
+                break
+        return found
+
+    async def found(self, upload: str) -> Manifest | None:
+        """Return one upload in full, or None."""
+        held = await self.table.read(upload)
+        return held.manifest if held else None
+
+    async def release(self, upload: str) -> Manifest:
+        """Let an upload that is held as failed be delivered again."""
+        held = await self.table.read(upload)
+        if held is None:
+            raise UploadUnknown(f"no upload {upload}; list the uploads for its id")
+        manifest = released(held.manifest, self.stamp())
+        return (await self.table.advance(held, manifest, START_PATIENCE)).manifest
+
+    def dump(self) -> dict:
+        """Describe what is being received here, and counts since the start."""
+        progress = dict(list(self.progress.items())[:20])
+        return {"receiving": self.receiving, "stored": progress, "counts": dict(self.counts)}
+
+    async def _receive(self, incoming: IncomingUpload) -> Received:
+        if incoming.upload_id is None:
+            held = await self._started(incoming)
+        else:
+            held = await self._named(incoming)
+            if incoming.offset is None:
+                return Received(held.manifest)
+            held = await self._own(held, incoming)
+        if held.manifest.state is not UploadState.OPEN:
+            return await self._replayed(held.manifest, incoming)
+        try:
+            return await Writer(self, held, incoming).run()
+        finally:
+            self.progress.pop(held.manifest.id, None)
+
+    async def _started(self, incoming: IncomingUpload) -> Held:
+        manifest = self._new_manifest(incoming)
+        try:
+            return await self.table.insert(manifest, START_PATIENCE)
+        except UploadConflict:
+            held = await self.table.read(manifest.id, START_PATIENCE)
+        if held is None:
+            raise UploadConflict("an upload of this key has just ended; send it again")
+        return await self._own(held, incoming)
+
+    def _new_manifest(self, incoming: IncomingUpload) -> Manifest:
+        stamp = self.stamp()
+        key = incoming.key
+        upload = keyed_id(incoming.service, incoming.caller, key) if key else self.token()
+        return Manifest(
+            id=upload,
+            service=incoming.service,
+            caller=incoming.caller,
+            method=incoming.method,
+            target=incoming.target,
+            headers=tuple(incoming.headers),
+            length=incoming.length,
+            created=stamp.now,
+            updated=stamp.now,
+            token=stamp.token,
+        )
+
+    async def _named(self, incoming: IncomingUpload) -> Held:
+        held = await self.table.read(incoming.upload_id, START_PATIENCE)
+        scope = (incoming.service, incoming.caller)
+        if held is None or (held.manifest.service, held.manifest.caller) != scope:
+            raise UploadUnknown(f"no upload {incoming.upload_id} of this caller; start a new one")
+        return held
+
+    async def _own(self, held: Held, incoming: IncomingUpload) -> Held:
+        """Fence the older writers of an upload that is not accepted yet."""
+        manifest = held.manifest
+        check_same(manifest, incoming)
+        if manifest.state not in (UploadState.OPEN, UploadState.ABANDONED):
+            return held
+        check_offset(manifest, incoming.offset or 0)
+        return await self.table.advance(held, taken_over(manifest, self.stamp()), START_PATIENCE)
+
+    async def _replayed(self, manifest: Manifest, incoming: IncomingUpload) -> Received:
+        """Answer for an upload that is accepted already, after comparing the content."""
+        if not incoming.digest or incoming.digest != manifest.digest:
+            start = incoming.offset or 0
+            check_offset(manifest, start)
+            cutter = Cutter(incoming.body)
+            await compare(cutter, manifest, start)
+            more = await cutter.take(1)
+            if cutter.gone is not None:
+                raise cutter.gone
+            if more.data:
+                raise UploadKeyReused(f"the body is longer than upload {manifest.id}; new key")
+        return Received(manifest, replayed=True)
+
+
+def check_same(manifest: Manifest, incoming: IncomingUpload) -> None:
+    """Raise `UploadKeyReused` if a request cannot mean this upload."""
+    same = (manifest.method, manifest.target) == (incoming.method, incoming.target)
+    total = incoming.total
+    if not same or (None not in (total, manifest.length) and total != manifest.length):
+        raise UploadKeyReused(
+            f"upload {manifest.id} has another method, target or length; use another key"
+        )
+
+
+def check_offset(manifest: Manifest, start: int) -> None:
+    """Raise `UploadConflict` unless `start` is where a committed chunk begins or the last ends."""
+    if start != manifest.size and all(chunk.offset != start for chunk in manifest.chunks):
+        raise UploadConflict(f"the next byte of upload {manifest.id} is {manifest.size}; resume it")
