--- a/sequoiabridge/store/upload_delivery.py
+++ b/sequoiabridge/store/upload_delivery.py
@@ -163,9 +163,10 @@
         chosen = due[: self.parallel - len(self.progress)]
         for upload in chosen:
             self.progress[upload] = 0
-        async with curio.TaskGroup() as group:
-            for upload in chosen:
-                await group.spawn(self.deliver, upload)
+        # No task group: a fault in one delivery must not cancel the others.
+        tasks = [await curio.spawn(self.deliver, upload) for upload in chosen]
+        for task in tasks:
+            await task.wait()
 
     async def deliver(self, upload: str) -> None:
         """Make one attempt at one upload, if it is due."""
--- /dev/null
+++ b/sequoiabridge/tests/pipeline/test_uploads.py
@@ -0,0 +1,100 @@
+"""Spooled uploads over HTTP: what a caller is told, and what an upstream's answer means."""
+
+import hashlib
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from ...exceptions import Refusal
+from ...outcome import Outcome, Reason
+from ...pipeline.exchange import Answer, Exchange, Request
+from ...pipeline.uploads import UploadHandler, delivery_request, delivery_result
+from ...store.upload_delivery import Delivery
+from ..standins.uploads import Bytes, World, finish
+
+DATA = b"image of the reader"
+
+
+def call(vm, data=DATA, length=None, **headers):
+    fields = [(k.replace("_", "-").encode(), v) for k, v in headers.items()]
+    body = Bytes(data) if data else None
+    request = Request(b"PUT", b"/image", fields, len(data) if length is None else length, body)
+    exchange = Exchange("r1", request, 0.0)
+    exchange.caller = "vendor"
+    exchange.service = SimpleNamespace(name="mottag")
+    exchange.rule = SimpleNamespace(max_body=1000)
+    answer = finish(UploadHandler(vm).handle(exchange))
+    return answer.status, dict(answer.headers), msgspec.json.decode(finish(answer.body.read()))
+
+
+def refused(vm, *args, **headers):
+    with pytest.raises(Refusal) as caught:
+        call(vm, *args, **headers)
+    return caught.value
+
+
+def test_accepted_looked_up_and_delivered_under_id_and_digest():
+    world = World()
+    vm = world.vm("a")
+    status, headers, _ = call(vm, content_type=b"image/x", host=b"h", sequoia_deadline_ms=b"9")
+    upload = headers[b"sequoia-upload-id"]
+    assert status == 202
+    status, headers, told = call(world.vm("b"), b"", sequoia_upload_id=upload)
+    assert (status, headers[b"sequoia-upload-offset"], told["state"]) == (200, b"19", "accepted")
+    manifest = world.manifests()[0]
+    sent = delivery_request(manifest, None)
+    digest = hashlib.sha256(DATA).hexdigest().encode()
+    assert sent.length == 19 and set(sent.headers) == {
+        (b"content-type", b"image/x"),
+        (b"sequoia-caller", b"vendor"),
+        (b"sequoia-upload-id", upload),
+        (b"sequoia-upload-digest", digest),
+    }
+
+
+def test_a_store_that_is_down_or_silent_is_told_truthfully():
+    world = World()
+    world.tables.faults.down = True
+    down = refused(world.vm("a"))
+    assert (down.status, down.outcome, down.reason) == (503, Outcome.NOT_RUN, Reason.STORE_DOWN)
+    assert down.retry_after > 0
+    world.tables.faults.down = False
+    world.tables.faults.late = 99
+    assert refused(world.vm("a")).outcome is Outcome.UNKNOWN
+
+
+def test_refusals_name_their_reason():
+    world = World()
+    vm = world.vm("a")
+    upload = call(vm, idempotency_key=b"k")[1][b"sequoia-upload-id"]
+    other = refused(vm, b"other", idempotency_key=b"k")
+    assert (other.status, other.reason) == (422, Reason.KEY_REUSED)
+    stray = refused(vm, b"e", sequoia_upload_id=upload, sequoia_upload_offset=b"17")
+    assert stray.status == 422
+    stray = refused(vm, b"e", length=0, sequoia_upload_id=upload, sequoia_upload_offset=b"17")
+    assert (stray.status, stray.reason) == (422, Reason.KEY_REUSED)
+    assert refused(vm, b"", sequoia_upload_id=b"nobody").status == 404
+    assert refused(vm, b"x", sequoia_upload_id=upload).status == 400
+    assert refused(vm, b"x", sequoia_upload_offset=b"3").status == 400
+    assert refused(vm, b"x" * 1001).reason is Reason.BODY_TOO_LARGE
+    wrong = refused(vm, DATA, sequoia_upload_digest=b"0" * 64)
+    assert wrong.reason is Reason.KEY_REUSED and len(world.manifests()) == 3
+
+
+@pytest.mark.parametrize(
+    ("status", "echo", "expected"),
+    [
+        (200, None, Delivery.CONFIRMED),
+        (200, b"d", Delivery.HELD_ALREADY),
+        (200, b"e", Delivery.RETRY),
+        (503, b"d", Delivery.RETRY),
+        (302, None, Delivery.RETRY),
+        (404, None, Delivery.RETRY),
+        (422, None, Delivery.REFUSED),
+    ],
+)
+def test_only_a_confirmation_of_this_content_counts(status, echo, expected):
+    manifest = SimpleNamespace(digest="d")
+    headers = [] if echo is None else [(b"sequoia-upload-digest", echo)]
+    assert delivery_result(manifest, Answer(status, headers, 0, None)).delivery is expected
--- /dev/null
+++ b/sequoiabridge/tests/store/test_uploads.py
@@ -0,0 +1,242 @@
+"""Uploads under faults at each step, judged by the store's content and the upstream's record."""
+
+import pytest
+
+from ...exceptions import CallerGone, StoreUnavailable
+from ...store.upload_manifest import UploadConflict, UploadKeyReused, UploadState, keyed_id
+from ...store.upload_table import Unsettled
+from ..standins.uploads import World, finish, incoming, killed_after
+
+DATA = b"ledger of the year 2026"
+ID = keyed_id("lataus", "uni", "k")
+CONTENTS = {ID: DATA}
+FAULTS = ["lose_writes", "lose_answers", "late"]
+
+
+def receive(vm, data=DATA, cut=None, **options):
+    return vm.receive(incoming(data, cut, key="k", **options))
+
+
+def test_a_vm_killed_at_each_step_of_receiving_loses_nothing():
+    steps = 0
+    while True:
+        world = World()
+        if not killed_after(receive(world.vm("a")), steps):
+            break
+        world.check(CONTENTS)
+        told = finish(receive(world.vm("b")))
+        assert told.state in (UploadState.ACCEPTED, UploadState.DELIVERING)
+        world.recover()
+        assert world.upstream.kept == CONTENTS
+        steps += 1
+    assert steps > 20
+
+
+def test_a_vm_killed_at_each_step_of_delivering_loses_and_halves_nothing():
+    steps = 0
+    while True:
+        world = World()
+        vm = world.vm("a")
+        finish(receive(vm))
+        if not killed_after(world.deliveries(vm).deliver(ID), steps):
+            break
+        world.check(CONTENTS)
+        world.recover()
+        assert world.upstream.kept == CONTENTS
+        assert world.manifests()[0].state is UploadState.DELIVERED
+        steps += 1
+    assert steps > 20
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_one_lost_answer_at_each_write_is_settled(fault):
+    writes = 0
+    while True:
+        world = World()
+        vm = world.vm("a")
+        tasks = [receive(vm), world.deliveries(vm).deliver(ID)]
+        hit = drive_with_fault(world, tasks, fault, writes)
+        world.tables.land_late()
+        world.objects.land_late()
+        world.check(CONTENTS)
+        if not hit:
+            break
+        assert world.upstream.kept == CONTENTS
+        writes += 1
+    assert writes > 10
+
+
+def drive_with_fault(world, tasks, fault, writes) -> bool:
+    """Run tasks one after the other; the fault hits the write of the given number."""
+    seen = 0
+    for task in tasks:
+        while True:
+            # One write at most is made between two pauses, so logs count the writes.
+            done = len(world.tables.log) + len(world.objects.tables.log)
+            if done >= writes and not seen:
+                setattr(world.tables.faults, fault, 1)
+                setattr(world.objects.faults, fault, 1)
+                seen = 1
+            if seen == 1 and used(world, fault):
+                setattr(world.tables.faults, fault, 0)
+                setattr(world.objects.faults, fault, 0)
+                seen = 2
+            try:
+                task.send(None)
+            except StopIteration:
+                break
+    return seen == 2
+
+
+def used(world, fault):
+    return not getattr(world.tables.faults, fault) or not getattr(world.objects.faults, fault)
+
+
+def test_an_accepting_commit_that_stays_unsettled_is_not_called_not_run():
+    world = World()
+    task = receive(world.vm("a", patience=1.0, commit_every=99))
+    while len(world.objects.objects) < 6:
+        task.send(None)
+    world.tables.faults.late = 99
+    with pytest.raises(Unsettled):
+        finish(task)
+    world.tables.faults.late = 0
+    assert world.tables.land_late() == 1
+    world.recover()
+    assert world.upstream.kept == CONTENTS
+
+
+def test_a_store_that_is_down_refuses_at_once():
+    world = World()
+    world.tables.faults.down = True
+    vm = world.vm("a", patience=0.0)
+    with pytest.raises(StoreUnavailable) as caught:
+        finish(receive(vm))
+    assert not isinstance(caught.value, Unsettled)
+    assert world.tables.rows == {} and vm.idle
+
+
+def test_a_paused_writer_wakes_after_another_vm_finished():
+    world = World()
+    paused = receive(world.vm("a"), data=DATA)
+    while len(world.objects.objects) < 3:
+        paused.send(None)
+    finish(receive(world.vm("b")))
+    with pytest.raises(UploadConflict):
+        finish(paused)
+    world.check(CONTENTS)
+    finish(world.orphans(world.vm("c")).step(world.clock.wall()))
+    world.check(CONTENTS)
+    assert len(world.objects.objects) == len(world.manifests()[0].chunks)
+
+
+def test_a_caller_resumes_at_another_vm_from_the_committed_offset():
+    world = World()
+    with pytest.raises(CallerGone):
+        finish(receive(world.vm("a"), cut=13))
+    other = world.vm("b")
+    offset = finish(other.receive(incoming(b"", upload_id=ID))).offset
+    assert offset == 13
+    resume = incoming(DATA[offset:], upload_id=ID, offset=offset)
+    assert finish(other.receive(resume)).state is UploadState.ACCEPTED
+    # The answer was lost: the same resume again learns that it is accepted.
+    again = finish(other.receive(incoming(DATA[offset:], upload_id=ID, offset=offset)))
+    assert again.replayed
+    world.recover()
+    assert world.upstream.kept == CONTENTS
+
+
+def test_two_deliverers_at_once_and_one_that_wakes_up_late():
+    world = World()
+    vm = world.vm("a")
+    finish(receive(vm))
+    late = world.deliveries(vm).deliver(ID)
+    for _ in range(12):
+        late.send(None)
+    world.clock.advance(100.0)
+    finish(world.deliveries(world.vm("b")).deliver(ID))
+    assert world.manifests()[0].state is UploadState.DELIVERED
+    finish(late)
+    world.check(CONTENTS)
+    assert world.manifests()[0].state is UploadState.DELIVERED
+
+
+def test_an_upstream_that_is_down_then_loses_its_answer_gets_it_once_and_whole():
+    world = World()
+    vm = world.vm("a")
+    finish(receive(vm))
+    world.upstream.down = True
+    finish(world.deliveries(vm).deliver(ID))
+    waiting = finish(vm.listed(10))[0]
+    assert waiting.state is UploadState.ACCEPTED and waiting.error == "connection refused"
+    assert waiting.due > world.clock.wall()
+    world.upstream.down, world.upstream.lose_answers = False, 1
+    world.clock.advance(100.0)
+    finish(world.deliveries(vm).deliver(ID))
+    assert finish(vm.listed(10))[0].attempts == 2
+    world.recover()
+    assert world.upstream.kept == CONTENTS and finish(vm.listed(10)) == []
+
+
+def test_a_refused_upload_is_held_with_its_content_until_released():
+    world = World()
+    vm = world.vm("a")
+    finish(receive(vm))
+    world.upstream.refuses = True
+    finish(world.deliveries(vm).deliver(ID))
+    world.clock.advance(1e7)
+    finish(world.orphans(vm).step(world.clock.wall()))
+    assert finish(vm.listed(10))[0].state is UploadState.FAILED
+    finish(vm.release(ID))
+    world.recover()
+    assert world.upstream.kept == CONTENTS
+
+
+@pytest.mark.parametrize("other", [DATA[:-1] + b"7", DATA + b"7", DATA[:-1], b""])
+@pytest.mark.parametrize("length", [True, False])
+def test_the_same_key_with_other_content_is_refused(other, length):
+    world = World()
+    finish(receive(world.vm("a")))
+    with pytest.raises(UploadKeyReused):
+        finish(receive(world.vm("b"), data=other, length=len(other) if length else None))
+    assert finish(receive(world.vm("b"))).replayed
+    with pytest.raises(CallerGone):
+        finish(receive(world.vm("b"), cut=13))
+
+
+def test_a_clean_up_at_any_moment_takes_nothing_from_a_live_writer():
+    steps = 0
+    while True:
+        world = World()
+        task, cleaner = receive(world.vm("a")), world.vm("c")
+        try:
+            for _ in range(steps):
+                task.send(None)
+        except StopIteration:
+            break
+        sweep = world.orphans(cleaner).step(world.clock.wall())
+        for _ in range(steps % 7):
+            sweep.send(None)
+        finish(task)
+        finish(sweep)
+        world.check(CONTENTS)
+        steps += 1
+    world.recover()
+    assert world.upstream.kept == CONTENTS
+
+
+def test_an_abandoned_upload_is_given_up_its_late_writer_fenced_and_all_removed():
+    world = World()
+    vm = world.vm("a")
+    late = receive(vm)
+    while len(world.objects.objects) < 3:
+        late.send(None)
+    orphans = world.orphans(world.vm("c"))
+    for _ in range(3):
+        world.clock.advance(10 * 86400.0)
+        finish(orphans.step(world.clock.wall()))
+    assert world.manifests() == [] and world.tables.rows == {}
+    with pytest.raises(UploadConflict):
+        finish(late)
+    finish(orphans.step(world.clock.wall()))
+    assert world.objects.objects == {} and world.upstream.kept == {}
