Serve callers and call upstreams over h11 on curio

Cause: nothing served a call yet. Ruled out: a timeout object for each read and a task that watches each caller. The end of a caller's stream is no proof that it left (half-closed callers get their answer); an interim answer is, since a host whose socket is closed resets it. Refusal gained `request_id`, set by the pipeline when the request has one.

--- /dev/null
+++ b/sequoiabridge/callers/refusals.py
@@ -0,0 +1,61 @@
+"""The answers that the daemon makes itself, from the refusals that stand for them."""
+
+from math import ceil
+
+from ..exceptions import Refusal
+from ..headers import OUTCOME, REASON, REQUEST_ID
+from ..outcome import Outcome, Reason
+from ..pipeline.exchange import Answer, BytesBody
+
+LEAST_RETRY_AFTER = 1
+"""Seconds; Retry-After knows whole seconds only."""
+
+
+def refusal_answer(refusal: Refusal, request_id: str) -> Answer:
+    """Return the answer that tells a caller of `refusal`."""
+    body = str(refusal).encode("utf-8", "replace") + b"\n"
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (OUTCOME, refusal.outcome.value.encode()),
+        (REASON, refusal.reason.value.encode()),
+        (REQUEST_ID, request_id.encode("ascii", "replace")),
+    ]
+    if refusal.retry_after is not None:
+        seconds = max(LEAST_RETRY_AFTER, ceil(refusal.retry_after))
+        headers.append((b"retry-after", b"%d" % seconds))
+    return Answer(refusal.status, headers, len(body), BytesBody(body))
+
+
+def bad_request(message: str, status: int = 400) -> Refusal:
+    """Return the refusal of a request that HTTP does not allow or that could be read two ways."""
+    reason = Reason.HEAD_TOO_LARGE if status == 431 else Reason.BAD_REQUEST
+    return Refusal(status, Outcome.NOT_RUN, reason, message)
+
+
+def too_slow(what: str, outcome: Outcome = Outcome.NOT_RUN) -> Refusal:
+    """Return the refusal of a caller that did not send `what` in time."""
+    message = f"The request's {what} did not come in time. Send it again over a faster line."
+    return Refusal(408, outcome, Reason.CALLER_TOO_SLOW, message)
+
+
+def body_too_large(limit: int, outcome: Outcome) -> Refusal:
+    """Return the refusal of a body of more than `limit` bytes."""
+    message = f"The request's body has more than {limit} bytes. Send a smaller one."
+    return Refusal(413, outcome, Reason.BODY_TOO_LARGE, message)
+
+
+def too_many_connections() -> Refusal:
+    """Return the refusal of a connection beyond the limit."""
+    message = "The daemon has all the connections that it takes. Try again in a second."
+    return Refusal(503, Outcome.NOT_RUN, Reason.NO_CONNECTION, message, LEAST_RETRY_AFTER)
+
+
+def upstream_failed(message: str) -> Refusal:
+    """Return the refusal that stands for an upstream's failure the pipeline did not settle."""
+    return Refusal(502, Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, message)
+
+
+def internal_error() -> Refusal:
+    """Return the refusal that stands for a fault of the daemon's own."""
+    message = "The daemon failed at this request. Tell its operator the request's id."
+    return Refusal(500, Outcome.UNKNOWN, Reason.INTERNAL, message)
--- /dev/null
+++ b/sequoiabridge/callers/server.py
@@ -0,0 +1,243 @@
+"""The HTTP server for callers: accepts connections, keeps their limits, stops without a cut-off."""
+
+import select
+import socket
+from abc import ABC, abstractmethod
+from collections import Counter, deque
+from collections.abc import Callable
+
+import curio
+from curio.traps import _io_release, _read_wait
+
+from ..exceptions import ConfigurationError
+from ..logs import get_log
+from ..parts import Part
+from ..pipeline.exchange import Answer, Request
+from ..timers import Clock
+from .connection import CallerConnection, standalone
+from .limits import CallerLimits
+from .refusals import refusal_answer, too_many_connections
+from .wire import Phase
+
+log = get_log("callers")
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted."""
+SWEEP_INTERVAL = 0.1
+"""Seconds between two looks at all connections."""
+IDLE_GRACE = 0.5
+"""Seconds that an idle connection stays open after a stop began, for a request on its way."""
+REFUSED_KEPT = 64
+"""Connections beyond the limit that are kept for a sweep, so that their callers see why."""
+ACCEPT_PAUSE = 0.05
+"""Seconds before accepting again when the VM is out of file descriptors."""
+GONE = select.POLLERR | select.POLLHUP
+HALF_CLOSED = select.POLLRDHUP
+
+
+class Handler(ABC):
+    """What makes the answers."""
+
+    @abstractmethod
+    async def answer(self, request: Request) -> Answer:
+        """Return the answer to `request`, or raise `Refusal`.
+
+        It is cancelled when the caller goes away. The request's body is not read after it ends.
+        """
+
+    @abstractmethod
+    async def finished(self, request: Request, answer: Answer, clean: bool) -> None:
+        """Called once for each answer that `answer` returned, when no more of it will be sent.
+
+        `clean` is true if all of it was sent. The answer's body has been closed by then. It is
+        not called for a `Refusal`.
+        """
+
+
+class CallerServer(Part):
+    """Serves callers on one address.
+
+    Args:
+        handler: Makes the answers; see `Handler`.
+        limits: What is taken from callers.
+        clock: Source of time.
+        ids: Returns a new request id, for answers that no handler made.
+
+    Attributes:
+        address: The bound "IP:port", after `bind`.
+        in_flight: Requests whose answer is not complete.
+        stopping: True once `stop_accepting` was called.
+    """
+
+    name = "callers"
+
+    def __init__(
+        self, handler: Handler, limits: CallerLimits, clock: Clock, ids: Callable[[], str]
+    ):
+        self.handler = handler
+        self.limits = limits
+        self.clock = clock
+        self.ids = ids
+        self.address = ""
+        self.listener: socket.socket | None = None
+        self.open: set[CallerConnection] = set()
+        self.refused: deque[socket.socket] = deque()
+        self.in_flight = 0
+        self.accepted = 0
+        self.turned_away = 0
+        self.stopping = False
+        self.acceptor: curio.Task | None = None
+
+    @property
+    def connections(self) -> int:
+        """Return how many callers' connections are open."""
+        return len(self.open)
+
+    def bind(self, address: str) -> None:
+        """Listen on `address` ("IP:port"; port 0 picks a free one).
+
+        Raises:
+            ConfigurationError: The address cannot be listened on.
+        """
+        host, _, port = address.rpartition(":")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((host.strip("[]"), int(port)))
+            listener.listen(BACKLOG)
+        except (OSError, ValueError) as error:
+            listener.close()
+            message = (
+                f"Cannot listen on {address}: {error}. Set [callers] address to a free IP:port."
+            )
+            raise ConfigurationError(message) from error
+        listener.setblocking(False)
+        self.listener = listener
+        self.address = f"{host}:{listener.getsockname()[1]}"
+
+    async def serve(self) -> None:
+        """Accept and serve callers until cancelled; `bind` comes first."""
+        self.acceptor = await curio.spawn(self._accept(), daemon=True)
+        log.info("Listening on %s.", self.address)
+        try:
+            while True:
+                await curio.sleep(SWEEP_INTERVAL)
+                await self.sweep()
+        finally:
+            await self.acceptor.cancel()
+            for connection in list(self.open):
+                await connection.wire.task.cancel()
+
+    async def stop_accepting(self) -> None:
+        """Begin a planned stop: take no new connection, close idle ones, finish what is in flight.
+
+        Callers that are in the queue of the listening socket are still served. Answers from now
+        on carry `Connection: close`.
+        """
+        if self.stopping:
+            return
+        self.stopping = True
+        await self.acceptor.cancel()
+        while await self._accept_one():
+            pass
+        self.listener.close()
+        end = self.clock.now() + IDLE_GRACE
+        for connection in self.open:
+            if connection.wire.phase is Phase.IDLE:
+                connection.wire.deadline = min(connection.wire.deadline, end)
+        log.info("Accepting no more; %d requests are in flight.", self.in_flight)
+
+    async def wait_idle(self) -> None:
+        """Wait until the last connection is closed, however long its request takes."""
+        while self.open:
+            await curio.sleep(SWEEP_INTERVAL)
+
+    async def sweep(self) -> None:
+        """End waits that are over and cancel handlers whose caller has gone."""
+        now = self.clock.now()
+        handling: dict[int, CallerConnection] = {}
+        for connection in list(self.open):
+            if connection.wire.phase is Phase.HANDLER:
+                handling[connection.wire.sock.fileno()] = connection
+            else:
+                connection.wire.check(now)
+        while self.refused:
+            self.refused.popleft().close()
+        if handling:
+            await self._look_for_gone(handling)
+
+    def dump(self) -> dict:
+        """Describe the server for the state dump."""
+        phases = Counter(connection.wire.phase.value for connection in self.open)
+        return {
+            "address": self.address,
+            "stopping": self.stopping,
+            "connections": self.connections,
+            "in_flight": self.in_flight,
+            "accepted": self.accepted,
+            "turned_away": self.turned_away,
+            "phases": dict(phases),
+            "limits": {name: getattr(self.limits, name) for name in self.limits.__slots__},
+        }
+
+    async def _look_for_gone(self, handling: dict[int, CallerConnection]) -> None:
+        poll = select.poll()
+        for fileno in handling:
+            poll.register(fileno, HALF_CLOSED)
+        for fileno, events in poll.poll(0):
+            connection = handling[fileno]
+            if events & GONE:
+                log.debug("A caller left; its request is cancelled.")
+                await connection.wire.task.cancel(blocking=False)
+            elif events & HALF_CLOSED:
+                connection.wire.probe()
+
+    async def _accept(self) -> None:
+        try:
+            while True:
+                await _read_wait(self.listener)
+                while await self._accept_one():
+                    pass
+        finally:
+            await _io_release(self.listener)
+
+    async def _accept_one(self) -> bool:
+        """Accept one connection; False if none waits."""
+        try:
+            sock, peer = self.listener.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            log.warning("Cannot accept: %s. Raise the limit of open files.", error)
+            await curio.sleep(ACCEPT_PAUSE)
+            return False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.accepted += 1
+        if self.connections >= self.limits.max_connections:
+            self._turn_away(sock)
+            return True
+        connection = CallerConnection(self, sock, f"{peer[0]}:{peer[1]}")
+        self.open.add(connection)
+        connection.wire.task = await curio.spawn(self._run(connection), daemon=True)
+        return True
+
+    async def _run(self, connection: CallerConnection) -> None:
+        try:
+            await connection.run()
+        finally:
+            self.open.discard(connection)
+
+    def _turn_away(self, sock: socket.socket) -> None:
+        """Tell a caller beyond the limit so; the socket is closed by the next sweep."""
+        self.turned_away += 1
+        answer = refusal_answer(too_many_connections(), self.ids())
+        try:
+            sock.send(standalone(answer))
+            sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            log.debug("A caller could not be told: %s.", error)
+        self.refused.append(sock)
+        if len(self.refused) > REFUSED_KEPT:
+            self.refused.popleft().close()
--- /dev/null
+++ b/sequoiabridge/callers/wire.py
@@ -0,0 +1,184 @@
+"""One caller's socket and h11 state: what is waited for, until when, is the caller still there.
+
+No timeout object is made and no task is switched to for a call. Each wait sets `deadline` instead,
+and the server's sweep calls `check` now and then; see docs/design/hop-latency.md.
+"""
+
+import socket
+from enum import Enum
+
+import curio
+import h11
+from curio.traps import _io_release, _read_wait, _write_wait
+
+from ..codec import READ_SIZE
+from ..exceptions import CallerGone
+from ..logs import get_log
+from ..timers import Clock
+from .limits import CallerLimits
+
+log = get_log("callers")
+
+NEVER = float("inf")
+DRAIN_SIZE = 256 * 1024
+"""Bytes of an unwanted rest that are read and dropped, so that the caller sees its answer."""
+DRAIN_TIME = 2.0
+"""Seconds that this may take."""
+ABORT = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+"""SO_LINGER on with 0 seconds: closing resets the connection."""
+
+PROCESSING = h11.InformationalResponse(status_code=102, headers=[])
+CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
+
+
+class Phase(Enum):
+    """What a caller's connection waits for."""
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    HANDLER = "handler"
+    ANSWER = "answer"
+    CLOSING = "closing"
+
+
+class CallerWire:
+    """A caller's connection below the level of requests.
+
+    Attributes:
+        phase: What is waited for.
+        deadline: Time at which that wait is over, in seconds on the daemon's clock.
+        expired: True once a wait was over.
+        task: The task that serves the connection.
+    """
+
+    __slots__ = (
+        "sock",
+        "limits",
+        "clock",
+        "http",
+        "task",
+        "phase",
+        "deadline",
+        "expired",
+        "probed",
+    )
+
+    def __init__(self, sock: socket.socket, limits: CallerLimits, clock: Clock):
+        self.sock = sock
+        self.limits = limits
+        self.clock = clock
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head)
+        self.task: curio.Task | None = None
+        self.phase = Phase.IDLE
+        self.deadline = clock.now() + limits.idle_timeout
+        self.expired = False
+        self.probed = False
+
+    async def receive(self, phase: Phase, timeout: float) -> bytes:
+        """Return what the caller sent next, b"" at its end or when the wait was over.
+
+        Raises:
+            CallerGone: The connection is broken.
+        """
+        self.phase = phase
+        self.deadline = self.clock.now() + timeout
+        while True:
+            await _read_wait(self.sock)
+            try:
+                data = self.sock.recv(READ_SIZE)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise CallerGone(f"Its connection broke: {error}.") from error
+            self.handling()
+            return data
+
+    def handling(self) -> None:
+        """Nothing is expected from the caller now; the handler is at work."""
+        self.phase = Phase.HANDLER
+        self.deadline = NEVER
+
+    async def send(self, data: bytes) -> None:
+        """Send all of `data`.
+
+        Raises:
+            CallerGone: The connection is broken, or the caller took nothing for too long.
+        """
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            raise CallerGone(f"Its connection broke: {error}.") from error
+        if sent < len(data):
+            await self._send_rest(memoryview(data)[sent:])
+
+    async def ask_for_body(self) -> None:
+        """Tell the caller to go on, if it waits for that (Expect: 100-continue)."""
+        if self.http.they_are_waiting_for_100_continue:
+            await self.send(self.http.send(CONTINUE))
+
+    async def drain(self) -> None:
+        """End the sending side, then read and drop a bounded rest of what the caller sends."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise CallerGone(f"Its connection broke: {error}.") from error
+        end = self.clock.now() + DRAIN_TIME
+        size = 0
+        while size < DRAIN_SIZE and not self.expired:
+            data = await self.receive(Phase.CLOSING, end - self.clock.now())
+            if not data:
+                return
+            size += len(data)
+
+    def abort_on_close(self) -> None:
+        """Make the close a reset, for an answer whose end is shown by nothing but the close."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
+
+    async def close(self) -> None:
+        """Close the socket; only the task that serves the connection may do so."""
+        await _io_release(self.sock)
+        self.sock.close()
+
+    def check(self, now: float) -> None:
+        """End a wait that is over; called by the sweep."""
+        if now < self.deadline:
+            return
+        self.expired = True
+        self.deadline = NEVER
+        answerable = self.phase in (Phase.HEAD, Phase.BODY)
+        try:
+            self.sock.shutdown(socket.SHUT_RD if answerable else socket.SHUT_RDWR)
+        except OSError as error:
+            log.debug("A connection was closed already: %s.", error)
+
+    def probe(self) -> None:
+        """Find out whether a caller that has ended its sending side still waits for its answer.
+
+        The end of its stream proves nothing: it may have closed that side only. If it has gone,
+        its system answers an interim answer with a reset, which the next sweep sees.
+        """
+        if self.probed:
+            return
+        self.probed = True
+        if self.http.their_http_version != b"1.1" or self.http.our_state is not h11.SEND_RESPONSE:
+            return
+        try:
+            self.sock.send(self.http.send(PROCESSING))
+        except OSError as error:
+            log.debug("A caller cannot be reached: %s.", error)
+
+    async def _send_rest(self, rest: memoryview) -> None:
+        while rest:
+            self.phase = Phase.ANSWER
+            self.deadline = self.clock.now() + self.limits.body_timeout
+            await _write_wait(self.sock)
+            try:
+                rest = rest[self.sock.send(rest) :]
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise CallerGone(f"Its connection broke: {error}.") from error
+        self.handling()
--- a/sequoiabridge/exceptions.py
+++ b/sequoiabridge/exceptions.py
@@ -62,6 +62,9 @@
         reason: Fixed word for metrics, the journal and the `Sequoia-Reason` header.
         message: One sentence for the caller that names the remedy.
         retry_after: Seconds after which a new try makes sense, or None.
+
+    Attributes:
+        request_id: The request's id if it has one already, set by the pipeline.
     """
 
     def __init__(
@@ -77,3 +80,4 @@
         self.outcome = outcome
         self.reason = reason
         self.retry_after = retry_after
+        self.request_id: str | None = None
--- /dev/null
+++ b/sequoiabridge/tests/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP server for callers."""
--- /dev/null
+++ b/sequoiabridge/tests/callers/served.py
@@ -0,0 +1,87 @@
+"""A server with a handler that a test writes, and raw bytes to and from it."""
+
+from itertools import count
+
+import curio
+
+from ...callers.limits import CallerLimits
+from ...callers.server import CallerServer, Handler
+from ...pipeline.exchange import Answer, BytesBody
+from ...timers import ManualClock
+
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def ok(body: bytes) -> Answer:
+    """Return a plain answer."""
+    return Answer(200, [], len(body), BytesBody(body))
+
+
+class Scripted(Handler):
+    """Runs a coroutine function as its answer and keeps what `finished` was told."""
+
+    def __init__(self, script):
+        self.script = script
+        self.ended = []
+        self.cancelled = 0
+        self.seen = []
+
+    async def answer(self, request):
+        self.seen.append(request)
+        try:
+            return await self.script(request)
+        except curio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def finished(self, request, answer, clean):
+        self.ended.append(clean)
+
+
+def serve(script, test, **limits):
+    """Run `test(server, handler, connect)` against a server; fail it if it hangs."""
+
+    async def main():
+        handler = Scripted(script)
+        ids = count()
+        clock = ManualClock()
+        server = CallerServer(handler, CallerLimits(**limits), clock, lambda: f"id-{next(ids)}")
+        server.bind("127.0.0.1:0")
+        host, port = server.address.split(":")
+        task = await curio.spawn(server.serve)
+
+        async def connect(data=b""):
+            sock = await curio.open_connection(host, int(port))
+            await sock.sendall(data)
+            return sock
+
+        try:
+            await curio.timeout_after(10, test, server, handler, connect)
+        finally:
+            await task.cancel()
+
+    curio.run(main)
+
+
+async def read_all(sock) -> bytes:
+    """Return all bytes until the other side closes."""
+    data = b""
+    while piece := await sock.recv(65536):
+        data += piece
+    return data
+
+
+async def read_until(sock, end: bytes) -> bytes:
+    """Return bytes up to and with `end`."""
+    data = b""
+    while not data.endswith(end):
+        piece = await sock.recv(1)
+        assert piece, f"closed after {data!r}"
+        data += piece
+    return data
+
+
+async def until(condition) -> None:
+    """Wait for `condition()` to hold."""
+    while not condition():
+        await curio.sleep(0.002)
--- /dev/null
+++ b/sequoiabridge/tests/callers/test_server.py
@@ -0,0 +1,205 @@
+"""The server for callers: framing, limits, cut-offs, callers that leave, planned stops."""
+
+import curio
+import pytest
+
+from ...exceptions import Refusal, UpstreamFailed
+from ...outcome import Outcome, Reason
+from ...pipeline.exchange import Answer, Body
+from .served import GET, ok, read_all, read_until, serve, until
+
+POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
+
+
+async def echo(request):
+    data = b""
+    while request.body and (piece := await request.body.read()):
+        data += piece
+    return ok(request.method + request.target + data)
+
+
+class Broken(Body):
+    """A body that is cut short after one piece."""
+
+    def __init__(self):
+        self.pieces = [b"half"]
+
+    async def read(self):
+        if self.pieces:
+            return self.pieces.pop()
+        raise UpstreamFailed("It died.", sent=True)
+
+
+def test_pipelined_requests_are_answered_in_order_and_the_half_closed_caller_gets_all():
+    async def test(server, handler, connect):
+        chunked = POST + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        sock = await connect(GET + chunked + GET.replace(b"GET", b"HEAD"))
+        await sock.shutdown(1)
+        data = await read_all(sock)
+        assert data.count(b"HTTP/1.1 200 OK") == 3
+        assert data.index(b"GET/") < data.index(b"POST/abcde") < data.index(b"content-length: 5")
+        assert data.endswith(b"\r\n\r\n"), "a HEAD answer has no body"
+        assert handler.ended == [True, True, True]
+
+    serve(echo, test)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        POST + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        POST + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\n",
+        POST + b"Content-Length: 3, 3\r\n\r\n",
+        GET[:-2] + b"X: a\r\n b\r\n\r\n",
+        GET[:-2] + b"Transfer-Encoding: gzip\r\n\r\n",
+        b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+        GET[:-2] + b"X: %s\r\n\r\n" % (b"x" * 5000),
+    ],
+)
+def test_ambiguous_or_oversized_heads_reach_no_handler(head):
+    async def test(server, handler, connect):
+        data = await read_all(await connect(head))
+        assert data.startswith((b"HTTP/1.1 4", b"HTTP/1.1 501"))
+        assert b"sequoia-outcome: not-run\r\n" in data and b"connection: close" in data
+        assert b"sequoia-request-id: id-0" in data
+        assert handler.seen == []
+
+    serve(echo, test, max_head=4096)
+
+
+def test_connection_named_and_own_headers_are_stripped():
+    async def test(server, handler, connect):
+        extra = b"Connection: X-Hop\r\nX-Hop: 1\r\nSequoia-Outcome: not-run\r\nX-Keep: 2\r\n\r\n"
+        await read_until(await connect(GET[:-2] + extra), b"GET/")
+        assert handler.seen[0].headers == [(b"host", b"a"), (b"x-keep", b"2")]
+
+    serve(echo, test)
+
+
+def test_100_continue_is_sent_only_when_the_body_is_wanted():
+    async def refuse(request):
+        raise Refusal(503, Outcome.NOT_RUN, Reason.QUEUE_FULL, "Full.", retry_after=0.2)
+
+    expecting = POST + b"Content-Length: 3\r\nExpect: 100-continue\r\n\r\n"
+
+    async def wanted(server, handler, connect):
+        sock = await connect(expecting)
+        assert (await read_until(sock, b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+        await sock.sendall(b"abc")
+        await read_until(sock, b"POST/abc")
+
+    async def refused(server, handler, connect):
+        data = await read_all(await connect(expecting))
+        assert data.startswith(b"HTTP/1.1 503") and b"HTTP/1.1 100" not in data
+        assert b"retry-after: 1\r\n" in data and b"sequoia-reason: queue-full" in data
+        assert b"connection: close" in data
+
+    serve(echo, wanted)
+    serve(refuse, refused)
+
+
+def test_body_beyond_its_limit_is_refused_without_being_read():
+    async def test(server, handler, connect):
+        data = await read_all(await connect(POST + b"Content-Length: 999\r\n\r\n"))
+        assert data.startswith(b"HTTP/1.1 413") and b"sequoia-outcome: not-run" in data
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n8\r\n12345678\r\n"
+        data = await read_all(await connect(POST + chunked))
+        assert data.startswith(b"HTTP/1.1 413") and b"sequoia-outcome: unknown" in data
+
+    serve(echo, test, max_body=10)
+
+
+@pytest.mark.parametrize("length", [None, 10])
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+def test_answer_cut_short_upstream_is_cut_short_visibly(length, version):
+    async def broken(request):
+        return Answer(200, [], length, Broken())
+
+    async def test(server, handler, connect):
+        sock = await connect(GET.replace(b"1.1", version))
+        data, reset = b"", False
+        try:
+            while piece := await sock.recv(65536):
+                data += piece
+        except ConnectionResetError:
+            reset = True
+        assert not data.endswith(b"\r\n0\r\n\r\n")
+        assert reset or length or version == b"1.1", "a clean end to a body without a length"
+        await until(lambda: handler.ended == [False])
+
+    serve(broken, test)
+
+
+def test_slow_head_and_slow_body_get_408_and_idle_callers_are_closed():
+    async def test(server, handler, connect):
+        idle, head = await connect(), await connect(GET[:10])
+        body = await connect(POST + b"Content-Length: 3\r\n\r\na")
+        await until(lambda: server.dump()["phases"] == {"idle": 1, "head": 1, "body": 1})
+        server.clock.advance(100)
+        assert await read_all(idle) == b""
+        assert (await read_all(head)).startswith(b"HTTP/1.1 408")
+        data = await read_all(body)
+        assert data.startswith(b"HTTP/1.1 408") and b"sequoia-outcome: unknown" in data
+        await until(lambda: server.connections == 0)
+
+    serve(echo, test)
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_handler_is_cancelled_when_its_caller_has_gone(reset):
+    async def stuck(request):
+        await curio.sleep(1000)
+
+    async def test(server, handler, connect):
+        sock = await connect(GET)
+        await until(lambda: handler.seen)
+        if reset:
+            sock.setsockopt(1, 13, b"\x01\0\0\0\0\0\0\0")
+        await sock.close()
+        await until(lambda: handler.cancelled == 1 and server.connections == 0)
+
+    serve(stuck, test)
+
+
+def test_connections_beyond_the_limit_are_told_so():
+    async def test(server, handler, connect):
+        first = await connect(GET)
+        await read_until(first, b"GET/")
+        data = await read_all(await connect())
+        assert data.startswith(b"HTTP/1.1 503") and b"sequoia-outcome: not-run" in data
+
+    serve(echo, test, max_connections=1)
+
+
+def test_planned_stop_finishes_uploads_and_closes_idle_connections():
+    async def test(server, handler, connect):
+        idle = await connect(GET)
+        await read_until(idle, b"GET/")
+        upload = await connect(POST + b"Content-Length: 6\r\n\r\nabc")
+        await until(lambda: server.in_flight == 1)
+        await server.stop_accepting()
+        server.clock.advance(1)
+        assert await read_all(idle) == b""
+        await upload.sendall(b"def")
+        data = await read_all(upload)
+        assert b"connection: close" in data and data.endswith(b"POST/abcdef")
+        await upload.close()
+        await server.wait_idle()
+        with pytest.raises(OSError):
+            await connect()
+
+    serve(echo, test)
+
+
+def test_fault_of_the_handler_is_answered_as_unknown_and_counts_no_answer():
+    async def faulty(request):
+        raise KeyError("x")
+
+    async def test(server, handler, connect):
+        sock = await connect(GET + GET)
+        await sock.shutdown(1)
+        data = await read_all(sock)
+        assert data.count(b"HTTP/1.1 500") == 2 and data.count(b"sequoia-outcome: unknown") == 2
+        assert handler.ended == []
+
+    serve(faulty, test)
--- /dev/null
+++ b/sequoiabridge/tests/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP client for upstreams."""
--- /dev/null
+++ b/sequoiabridge/tests/upstreams/scripted.py
@@ -0,0 +1,67 @@
+"""An upstream that plays bytes written by a test, and a connector towards it."""
+
+import curio
+
+from ...timers import ManualClock
+from ...upstreams.base import UpstreamRequest
+from ...upstreams.connections import ConnectorLimits, HttpConnector
+
+HELLO = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+
+def get(method=b"GET", **more) -> UpstreamRequest:
+    """Return a small request."""
+    return UpstreamRequest(method, b"/", [(b"host", b"a")], **more)
+
+
+async def call(connection, request=None):
+    """Send a request and return its answer and its body."""
+    await connection.send(request or get())
+    answer = await connection.read_head()
+    data = b""
+    while answer.body and (piece := await answer.body.read()):
+        data += piece
+    return answer, data
+
+
+def play(upstream, test, **limits):
+    """Run `test(connector, address, socks)` against `upstream(sock)`, played on each connection."""
+
+    async def main():
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        socks = []
+
+        async def serve():
+            while True:
+                sock, _ = await listener.accept()
+                socks.append(sock)
+                await curio.spawn(upstream, sock, daemon=True)
+
+        task = await curio.spawn(serve)
+        connector = HttpConnector(ManualClock(), ConnectorLimits(**limits))
+        try:
+            await curio.timeout_after(10, test, connector, address, socks)
+        finally:
+            await task.cancel()
+            await listener.close()
+
+    curio.run(main)
+
+
+def answering(*answers):
+    """Return an upstream that gives each connection these answers, one for each read, then ends."""
+
+    async def upstream(sock):
+        for answer in answers:
+            await sock.recv(65536)
+            await sock.sendall(answer)
+        await sock.shutdown(1)
+
+    return upstream
+
+
+async def hello(sock):
+    """Answer each read on a connection."""
+    while await sock.recv(65536):
+        await sock.sendall(HELLO)
--- /dev/null
+++ b/sequoiabridge/tests/upstreams/test_connections.py
@@ -0,0 +1,180 @@
+"""Connections to upstreams: reuse after a clean end only, cut-offs, early answers, shares."""
+
+import curio
+import pytest
+
+from ...exceptions import UpstreamFailed
+from ...pipeline.exchange import Body
+from .scripted import HELLO, answering, call, get, hello, play
+
+
+class Pieces(Body):
+    """A body of many pieces that counts how many were read."""
+
+    def __init__(self, count):
+        self.left = count
+        self.read_count = 0
+
+    async def read(self):
+        if not self.left:
+            return b""
+        self.left -= 1
+        self.read_count += 1
+        return b"x" * 65536
+
+
+async def lend(connector, address, fresh=False):
+    return await connector.acquire(address, fresh=fresh, timeout=1)
+
+
+def test_connection_is_reused_after_a_clean_end_unless_a_fresh_one_is_asked_for():
+    async def test(connector, address, socks):
+        for _ in range(3):
+            _, data = await call(await lend(connector, address))
+            assert data == b"hello"
+        assert len(socks) == 1
+        await call(await lend(connector, address, fresh=True))
+        assert len(socks) == 2
+
+    play(hello, test)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HELLO[:-1],
+        HELLO[:30],
+        b"",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nhello",
+        HELLO.replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n"),
+        b"HTTP/1.1 200 OK\r\nX: " + b"x" * 9000 + b"\r\n\r\n",
+    ],
+)
+def test_answer_that_is_not_surely_whole_fails_as_sent_and_closes(answer):
+    async def test(connector, address, socks):
+        connection = await lend(connector, address)
+        with pytest.raises(UpstreamFailed) as failed:
+            await call(connection)
+        assert failed.value.sent
+        await connector.release(connection)
+        await connector.release(connection)
+        assert connector.pools[address].count == 0
+
+    play(answering(answer), test, max_head=8192)
+
+
+def test_bytes_after_an_answer_are_never_anothers_answer():
+    async def test(connector, address, socks):
+        await call(await lend(connector, address))
+        await call(await lend(connector, address))
+        assert len(socks) == 2
+
+    play(answering(HELLO + HELLO), test)
+
+
+def test_connection_closed_by_its_upstream_is_not_lent():
+    async def test(connector, address, socks):
+        await call(await lend(connector, address))
+        await socks[0].close()
+        await curio.sleep(0)
+        assert (await call(await lend(connector, address)))[1] == b"hello"
+        assert len(socks) == 2
+
+    play(hello, test)
+
+
+def test_cancelled_wait_can_go_on_and_a_given_up_one_is_closed():
+    async def slow(sock):
+        await sock.recv(65536)
+        await started.wait()
+        await sock.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n" + HELLO)
+
+    async def test(connector, address, socks):
+        connection = await lend(connector, address)
+        await connection.send(get())
+        with pytest.raises(curio.TaskTimeout):
+            await curio.timeout_after(0.01, connection.read_head)
+        await started.set()
+        assert (await connection.read_head()).status == 200
+        assert connection.clean
+        started.clear()
+        loser = await lend(connector, address, fresh=True)
+        await loser.send(get())
+        task = await curio.spawn(loser.read_head)
+        await curio.sleep(0.01)
+        await loser.close()
+        with pytest.raises(curio.TaskError):
+            await task.join()
+        await connector.release(loser)
+        assert connector.pools[address].count == 1
+
+    started = curio.Event()
+    play(slow, test)
+
+
+@pytest.mark.parametrize("close", [True, False])
+def test_early_refusal_ends_the_body_and_is_not_lost(close):
+    async def refuse(sock):
+        await sock.recv(1000)
+        await sock.sendall(HELLO.replace(b"200 OK", b"413 Too Large"))
+        if close:
+            await sock.close()
+
+    async def test(connector, address, socks):
+        body = Pieces(1000)
+        connection = await lend(connector, address)
+        answer, data = await call(connection, get(b"PUT", length=None, body=body))
+        assert answer.status == 413 and data == b"hello"
+        assert body.read_count < 1000
+        assert connector.pools[address].count == 0
+
+    play(refuse, test)
+
+
+def test_early_acceptance_counts_only_once_all_of_the_body_was_taken():
+    async def too_soon(sock):
+        await sock.recv(1000)
+        await sock.sendall(HELLO)
+        await curio.sleep(0.02)
+        await sock.close()
+
+    async def test(connector, address, socks):
+        connection = await lend(connector, address)
+        with pytest.raises(UpstreamFailed) as failed:
+            await call(connection, get(b"PUT", length=None, body=Pieces(1000)))
+        assert failed.value.sent
+
+    play(too_soon, test)
+
+
+def test_share_refuses_with_nothing_sent_and_so_does_a_closed_port():
+    async def test(connector, address, socks):
+        connector.set_share(address, 1)
+        first = await lend(connector, address)
+        with pytest.raises(UpstreamFailed) as failed:
+            await lend(connector, address)
+        assert not failed.value.sent
+        await connector.release(first)
+        await lend(connector, address)
+        with pytest.raises(UpstreamFailed) as failed:
+            await lend(connector, "127.0.0.1:1")
+        assert not failed.value.sent
+
+    play(hello, test)
+
+
+def test_suspected_and_old_connections_are_not_reused():
+    async def test(connector, address, socks):
+        idle, busy = await lend(connector, address), await lend(connector, address)
+        await call(idle)
+        connector.clock.advance(1)
+        await connector.suspect(address, connector.clock.now())
+        await call(busy)
+        assert connector.pools[address].count == 0, "the busy one was suspected too"
+        await call(await lend(connector, address))
+        connector.clock.advance(31)
+        await connector.sweep()
+        assert not connector.pools
+
+    play(hello, test)
--- /dev/null
+++ b/sequoiabridge/upstreams/connections.py
@@ -0,0 +1,157 @@
+"""The connections to upstreams: opened, lent, taken back, at most this daemon's share of each."""
+
+from collections import deque
+
+from ..exceptions import UpstreamFailed
+from ..parts import Part
+from ..timers import Clock
+from .base import Connector, UpstreamConnection
+from .exchange import HttpConnection
+from .link import Link, open_link
+
+DEFAULT_SHARE = 16
+"""Connections to one upstream until `set_share` says otherwise."""
+NEVER_SUSPECTED = float("-inf")
+
+
+class ConnectorLimits:
+    """Limits on connections to upstreams.
+
+    Args:
+        max_head: Size in bytes of an answer's head.
+        idle_timeout: Seconds that an unused connection is kept; less than upstreams keep theirs.
+    """
+
+    __slots__ = ("max_head", "idle_timeout")
+
+    def __init__(self, max_head: int = 32 * 1024, idle_timeout: float = 30.0):
+        self.max_head = max_head
+        self.idle_timeout = idle_timeout
+
+
+class AddressPool:
+    """The connections to one upstream: idle ones, the latest used last, and the count of all.
+
+    Attributes:
+        suspected: Connections opened before this time are not reused.
+    """
+
+    __slots__ = ("idle", "count", "share", "suspected")
+
+    def __init__(self, share: int):
+        self.idle: deque[Link] = deque()
+        self.count = 0
+        self.share = share
+        self.suspected = NEVER_SUSPECTED
+
+
+class HttpConnector(Connector, Part):
+    """Connections to upstreams over HTTP/1.1.
+
+    Args:
+        clock: Source of time.
+        limits: Limits on each connection.
+    """
+
+    name = "connector"
+
+    def __init__(self, clock: Clock, limits: ConnectorLimits):
+        self.clock = clock
+        self.limits = limits
+        self.pools: dict[str, AddressPool] = {}
+        self.shares: dict[str, int] = {}
+        self.opened = 0
+        self.reused = 0
+
+    def set_share(self, address: str, count: int) -> None:
+        """Open at most `count` connections to `address` from now on; none is closed for it."""
+        self.shares[address] = count
+        if address in self.pools:
+            self.pools[address].share = count
+
+    async def acquire(self, address: str, *, fresh: bool, timeout: float) -> UpstreamConnection:
+        pool = self.pools.get(address) or self._add_pool(address)
+        while pool.idle and not fresh:
+            link = pool.idle.pop()
+            if self._trusted(pool, link):
+                self.reused += 1
+                return HttpConnection(self, link)
+            await self._close(pool, link)
+        if pool.count >= pool.share and pool.idle:
+            await self._close(pool, pool.idle.popleft())
+        if pool.count >= pool.share:
+            message = f"{address}: All {pool.share} connections are in use. Try another upstream."
+            raise UpstreamFailed(message, sent=False)
+        return HttpConnection(self, await self._open(pool, address, timeout))
+
+    async def release(self, connection: UpstreamConnection) -> None:
+        await connection.give_back()
+
+    async def suspect(self, address: str, opened_before: float) -> None:
+        pool = self.pools.get(address)
+        if pool is None:
+            return
+        pool.suspected = max(pool.suspected, opened_before)
+        await self._close_where(pool, lambda link: link.opened < opened_before)
+
+    async def take_back(self, link: Link) -> None:
+        """Keep a link whose last answer ended cleanly for reuse; close any other."""
+        pool = self.pools[link.address]
+        if link.finish() and link.opened >= pool.suspected and pool.count <= pool.share:
+            pool.idle.append(link)
+            return
+        await self._close(pool, link)
+
+    async def sweep(self) -> None:
+        """Close connections that have been idle too long; the daemon's timers call it."""
+        oldest = self.clock.now() - self.limits.idle_timeout
+        for address, pool in list(self.pools.items()):
+            await self._close_where(pool, lambda link: link.last_heard < oldest)
+            if not pool.count:
+                del self.pools[address]
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for pool in list(self.pools.values()):
+            await self._close_where(pool, lambda link: True)
+
+    def dump(self) -> dict:
+        """Describe the connections for the state dump."""
+        pools = {
+            address: {"open": pool.count, "idle": len(pool.idle), "share": pool.share}
+            for address, pool in self.pools.items()
+        }
+        return {"opened": self.opened, "reused": self.reused, "upstreams": pools}
+
+    def _trusted(self, pool: AddressPool, link: Link) -> bool:
+        if link.opened < pool.suspected:
+            return False
+        if link.last_heard < self.clock.now() - self.limits.idle_timeout:
+            return False
+        return link.usable()
+
+    def _add_pool(self, address: str) -> AddressPool:
+        pool = AddressPool(self.shares.get(address, DEFAULT_SHARE))
+        self.pools[address] = pool
+        return pool
+
+    async def _open(self, pool: AddressPool, address: str, timeout: float) -> Link:
+        pool.count += 1
+        link = None
+        try:
+            link = await open_link(address, self.clock, self.limits.max_head, timeout)
+        finally:
+            if link is None:
+                pool.count -= 1
+        self.opened += 1
+        return link
+
+    async def _close_where(self, pool: AddressPool, unwanted) -> None:
+        closing = [link for link in pool.idle if unwanted(link)]
+        for link in closing:
+            pool.idle.remove(link)
+            await self._close(pool, link)
+
+    async def _close(self, pool: AddressPool, link: Link) -> None:
+        pool.count -= 1
+        await link.close()
--- /dev/null
+++ b/sequoiabridge/upstreams/probes.py
@@ -0,0 +1,114 @@
+"""Probes: a small request that asks an upstream for its health and load."""
+
+import curio
+
+from ..exceptions import UpstreamFailed
+from ..headers import DRAIN, LOAD
+from ..pipeline.exchange import Answer, RawHeaders
+from ..policy.base import LoadReport
+from ..timers import Clock
+from .base import Connector, UpstreamConnection, UpstreamRequest
+from .reports import parse_drain, parse_load
+
+DEFAULT_PATH = "/health"
+MAX_ANSWER = 4096
+"""Bytes of a probe's answer that are read; the rest is not waited for."""
+LINE_EXTRA = 4
+"""Bytes of a header line beside its name and value."""
+START_LINE = 17
+"""Bytes of a start line beside method and path, or of a status line."""
+
+
+class Probe:
+    """What a probe brought.
+
+    Attributes:
+        healthy: True for an answer below 400; False for another, or none in time.
+        status: The answer's status, 0 without one.
+        load: The load it reported, or None.
+        drain: The upstream's incarnation if it says that it is leaving, or None.
+        latency: Seconds from the start to the answer's head.
+        size: Bytes spent, both ways, as HTTP counts them.
+        failure: Why there was no answer, or None.
+    """
+
+    __slots__ = ("healthy", "status", "load", "drain", "latency", "size", "failure")
+
+    def __init__(self, latency: float, size: int, failure: UpstreamFailed | None = None):
+        self.healthy = False
+        self.status = 0
+        self.load: LoadReport | None = None
+        self.drain: int | None = None
+        self.latency = latency
+        self.size = size
+        self.failure = failure
+
+
+class Prober:
+    """Sends probes, one for each call of `probe`; the budget is its caller's.
+
+    Attributes:
+        bad_headers: How many load and drain headers could not be read.
+    """
+
+    def __init__(self, connector: Connector, clock: Clock, path: str = DEFAULT_PATH):
+        self.connector = connector
+        self.clock = clock
+        self.path = path.encode()
+        self.bad_headers = 0
+
+    async def probe(self, address: str, timeout: float) -> Probe:
+        """Ask `address` ("IP:port") and return what it said within `timeout` seconds."""
+        started = self.clock.now()
+        headers = [(b"host", address.encode())]
+        request = UpstreamRequest(b"GET", self.path, headers)
+        size = START_LINE + len(self.path) + _size(headers)
+        connection = None
+        try:
+            async with curio.timeout_after(timeout):
+                connection = await self.connector.acquire(address, fresh=False, timeout=timeout)
+                return await self._ask(connection, request, started, size)
+        except curio.TaskTimeout:
+            message = f"{address}: No answer to a probe within {timeout:.3f} s."
+            failure = UpstreamFailed(message, sent=connection is not None, timed_out=True)
+        except UpstreamFailed as error:
+            failure = error
+        finally:
+            if connection is not None:
+                await self.connector.release(connection)
+        return Probe(self.clock.now() - started, size if failure.sent else 0, failure)
+
+    async def _ask(
+        self, connection: UpstreamConnection, request: UpstreamRequest, started: float, size: int
+    ) -> Probe:
+        await connection.send(request)
+        answer = await connection.read_head()
+        probe = Probe(self.clock.now() - started, size + START_LINE + _size(answer.headers))
+        probe.status = answer.status
+        probe.healthy = answer.status < 400
+        probe.size += await _body_size(answer)
+        for name, value in answer.headers:
+            if name == LOAD:
+                probe.load = self._counted(parse_load(value))
+            elif name == DRAIN:
+                probe.drain = self._counted(parse_drain(value))
+        return probe
+
+    def _counted(self, parsed):
+        self.bad_headers += parsed is None
+        return parsed
+
+
+async def _body_size(answer: Answer) -> int:
+    """Read at most `MAX_ANSWER` bytes of the body, give up the rest, return how many came."""
+    size = 0
+    if answer.body is None:
+        return size
+    while size < MAX_ANSWER and (piece := await answer.body.read()):
+        size += len(piece)
+    await answer.body.close()
+    return size
+
+
+def _size(headers: RawHeaders) -> int:
+    return sum(len(name) + len(value) + LINE_EXTRA for name, value in headers)
--- /dev/null
+++ b/sequoiabridge/upstreams/reports.py
@@ -0,0 +1,39 @@
+"""What upstreams say of themselves in the headers of their answers."""
+
+from ..policy.base import LoadReport
+
+MAX_VALUE = 64
+"""Bytes of a header that are looked at; a report is shorter."""
+MAX_NUMBER = 1_000_000_000
+MILLISECONDS = 1000.0
+
+
+def parse_load(value: bytes) -> LoadReport | None:
+    """Return the report in `in_flight=N;slots=N;age_ms=N`, or None if it is not valid.
+
+    The age may be left out, and unknown fields are passed over, so that upstreams may say more.
+    """
+    if len(value) > MAX_VALUE:
+        return None
+    found: dict[bytes, int] = {}
+    for part in value.split(b";"):
+        name, _, number = part.partition(b"=")
+        count = _number(number)
+        if count is not None:
+            found[name.strip()] = count
+    in_flight, slots = found.get(b"in_flight"), found.get(b"slots")
+    if in_flight is None or not slots:
+        return None
+    return LoadReport(in_flight, slots, found.get(b"age_ms", 0) / MILLISECONDS)
+
+
+def parse_drain(value: bytes) -> int | None:
+    """Return the incarnation number of an upstream that is leaving, or None if it is not valid."""
+    return _number(value)
+
+
+def _number(text: bytes) -> int | None:
+    text = text.strip()
+    if not text.isdigit() or len(text) > len(str(MAX_NUMBER)):
+        return None
+    return int(text)
