--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,6 @@
 
 settings-reference: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.config.reference > docs/operators/settings.md
+.PHONY: bench-hop
+bench-hop: $(VENV)/ready
+	$(BIN)/python -m benchmarks.hop
