Let daemons hear each other: membership, byte bucket, pynng channel, currency

Cause: the fleet must act as one, and nothing yet told one VM of another. Change: SWIM-like membership as a pure state machine, items spread by urgency from one byte bucket, frames with HMAC and a replay window, push and pull sockets of pynng on curio. Items are arrays on the wire (array_like in the base), which drops the field names from each item.

--- a/sequoiabridge/fleet/base.py
+++ b/sequoiabridge/fleet/base.py
@@ -23,7 +23,7 @@
     LOAD = 5
 
 
-class Item(msgspec.Struct, frozen=True, tag=True):
+class Item(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base of everything that is spread through the fleet."""
 
 
--- /dev/null
+++ b/sequoiabridge/fleet/counters.py
@@ -0,0 +1,45 @@
+"""What the fleet's part of a daemon counts."""
+
+from collections import Counter
+
+from .base import Urgency
+from .wire import Bad
+
+
+class Counters:
+    """Totals since the start; bytes include the estimate of transport overhead when sent.
+
+    Attributes:
+        bytes_by_urgency: Bytes of items and updates sent, without frames and overhead.
+    """
+
+    __slots__ = (
+        "bytes_sent",
+        "bytes_received",
+        "messages_sent",
+        "messages_received",
+        "not_sent",
+        "bytes_by_urgency",
+        "bad",
+    )
+
+    def __init__(self):
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages_sent = 0
+        self.messages_received = 0
+        self.not_sent = 0
+        self.bytes_by_urgency: Counter[Urgency] = Counter()
+        self.bad: Counter[Bad] = Counter()
+
+    def dump(self) -> dict:
+        """Describe the totals for the state dump and the metrics."""
+        return {
+            "bytes_sent": self.bytes_sent,
+            "bytes_received": self.bytes_received,
+            "messages_sent": self.messages_sent,
+            "messages_received": self.messages_received,
+            "not_sent": self.not_sent,
+            "bytes_by_urgency": {u.name.lower(): self.bytes_by_urgency[u] for u in Urgency},
+            "bad": {kind.value: self.bad[kind] for kind in Bad},
+        }
--- /dev/null
+++ b/sequoiabridge/fleet/currency.py
@@ -0,0 +1,174 @@
+"""Whether this VM may know that its configuration is the newest, and how far a version has come.
+
+Pure: versions read from the table, versions heard from other VMs and the size of the fleet are
+events. See docs/design/currency.md for what is proved and which gap remains.
+"""
+
+from collections.abc import Iterable
+
+from .base import ConfigurationItem
+
+CONFIRM_WITHIN = 6.0
+"""Seconds after which a confirmation no longer counts."""
+VOICES = 3
+"""Different VMs that must have been heard lately, so that a cut-off VM notices."""
+FETCH_AFTER = 0.3
+"""Seconds to wait for a change that is on its way before asking for it."""
+FETCH_EVERY = 0.5
+"""Seconds between two requests for the same changes."""
+
+
+class Currency:
+    """Decides if the configuration in force is known to be the newest.
+
+    Attributes:
+        in_force: Version in force here, 0 if none is.
+        newest: Newest version known to be committed, 0 if none is.
+    """
+
+    def __init__(self, now: float):
+        self.in_force = 0
+        self.newest = 0
+        self.newest_at = now
+        self.held: dict[int, ConfigurationItem] = {}
+        self.heard_at: dict[str, float] = {}
+        self.table_at: float | None = None
+        self.store_up = True
+        self.live = 1
+        self.expected = 1
+        self.asked_at = float("-inf")
+
+    # Events.
+
+    def table(self, version: int, now: float) -> None:
+        """The table was read and names `version` as the newest; `now` is when the read began."""
+        self.store_up = True
+        self.table_at = now
+        self._know(version, now)
+
+    def store_down(self) -> None:
+        """A read of the table failed."""
+        self.store_up = False
+
+    def heard(self, name: str, version: int, now: float) -> None:
+        """The VM `name` says, in a message that is no replay, that `version` is in force there."""
+        self.heard_at[name] = now
+        self._know(version, now)
+
+    def fleet(self, live: int, expected: int) -> None:
+        """Set how many VMs are live and how many there should be, this one included in both."""
+        self.live, self.expected = live, expected
+
+    def resumed(self) -> None:
+        """This process was paused: what it knew before proves nothing now."""
+        self.table_at = None
+        self.heard_at.clear()
+
+    def offer(self, item: ConfigurationItem, now: float) -> bool:
+        """Hold a change until its turn; return False if it is old or held already."""
+        self._know(item.version, now)
+        if item.version <= self.in_force or item.version in self.held:
+            return False
+        self.held[item.version] = item
+        return True
+
+    def take(self) -> ConfigurationItem | None:
+        """Return the change that follows the version in force, if it is held.
+
+        An empty change means: too large to be spread, read the configuration from the table.
+        """
+        return self.held.get(self.in_force + 1)
+
+    def applied(self, version: int, now: float) -> bool:
+        """Note that `version` is in force; return False, changing nothing, if it is older."""
+        if version < self.in_force:
+            return False
+        self.in_force = version
+        self._know(version, now)
+        self.held = {v: item for v, item in self.held.items() if v > version}
+        return True
+
+    # Answers.
+
+    def missing(self, now: float) -> range | None:
+        """Return the versions to ask another VM for now, or None; at most one answer in a while."""
+        first = self.in_force + 1
+        while first in self.held:
+            first += 1
+        if first > self.newest or now - self.newest_at < FETCH_AFTER:
+            return None
+        if now - self.asked_at < FETCH_EVERY:
+            return None
+        self.asked_at = now
+        last = first
+        while last < self.newest and last + 1 not in self.held:
+            last += 1
+        return range(first, last + 1)
+
+    def ready(self, now: float) -> bool:
+        """Return True if the configuration in force is known to be the newest."""
+        return self.why(now) == ""
+
+    def why(self, now: float) -> str:
+        """Return in one sentence why the VM may not serve, or "" if it may."""
+        if self.newest == 0:
+            return "No configuration is known yet; apply one, or wait for the table service."
+        if self.in_force < self.newest:
+            return f"Version {self.in_force} is in force but {self.newest} is accepted; fetching."
+        if self._confirmed_by_table(now):
+            return ""
+        return self._doubt_about_fleet(now)
+
+    def voices(self, now: float) -> int:
+        """Return how many VMs were heard lately."""
+        for name, at in list(self.heard_at.items()):
+            if now - at > CONFIRM_WITHIN:
+                del self.heard_at[name]
+        return len(self.heard_at)
+
+    def _confirmed_by_table(self, now: float) -> bool:
+        return self.table_at is not None and now - self.table_at <= CONFIRM_WITHIN
+
+    def _doubt_about_fleet(self, now: float) -> str:
+        if self.live * 2 <= self.expected:
+            return (
+                f"The table service is silent and only {self.live} of {self.expected} VMs are "
+                "heard, not a majority; check the network and the platform."
+            )
+        wanted = min(VOICES, self.live - 1)
+        heard = self.voices(now)
+        if heard < wanted:
+            return (
+                f"The table service is silent and {heard} VMs of {wanted} wanted were heard in "
+                f"{CONFIRM_WITHIN:.0f} s; check this VM's network."
+            )
+        return ""
+
+    def _know(self, version: int, now: float) -> None:
+        if version > self.newest:
+            self.newest, self.newest_at = version, now
+
+
+class SpreadAck:
+    """Counts the VMs that have said that a version, or a newer one, is in force there."""
+
+    __slots__ = ("version", "since", "confirmed")
+
+    def __init__(self, version: int, now: float):
+        self.version = version
+        self.since = now
+        self.confirmed: set[str] = set()
+
+    def heard(self, name: str, version: int) -> None:
+        """Note the version that is in force at a VM."""
+        if version >= self.version:
+            self.confirmed.add(name)
+
+    def count(self, live: Iterable[str]) -> tuple[int, int]:
+        """Return (n, m): the version is in force on n of the m VMs in `live`."""
+        names = set(live)
+        return len(names & self.confirmed), len(names)
+
+    def unconfirmed(self, live: Iterable[str]) -> list[str]:
+        """Return the live VMs that have not confirmed, in order of name."""
+        return sorted(set(live) - self.confirmed)
--- /dev/null
+++ b/sequoiabridge/fleet/members.py
@@ -0,0 +1,155 @@
+"""What the membership state machine keeps and returns: options, members, pings, events."""
+
+from enum import Enum
+
+from .base import MemberState, MemberView
+from .wire import Kind, Update
+
+
+class MembershipOptions:
+    """Times in seconds and counts of the membership protocol."""
+
+    __slots__ = (
+        "period",
+        "ack_timeout",
+        "indirect",
+        "suspicion",
+        "tombstone",
+        "retry_lost",
+        "pause",
+        "deaf",
+    )
+
+    def __init__(
+        self,
+        period: float = 1.0,
+        ack_timeout: float = 0.4,
+        indirect: int = 3,
+        suspicion: float = 3.0,
+        tombstone: float = 600.0,
+        retry_lost: float = 2.0,
+        pause: float = 2.0,
+        deaf: float = 10.0,
+    ):
+        self.period = period
+        self.ack_timeout = ack_timeout
+        self.indirect = indirect
+        self.suspicion = suspicion
+        self.tombstone = tombstone
+        self.retry_lost = retry_lost
+        self.pause = pause
+        self.deaf = deaf
+
+
+class EventKind(Enum):
+    """What happened in the fleet, for logs and other parts."""
+
+    JOINED = "joined"
+    SUSPECTED = "suspected"
+    REFUTED = "refuted"
+    DIED = "died"
+    LEFT = "left"
+    REPLACED = "replaced"
+    PAUSED = "paused"
+    DECLARED_DEAD = "declared-dead"
+
+
+class Event:
+    """Something that happened to the VM `name`; `detail` is for people."""
+
+    __slots__ = ("kind", "name", "at", "detail")
+
+    def __init__(self, kind: EventKind, name: str, at: float, detail: str = ""):
+        self.kind = kind
+        self.name = name
+        self.at = at
+        self.detail = detail
+
+
+class Outgoing:
+    """A message to be sent; the edge adds sequence, version and what waits to be spread.
+
+    `redial` asks for a new connection, because the last message on the old one went unanswered.
+    """
+
+    __slots__ = (
+        "address",
+        "name",
+        "to_incarnation",
+        "kind",
+        "number",
+        "target",
+        "updates",
+        "redial",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        name: str,
+        to_incarnation: int,
+        kind: Kind,
+        number: int = 0,
+        target: str = "",
+        updates: list[Update] | None = None,
+        redial: bool = False,
+    ):
+        self.address = address
+        self.name = name
+        self.to_incarnation = to_incarnation
+        self.kind = kind
+        self.number = number
+        self.target = target
+        self.updates = updates or []
+        self.redial = redial
+
+
+class Pending:
+    """A ping that waits for its answer."""
+
+    __slots__ = ("number", "name", "address", "sent", "indirect", "probing")
+
+    def __init__(self, number: int, name: str, address: str, sent: float, probing: bool):
+        self.number = number
+        self.name = name
+        self.address = address
+        self.sent = sent
+        self.indirect = False
+        self.probing = probing
+
+
+class Relay:
+    """Whom to tell when a ping sent on another VM's behalf is answered."""
+
+    __slots__ = ("address", "name", "number", "at")
+
+    def __init__(self, address: str, name: str, number: int, at: float):
+        self.address = address
+        self.name = name
+        self.number = number
+        self.at = at
+
+
+LIVE = (MemberState.ALIVE, MemberState.SUSPECT)
+RANK = {
+    MemberState.ALIVE: 0,
+    MemberState.SUSPECT: 1,
+    MemberState.DEAD: 2,
+    MemberState.LEFT: 3,
+}
+"""Which of two words on the same incarnation wins: the higher."""
+
+
+def update_of(member: MemberView) -> Update:
+    """Return what is told to others of a member."""
+    return Update(
+        member.name, member.address, member.data_centre, member.incarnation, int(member.state)
+    )
+
+
+def state_of(update: Update) -> MemberState | None:
+    """Return the state that an update names, or None if this version does not know it."""
+    try:
+        return MemberState(update.state)
+    except ValueError:
+        return None
--- /dev/null
+++ b/sequoiabridge/fleet/roster.py
@@ -0,0 +1,110 @@
+"""The table of known VMs, with the addresses at which lost ones are looked for.
+
+It also keeps how many VMs there should be. A VM counts until it left, or until it is dead and a
+VM list read since then omits it: a part that was cut off must not take itself for the whole.
+"""
+
+import math
+from collections.abc import Iterable
+from random import Random
+
+from .base import MemberState, MemberView
+from .members import LIVE, MembershipOptions
+from .wire import Update
+
+
+class Roster:
+    """Members by name, with what is derived from them kept up to date."""
+
+    def __init__(
+        self, me: MemberView, seeds: Iterable[str], options: MembershipOptions, random: Random
+    ):
+        self.me = me
+        self.options = options
+        self.random = random
+        self.members: dict[str, MemberView] = {}
+        self.by_address: dict[str, str] = {}
+        self.live_names: dict[str, None] = {}
+        self.suspects: set[str] = set()
+        self.seeds = {seed for seed in seeds if seed != me.address}
+        self.listed: set[str] = set()
+        self.expected: set[str] = set(self.seeds)
+
+    def get(self, name: str) -> MemberView | None:
+        """Return the member of that name, live or gone."""
+        return self.members.get(name)
+
+    def at(self, address: str) -> MemberView | None:
+        """Return the member last known at an address."""
+        return self.members.get(self.by_address.get(address, ""))
+
+    def live(self) -> list[MemberView]:
+        """Return the members that are alive or suspected."""
+        return [self.members[name] for name in self.live_names]
+
+    def suspicion(self) -> float:
+        """Return the seconds that a suspect has to contradict, longer in a larger fleet."""
+        return self.options.suspicion * max(1.0, math.log10(len(self.live_names) + 2))
+
+    def put(self, update: Update, state: MemberState, now: float) -> None:
+        """Set what is known of a member."""
+        known = self.members.get(update.name)
+        if known is not None and known.address != update.address:
+            self._unaddress(known)
+        version = known.version if known is not None else 0
+        member = MemberView(
+            update.name,
+            update.address,
+            update.data_centre,
+            update.incarnation,
+            state,
+            now,
+            version,
+        )
+        self.members[update.name] = member
+        self._index(member)
+
+    def hint(self, addresses: Iterable[str]) -> None:
+        """Take the platform's VM list as places to look; it neither kills nor keeps anyone."""
+        self.listed = {address for address in addresses if address != self.me.address}
+        self.expected |= self.listed
+        for address in list(self.expected - self.listed):
+            member = self.at(address)
+            if member is None or member.state not in LIVE:
+                self.expected.discard(address)
+
+    def lost_addresses(self) -> list[str]:
+        """Return where no live member is known but one may be, in a fixed order."""
+        dead = {m.address for m in self.members.values() if m.state is MemberState.DEAD}
+        places = self.seeds | self.listed | dead | self.expected
+        live = {self.members[name].address for name in self.live_names}
+        return sorted(places - live - {self.me.address})
+
+    def forget(self, now: float) -> None:
+        """Drop tombstones that are older than their time."""
+        for name, member in list(self.members.items()):
+            if member.state in LIVE or now - member.since < self.options.tombstone:
+                continue
+            del self.members[name]
+            self._unaddress(member)
+
+    def _index(self, member: MemberView) -> None:
+        name, address = member.name, member.address
+        self.suspects.discard(name)
+        if member.state is MemberState.SUSPECT:
+            self.suspects.add(name)
+        if member.state in LIVE:
+            self.live_names[name] = None
+            self.by_address[address] = name
+            self.expected.add(address)
+            return
+        self.live_names.pop(name, None)
+        holder = self.at(address)
+        if holder is None or holder.state not in LIVE:
+            self.by_address[address] = name
+            if member.state is MemberState.LEFT:
+                self.expected.discard(address)
+
+    def _unaddress(self, member: MemberView) -> None:
+        if self.by_address.get(member.address) == member.name:
+            del self.by_address[member.address]
--- /dev/null
+++ b/sequoiabridge/fleet/spreader.py
@@ -0,0 +1,193 @@
+"""Spreads items and updates: what is queued, what is known, what is paid, what is compared.
+
+Pure but for the `transmit` function that it is given. Urgent items go at once to a few members
+that are not known to have them, and each that hears one for the first time does the same; the
+rest rides on heartbeats. Digests compared with one member at a time repair what was lost.
+"""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import msgspec
+
+from .base import (
+    AnyItem,
+    ConfigurationItem,
+    CrashItem,
+    DrainItem,
+    LoadItem,
+    MemberState,
+    MemberView,
+    RetryItem,
+    Urgency,
+)
+from .bucket import ByteBucket, Entry, OutQueue
+from .marks import (
+    ChangeLog,
+    Mark,
+    Marks,
+    bucket_of,
+    differing,
+    digest_of,
+    rank_of,
+    subject_of,
+)
+from .members import update_of
+from .membership import Membership
+from .wire import PACKET_SIZE, Codec, Message, Parcel, Update, urgency_of
+
+MAX_CHANGE = 12_000
+"""Bytes of the largest change that is spread; of a larger one only the version is."""
+PARCEL_OVERHEAD = 8
+LOAD_SENDS = 2
+"""Members that hear an ordinary load item; a suspect's goes to as many as any other item."""
+UPDATE_SIZE = 48
+"""Bytes of an update with names of usual length, an estimate."""
+
+Heard = Callable[[AnyItem, str], None]
+
+
+class Spreader:
+    """What this daemon knows and has yet to tell."""
+
+    def __init__(self, membership: Membership, codec: Codec, random: Random):
+        self.membership = membership
+        self.codec = codec
+        self.random = random
+        self.queue = OutQueue()
+        self.marks = Marks()
+        self.changes = ChangeLog()
+        self.periods: dict[tuple, int] = {}
+
+    # Own items.
+
+    def publish(self, item: AnyItem, urgency: Urgency, now: float) -> None:
+        """Queue an item of this VM."""
+        if isinstance(item, ConfigurationItem) and len(item.change) > MAX_CHANGE:
+            item = ConfigurationItem(item.version, b"")
+        me = self.membership.me.name
+        raw = self.codec.pack(item)
+        if self._keep(item, Parcel(raw, me), now, now):
+            self._queue(item, Parcel(raw, me), urgency, now)
+
+    def queue_updates(self, updates: Iterable[Update], now: float) -> None:
+        """Queue words about members; a newer one replaces an older on the same VM."""
+        for update in updates:
+            subject = ("member", update.name)
+            entry = Entry(subject, Urgency.MEMBERSHIP, update, UPDATE_SIZE, now)
+            entry.known.add(update.name if update.state == MemberState.ALIVE else "")
+            self.queue.put(entry)
+
+    # Items of others.
+
+    def received(self, message: Message, now: float) -> list[tuple[AnyItem | None, str]]:
+        """Take in a message's parcels; return the new items, None if unknown, with their origin."""
+        new: list[tuple[AnyItem | None, str]] = []
+        self._note_version(message)
+        for parcel in message.parcels:
+            result = self.codec.unpack(parcel.item)
+            if result.is_error():
+                new.append((None, parcel.origin))
+                continue
+            item = aged(result.ok, parcel.age_ms)
+            since = now - parcel.age_ms / 1000
+            if not self._keep(item, parcel, since, now):
+                continue
+            new.append((item, parcel.origin))
+            if not isinstance(item, LoadItem | RetryItem):
+                entry = self._queue(item, parcel, urgency_of(item), since)
+                entry.known.update((message.sender, parcel.origin))
+        return new
+
+    def fill(
+        self, message: Message, target: str, room: int, bucket: ByteBucket, now: float
+    ) -> list[Entry]:
+        """Add to a message what waits for `target`; return what was added."""
+        size = len(self.membership.roster.live_names) + 1
+        entries = self.queue.take(target, room, bucket, size)
+        for entry in entries:
+            if isinstance(entry.content, Update):
+                message.updates = [*message.updates, entry.content]
+                continue
+            age = int((now - entry.since) * 1000)
+            parcel = Parcel(entry.content.item, entry.content.origin, age)
+            message.parcels = [*message.parcels, parcel]
+        return entries
+
+    def next_target(self, lowest: Urgency) -> MemberView | None:
+        """Return a live member that lacks the most urgent waiting item, or None."""
+        live = self.membership.live()
+        for entry in self.queue.waiting(lowest):
+            lacking = [m for m in live if m.name not in entry.known]
+            if lacking:
+                return self.random.choice(lacking)
+            self.queue.remove(entry)
+        return None
+
+    # Comparison of state.
+
+    def digest(self) -> list[int]:
+        """Return the digest of live members and marks."""
+        return digest_of((subject, rank) for subject, rank, _ in self._state())
+
+    def state_for(self, digest: list[int], now: float) -> tuple[list[Update], list[Parcel]]:
+        """Return what is in the buckets that differ from `digest`, as much as fits one frame."""
+        wanted = differing(self.digest(), digest)
+        entries = [e for e in self._state() if bucket_of(e[0]) in wanted]
+        self.random.shuffle(entries)
+        updates: list[Update] = []
+        parcels: list[Parcel] = []
+        room = PACKET_SIZE - 200
+        for _, _, content in entries:
+            room -= UPDATE_SIZE if isinstance(content, Update) else len(content.raw) + 20
+            if room < 0:
+                break
+            if isinstance(content, Update):
+                updates.append(content)
+            else:
+                parcels.append(content.parcel(now))
+        return updates, parcels
+
+    def _state(self) -> list[tuple[str, str, Update | Mark]]:
+        members = [self.membership.me, *self.membership.live()]
+        words = [update_of(m) for m in members]
+        state = [(f"member {u.name}", str(u.incarnation), u) for u in words]
+        return state + list(self.marks.entries())
+
+    # Keeping.
+
+    def _keep(self, item: AnyItem, parcel: Parcel, since: float, now: float) -> bool:
+        """Note an item; return False if it, or a newer one, was known."""
+        match item:
+            case ConfigurationItem():
+                return self.changes.add(item.version, parcel)
+            case DrainItem() | CrashItem():
+                return self.marks.add(Mark(item, parcel.item, parcel.origin, since), now)
+            case RetryItem():
+                subject, period = subject_of(item, parcel.origin), rank_of(item)[0]
+                if self.periods.get(subject, -1) >= period:
+                    return False
+                self.periods[subject] = period
+        return True
+
+    def _queue(self, item: AnyItem, parcel: Parcel, urgency: Urgency, since: float) -> Entry:
+        limit = LOAD_SENDS if isinstance(item, LoadItem) and not item.suspect else None
+        size = len(parcel.item) + len(parcel.origin) + PARCEL_OVERHEAD
+        subject = subject_of(item, parcel.origin)
+        entry = Entry(subject, urgency, parcel, size, since, limit)
+        entry.known.add(self.membership.me.name)
+        self.queue.put(entry)
+        return entry
+
+    def _note_version(self, message: Message) -> None:
+        """A VM in which a version is in force needs no change up to it."""
+        for subject, entry in self.queue.queues[Urgency.CONFIGURATION].items():
+            if subject[0] == "configuration" and subject[1] <= message.version:
+                entry.known.add(message.sender)
+
+
+def aged(item: AnyItem, age_ms: int) -> AnyItem:
+    """Return an item with the time it spent on its way added to its age."""
+    if not isinstance(item, LoadItem):
+        return item
+    return msgspec.structs.replace(item, age_ms=item.age_ms + age_ms)
--- /dev/null
+++ b/sequoiabridge/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of membership and what daemons tell each other."""
--- /dev/null
+++ b/sequoiabridge/tests/fleet/pump.py
@@ -0,0 +1,157 @@
+"""A message pump: fleet nodes in one process and in virtual time, with faults on the links."""
+
+from random import Random
+
+from ...fleet.base import MemberState
+from ...fleet.channel import Channel
+from ...fleet.fleet import TICK, FleetNode
+from ...timers import ManualClock, Timers
+
+KEY = b"a key of the fleet, 32 bytes long"
+STEP = 0.02
+
+
+class PumpChannel(Channel):
+    """Hands frames to the pump."""
+
+    def __init__(self, pump, address):
+        self.pump, self.address = pump, address
+
+    def send(self, address, frame):
+        self.pump.send(self.address, address, frame)
+        return True
+
+    def redial(self, address):
+        self.pump.silent.discard((self.address, address))
+
+    async def run(self, receive):
+        raise AssertionError("the pump delivers")
+
+    async def close(self):
+        pass
+
+
+class Pump:
+    """Nodes by address; `cuts` are one-way dead links, `silent` connections die until redialed."""
+
+    def __init__(self, count=0, seed=1, loss=0.0, seeds=3, rate=3000):
+        self.clock = ManualClock(100.0)
+        self.random = Random(seed)
+        self.loss, self.rate = loss, rate
+        self.seeds = [f"10.0.0.{i}:7000" for i in range(1, seeds + 1)]
+        self.nodes, self.next_tick, self.paused = {}, {}, {}
+        self.cuts, self.silent, self.frames, self.log = set(), set(), [], []
+        for i in range(1, count + 1):
+            self.add(i)
+
+    def add(self, number, name=None, offset=None):
+        """Start a VM, in place of one under the same address if there is one."""
+        address = f"10.0.0.{number}:7000"
+        clock = self.clock
+        if offset is not None:
+            clock = ManualClock(self.clock.now(), offset)
+        node = FleetNode(
+            name or f"vm{number}",
+            f"dc{number % 3}",
+            address,
+            self.seeds,
+            [KEY],
+            Timers(self.clock),
+            clock,
+            Random(self.random.random()),
+            self.rate,
+            channel=PumpChannel(self, address),
+        )
+        node.clock = self.clock
+        self.nodes[address] = node
+        self.next_tick[address] = self.clock.now() + self.random.uniform(0, TICK)
+        return node
+
+    def kill(self, node):
+        self.nodes.pop(node.membership.me.address)
+
+    def leave(self, node):
+        """Leave on purpose and stop."""
+        now = self.clock.now()
+        for outgoing in node.membership.leave(now):
+            node._send(outgoing, now)
+        self.kill(node)
+
+    def pause(self, node):
+        self.paused[node.membership.me.address] = []
+
+    def resume(self, node):
+        address = node.membership.me.address
+        for frame in self.paused.pop(address):
+            node.receive(frame)
+
+    def cut(self, group, rest, both=True):
+        for a in group:
+            for b in rest:
+                self.cuts.add((a.membership.me.address, b.membership.me.address))
+                if both:
+                    self.cuts.add((b.membership.me.address, a.membership.me.address))
+
+    def send(self, source, target, frame):
+        link = (source, target)
+        lost = self.random.random() < self.loss
+        if link in self.cuts or link in self.silent or lost:
+            return
+        self.frames.append((self.clock.now() + 0.001, target, frame))
+
+    def run(self, seconds):
+        """Let time pass in small steps."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            self.clock.advance(STEP)
+            self._deliver()
+            for address, node in list(self.nodes.items()):
+                if address in self.paused or self.clock.now() < self.next_tick[address]:
+                    continue
+                self.next_tick[address] = self.clock.now() + TICK
+                node.tick()
+
+    def run_until(self, condition, limit):
+        """Run until the condition holds; return the seconds it took, or None."""
+        start = self.clock.now()
+        while not condition():
+            if self.clock.now() - start >= limit:
+                return None
+            self.run(STEP)
+        return self.clock.now() - start
+
+    def all(self):
+        return list(self.nodes.values())
+
+    def complete(self):
+        """True if every running VM knows exactly the running VMs as live."""
+        names = {n.membership.me.name for n in self.all()}
+        return all(set(live_names(n)) | {n.membership.me.name} == names for n in self.all())
+
+    def _deliver(self):
+        now = self.clock.now()
+        due, self.frames = (
+            [f for f in self.frames if f[0] <= now],
+            [f for f in self.frames if f[0] > now],
+        )
+        for _, target, frame in due:
+            if target in self.paused:
+                self.paused[target].append(frame)
+            elif target in self.nodes:
+                self.nodes[target].receive(frame)
+
+
+def live_names(node):
+    return list(node.membership.roster.live_names)
+
+
+def state(node, name):
+    member = node.membership.roster.get(name)
+    return member.state if member is not None else None
+
+
+def incarnation(node):
+    return node.membership.me.incarnation
+
+
+GONE = (MemberState.DEAD, MemberState.LEFT)
