--- /dev/null
+++ b/sequoiabridge/metrics.py
@@ -0,0 +1,307 @@
+"""Metrics of one daemon, exposed by prometheus_client.
+
+The request path adds to plain integers; `Metrics` is a custom collector that turns them into
+metric families when somebody scrapes. docs/design/admin.md has the figures behind that choice.
+All methods are for the daemon's one thread and take no locks.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
+
+from prometheus_client import CollectorRegistry, GCCollector, ProcessCollector, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+
+from .logs import get_log
+from .outcome import Outcome, Reason
+from .parts import Part
+
+log = get_log("metrics")
+
+LATENCY_BUCKETS = (
+    *(0.001, 0.0025, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5),
+    *(1.0, 2.5, 5.0, 10.0, 30.0),
+)
+"""Upper bounds of the latency histogram, in seconds."""
+
+BUCKET_NAMES = [*(str(bound) for bound in LATENCY_BUCKETS), "+Inf"]
+
+STATUS_CLASSES = ("other", "1xx", "2xx", "3xx", "4xx", "5xx")
+
+CALLS_PER_COST = 1000
+"""The cost of measuring is given per so many calls."""
+
+Samples = Iterable[tuple[tuple[str, ...], float]]
+"""Label values and the value that belongs to them."""
+
+
+class CallSeries:
+    """Counts of one service and kind; `buckets` are not cumulative."""
+
+    __slots__ = ("statuses", "buckets", "seconds", "in_window", "late")
+
+    def __init__(self) -> None:
+        self.statuses = [0] * len(STATUS_CLASSES)
+        self.buckets = [0] * len(BUCKET_NAMES)
+        self.seconds = 0.0
+        self.in_window = 0
+        self.late = 0
+
+
+class Count:
+    """A counter with labels; `add` costs one dictionary update."""
+
+    __slots__ = ("name", "help", "labels", "values")
+
+    def __init__(self, name: str, help_text: str, labels: tuple[str, ...]):
+        self.name = name
+        self.help = help_text
+        self.labels = labels
+        self.values: defaultdict[tuple[str, ...], float] = defaultdict(int)
+
+    def add(self, *label_values: str, by: float = 1) -> None:
+        """Add `by` to the series of these label values, given in the order of `labels`."""
+        self.values[label_values] += by
+
+    def total(self, first: str, second: str | None = None) -> float:
+        """Return the sum over all series with these first label values; None stands for any."""
+        return sum(
+            value
+            for labels, value in self.values.items()
+            if labels[0] == first and second in (None, labels[1])
+        )
+
+    def samples(self) -> Samples:
+        """Return all series."""
+        return list(self.values.items())
+
+
+class Reading:
+    """Values that another part gives when somebody scrapes."""
+
+    __slots__ = ("family", "name", "help", "labels", "read")
+
+    def __init__(
+        self,
+        family: type[GaugeMetricFamily] | type[CounterMetricFamily],
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Samples | float],
+    ):
+        self.family = family
+        self.name = name
+        self.help = help_text
+        self.labels = labels
+        self.read = read
+
+    def samples(self) -> Samples:
+        """Ask the part; a value without labels is one sample."""
+        value = self.read()
+        return [((), value)] if isinstance(value, int | float) else value
+
+
+class Metrics(Part):
+    """All metrics of one daemon, in a registry of their own."""
+
+    name = "metrics"
+
+    def __init__(self) -> None:
+        self.calls: dict[tuple[str, str], CallSeries] = {}
+        self.counts: list[Count] = []
+        self.readings: list[Reading] = []
+        self._declare_path()
+        self._declare_rest()
+        self.registry = CollectorRegistry(auto_describe=False)
+        self.registry.register(self)
+        ProcessCollector(registry=self.registry)
+        GCCollector(registry=self.registry)
+
+    def answered(
+        self, service: str, kind: str, status: int, seconds: float, in_window: bool
+    ) -> None:
+        """Count one call; the only method that every call pays for."""
+        series = self.calls.get((service, kind))
+        if series is None:
+            series = self.calls[service, kind] = CallSeries()
+        index = status // 100
+        series.statuses[index if 0 < index < 6 else 0] += 1
+        series.buckets[bisect_left(LATENCY_BUCKETS, seconds)] += 1
+        series.seconds += seconds
+        if in_window:
+            series.in_window += 1
+        else:
+            series.late += 1
+
+    def refused(self, service: str, reason: Reason, outcome: Outcome) -> None:
+        """Count one answer that the daemon made itself."""
+        self.refusals.add(service, reason.value, outcome.value)
+
+    def measured(self, service: str, source: str, sent_bytes: int, upstream_seconds: float) -> None:
+        """Count one measurement of an upstream's load and what it cost.
+
+        `source` is `probe`, `answer` or `fleet`; `upstream_seconds` is the time that the
+        upstream spent on it, as far as that can be seen from here.
+        """
+        self.measurements.add(service, source)
+        self.measuring_bytes.add(service, source, by=sent_bytes)
+        self.measuring_seconds.add(service, source, by=upstream_seconds)
+
+    def gauge(
+        self,
+        name: str,
+        help_text: str,
+        read: Callable[[], Samples | float],
+        labels: tuple[str, ...] = (),
+    ) -> None:
+        """Show what `read` returns at the time of each scrape."""
+        self.readings.append(Reading(GaugeMetricFamily, name, help_text, labels, read))
+
+    def counter(
+        self,
+        name: str,
+        help_text: str,
+        read: Callable[[], Samples | float],
+        labels: tuple[str, ...] = (),
+    ) -> None:
+        """Show a counter that another part keeps; `name` without `_total`."""
+        self.readings.append(Reading(CounterMetricFamily, name, help_text, labels, read))
+
+    def text(self) -> bytes:
+        """Return everything in Prometheus' text format."""
+        return generate_latest(self.registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Build the metric families; called by the registry for each scrape."""
+        yield from self._call_families()
+        for count in self.counts:
+            yield family(CounterMetricFamily, count.name, count.help, count.labels, count.samples())
+        yield from self._cost_families()
+        for reading in self.readings:
+            yield from self._read(reading)
+
+    def dump(self) -> dict:
+        """Describe the calls for the state dump; everything else is on the metrics page."""
+        return {
+            f"{service}/{kind}": {
+                "calls": sum(series.statuses),
+                "in_window": series.in_window,
+                "late": series.late,
+                "mean_ms": round(1000 * series.seconds / max(1, sum(series.statuses)), 3),
+            }
+            for (service, kind), series in self.calls.items()
+        }
+
+    def _declare_path(self) -> None:
+        count = self._count
+        self.retries = count("retries", "Attempts after the first.", "service", "why")
+        self.hedges = count("hedges", "Second copies sent, by who answered.", "service", "winner")
+        self.refusals = count(
+            "refusals", "Answers the daemon made itself.", "service", "reason", "outcome"
+        )
+        self.ejections = count("ejections", "Upstreams taken out of use.", "service", "why")
+        self.measurements = count(
+            "measurements", "Load reports, by where from.", "service", "source"
+        )
+        self.measuring_bytes = count(
+            "measuring_bytes", "Bytes spent on measuring load.", "service", "source"
+        )
+        self.measuring_seconds = count(
+            "measuring_upstream_seconds", "Upstream time spent on measuring.", "service", "source"
+        )
+
+    def _declare_rest(self) -> None:
+        count = self._count
+        self.fleet_bytes = count(
+            "fleet_bytes", "Bytes to and from other VMs.", "direction", "urgency"
+        )
+        self.store_operations = count(
+            "store_operations", "Calls to the platform.", "operation", "result"
+        )
+        self.store_outages = count("store_outages", "Outages of the platform noticed.", "service")
+        self.claims = count("claims", "Claims of work that runs at most once.", "service", "result")
+        self.uploads = count("uploads", "Uploads by how they ended.", "service", "result")
+        self.failures = count("collect_failures", "Metrics that could not be read.", "metric")
+
+    def _count(self, name: str, help_text: str, *labels: str) -> Count:
+        count = Count(f"sequoia_{name}", help_text, labels)
+        self.counts.append(count)
+        return count
+
+    def _read(self, reading: Reading) -> Iterator[Metric]:
+        try:
+            yield family(
+                reading.family, reading.name, reading.help, reading.labels, reading.samples()
+            )
+        except Exception as error:
+            # One part's failure must not hide the metrics of all others.
+            if (reading.name,) not in self.failures.values:
+                log.warning("could not read %s: %s", reading.name, error)
+            self.failures.add(reading.name)
+
+    def _call_families(self) -> Iterator[Metric]:
+        labels = ["service", "kind"]
+        calls = CounterMetricFamily("sequoia_calls", "Calls answered.", labels=[*labels, "status"])
+        latency = HistogramMetricFamily(
+            "sequoia_call_seconds", "Time from head to last byte of the answer.", labels=labels
+        )
+        window = CounterMetricFamily(
+            "sequoia_calls_by_window",
+            "Calls answered in their window or late.",
+            labels=[*labels, "in_window"],
+        )
+        for key, series in self.calls.items():
+            for status, number in zip(STATUS_CLASSES, series.statuses, strict=True):
+                if number:
+                    calls.add_metric([*key, status], number)
+            latency.add_metric(key, cumulative(series.buckets), series.seconds)
+            window.add_metric([*key, "yes"], series.in_window)
+            window.add_metric([*key, "no"], series.late)
+        return iter((calls, latency, window))
+
+    def _cost_families(self) -> Iterator[Metric]:
+        calls: defaultdict[str, int] = defaultdict(int)
+        for (service, _), series in self.calls.items():
+            calls[service] += sum(series.statuses)
+        for name, help_text, count, source in (
+            ("probes", "Probes for each 1,000 calls.", self.measurements, "probe"),
+            ("measuring_bytes", "Bytes likewise.", self.measuring_bytes, None),
+            ("measuring_upstream_seconds", "Time likewise.", self.measuring_seconds, None),
+        ):
+            samples = [
+                ((service,), count.total(service, source) * CALLS_PER_COST / number)
+                for service, number in calls.items()
+            ]
+            full_name = f"sequoia_{name}_per_1000_calls"
+            yield family(GaugeMetricFamily, full_name, help_text, ("service",), samples)
+
+
+def family(
+    kind: type[GaugeMetricFamily] | type[CounterMetricFamily],
+    name: str,
+    help_text: str,
+    labels: tuple[str, ...],
+    samples: Samples,
+) -> Metric:
+    """Build one metric family."""
+    built = kind(name, help_text, labels=labels)
+    for label_values, value in samples:
+        built.add_metric(label_values, value)
+    return built
+
+
+def cumulative(buckets: list[int]) -> list[tuple[str, float]]:
+    """Return the buckets as Prometheus wants them: each with all that are below it."""
+    total = 0
+    result = []
+    for name, number in zip(BUCKET_NAMES, buckets, strict=True):
+        total += number
+        result.append((name, total))
+    return result
--- /dev/null
+++ b/sequoiabridge/operators/parser.py
@@ -0,0 +1,246 @@
+"""Parser of the operators' language: text in, a typed command or a `LanguageError` out."""
+
+from __future__ import annotations
+
+import re
+from difflib import get_close_matches
+from pathlib import Path
+
+from expression import Error, Ok, Result
+from lark import Lark, Token, Transformer, v_args
+from lark.exceptions import UnexpectedCharacters, UnexpectedInput, UnexpectedToken
+
+from .commands import (
+    ChangeCommand,
+    Command,
+    Condition,
+    Diff,
+    Drain,
+    EntryKind,
+    Explain,
+    Held,
+    Release,
+    Remove,
+    SetOptions,
+    Show,
+    Subject,
+)
+from .errors import LanguageError
+from .rows import fields_of
+
+MAX_COMMAND = 8192
+"""Characters in one command."""
+
+MAX_SUGGESTIONS = 2
+
+CHOICES = {
+    "SUBJECT": [subject.value for subject in Subject],
+    "KIND": [kind.value for kind in EntryKind],
+    "HELD": [held.value for held in Held],
+}
+"""Terminals that stand for one of several words."""
+
+DESCRIPTIONS = {
+    "FIELD": "a field or option name",
+    "OPERATOR": "one of = != < <= > >= ~",
+    "NUMBER": "a number",
+    "WORD": "a name or value",
+    "STRING": "a name or value",
+    "_COMMA": '","',
+    "_EQUALS": '"="',
+    "$END": "the end of the command",
+}
+"""Terminals that stand for anything of some form."""
+
+FOUND = re.compile(r'"[^"\n]*"|[^\s,="<>!~]+|\S')
+"""What an error message quotes of the command."""
+
+MAX_SHOWN = 40
+"""Characters of the command that an error message quotes."""
+
+GRAMMAR = Path(__file__).with_name("language.lark")
+
+PARSER = Lark(
+    GRAMMAR.read_text(encoding="utf-8"),
+    parser="lalr",
+    lexer="contextual",
+    propagate_positions=True,
+    maybe_placeholders=True,
+)
+
+
+def parse(text: str) -> Result[Command, LanguageError]:
+    """Parse one command; the error names the column and what was expected there."""
+    if len(text) > MAX_COMMAND:
+        message = f"The command has {len(text)} characters; the most is {MAX_COMMAND}."
+        return Error(LanguageError(message, MAX_COMMAND + 1))
+    try:
+        tree = PARSER.parse(text)
+    except UnexpectedInput as error:
+        return Error(explain_error(text, error))
+    builder = Builder(visit_tokens=False)
+    command = builder.transform(tree)
+    if builder.problems:
+        return Error(builder.problems[0])
+    return Ok(command)
+
+
+def explain_error(text: str, error: UnexpectedInput) -> LanguageError:
+    """Put lark's error into an operator's words, with the nearest words suggested."""
+    position = error_position(text, error)
+    words, forms = expected_at(error)
+    found = FOUND.match(text, position)
+    expected = [*words, *forms]
+    message = f"Column {position + 1}: expected {any_of(expected)}"
+    if found is None:
+        return LanguageError(f"{message}, but the command ends here.", position + 1, expected)
+    if found.group() == '"':
+        message = f"Column {position + 1}: the quote is not closed; put another after the value."
+        return LanguageError(message, position + 1, ['"'])
+    message = f"{message}, but found {shown(found.group())}."
+    return LanguageError(message + did_you_mean(found.group(), words), position + 1, expected)
+
+
+def error_position(text: str, error: UnexpectedInput) -> int:
+    """Return the index at which the text stops being a command."""
+    end = len(text.rstrip())
+    if isinstance(error, UnexpectedToken) and error.token.type == "$END":
+        return end
+    position = error.pos_in_stream
+    return end if position is None or position < 0 else min(position, end)
+
+
+def expected_at(error: UnexpectedInput) -> tuple[list[str], list[str]]:
+    """Return what may stand at the error: words to type, and forms such as "a number"."""
+    terminals: set[str] = set()
+    if isinstance(error, UnexpectedToken):
+        terminals = set(error.accepts or error.expected)
+    elif isinstance(error, UnexpectedCharacters):
+        terminals = set(error.allowed or ())
+    words: list[str] = []
+    forms: set[str] = set()
+    for terminal in sorted(terminals - {"WS"}):
+        if terminal in CHOICES:
+            words += CHOICES[terminal]
+        elif terminal in DESCRIPTIONS:
+            forms.add(DESCRIPTIONS[terminal])
+        else:
+            words.append(terminal.removeprefix("_").lower())
+    return words, sorted(forms)
+
+
+def shown(found: str) -> str:
+    """Return a piece of the command as a message may show it."""
+    if not found.isprintable():
+        found = ascii(found)
+    return found if len(found) <= MAX_SHOWN else found[:MAX_SHOWN] + "…"
+
+
+def any_of(choices: list[str]) -> str:
+    """Join choices as a person would: `a, b or c`."""
+    if len(choices) < 2:
+        return "".join(choices)
+    return ", ".join(choices[:-1]) + " or " + choices[-1]
+
+
+def did_you_mean(found: str, words: list[str]) -> str:
+    """Return a sentence with the words nearest to what was found, or nothing."""
+    near = get_close_matches(found.lower(), words, n=MAX_SUGGESTIONS)
+    return f" Did you mean {any_of(near)}?" if near else ""
+
+
+@v_args(inline=True)
+class Builder(Transformer):
+    """Makes typed commands of the parse tree; a wrong field goes to `problems`."""
+
+    def __init__(self, visit_tokens: bool = False):
+        super().__init__(visit_tokens)
+        self.problems: list[LanguageError] = []
+
+    def show(self, subject, of, where, limit):
+        command = Show(Subject(subject.lower()), of, where or [], limit)
+        for condition in command.where:
+            self._check_field(condition, fields_of(command.subject))
+        return command
+
+    def of(self, name):
+        return text_of(name)
+
+    def where(self, *conditions):
+        return list(conditions)
+
+    def condition(self, field, operator, value):
+        return Condition(str(field), str(operator), text_of(value), field.start_pos + 1)
+
+    def limit(self, number):
+        return int(number)
+
+    def explain(self, request_id):
+        return Explain(text_of(request_id))
+
+    def diff(self, old, new):
+        return Diff(int(old), int(new))
+
+    def add(self, kind, name, *assignments):
+        options: dict[str, str] = {}
+        for key, value in assignments:
+            if key in options:
+                self._twice(key, key)
+            options[str(key)] = value
+        return SetOptions(EntryKind(kind.lower()), text_of(name), options, new=True)
+
+    def set(self, kind, name, assignment):
+        key, value = assignment
+        options = {str(key): value}
+        return SetOptions(EntryKind(kind.lower()), text_of(name), options, new=False)
+
+    def assignment(self, key, value):
+        return key, text_of(value)
+
+    def remove(self, kind, name):
+        return Remove(EntryKind(kind.lower()), text_of(name))
+
+    def drain(self, name):
+        return Drain(text_of(name), back=False)
+
+    def resume(self, name):
+        return Drain(text_of(name), back=True)
+
+    def release(self, held, name):
+        return Release(Held(held.lower()), text_of(name))
+
+    def modifier(self, modifier):
+        return modifier
+
+    def expect(self, number):
+        return number
+
+    def dry_run(self):
+        return None
+
+    def change(self, command: ChangeCommand, *modifiers):
+        for number in modifiers:
+            if number is None:
+                command.dry_run = True
+                continue
+            if command.expect is not None:
+                self._twice(number, "the expected version")
+            command.expect = int(number)
+        return command
+
+    def _check_field(self, condition: Condition, fields: list[str]) -> None:
+        if condition.field in fields:
+            return
+        message = f"Column {condition.column}: expected {any_of(fields)}, "
+        message += f"but found {condition.field}." + did_you_mean(condition.field, fields)
+        self.problems.append(LanguageError(message, condition.column, fields))
+
+    def _twice(self, token: Token, what: str) -> None:
+        column = token.start_pos + 1
+        message = f"Column {column}: {what} is given twice; give it once."
+        self.problems.append(LanguageError(message, column))
+
+
+def text_of(token: Token) -> str:
+    """Return the text of a name or value, without the quotes of a quoted one."""
+    return str(token[1:-1]) if token.type == "STRING" else str(token)
--- a/sequoiabridge/pipeline/exchange.py
+++ b/sequoiabridge/pipeline/exchange.py
@@ -95,7 +95,8 @@
     """One call: what came in, what was decided, what goes out.
 
     Times are on the daemon's monotonic clock, in seconds. `deadline` is the time at which the
-    answer is of no more use to the caller. `notes` are lines for the journal of decisions.
+    answer is of no more use to the caller. `notes` are lines, or steps that `str` turns into
+    lines, for the journal of decisions.
     """
 
     __slots__ = (
@@ -129,10 +130,10 @@
         self.attempts = 0
         self.sent = False
         self.answer: Answer | None = None
-        self.notes: list[str] | None = None
+        self.notes: list[object] | None = None
 
-    def note(self, line: str) -> None:
-        """Add a line to the journal of decisions for this call."""
+    def note(self, line: object) -> None:
+        """Add a line (or a step of `operators.steps`) to the journal of decisions."""
         if self.notes is None:
             self.notes = []
         self.notes.append(line)
