--- /dev/null
+++ b/sequoiabridge/operators/admin.py
@@ -0,0 +1,237 @@
+"""The admin port: a small HTTP server for operators, metrics and the balancer's health check.
+
+h11 does the framing, curio the sockets; what is answered is up to an `AdminHandler`. Bodies are
+held in memory, so they are bounded. When all connections are taken, the oldest that carries no
+whole request makes room, so that idle clients do not keep the health check out.
+"""
+
+from __future__ import annotations
+
+from socket import SHUT_WR
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import curio
+import h11
+from curio import network
+
+from ..logs import get_log
+from ..parts import Part
+from .errors import RequestRejected
+from .messages import AdminAnswer, AdminHandler, AdminRequest
+from .reply import error_answer
+
+log = get_log("admin")
+
+READ_BYTES = 65536
+
+ACCEPT_PAUSE = 0.1
+"""Seconds to wait when no connection can be accepted, for want of file descriptors."""
+
+LINGER = 1.0
+"""Seconds for which a refused client may go on sending before it is cut off."""
+
+
+class AdminLimits:
+    """What the admin port bears; sizes in bytes, times in seconds."""
+
+    __slots__ = ("max_head", "max_body", "idle_timeout", "body_timeout", "connections")
+
+    def __init__(
+        self,
+        max_head: int = 16_384,
+        max_body: int = 4_000_000,
+        idle_timeout: float = 30.0,
+        body_timeout: float = 30.0,
+        connections: int = 64,
+    ):
+        self.max_head = max_head
+        self.max_body = max_body
+        self.idle_timeout = idle_timeout
+        self.body_timeout = body_timeout
+        self.connections = connections
+
+
+class AdminConnection:
+    """One client's connection, and the requests on it one after the other."""
+
+    __slots__ = ("sock", "handler", "limits", "h11", "busy", "head_only")
+
+    def __init__(self, sock, handler: AdminHandler, limits: AdminLimits):
+        self.sock = sock
+        self.handler = handler
+        self.limits = limits
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head)
+        self.busy = False
+        self.head_only = False
+
+    async def serve(self) -> None:
+        """Answer requests until the client leaves, is silent too long or breaks the protocol."""
+        while True:
+            self.busy = False
+            try:
+                if not await self._serve_one():
+                    return
+            except RequestRejected as error:
+                await self._refuse(error)
+                return
+            except h11.RemoteProtocolError as error:
+                await self._refuse(
+                    RequestRejected(error.error_status_hint, "bad-request", f"{error}.")
+                )
+                return
+
+    async def _serve_one(self) -> bool:
+        async with curio.timeout_after(self.limits.idle_timeout):
+            head = await self._next_event()
+        if type(head) is not h11.Request:
+            return False
+        self.busy = True
+        self.head_only = head.method == b"HEAD"
+        async with curio.timeout_after(self.limits.body_timeout):
+            body = await self._read_body(head)
+        answer = await self.handler.handle(admin_request(head, body))
+        await self._send(answer)
+        if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+            return False
+        self.h11.start_next_cycle()
+        return True
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        length = next((v for n, v in head.headers if n == b"content-length"), b"0")
+        self._check_size(int(length))
+        if self.h11.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self.sock.sendall(self.h11.send(interim))
+        body = bytearray()
+        while type(event := await self._next_event()) is h11.Data:
+            body += event.data
+            self._check_size(len(body))
+        return bytes(body)
+
+    def _check_size(self, size: int) -> None:
+        if size <= self.limits.max_body:
+            return
+        message = f"The body has over {self.limits.max_body} bytes; send less at a time."
+        raise RequestRejected(413, "too-large", message)
+
+    async def _next_event(self):
+        while (event := self.h11.next_event()) is h11.NEED_DATA:
+            self.h11.receive_data(await self.sock.recv(READ_BYTES))
+        return event
+
+    async def _send(self, answer: AdminAnswer, close: bool = False) -> None:
+        if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [
+            ("content-type", answer.content_type),
+            ("content-length", str(len(answer.body))),
+            ("cache-control", "no-store"),
+            *answer.headers,
+        ]
+        if close:
+            headers.append(("connection", "close"))
+        data = self.h11.send(h11.Response(status_code=answer.status, headers=headers))
+        if not self.head_only:
+            data += self.h11.send(h11.Data(data=answer.body))
+        data += self.h11.send(h11.EndOfMessage())
+        async with curio.timeout_after(self.limits.body_timeout):
+            await self.sock.sendall(data)
+
+    async def _refuse(self, error: RequestRejected) -> None:
+        await self._send(error_answer(error), close=True)
+        # Closing with unread bytes would reset the connection and lose the answer.
+        await self.sock.shutdown(SHUT_WR)
+        async with curio.ignore_after(LINGER):
+            while await self.sock.recv(READ_BYTES):
+                pass
+
+
+class AdminServer(Part):
+    """Serves the admin port on one address.
+
+    Args:
+        address: `IP:port` to bind, and nothing else; port 0 takes a free one.
+    """
+
+    name = "admin"
+
+    def __init__(self, address: str, handler: AdminHandler, limits: AdminLimits | None = None):
+        self.address = address
+        self.handler = handler
+        self.limits = limits or AdminLimits()
+        self.sock = None
+        self.open: dict[AdminConnection, curio.Task] = {}
+        self.accepted = 0
+        self.turned_away = 0
+
+    async def bind(self) -> None:
+        """Bind the address; afterwards `address` has the port."""
+        host, _, port = self.address.rpartition(":")
+        self.sock = network.tcp_server_socket(host, int(port))
+        self.address = "{}:{}".format(*self.sock.getsockname()[:2])
+        log.info("listening on %s", self.address)
+
+    async def run(self) -> None:
+        """Accept and serve connections until cancelled; the daemon runs this as one task."""
+        if self.sock is None:
+            await self.bind()
+        try:
+            while True:
+                await self._accept()
+        finally:
+            await self.sock.close()
+            for task in list(self.open.values()):
+                await task.cancel(blocking=False)
+
+    def dump(self) -> dict:
+        """Describe the port for the state dump."""
+        return {
+            "address": self.address,
+            "connections": len(self.open),
+            "connections_limit": self.limits.connections,
+            "accepted": self.accepted,
+            "turned_away": self.turned_away,
+        }
+
+    async def _accept(self) -> None:
+        try:
+            client, _ = await self.sock.accept()
+        except OSError as error:
+            log.warning("could not accept a connection: %s", error)
+            await curio.sleep(ACCEPT_PAUSE)
+            return
+        if len(self.open) >= self.limits.connections and not await self._make_room():
+            self.turned_away += 1
+            await client.close()
+            return
+        self.accepted += 1
+        connection = AdminConnection(client, self.handler, self.limits)
+        self.open[connection] = await curio.spawn(self._serve(connection), daemon=True)
+
+    async def _make_room(self) -> bool:
+        oldest = next((connection for connection in self.open if not connection.busy), None)
+        if oldest is None:
+            return False
+        self.turned_away += 1
+        await self.open.pop(oldest).cancel(blocking=False)
+        return True
+
+    async def _serve(self, connection: AdminConnection) -> None:
+        try:
+            async with connection.sock:
+                await connection.serve()
+        except (curio.TaskTimeout, OSError):
+            pass  # The client is gone or too slow; there is nobody to tell.
+        finally:
+            self.open.pop(connection, None)
+
+
+def admin_request(head: h11.Request, body: bytes) -> AdminRequest:
+    """Decode a request's head."""
+    try:
+        parts = urlsplit(head.target.decode("ascii"))
+        query = dict(parse_qsl(parts.query, keep_blank_values=True))
+    except ValueError as error:
+        raise RequestRejected(400, "bad-request", f"The target is not a URL: {error}.") from error
+    headers = {n.decode("ascii"): v.decode("latin-1") for n, v in head.headers}
+    return AdminRequest(head.method.decode("ascii"), unquote(parts.path), query, headers, body)
--- /dev/null
+++ b/sequoiabridge/operators/changes.py
@@ -0,0 +1,136 @@
+"""Turns commands into changes of the fleet's configuration, and shows what they change."""
+
+from __future__ import annotations
+
+import time
+from datetime import UTC, datetime
+
+from expression import Error, Ok, Result
+
+from ..config.change import Change, RemoveEntry, SetEntry
+from ..config.document import Document
+from ..config.loading import diff, parse_document
+from ..config.problem import Problem
+from ..exceptions import ConflictError, SequoiaError
+from .commands import ChangeCommand, Drain, Remove, SetOptions
+from .errors import Behind, InvalidChange, NotFound
+
+COLUMNS = ["kind", "name", "option", "old", "new"]
+"""Columns of a difference between two documents."""
+
+
+class Proposal:
+    """A change that is valid on top of `old` and leads to `new`."""
+
+    __slots__ = ("old", "new", "change")
+
+    def __init__(self, old: Document, new: Document, change: Change):
+        self.old = old
+        self.new = new
+        self.change = change
+
+
+def propose_command(
+    document: Document, command: ChangeCommand, author: str
+) -> Result[Proposal, SequoiaError]:
+    """Return what a command would change, validated whole."""
+    expected = check_expected(document, command.expect)
+    if expected.is_error():
+        return Error(expected.error)
+    entry = entry_of(document, command)
+    if entry.is_error():
+        return Error(entry.error)
+    return validated(document, Change([entry.ok]), author, "command")
+
+
+def propose_document(
+    document: Document, text: str, author: str, expect: int | None
+) -> Result[Proposal, SequoiaError]:
+    """Return what it takes to make the configuration what an INI text says."""
+    expected = check_expected(document, expect)
+    if expected.is_error():
+        return Error(expected.error)
+    parsed = parse_document(text)
+    if parsed.is_error():
+        return Error(invalid(parsed.error))
+    return validated(document, diff(document, parsed.ok), author, "configuration")
+
+
+def check_expected(document: Document, expect: int | None) -> Result[None, SequoiaError]:
+    """Check the version that the operator has seen against the one in force on this VM."""
+    if expect is None or expect == document.version:
+        return Ok(None)
+    if expect > document.version:
+        message = f"This VM has version {document.version} and not heard of {expect} yet; "
+        return Error(Behind(message + "ask again in some seconds, or ask another VM."))
+    when = datetime.fromtimestamp(document.at, UTC).isoformat(timespec="seconds")
+    message = f"Version {expect} is not the newest: {document.author} set version "
+    message += f"{document.version} at {when}. Look at it with "
+    message += f"diff {expect} {document.version}, then give the command again."
+    return Error(ConflictError(message))
+
+
+def entry_of(
+    document: Document, command: ChangeCommand
+) -> Result[SetEntry | RemoveEntry, SequoiaError]:
+    """Return the entry that a command sets or removes."""
+    if isinstance(command, Drain):
+        kind, options = "upstream", {"drained": "no" if command.back else "yes"}
+    else:
+        kind = command.kind.value
+        options = command.options if isinstance(command, SetOptions) else {}
+    there = command.name in document.entries(kind)
+    if isinstance(command, SetOptions) and command.new:
+        if not there:
+            return Ok(SetEntry(kind, command.name, options))
+        message = f"There is a {kind} {command.name} already; change it with set."
+        return Error(InvalidChange(message, [message]))
+    if not there:
+        return Error(NotFound(f"There is no {kind} {command.name}; see show {kind}s."))
+    if isinstance(command, Remove):
+        return Ok(RemoveEntry(kind, command.name))
+    return Ok(document.merged(kind, command.name, options))
+
+
+def validated(
+    document: Document, change: Change, author: str, source: str
+) -> Result[Proposal, SequoiaError]:
+    """Return the proposal if the document that it leads to is valid."""
+    at = time.time()
+    new = document.changed(change, document.version + 1, author, at, source=source)
+    if new.is_error():
+        return Error(invalid(new.error))
+    return Ok(Proposal(document, new.ok, diff(document, new.ok)))
+
+
+def invalid(problems: list[Problem]) -> InvalidChange:
+    """Return all problems of a change as one error."""
+    lines = [problem.text for problem in problems]
+    return InvalidChange(f"The change is not valid: {' | '.join(lines)}.", lines)
+
+
+def row_table(old: Document, new: Document) -> tuple[list[str], list[list[str]]]:
+    """Return the columns and rows of a difference, a row for each option that changed."""
+    rows = []
+    for entry in diff(old, new).entries:
+        before = options_in(old, entry.kind, entry.name)
+        after = options_in(new, entry.kind, entry.name)
+        for option in sorted(before.keys() | after.keys()):
+            values = before.get(option, ""), after.get(option, "")
+            if values[0] != values[1]:
+                rows.append([entry.kind, entry.name, option, *values])
+        if isinstance(entry, RemoveEntry) or not before:
+            rows = rows or [[entry.kind, entry.name, "", "", ""]]
+    return COLUMNS, rows
+
+
+def options_in(document: Document, kind: str, name: str) -> dict[str, str]:
+    """Return an entry's options in a document, none if it is not there."""
+    unknown = document.unknown.get((kind, name))
+    if unknown is not None:
+        return unknown
+    try:
+        entry = document.entries(kind).get(name)
+    except AttributeError:
+        return {}
+    return entry.options() if entry else {}
--- a/sequoiabridge/operators/errors.py
+++ b/sequoiabridge/operators/errors.py
@@ -47,3 +47,9 @@
         super().__init__(message)
         self.status = status
         self.kind = kind
+
+
+class Behind(SequoiaError):
+    """This VM has not caught up with the version that the operator expects."""
+
+    exit_code = 4
--- /dev/null
+++ b/sequoiabridge/operators/executor.py
@@ -0,0 +1,213 @@
+"""Carries out the operators' commands: reads state, proposes changes, releases what is held."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..config.document import Document
+from ..exceptions import SequoiaError
+from .bases import ConfigurationGate, Releases, StateSource
+from .changes import Proposal, propose_command, propose_document, row_table
+from .commands import ChangeCommand, Command, Diff, Explain, Release, Show
+from .errors import LanguageError, NotFound
+from .filtering import Test, chosen, compile_tests
+from .gather import Gatherer
+from .journal import Journal
+from .parser import parse
+from .reply import Reply
+from .rows import GATHERED, ROWS, ShowRow, fields_of
+
+Replied = Result[Reply, SequoiaError]
+
+
+class Executor:
+    """Runs commands on this VM, and asks the others where each knows only a part."""
+
+    def __init__(
+        self,
+        vm: str,
+        source: StateSource,
+        gate: ConfigurationGate,
+        releases: Releases,
+        journal: Journal,
+        gatherer: Gatherer,
+    ):
+        self.vm = vm
+        self.source = source
+        self.gate = gate
+        self.releases = releases
+        self.journal = journal
+        self.gatherer = gatherer
+
+    async def execute(self, text: str, author: str) -> Replied:
+        """Parse and run one command."""
+        parsed = parse(text)
+        if parsed.is_error():
+            return Error(parsed.error)
+        return await self.run(parsed.ok, text, author)
+
+    async def run(self, command: Command, text: str, author: str) -> Replied:
+        """Run one command; `text` is its own text, for the other VMs."""
+        if isinstance(command, Show):
+            return await self._show(command, text)
+        if isinstance(command, Explain):
+            return await self.explain(command.request_id)
+        if isinstance(command, Diff):
+            return await self._diff(command)
+        if isinstance(command, Release):
+            return await self._release(command, author)
+        return await self._change(command, author)
+
+    async def apply(
+        self, text: str, author: str, expect: int | None, dry_run: bool
+    ) -> Replied:
+        """Make the configuration what an INI document says."""
+        proposal = propose_document(self.gate.document(), text, author, expect)
+        return await self._propose(proposal, author, dry_run)
+
+    async def local_rows(self, text: str) -> Result[list[ShowRow], SequoiaError]:
+        """Return this VM's own rows for a `show` command; asked for by other VMs."""
+        parsed = parse(text)
+        if parsed.is_error():
+            return Error(parsed.error)
+        if not isinstance(parsed.ok, Show):
+            return Error(LanguageError("Only show has rows; write show …", 1, ["show"]))
+        tests = compile_tests(parsed.ok)
+        if tests.is_error():
+            return Error(tests.error)
+        return await self._own_rows(parsed.ok, tests.ok)
+
+    async def explain(self, request_id: str) -> Replied:
+        """Return what the journals of this VM and the others say about a request."""
+        gathered = await self.gatherer.gather(f"/explain/{quote(request_id, safe='')}?local=1")
+        rows = [[self.vm, line] for line in self.journal.explain(request_id) or []]
+        for vm, body in sorted(gathered.answers.items()):
+            lines = decoded(body, list[str])
+            if lines is None:
+                gathered.not_heard[vm] = "its answer could not be read"
+                continue
+            rows += [[vm, line] for line in lines]
+        if not rows:
+            return Error(NotFound(not_explained(request_id, gathered.not_heard)))
+        heard = [self.vm, *sorted(gathered.answers.keys() - gathered.not_heard.keys())]
+        return Ok(self._reply(["vm", "line"], rows, heard, gathered.not_heard))
+
+    async def _show(self, show: Show, text: str) -> Replied:
+        tests = compile_tests(show)
+        if tests.is_error():
+            return Error(tests.error)
+        own = await self._own_rows(show, tests.ok)
+        if own.is_error():
+            return Error(own.error)
+        rows, heard, not_heard = own.ok, [self.vm], {}
+        if show.subject in GATHERED:
+            more, heard, not_heard = await self._others_rows(show, text)
+            rows = sorted(rows + more, key=sort_key, reverse=show.subject.value == "refusals")
+            rows = rows[: show.limit]
+        columns = fields_of(show.subject)
+        table = [[getattr(row, column) for column in columns] for row in rows]
+        return Ok(self._reply(columns, table, heard, not_heard))
+
+    async def _own_rows(
+        self, show: Show, tests: list[Test]
+    ) -> Result[list[ShowRow], SequoiaError]:
+        rows = await self.source.rows(show.subject, show.of)
+        return rows.map(lambda found: chosen(found, tests, show.limit))
+
+    async def _others_rows(
+        self, show: Show, text: str
+    ) -> tuple[list[ShowRow], list[str], dict[str, str]]:
+        gathered = await self.gatherer.gather(f"/rows?command={quote(text, safe='')}")
+        rows: list[ShowRow] = []
+        for vm, body in gathered.answers.items():
+            found = decoded(body, list[ROWS[show.subject]])
+            if found is None:
+                gathered.not_heard[vm] = "its answer could not be read"
+                continue
+            rows += found
+        heard = [self.vm, *sorted(gathered.answers.keys() - gathered.not_heard.keys())]
+        return rows, heard, gathered.not_heard
+
+    async def _diff(self, command: Diff) -> Replied:
+        documents: list[Document] = []
+        for version in (command.old, command.new):
+            found = await self.gate.at_version(version)
+            if found.is_error():
+                return Error(found.error)
+            documents.append(found.ok)
+        columns, rows = row_table(*documents)
+        message = f"{len(rows)} difference(s) from version {command.old} to {command.new}."
+        return Ok(self._reply(columns, rows, message=message))
+
+    async def _change(self, command: ChangeCommand, author: str) -> Replied:
+        proposal = propose_command(self.gate.document(), command, author)
+        return await self._propose(proposal, author, command.dry_run)
+
+    async def _propose(
+        self, proposal: Result[Proposal, SequoiaError], author: str, dry_run: bool
+    ) -> Replied:
+        if proposal.is_error():
+            return Error(proposal.error)
+        old, new, change = proposal.ok.old, proposal.ok.new, proposal.ok.change
+        columns, rows = row_table(old, new)
+        if not change:
+            message = f"Nothing to change: version {old.version} has it already."
+            return Ok(self._reply(columns, rows, message=message))
+        if dry_run:
+            message = f"Dry run: valid on top of version {old.version}; nothing was changed."
+            return Ok(self._reply(columns, rows, message=message))
+        accepted = await self.gate.propose(change, author, old.version)
+        if accepted.is_error():
+            return Error(accepted.error)
+        reply = self._reply(columns, rows, message=f"Accepted as version {accepted.ok}.")
+        reply.version = accepted.ok
+        return Ok(reply)
+
+    async def _release(self, command: Release, author: str) -> Replied:
+        document = self.gate.document()
+        proposal = check_expected(document, command.expect)
+        if proposal.is_error():
+            return Error(proposal.error)
+        if command.dry_run:
+            done = await self.releases.held(command.held, command.name)
+        else:
+            done = await self.releases.release(command.held, command.name, author)
+        if done.is_error():
+            return Error(done.error)
+        return Ok(self._reply([], [], message=done.ok))
+
+    def _reply(
+        self,
+        columns: list[str],
+        rows: list[list],
+        heard: list[str] | None = None,
+        not_heard: dict[str, str] | None = None,
+        message: str = "",
+    ) -> Reply:
+        version = self.gate.document().version
+        return Reply(columns, rows, heard or [self.vm], not_heard or {}, version, message)
+
+
+def decoded(body: bytes, kind: type):
+    """Return another VM's answer, or None if it cannot be read."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError:
+        return None
+
+
+def sort_key(row: ShowRow) -> tuple[str, str]:
+    """Return the key by which rows of several VMs are put in order: their first two columns."""
+    first, second = row.__struct_fields__[:2]
+    return str(getattr(row, first)), str(getattr(row, second))
+
+
+def not_explained(request_id: str, not_heard: dict[str, str]) -> str:
+    """Say that no journal has a request, and what else it may mean."""
+    message = f"No journal knows {request_id}; journals keep the last calls only."
+    if not not_heard:
+        return message
+    return f"{message} Not heard: {', '.join(sorted(not_heard))}."
--- /dev/null
+++ b/sequoiabridge/operators/fetch.py
@@ -0,0 +1,64 @@
+"""One GET over h11 on curio, for asking another daemon's admin port."""
+
+from __future__ import annotations
+
+import curio
+import h11
+
+from ..exceptions import AdminError
+
+READ_BYTES = 65536
+
+MAX_ANSWER = 8_000_000
+"""Bytes of an answer that are read; a longer one is an error."""
+
+
+async def fetch(address: str, target: str, token: str, timeout: float) -> bytes:
+    """Return the body of a 200 answer to `GET target` from `address` ("IP:port").
+
+    Raises:
+        AdminError: No whole 200 answer came in `timeout` seconds; the message says why.
+    """
+    try:
+        async with curio.timeout_after(timeout):
+            status, body = await _exchange(address, target, token)
+    except curio.TaskTimeout:
+        raise AdminError(f"no answer within {timeout:g} s") from None
+    except (OSError, h11.RemoteProtocolError, ValueError) as error:
+        raise AdminError(f"{type(error).__name__}: {error}") from error
+    if status != 200:
+        raise AdminError(f"it answered {status}: {body[:200].decode(errors='replace')}")
+    return bytes(body)
+
+
+async def _exchange(address: str, target: str, token: str) -> tuple[int, bytearray]:
+    host, _, port = address.rpartition(":")
+    sock = await curio.open_connection(host, int(port))
+    async with sock:
+        connection = h11.Connection(h11.CLIENT)
+        headers = [
+            ("host", address),
+            ("authorization", f"Bearer {token}"),
+            ("connection", "close"),
+        ]
+        request = h11.Request(method="GET", target=target, headers=headers)
+        data = connection.send(request) + connection.send(h11.EndOfMessage())
+        await sock.sendall(data)
+        return await _read_answer(sock, connection)
+
+
+async def _read_answer(sock, connection: h11.Connection) -> tuple[int, bytearray]:
+    status = 0
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await sock.recv(READ_BYTES))
+        elif type(event) is h11.Response:
+            status = event.status_code
+        elif type(event) is h11.Data:
+            body += event.data
+            if len(body) > MAX_ANSWER:
+                raise AdminError(f"the answer has over {MAX_ANSWER} bytes; ask for fewer rows")
+        elif type(event) is not h11.InformationalResponse:
+            return status, body
--- /dev/null
+++ b/sequoiabridge/operators/filtering.py
@@ -0,0 +1,78 @@
+"""Which rows `show` answers with: `of`, `where` and `limit`, with values checked by type."""
+
+from __future__ import annotations
+
+import operator
+from collections.abc import Callable
+
+import msgspec
+from expression import Error, Ok, Result
+
+from .commands import Condition, Show
+from .errors import LanguageError
+from .rows import ROWS, ShowRow
+
+Test = Callable[[ShowRow], bool]
+
+TRUE = frozenset({"yes", "true", "on", "1"})
+FALSE = frozenset({"no", "false", "off", "0"})
+
+COMPARE = {
+    "=": operator.eq,
+    "!=": operator.ne,
+    "<": operator.lt,
+    "<=": operator.le,
+    ">": operator.gt,
+    ">=": operator.ge,
+}
+
+
+def compile_tests(show: Show) -> Result[list[Test], LanguageError]:
+    """Return a test for `of` and for each condition, or the first value of a wrong type."""
+    tests: list[Test] = []
+    if show.of is not None:
+        tests.append(of_test(show.of))
+    types = {field.name: field.type for field in msgspec.structs.fields(ROWS[show.subject])}
+    for condition in show.where:
+        test = condition_test(condition, types[condition.field])
+        if test.is_error():
+            return test
+        tests.append(test.ok)
+    return Ok(tests)
+
+
+def of_test(name: str) -> Test:
+    """Return a test for `of NAME`: one of the row type's own fields equals the name."""
+    return lambda row: any(getattr(row, field) == name for field in row.of_fields())
+
+
+def condition_test(condition: Condition, kind: type) -> Result[Test, LanguageError]:
+    """Return a test for one condition on a field of type `kind`."""
+    field, value = condition.field, condition.value
+    if condition.operator == "~":
+        part = value.lower()
+        return Ok(lambda row: part in str(getattr(row, field)).lower())
+    compare = COMPARE[condition.operator]
+    try:
+        wanted = typed(value, kind)
+    except ValueError:
+        example = {bool: "yes or no", int: "a whole number", float: "a number"}[kind]
+        message = f"Column {condition.column}: {field} is {example}, and {value} is not."
+        return Error(LanguageError(message, condition.column, [example]))
+    return Ok(lambda row: compare(getattr(row, field), wanted))
+
+
+def typed(value: str, kind: type) -> str | int | float | bool:
+    """Return a value of a field's type, or raise `ValueError`."""
+    if kind is not bool:
+        return kind(value)
+    word = value.lower()
+    if word not in TRUE | FALSE:
+        raise ValueError(word)
+    return word in TRUE
+
+
+def chosen(rows: list[ShowRow], tests: list[Test], limit: int | None) -> list[ShowRow]:
+    """Return the rows that pass all tests, at most `limit`."""
+    passed = [row for row in rows if all(test(row) for test in tests)]
+    return passed if limit is None else passed[:limit]
--- a/sequoiabridge/operators/journal.py
+++ b/sequoiabridge/operators/journal.py
@@ -181,8 +181,8 @@
         }
 
     def _keep(self, entry: CallEntry) -> None:
-        if len(entry.notes) > MAX_NOTES:
-            entry.notes = shortened(entry.notes)
+        # A copy: a late loser of a hedge may still add to the call's own list.
+        entry.notes = shortened(entry.notes)
         self.kept.append(entry)
         self.bytes += entry.size()
         while len(self.kept) > self.kept_calls or self.bytes > self.kept_bytes:
@@ -218,7 +218,8 @@
         hedged = ", hedged" if entry.hedged else ""
         return f"answered {entry.status} by {entry.upstream or 'this daemon'} {took}{hedged}"
     refusal = entry.refusal
-    return f"refused {refusal.status}, {refusal.reason.value}, {refusal.outcome.value}, {took}: {refusal}"
+    words = f"{refusal.reason.value}, {refusal.outcome.value}"
+    return f"refused {refusal.status}, {words}, {took}: {refusal}"
 
 
 def note_size(note: object) -> int:
@@ -226,8 +227,10 @@
     return len(note) if isinstance(note, str) else note.size()
 
 
-def shortened(notes: Sequence[object]) -> list[object]:
+def shortened(notes: Sequence[object]) -> tuple[object, ...]:
     """Return the first and the last notes, with a line for those left out."""
+    if len(notes) <= MAX_NOTES:
+        return tuple(notes)
     half = MAX_NOTES // 2
     left_out = f"({len(notes) - 2 * half} notes left out)"
-    return [*notes[:half], left_out, *notes[-half:]]
+    return (*notes[:half], left_out, *notes[-half:])
--- /dev/null
+++ b/sequoiabridge/operators/reply.py
@@ -0,0 +1,88 @@
+"""What the admin port answers, and how errors become JSON with an HTTP status."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..exceptions import ConflictError, SequoiaError, StoreUnavailable
+from ..logs import get_log
+from .errors import Behind, InvalidChange, LanguageError, NotFound, RequestRejected
+from .messages import AdminAnswer
+
+if TYPE_CHECKING:
+log = get_log("admin")
+
+JSON = "application/json"
+TEXT = "text/plain; charset=utf-8"
+
+STATUSES: dict[type[SequoiaError], tuple[int, str]] = {
+    LanguageError: (400, "language"),
+    InvalidChange: (400, "invalid"),
+    NotFound: (404, "not-found"),
+    ConflictError: (409, "conflict"),
+    Behind: (503, "behind"),
+    StoreUnavailable: (503, "store-unavailable"),
+}
+"""HTTP status and fixed word of each error kind; any other error is 500, `internal`."""
+
+
+class Reply(msgspec.Struct):
+    """The answer to a command: a table, who was heard, and one sentence.
+
+    `not_heard` maps a VM's name to why it gave no answer; its rows are missing from `rows`.
+    `version` is the version of the configuration in force on the VM that answers.
+    """
+
+    columns: list[str] = []
+    rows: list[list[Any]] = []
+    heard: list[str] = []
+    not_heard: dict[str, str] = {}
+    version: int = 0
+    message: str = ""
+
+
+class ErrorBody(msgspec.Struct, omit_defaults=True):
+    """What is wrong: `column`, `expected` and `problems` only where they say something."""
+
+    kind: str
+    message: str
+    column: int = 0
+    expected: list[str] = []
+    problems: list[str] = []
+
+
+def json_answer(value: object, status: int = 200) -> AdminAnswer:
+    """Return a value as JSON; what has no JSON form is shown by `repr`."""
+    return AdminAnswer(status, JSON, msgspec.json.encode(value, enc_hook=repr))
+
+
+def text_answer(line: str, status: int = 200) -> AdminAnswer:
+    """Return one line of plain text."""
+    return AdminAnswer(status, TEXT, f"{line}\n".encode())
+
+
+def error_answer(error: Exception) -> AdminAnswer:
+    """Return an error as `{"error": {...}}` with its status."""
+    status, kind = 500, "internal"
+    if isinstance(error, RequestRejected):
+        status, kind = error.status, error.kind
+    for known, found in STATUSES.items():
+        if isinstance(error, known):
+            status, kind = found
+    message = str(error)
+    if not isinstance(error, SequoiaError):
+        log.error("a command failed: %s", error, exc_info=error)
+        message = f"The daemon failed ({type(error).__name__}); its log says where."
+    body = ErrorBody(
+        kind,
+        message,
+        getattr(error, "column", 0),
+        getattr(error, "expected", []),
+        getattr(error, "problems", []),
+    )
+    answer = json_answer({"error": body}, status)
+    if status == 401:
+        answer.headers = (("www-authenticate", "Bearer"),)
+    return answer
--- /dev/null
+++ b/sequoiabridge/operators/routes.py
@@ -0,0 +1,152 @@
+"""The admin port's routes: who may ask what, and which part answers it."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Awaitable, Callable
+
+from ..metrics import Metrics
+from .bases import Readiness
+from .dump import Dump
+from .errors import LanguageError, NotFound, RequestRejected
+from .executor import Executor
+from .messages import AdminAnswer, AdminHandler, AdminRequest
+from .reply import error_answer, json_answer, text_answer
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+AUTHOR = "sequoia-author"
+"""Header by which the tool names the operator; the token does not tell one from another."""
+
+UNNAMED = "operator"
+
+MAX_AUTHOR = 100
+
+EXPLAIN = "/explain/"
+
+Route = Callable[[AdminRequest], Awaitable[AdminAnswer]]
+
+
+class Routes(AdminHandler):
+    """Answers the admin port.
+
+    `/metrics`, `/ready` and `/live` are open; all else needs `Authorization: Bearer TOKEN`.
+    """
+
+    def __init__(
+        self, token: str, readiness: Readiness, metrics: Metrics, dump: Dump, executor: Executor
+    ):
+        if not token:
+            raise ValueError("The operators' token is empty; set [admin] token.")
+        self.token = token.encode()
+        self.readiness = readiness
+        self.metrics = metrics
+        self.dump = dump
+        self.executor = executor
+        self.open: dict[str, Route] = {
+            "/metrics": self._metrics,
+            "/ready": self._ready,
+            "/live": self._live,
+        }
+        self.guarded: dict[tuple[str, str], Route] = {
+            ("GET", "/dump"): self._dump,
+            ("GET", "/rows"): self._rows,
+            ("POST", "/ask"): self._ask,
+            ("POST", "/apply"): self._apply,
+        }
+
+    async def handle(self, request: AdminRequest) -> AdminAnswer:
+        """Answer one request; every error becomes an answer."""
+        try:
+            return await self._route(request)(request)
+        except Exception as error:
+            return error_answer(error)
+
+    def _route(self, request: AdminRequest) -> Route:
+        method = "GET" if request.method == "HEAD" else request.method
+        if method == "GET" and request.path in self.open:
+            return self.open[request.path]
+        self._check_token(request)
+        if method == "GET" and request.path.startswith(EXPLAIN):
+            return self._explain
+        route = self.guarded.get((method, request.path))
+        if route is None:
+            raise NotFound(f"There is no {method} {request.path}; see docs/operators/admin.md.")
+        return route
+
+    def _check_token(self, request: AdminRequest) -> None:
+        given = request.headers.get("authorization", "")
+        scheme, _, token = given.partition(" ")
+        right = hmac.compare_digest(token.strip().encode(), self.token)
+        if right and scheme.lower() == "bearer":
+            return
+        message = "Send the operators' token of [admin] in the settings as a bearer token."
+        raise RequestRejected(401, "unauthorized", message)
+
+    async def _metrics(self, request: AdminRequest) -> AdminAnswer:
+        return AdminAnswer(200, METRICS_TYPE, self.metrics.text())
+
+    async def _ready(self, request: AdminRequest) -> AdminAnswer:
+        ready, why = self.readiness.check()
+        return text_answer(why, 200 if ready else 503)
+
+    async def _live(self, request: AdminRequest) -> AdminAnswer:
+        return text_answer("The daemon runs.")
+
+    async def _dump(self, request: AdminRequest) -> AdminAnswer:
+        return json_answer(self.dump.collect(request.query.get("part")))
+
+    async def _explain(self, request: AdminRequest) -> AdminAnswer:
+        request_id = request.path.removeprefix(EXPLAIN)
+        if "local" in request.query:
+            lines = self.executor.journal.explain(request_id)
+            return json_answer(lines or [])
+        return answer_of(await self.executor.explain(request_id))
+
+    async def _rows(self, request: AdminRequest) -> AdminAnswer:
+        command = request.query.get("command", "")
+        rows = await self.executor.local_rows(command)
+        if rows.is_error():
+            raise rows.error
+        return json_answer(rows.ok)
+
+    async def _ask(self, request: AdminRequest) -> AdminAnswer:
+        text = text_body(request)
+        return answer_of(await self.executor.execute(text, author_of(request)))
+
+    async def _apply(self, request: AdminRequest) -> AdminAnswer:
+        text = text_body(request)
+        expect = number(request, "expect")
+        dry_run = request.query.get("dry_run", "0") not in ("0", "no", "false")
+        author = author_of(request)
+        return answer_of(await self.executor.apply(text, author, expect, dry_run))
+
+
+def answer_of(result) -> AdminAnswer:
+    """Return a reply as JSON, or its error."""
+    return json_answer(result.ok) if result.is_ok() else error_answer(result.error)
+
+
+def author_of(request: AdminRequest) -> str:
+    """Return the operator's name as the tool gave it."""
+    author = "".join(c for c in request.headers.get(AUTHOR, "") if c.isprintable()).strip()
+    return author[:MAX_AUTHOR] or UNNAMED
+
+
+def text_body(request: AdminRequest) -> str:
+    """Return the body as text."""
+    try:
+        return request.body.decode("utf-8")
+    except UnicodeDecodeError as error:
+        message = f"The text is not UTF-8 at byte {error.start + 1}; save it as UTF-8."
+        raise LanguageError(message, error.start + 1) from error
+
+
+def number(request: AdminRequest, name: str) -> int | None:
+    """Return a number of the query, or None if it is not there."""
+    text = request.query.get(name)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise RequestRejected(400, "bad-request", f"{name}={text} is not a whole number.")
+    return int(text)
