--- a/sequoiabridge/operators/admin.py
+++ b/sequoiabridge/operators/admin.py
@@ -85,6 +85,7 @@
             head = await self._next_event()
         if type(head) is not h11.Request:
             return False
+        self._check_head(head)
         self.busy = True
         self.head_only = head.method == b"HEAD"
         async with curio.timeout_after(self.limits.body_timeout):
@@ -108,6 +109,13 @@
             self._check_size(len(body))
         return bytes(body)
 
+    def _check_head(self, head: h11.Request) -> None:
+        # h11 limits only a head that comes in pieces.
+        size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+        if size > self.limits.max_head:
+            message = f"The head has over {self.limits.max_head} bytes; shorten its headers."
+            raise RequestRejected(431, "too-large", message)
+
     def _check_size(self, size: int) -> None:
         if size <= self.limits.max_body:
             return
--- a/sequoiabridge/operators/bases.py
+++ b/sequoiabridge/operators/bases.py
@@ -44,9 +44,7 @@
         """Return an older version, or `NotFound` with the versions that are kept."""
 
     @abstractmethod
-    async def propose(
-        self, change: Change, author: str, expect: int
-    ) -> Result[int, SequoiaError]:
+    async def propose(self, change: Change, author: str, expect: int) -> Result[int, SequoiaError]:
         """Commit a change on top of version `expect` and return the new version.
 
         Errors: `ConflictError` that names the newer version, its author and its time, when
--- a/sequoiabridge/operators/changes.py
+++ b/sequoiabridge/operators/changes.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from datetime import UTC, datetime
 
 from expression import Error, Ok, Result
 
 from ..config.change import Change, RemoveEntry, SetEntry
 from ..config.document import Document
+from ..config.kinds import KINDS
 from ..config.loading import diff, parse_document
 from ..config.problem import Problem
 from ..exceptions import ConflictError, SequoiaError
@@ -31,7 +31,7 @@
 
 
 def propose_command(
-    document: Document, command: ChangeCommand, author: str
+    document: Document, command: ChangeCommand, author: str, at: float
 ) -> Result[Proposal, SequoiaError]:
     """Return what a command would change, validated whole."""
     expected = check_expected(document, command.expect)
@@ -40,11 +40,11 @@
     entry = entry_of(document, command)
     if entry.is_error():
         return Error(entry.error)
-    return validated(document, Change([entry.ok]), author, "command")
+    return validated(document, Change([entry.ok]), author, at, "command")
 
 
 def propose_document(
-    document: Document, text: str, author: str, expect: int | None
+    document: Document, text: str, author: str, expect: int | None, at: float
 ) -> Result[Proposal, SequoiaError]:
     """Return what it takes to make the configuration what an INI text says."""
     expected = check_expected(document, expect)
@@ -53,7 +53,10 @@
     parsed = parse_document(text)
     if parsed.is_error():
         return Error(invalid(parsed.error))
-    return validated(document, diff(document, parsed.ok), author, "configuration")
+    if document.services and not parsed.ok.services:
+        message = "The document has no service and would remove all; remove them one by one."
+        return Error(InvalidChange(message, [message]))
+    return validated(document, diff(document, parsed.ok), author, at, "configuration")
 
 
 def check_expected(document: Document, expect: int | None) -> Result[None, SequoiaError]:
@@ -93,10 +96,9 @@
 
 
 def validated(
-    document: Document, change: Change, author: str, source: str
+    document: Document, change: Change, author: str, at: float, source: str
 ) -> Result[Proposal, SequoiaError]:
     """Return the proposal if the document that it leads to is valid."""
-    at = time.time()
     new = document.changed(change, document.version + 1, author, at, source=source)
     if new.is_error():
         return Error(invalid(new.error))
@@ -110,27 +112,30 @@
 
 
 def row_table(old: Document, new: Document) -> tuple[list[str], list[list[str]]]:
-    """Return the columns and rows of a difference, a row for each option that changed."""
+    """Return the columns and rows of a difference: one for each option that changed.
+
+    An entry that is added or removed has a row of its own before its options.
+    """
     rows = []
     for entry in diff(old, new).entries:
         before = options_in(old, entry.kind, entry.name)
         after = options_in(new, entry.kind, entry.name)
+        if before is None:
+            rows.append([entry.kind, entry.name, "(entry)", "", "added"])
+        if after is None:
+            rows.append([entry.kind, entry.name, "(entry)", "removed", ""])
+        before, after = before or {}, after or {}
         for option in sorted(before.keys() | after.keys()):
             values = before.get(option, ""), after.get(option, "")
             if values[0] != values[1]:
                 rows.append([entry.kind, entry.name, option, *values])
-        if isinstance(entry, RemoveEntry) or not before:
-            rows = rows or [[entry.kind, entry.name, "", "", ""]]
     return COLUMNS, rows
 
 
-def options_in(document: Document, kind: str, name: str) -> dict[str, str]:
-    """Return an entry's options in a document, none if it is not there."""
+def options_in(document: Document, kind: str, name: str) -> dict[str, str] | None:
+    """Return an entry's options in a document, or None if it is not there."""
     unknown = document.unknown.get((kind, name))
-    if unknown is not None:
+    if unknown is not None or kind not in KINDS:
         return unknown
-    try:
-        entry = document.entries(kind).get(name)
-    except AttributeError:
-        return {}
-    return entry.options() if entry else {}
+    entry = document.entries(kind).get(name)
+    return entry.options() if entry else None
--- a/sequoiabridge/operators/executor.py
+++ b/sequoiabridge/operators/executor.py
@@ -9,8 +9,9 @@
 
 from ..config.document import Document
 from ..exceptions import SequoiaError
+from ..timers import Clock
 from .bases import ConfigurationGate, Releases, StateSource
-from .changes import Proposal, propose_command, propose_document, row_table
+from .changes import Proposal, check_expected, propose_command, propose_document, row_table
 from .commands import ChangeCommand, Command, Diff, Explain, Release, Show
 from .errors import LanguageError, NotFound
 from .filtering import Test, chosen, compile_tests
@@ -29,6 +30,7 @@
     def __init__(
         self,
         vm: str,
+        clock: Clock,
         source: StateSource,
         gate: ConfigurationGate,
         releases: Releases,
@@ -36,6 +38,7 @@
         gatherer: Gatherer,
     ):
         self.vm = vm
+        self.clock = clock
         self.source = source
         self.gate = gate
         self.releases = releases
@@ -61,11 +64,9 @@
             return await self._release(command, author)
         return await self._change(command, author)
 
-    async def apply(
-        self, text: str, author: str, expect: int | None, dry_run: bool
-    ) -> Replied:
+    async def apply(self, text: str, author: str, expect: int | None, dry_run: bool) -> Replied:
         """Make the configuration what an INI document says."""
-        proposal = propose_document(self.gate.document(), text, author, expect)
+        proposal = propose_document(self.gate.document(), text, author, expect, self.clock.wall())
         return await self._propose(proposal, author, dry_run)
 
     async def local_rows(self, text: str) -> Result[list[ShowRow], SequoiaError]:
@@ -111,9 +112,7 @@
         table = [[getattr(row, column) for column in columns] for row in rows]
         return Ok(self._reply(columns, table, heard, not_heard))
 
-    async def _own_rows(
-        self, show: Show, tests: list[Test]
-    ) -> Result[list[ShowRow], SequoiaError]:
+    async def _own_rows(self, show: Show, tests: list[Test]) -> Result[list[ShowRow], SequoiaError]:
         rows = await self.source.rows(show.subject, show.of)
         return rows.map(lambda found: chosen(found, tests, show.limit))
 
@@ -143,7 +142,7 @@
         return Ok(self._reply(columns, rows, message=message))
 
     async def _change(self, command: ChangeCommand, author: str) -> Replied:
-        proposal = propose_command(self.gate.document(), command, author)
+        proposal = propose_command(self.gate.document(), command, author, self.clock.wall())
         return await self._propose(proposal, author, command.dry_run)
 
     async def _propose(
@@ -167,10 +166,9 @@
         return Ok(reply)
 
     async def _release(self, command: Release, author: str) -> Replied:
-        document = self.gate.document()
-        proposal = check_expected(document, command.expect)
-        if proposal.is_error():
-            return Error(proposal.error)
+        expected = check_expected(self.gate.document(), command.expect)
+        if expected.is_error():
+            return Error(expected.error)
         if command.dry_run:
             done = await self.releases.held(command.held, command.name)
         else:
--- a/sequoiabridge/operators/gather.py
+++ b/sequoiabridge/operators/gather.py
@@ -40,9 +40,7 @@
         peers: Returns the other daemons that are believed to live.
     """
 
-    def __init__(
-        self, peers: Callable[[], list[Peer]], token: str, timeout: float = PEER_TIMEOUT
-    ):
+    def __init__(self, peers: Callable[[], list[Peer]], token: str, timeout: float = PEER_TIMEOUT):
         self.peers = peers
         self.token = token
         self.timeout = timeout
@@ -60,8 +58,6 @@
             gathered.not_heard[peer.vm] = "its admin address is not known here"
             return
         try:
-            gathered.answers[peer.vm] = await fetch(
-                peer.address, target, self.token, self.timeout
-            )
+            gathered.answers[peer.vm] = await fetch(peer.address, target, self.token, self.timeout)
         except AdminError as error:
             gathered.not_heard[peer.vm] = str(error)
--- a/sequoiabridge/operators/reply.py
+++ b/sequoiabridge/operators/reply.py
@@ -11,7 +11,6 @@
 from .errors import Behind, InvalidChange, LanguageError, NotFound, RequestRejected
 from .messages import AdminAnswer
 
-if TYPE_CHECKING:
 log = get_log("admin")
 
 JSON = "application/json"
--- /dev/null
+++ b/sequoiabridge/tests/operators/fakes.py
@@ -0,0 +1,154 @@
+"""Fakes at the interfaces of the operators' side."""
+
+import curio
+from expression import Error, Ok
+
+from ...config.loading import parse_document
+from ...exceptions import ConflictError
+from ...metrics import Metrics
+from ...operators.admin import AdminLimits, AdminServer
+from ...operators.bases import ConfigurationGate, Readiness, Releases, StateSource
+from ...operators.dump import Dump
+from ...operators.errors import NotFound
+from ...operators.executor import Executor
+from ...operators.gather import Gatherer
+from ...operators.journal import Journal
+from ...operators.routes import Routes
+from ...operators.rows import UpstreamRow
+from ...timers import ManualClock
+
+TOKEN = "a-token-for-operators"
+
+CONFIGURATION = """
+[service spendview]
+
+[pool pool-a]
+service = spendview
+slots = 2
+
+[upstream a1]
+pool = pool-a
+address = 10.0.0.1:80
+
+[rule reads]
+service = spendview
+path = /dashboards/*
+idempotent = yes
+"""
+
+
+class FakeSource(StateSource):
+    """Gives the same rows for each subject."""
+
+    def __init__(self, rows):
+        self.found = rows
+
+    async def rows(self, subject, of):
+        return Ok(self.found)
+
+
+class FakeGate(ConfigurationGate):
+    """Keeps all versions in memory; `lag` versions are not known to this VM."""
+
+    def __init__(self):
+        first = parse_document(CONFIGURATION).default_with(lambda problems: problems)
+        self.documents = {1: first}
+        self.lag = 0
+
+    def document(self):
+        return self.documents[max(self.documents) - self.lag]
+
+    async def at_version(self, version):
+        found = self.documents.get(version)
+        return Ok(found) if found else Error(NotFound(f"Version {version} is not kept."))
+
+    async def propose(self, change, author, expect):
+        newest = self.documents[max(self.documents)]
+        if expect != newest.version:
+            return Error(ConflictError(f"{newest.author} set version {newest.version}."))
+        made = newest.changed(change, newest.version + 1, author, 1_700_000_000.0)
+        return made.map(self._keep)
+
+    def _keep(self, document):
+        self.documents[document.version] = document
+        return document.version
+
+
+class FakeReleases(Releases):
+    """Knows one claim."""
+
+    def __init__(self):
+        self.released = []
+
+    async def held(self, held, name):
+        return Ok("Held.") if name == "claim-1" else Error(NotFound(f"There is no {name}."))
+
+    async def release(self, held, name, author):
+        self.released.append((held, name, author))
+        return await self.held(held, name)
+
+
+class FakeReadiness(Readiness):
+    """Is what `state` says."""
+
+    def __init__(self):
+        self.state = (True, "It serves callers.")
+
+    def check(self):
+        return self.state
+
+
+class FakeDaemon:
+    """The operators' side of one daemon, on fakes."""
+
+    def __init__(self, vm="vm1", peers=(), parts=(), timeout=0.05, **limits):
+        self.clock = ManualClock()
+        self.gate = FakeGate()
+        self.releases = FakeReleases()
+        self.readiness = FakeReadiness()
+        self.journal = Journal(self.clock, vm)
+        rows = [UpstreamRow("a1", vm, "spendview", in_flight=2), UpstreamRow("a2", vm, "mottag")]
+        self.executor = Executor(
+            vm,
+            self.clock,
+            FakeSource(rows),
+            self.gate,
+            self.releases,
+            self.journal,
+            Gatherer(lambda: list(peers), TOKEN, timeout),
+        )
+        dump = Dump(vm, lambda: list(parts), [TOKEN])
+        routes = Routes(TOKEN, self.readiness, Metrics(), dump, self.executor)
+        self.server = AdminServer("127.0.0.1:0", routes, AdminLimits(**limits))
+
+    def ask(self, text):
+        """Run one command without HTTP; return the reply or the error."""
+        result = curio.run(self.executor.execute(text, "anna"))
+        return result.ok if result.is_ok() else result.error
+
+    async def __aenter__(self):
+        await self.server.bind()
+        self.task = await curio.spawn(self.server.run())
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.task.cancel()
+
+
+async def talk(address, data, until_closed=True):
+    """Send bytes and return what comes back, all of it or the first piece."""
+    host, port = address.split(":")
+    sock = await curio.open_connection(host, int(port))
+    async with sock:
+        await sock.sendall(data)
+        answer = await sock.recv(65536)
+        while until_closed and (piece := await sock.recv(65536)):
+            answer += piece
+        return answer
+
+
+def request(method, target, body=b"", token=TOKEN, extra=""):
+    """Return the bytes of one request on a connection of its own."""
+    auth = f"Authorization: Bearer {token}\r\n" if token else ""
+    head = f"{method} {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{auth}{extra}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
--- /dev/null
+++ b/sequoiabridge/tests/operators/test_admin.py
@@ -0,0 +1,108 @@
+"""The admin port over real loopback sockets: who may ask what, limits, and a full port."""
+
+import curio
+import msgspec
+import pytest
+
+from .fakes import TOKEN, FakeDaemon, request, talk
+
+
+def serve(*requests, **daemon_options):
+    """Send each request to one daemon; return the answers' status codes and bodies."""
+
+    async def run():
+        async with FakeDaemon(**daemon_options) as daemon:
+            return [split(await talk(daemon.server.address, data)) for data in requests]
+
+    return curio.run(run)
+
+
+def split(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+@pytest.mark.parametrize("token", ["", "wrong", TOKEN + "x", TOKEN[:-1], "é"])
+def test_a_wrong_token_opens_nothing_but_health_and_metrics(token):
+    guarded = ["GET /dump", "POST /ask", "POST /apply", "GET /explain/r1", "GET /rows", "GET /no"]
+    pages = ["GET /ready", "GET /live", "GET /metrics", "HEAD /ready"]
+    answers = serve(*(request(*page.split(), token=token) for page in guarded + pages))
+    assert [status for status, _ in answers] == [401] * len(guarded) + [200] * len(pages)
+    assert not any(TOKEN.encode() in body for _, body in answers)
+
+
+def test_ready_fails_with_one_sentence_while_it_drains():
+    async def run():
+        async with FakeDaemon() as daemon:
+            daemon.readiness.state = (False, "It is draining.")
+            return await talk(daemon.server.address, request("GET", "/ready", token=""))
+
+    assert split(curio.run(run)) == (503, b"It is draining.\n")
+
+
+def test_errors_carry_kind_column_and_message():
+    (status, body), (missing, _), (bad, _) = serve(
+        request("POST", "/ask", b"show serices"),
+        request("GET", "/dump?part=none"),
+        request("POST", "/apply?expect=x", b""),
+    )
+    error = msgspec.json.decode(body)["error"]
+    assert (status, missing, bad) == (400, 404, 400)
+    assert (error["kind"], error["column"]) == ("language", 6)
+    assert "Did you mean services?" in error["message"]
+
+
+def test_the_loser_of_a_race_gets_409_and_the_winners_name():
+    async def run():
+        async with FakeDaemon() as daemon:
+            address = daemon.server.address
+            drain = request("POST", "/ask", b"drain upstream a1", extra="Sequoia-Author: anna\r\n")
+            resume = request("POST", "/ask", b"resume upstream a1 expect version 1")
+            return split(await talk(address, drain)), split(await talk(address, resume))
+
+    (won, first), (lost, second) = curio.run(run)
+    assert (won, lost) == (200, 409)
+    assert msgspec.json.decode(first)["version"] == 2
+    assert "anna set version 2" in msgspec.json.decode(second)["error"]["message"]
+
+
+def test_limits_on_head_and_body():
+    chunked = b"POST /ask HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    answers = serve(
+        request("GET", "/live", extra=f"X: {'y' * 5000}\r\n"),
+        request("POST", "/ask", b"z" * 2000),
+        chunked + b"7d0\r\n" + b"z" * 2000 + b"\r\n0\r\n\r\n",
+        b"GET /live HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        max_head=1000,
+        max_body=1000,
+    )
+    assert [status for status, _ in answers] == [431, 413, 413, 400]
+
+
+def test_a_silent_client_is_closed_and_a_full_port_lets_the_health_check_in():
+    async def run():
+        async with FakeDaemon(connections=2, idle_timeout=0.05) as daemon:
+            idle = talk(daemon.server.address, b"GET /li")
+            assert await idle == b""
+        async with FakeDaemon(connections=2, idle_timeout=60.0) as daemon:
+            address = daemon.server.address
+            waiting = [await curio.spawn(talk(address, b"GET /li")) for _ in range(2)]
+            while daemon.server.accepted < 2:
+                await curio.sleep(0)
+            answer = await talk(address, request("GET", "/ready"))
+            closed = await waiting[0].join()
+            await waiting[1].cancel()
+            return split(answer), closed, daemon.server.dump()["turned_away"]
+
+    assert curio.run(run) == ((200, b"It serves callers.\n"), b"", 1)
+
+
+def test_requests_follow_each_other_on_one_connection():
+    one = b"GET /live HTTP/1.1\r\nHost: x\r\n\r\n"
+    last = request("GET", "/ready")
+
+    async def run():
+        async with FakeDaemon() as daemon:
+            return await talk(daemon.server.address, one + one + last)
+
+    assert curio.run(run).count(b"HTTP/1.1 200") == 3
--- /dev/null
+++ b/sequoiabridge/tests/operators/test_executor.py
@@ -0,0 +1,132 @@
+"""Commands carried out: gathering with VMs that fail, changes that race, filters by type."""
+
+import curio
+import pytest
+
+from ...exceptions import ConflictError
+from ...operators.errors import Behind, InvalidChange, LanguageError, NotFound
+from ...operators.gather import Peer
+from .fakes import FakeDaemon
+
+
+async def accept_only(sock, answer=b""):
+    client, _ = await sock.accept()
+    async with client:
+        await client.sendall(answer)
+        if not answer:
+            await curio.sleep(3600)
+
+
+def gathered(command):
+    """Ask a daemon whose peers are: one that lives, one silent, one cut short, one unknown."""
+
+    async def run():
+        silent, short = (curio.network.tcp_server_socket("127.0.0.1", 0) for _ in range(2))
+        ports = [sock.getsockname()[1] for sock in (silent, short)]
+        cut = b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n[{"
+        tasks = [await curio.spawn(accept_only(silent)), await curio.spawn(accept_only(short, cut))]
+        async with silent, short, FakeDaemon("vm2") as other:
+            other.journal.record("r7", "spendview", "read", "a1", 200, 0.01, 0.0, attempts=2)
+            peers = [Peer("vm2", other.server.address), Peer("gone", "")]
+            peers += [Peer("silent", f"127.0.0.1:{ports[0]}"), Peer("cut", f"127.0.0.1:{ports[1]}")]
+            # The live one may take its time; the silent one is given up after the timeout.
+            daemon = FakeDaemon("vm1", peers=peers, timeout=0.5)
+            result = await daemon.executor.execute(command, "anna")
+            for task in tasks:
+                await task.cancel()
+            return result.ok if result.is_ok() else result.error
+
+    return curio.run(run)
+
+
+def test_rows_of_vms_that_fail_are_missing_by_name():
+    reply = gathered("show upstreams where in_flight >= 2")
+    assert [row[:2] for row in reply.rows] == [["a1", "vm1"], ["a1", "vm2"]]
+    assert reply.heard == ["vm1", "vm2"]
+    assert set(reply.not_heard) == {"silent", "cut", "gone"}
+    assert "no answer within" in reply.not_heard["silent"]
+    assert len(gathered("show upstreams limit 1").rows) == 1
+
+
+def test_explain_asks_the_vm_that_had_the_call():
+    reply = gathered("explain r7")
+    assert [row[0] for row in reply.rows] == ["vm2", "vm2"]
+    assert "after 10.0 ms and 2 attempt(s)" in reply.rows[-1][1]
+    missing = gathered("explain r8")
+    assert isinstance(missing, NotFound)
+    assert "Not heard: cut, gone, silent" in str(missing)
+
+
+@pytest.mark.parametrize(
+    "where, names",
+    [
+        ("in_flight < 1", ["a2"]),
+        ("service ~ SPEND", ["a1"]),
+        ("name != a1 and service = mottag", ["a2"]),
+    ],
+)
+def test_conditions_compare_by_the_fields_type(where, names):
+    reply = FakeDaemon().ask(f"show upstreams where {where}")
+    assert [row[0] for row in reply.rows] == names
+
+
+def test_a_value_of_the_wrong_type_is_an_error_with_its_column():
+    error = FakeDaemon().ask("show upstreams where in_flight > many")
+    assert isinstance(error, LanguageError)
+    assert error.column == 22
+    assert [row[0] for row in FakeDaemon().ask("show upstreams of mottag").rows] == ["a2"]
+
+
+def test_set_keeps_the_other_options_and_a_dry_run_changes_nothing():
+    daemon = FakeDaemon()
+    change = "set upstream a1 slots = 4"
+    dry = daemon.ask(change + " dry run expect version 1")
+    assert dry.rows == [["upstream", "a1", "slots", "0", "4"]]
+    assert (dry.version, max(daemon.gate.documents)) == (1, 1)
+    assert daemon.ask(change).version == 2
+    upstream = daemon.gate.document().upstreams["a1"]
+    assert (upstream.slots, upstream.address) == (4, "10.0.0.1:80")
+    assert daemon.ask("diff 1 2").rows == dry.rows
+    assert daemon.ask(change).message.startswith("Nothing to change")
+    assert max(daemon.gate.documents) == 2
+
+
+def test_a_vm_that_lags_neither_overwrites_nor_guesses():
+    daemon = FakeDaemon()
+    daemon.ask("set upstream a1 slots = 4")
+    newest = daemon.gate.document()
+    daemon.gate.lag = 1
+    assert isinstance(daemon.ask("drain upstream a1"), ConflictError)
+    assert isinstance(daemon.ask("drain upstream a1 expect version 2"), Behind)
+    daemon.gate.lag = 0
+    assert isinstance(daemon.ask("release claim claim-1 expect version 1"), ConflictError)
+    assert daemon.gate.document() is newest
+    assert daemon.releases.released == []
+
+
+@pytest.mark.parametrize(
+    "command, kind, words",
+    [
+        ("remove pool pool-a", InvalidChange, "a1"),
+        ("add upstream a1 with pool = pool-a, address = 10.0.0.2:80", InvalidChange, "with set"),
+        ("set upstream a1 slotz = 4", InvalidChange, "slots"),
+        ("drain upstream a9", NotFound, "show upstreams"),
+        ("release crash 00", NotFound, "00"),
+    ],
+)
+def test_wrong_changes_name_the_remedy_and_change_nothing(command, kind, words):
+    daemon = FakeDaemon()
+    error = daemon.ask(command)
+    assert isinstance(error, kind)
+    assert words in str(error)
+    assert max(daemon.gate.documents) == 1
+
+
+def test_apply_makes_the_document_so_but_not_an_empty_one():
+    daemon = FakeDaemon()
+    text = daemon.gate.document().to_ini() + "\n[service mottag]\npath_prefix = /images\n"
+    reply = curio.run(daemon.executor.apply(text, "anna", 1, False)).ok
+    assert ["service", "mottag", "(entry)", "", "added"] in reply.rows
+    assert daemon.gate.document().services.keys() == {"spendview", "mottag"}
+    assert curio.run(daemon.executor.apply("", "anna", None, False)).is_error()
+    assert curio.run(daemon.executor.apply(text, "anna", 1, False)).is_error()
--- /dev/null
+++ b/sequoiabridge/tests/operators/test_journal.py
@@ -0,0 +1,60 @@
+"""The journal: what it keeps, its bounds, and the story it tells."""
+
+from ...exceptions import Refusal
+from ...operators.journal import MAX_NOTES, Journal
+from ...operators.steps import AttemptEnded, Chosen, Repeated
+from ...outcome import Outcome, Reason
+from ...policy.base import Failure, Weighed
+from ...timers import ManualClock
+
+
+def record(journal, request_id, **more):
+    journal.record(request_id, "spendview", "read", "a1", 200, 0.02, journal.clock.now(), **more)
+
+
+def test_both_rings_are_bounded_and_plain_calls_do_not_push_out_refusals():
+    journal = Journal(ManualClock(), "vm1", recent_calls=10, kept_calls=5, kept_bytes=10_000)
+    refusal = Refusal(503, Outcome.NOT_RUN, Reason.QUEUE_FULL, "Try again later.")
+    record(journal, "refused", refusal=refusal)
+    for number in range(100):
+        record(journal, f"plain-{number}")
+    assert len(journal.recent) == 10
+    assert journal.refusals()[0].reason == "queue-full"
+    for number in range(6):
+        record(journal, f"retried-{number}", attempts=2)
+    assert (len(journal.kept), journal.find("refused")) == (5, None)
+    record(journal, "long", notes=["x" * 9_000])
+    assert [entry.id for entry in journal.kept] == ["long"]
+    record(journal, "longer", notes=["x" * 11_000])
+    assert (len(journal.kept), journal.bytes) == (0, 0)
+
+
+def test_a_call_with_endless_notes_keeps_the_first_and_the_last():
+    journal = Journal(ManualClock(), "vm1")
+    notes = [f"note {number}" for number in range(1000)]
+    record(journal, "r1", notes=notes)
+    notes.append("a late loser")
+    story = journal.explain("r1")
+    assert len(story) <= MAX_NOTES + 3
+    assert (story[1], story[-2]) == ("note 0", "note 999")
+
+
+def test_explain_says_what_was_weighed_and_why_each_retry():
+    journal = Journal(ManualClock(), "vm1", sample_every=2)
+    weighed = [Weighed("a1", 0.5, "1 in flight, 4 ms old"), Weighed("a2", 2.0, "3 in flight")]
+    notes = [
+        Chosen("a1", weighed),
+        AttemptEnded("a1", Failure.SHED, sent=True, seconds=0.004),
+        Repeated("retry", True, "the upstream said that it did not run"),
+        Repeated("hedge", False, "the budget is spent"),
+    ]
+    record(journal, "r1", attempts=2, notes=notes)
+    assert journal.explain("r1")[1:] == [
+        "chose a1; weighed: a1 0.5 (1 in flight, 4 ms old); a2 2 (3 in flight)",
+        "a1 failed after 4.0 ms: shed, may have reached it",
+        "retry: the upstream said that it did not run",
+        "no hedge: the budget is spent",
+        "answered 200 by a1 after 20.0 ms and 2 attempt(s)",
+    ]
+    assert journal.explain("r2") is None
+    assert [journal.sampled() for _ in range(4)] == [False, True, False, True]
--- /dev/null
+++ b/sequoiabridge/tests/test_metrics.py
@@ -0,0 +1,55 @@
+"""The metrics: what a scrape shows, a part that fails, and a page that names every metric."""
+
+import re
+from pathlib import Path
+
+from ..metrics import Metrics
+from ..outcome import Outcome, Reason
+
+PAGE = Path(__file__).parents[2] / "docs" / "operators" / "metrics.md"
+
+
+def sample(metrics, name, **labels):
+    return metrics.registry.get_sample_value(name, labels)
+
+
+def test_calls_latency_and_window():
+    metrics = Metrics()
+    metrics.answered("spendview", "read", 200, 0.004, True)
+    metrics.answered("spendview", "read", 503, 45.0, False)
+    metrics.answered("spendview", "read", 777, 0.005, True)
+    one = {"service": "spendview", "kind": "read"}
+    assert sample(metrics, "sequoia_calls_total", status="5xx", **one) == 1
+    assert sample(metrics, "sequoia_calls_total", status="other", **one) == 1
+    assert sample(metrics, "sequoia_calls_by_window_total", in_window="no", **one) == 1
+    assert sample(metrics, "sequoia_call_seconds_bucket", le="0.005", **one) == 2
+    assert sample(metrics, "sequoia_call_seconds_bucket", le="30.0", **one) == 2
+    assert sample(metrics, "sequoia_call_seconds_bucket", le="+Inf", **one) == 3
+
+
+def test_the_cost_of_measuring_per_1000_calls():
+    metrics = Metrics()
+    for _ in range(500):
+        metrics.answered("katalog", "manifest", 200, 0.01, True)
+    metrics.measured("katalog", "probe", 120, 0.001)
+    metrics.measured("katalog", "fleet", 80, 0.0)
+    assert sample(metrics, "sequoia_probes_per_1000_calls", service="katalog") == 2
+    assert sample(metrics, "sequoia_measuring_bytes_per_1000_calls", service="katalog") == 400
+
+
+def test_a_part_that_fails_does_not_hide_the_others():
+    metrics = Metrics()
+    metrics.gauge("sequoia_ready", "Ready.", lambda: 1 // 0)
+    metrics.gauge("sequoia_queue_length", "Queue.", lambda: [(("mottag",), 3)], ("service",))
+    metrics.refused("mottag", Reason.QUEUE_FULL, Outcome.NOT_RUN)
+    metrics.text()
+    text = metrics.text().decode()
+    assert 'sequoia_queue_length{service="mottag"} 3.0' in text
+    assert 'sequoia_collect_failures_total{metric="sequoia_ready"} 1.0' in text
+    assert 'outcome="not-run",reason="queue-full"' in text
+
+
+def test_the_page_names_every_metric_that_the_daemon_has_from_the_start():
+    named = set(re.findall(r"`(sequoia_\w+)`", PAGE.read_text(encoding="utf-8")))
+    has = {metric.name for metric in Metrics().collect()}
+    assert {name.removesuffix("_total") for name in named} >= has
