--- a/sequoiabridge/operators/changes.py
+++ b/sequoiabridge/operators/changes.py
@@ -124,9 +124,8 @@
             rows.append([entry.kind, entry.name, "(entry)", "", "added"])
         if after is None:
             rows.append([entry.kind, entry.name, "(entry)", "removed", ""])
-        before, after = before or {}, after or {}
-        for option in sorted(before.keys() | after.keys()):
-            values = before.get(option, ""), after.get(option, "")
+        for option in sorted((before or {}).keys() | (after or {}).keys()):
+            values = shown(entry.kind, option, before), shown(entry.kind, option, after)
             if values[0] != values[1]:
                 rows.append([entry.kind, entry.name, option, *values])
     return COLUMNS, rows
@@ -139,3 +138,12 @@
         return unknown
     entry = document.entries(kind).get(name)
     return entry.options() if entry else None
+
+
+def shown(kind: str, option: str, options: dict[str, str] | None) -> str:
+    """Return an option's text, its default's if it is not given, "" without an entry."""
+    if options is None:
+        return ""
+    field = KINDS[kind].fields.get(option) if kind in KINDS else None
+    default = "" if field is None or field.required else field.format(field.default)
+    return options.get(option, default)
--- a/sequoiabridge/operators/errors.py
+++ b/sequoiabridge/operators/errors.py
@@ -7,7 +7,7 @@
     """A command is not in the language.
 
     Args:
-        message: One sentence that says what was found and what was expected.
+        message: What was found and what was expected; the tool puts the column before it.
         column: Where, counted from 1.
         expected: What may stand there, in words that an operator can type or look up.
     """
--- a/sequoiabridge/operators/filtering.py
+++ b/sequoiabridge/operators/filtering.py
@@ -57,7 +57,7 @@
         wanted = typed(value, kind)
     except ValueError:
         example = {bool: "yes or no", int: "a whole number", float: "a number"}[kind]
-        message = f"Column {condition.column}: {field} is {example}, and {value} is not."
+        message = f"{field} is {example}, and {value} is not."
         return Error(LanguageError(message, condition.column, [example]))
     return Ok(lambda row: compare(getattr(row, field), wanted))
 
--- a/sequoiabridge/operators/parser.py
+++ b/sequoiabridge/operators/parser.py
@@ -70,9 +70,9 @@
 
 
 def parse(text: str) -> Result[Command, LanguageError]:
-    """Parse one command; the error names the column and what was expected there."""
+    """Parse one command; the error has the column and says what was expected there."""
     if len(text) > MAX_COMMAND:
-        message = f"The command has {len(text)} characters; the most is {MAX_COMMAND}."
+        message = f"the command has {len(text)} characters; the most is {MAX_COMMAND}."
         return Error(LanguageError(message, MAX_COMMAND + 1))
     try:
         tree = PARSER.parse(text)
@@ -91,11 +91,11 @@
     words, forms = expected_at(error)
     found = FOUND.match(text, position)
     expected = [*words, *forms]
-    message = f"Column {position + 1}: expected {any_of(expected)}"
+    message = f"expected {any_of(expected)}"
     if found is None:
         return LanguageError(f"{message}, but the command ends here.", position + 1, expected)
     if found.group() == '"':
-        message = f"Column {position + 1}: the quote is not closed; put another after the value."
+        message = "the quote is not closed; put another after the value."
         return LanguageError(message, position + 1, ['"'])
     message = f"{message}, but found {shown(found.group())}."
     return LanguageError(message + did_you_mean(found.group(), words), position + 1, expected)
@@ -231,13 +231,13 @@
     def _check_field(self, condition: Condition, fields: list[str]) -> None:
         if condition.field in fields:
             return
-        message = f"Column {condition.column}: expected {any_of(fields)}, "
+        message = f"expected {any_of(fields)}, "
         message += f"but found {condition.field}." + did_you_mean(condition.field, fields)
         self.problems.append(LanguageError(message, condition.column, fields))
 
     def _twice(self, token: Token, what: str) -> None:
         column = token.start_pos + 1
-        message = f"Column {column}: {what} is given twice; give it once."
+        message = f"{what} is given twice; give it once."
         self.problems.append(LanguageError(message, column))
 
 
--- a/sequoiabridge/tests/operators/test_journal.py
+++ b/sequoiabridge/tests/operators/test_journal.py
@@ -24,7 +24,8 @@
         record(journal, f"retried-{number}", attempts=2)
     assert (len(journal.kept), journal.find("refused")) == (5, None)
     record(journal, "long", notes=["x" * 9_000])
-    assert [entry.id for entry in journal.kept] == ["long"]
+    assert [entry.id for entry in journal.kept] == ["retried-4", "retried-5", "long"]
+    assert journal.bytes <= journal.kept_bytes
     record(journal, "longer", notes=["x" * 11_000])
     assert (len(journal.kept), journal.bytes) == (0, 0)
 
--- a/sequoiabridge/tests/operators/test_parser.py
+++ b/sequoiabridge/tests/operators/test_parser.py
@@ -7,8 +7,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ...operators.commands import ChangeCommand, Command, Condition, EntryKind, SetOptions, Show
-from ...operators.commands import Subject
+from ...operators.commands import (
+    ChangeCommand,
+    Command,
+    Condition,
+    EntryKind,
+    SetOptions,
+    Show,
+    Subject,
+)
 from ...operators.errors import LanguageError
 from ...operators.parser import MAX_COMMAND, PARSER, parse
 
