Choose an upstream by evidence that fades

Cause: a daemon must pick among upstreams whose load moves in milliseconds. Ruled out: a pool average weighted by calls (the upstream that attracts most work then sets the measure, and a lying one hides: its trust stayed at 1.0 in a unit test); averages now count each upstream once. Ruled out: absolute failure cost (a pool that failed whole came back one-sided). Change: evidence, pool state, ejection, choosers with four baselines.

--- /dev/null
+++ b/sequoiabridge/policy/choosers.py
@@ -0,0 +1,159 @@
+"""Ways to pick an upstream: ours (`evidence`) and the baselines it is measured against."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+from random import Random
+
+from ..exceptions import ConfigurationError
+from .base import Chooser, Weighed
+from .evidence import UpstreamEvidence
+
+OVERDUE_FROM = 3.0
+"""A call in flight counts against its upstream from this multiple of the pool's latency."""
+
+OVERDUE_COST = 0.5
+"""Work per slot that one more multiple of lateness counts as."""
+
+FAILURE_COST = 6.0
+"""Work per slot that failing on every call counts as, next to a pool that never fails."""
+
+FAILURE_FROM = 0.05
+"""Share of failures over the pool's that is let pass, so that old failures are forgotten."""
+
+SHED_COST = 4.0
+"""Work per slot that a fresh refusal counts as."""
+
+SUSPECT_COST = 1.0
+"""Work per slot that other VMs' suspicion counts as, at most."""
+
+SLOW_FROM = 1.5
+"""Latency, as a multiple of the pool's, from which an upstream counts as slow."""
+
+
+def untried(
+    candidates: Sequence[UpstreamEvidence], tried: Collection[str]
+) -> Sequence[UpstreamEvidence]:
+    """Return the candidates that have not had the request yet, or all if all have had it."""
+    if not tried:
+        return candidates
+    return [c for c in candidates if c.name not in tried] or candidates
+
+
+class EvidenceChooser(Chooser):
+    """The least of all candidates by estimated work, slowness, lateness and failures."""
+
+    def choose(
+        self,
+        candidates: Sequence[UpstreamEvidence],
+        now: float,
+        random: Random,
+        tried: Collection[str] = (),
+    ) -> UpstreamEvidence | None:
+        best, lowest = None, float("inf")
+        for candidate in untried(candidates, tried):
+            score = self.score(candidate, now) * (1.0 + 0.1 * random.random())
+            if score < lowest:
+                best, lowest = candidate, score
+        return best
+
+    def score(self, upstream: UpstreamEvidence, now: float) -> float:
+        """Return the upstream's cost for one more call; the least is chosen."""
+        cost = upstream.load(now) + 1.0 / upstream.slots
+        if upstream.samples and upstream.latency > SLOW_FROM * upstream.averages.latency:
+            cost *= max(1.0, upstream.slowness(now) / SLOW_FROM)
+        if upstream.starts:
+            late = upstream.overdue(now) - OVERDUE_FROM
+            if late > 0.0:
+                cost += OVERDUE_COST * late
+        if upstream.failures:
+            more = upstream.failure_share(now) - upstream.averages.failures
+            if more > FAILURE_FROM:
+                cost += FAILURE_COST * more
+        if upstream.shed_until > now:
+            cost += SHED_COST
+        if upstream.suspected:
+            cost += SUSPECT_COST
+        return cost
+
+    def explain(self, candidates: Sequence[UpstreamEvidence], now: float) -> list[Weighed]:
+        weighed = [Weighed(c.name, self.score(c, now), self.detail(c, now)) for c in candidates]
+        return sorted(weighed, key=lambda w: w.score)
+
+    def detail(self, upstream: UpstreamEvidence, now: float) -> str:
+        """Return the evidence behind a score in one line."""
+        age = now - upstream.report_at
+        report = "no report"
+        if upstream.report is not None:
+            report = f"report {upstream.report.in_flight} of {age * 1000:.0f} ms ago"
+        return (
+            f"{report}, trust {upstream.trust:.2f}, own {upstream.in_flight}, "
+            f"latency {upstream.slowness(now):.1f}x the pool's, "
+            f"oldest call {upstream.overdue(now):.1f}x, "
+            f"failures {upstream.failure_share(now):.0%}"
+        )
+
+
+class RandomChooser(Chooser):
+    """Baseline: any candidate."""
+
+    def choose(self, candidates, now, random, tried=()):
+        candidates = untried(candidates, tried)
+        return random.choice(candidates) if candidates else None
+
+
+class RoundRobinChooser(Chooser):
+    """Baseline: one after another."""
+
+    def __init__(self):
+        self.turn: int | None = None
+
+    def choose(self, candidates, now, random, tried=()):
+        candidates = untried(candidates, tried)
+        if not candidates:
+            return None
+        if self.turn is None:
+            self.turn = random.randrange(len(candidates))
+        self.turn += 1
+        return candidates[self.turn % len(candidates)]
+
+
+class LeastOwnChooser(Chooser):
+    """Baseline: the least of this daemon's own calls in flight; ties at random."""
+
+    def choose(self, candidates, now, random, tried=()):
+        candidates = untried(candidates, tried)
+        if not candidates:
+            return None
+        least = min(c.in_flight for c in candidates)
+        return random.choice([c for c in candidates if c.in_flight == least])
+
+
+class TwoChoicesChooser(Chooser):
+    """Baseline: of two candidates at random, the one with fewer own calls in flight."""
+
+    def choose(self, candidates, now, random, tried=()):
+        candidates = untried(candidates, tried)
+        if not candidates:
+            return None
+        first, second = random.choice(candidates), random.choice(candidates)
+        return first if first.in_flight <= second.in_flight else second
+
+
+CHOOSERS: dict[str, type[Chooser]] = {
+    "evidence": EvidenceChooser,
+    "random": RandomChooser,
+    "round-robin": RoundRobinChooser,
+    "least-own": LeastOwnChooser,
+    "two-choices": TwoChoicesChooser,
+}
+"""Choosers by the name that the service option `chooser` takes."""
+
+
+def chooser_named(name: str) -> Chooser:
+    """Return a new chooser; raises `ConfigurationError` for a name that is not known."""
+    kind = CHOOSERS.get(name)
+    if kind is None:
+        known = ", ".join(sorted(CHOOSERS))
+        raise ConfigurationError(f"no chooser is named {name!r}; write one of: {known}")
+    return kind()
--- /dev/null
+++ b/sequoiabridge/policy/ejection.py
@@ -0,0 +1,94 @@
+"""When an upstream gets no work for a while, and how it comes back.
+
+An upstream is ejected when it fails much more than the rest of its pool, or is much slower. It
+comes back on trial, one call of this daemon at a time, and each ejection in a row lasts twice as
+long as the one before. Only a share of the pool is ever ejected.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from .evidence import UpstreamEvidence
+
+FIRST_EJECTION = 0.25
+"""Seconds of a first ejection."""
+
+LONGEST_EJECTION = 8.0
+"""Seconds that an ejection lasts at most."""
+
+FAILURES_IN_ROW = 3
+"""Failures in a row for which an upstream is ejected, if its pool does better."""
+
+FAILURE_LIMIT = 0.4
+"""Share of failures from which an upstream may be ejected."""
+
+FAILURE_RATIO = 1.5
+"""How many times the pool's share of failures an ejected upstream's must be."""
+
+SLOW_LIMIT = 4.0
+"""Latency, as a multiple of the pool's, for which an upstream is ejected."""
+
+OVERDUE_LIMIT = 8.0
+"""Age of a call in flight, as a multiple of the pool's latency, for the same."""
+
+FEWEST_SAMPLES = 2
+"""Answers without which an upstream is not ejected for its latency."""
+
+TRIAL_LATENCY = 3.0
+"""Latency, as a multiple of the pool's, up to which an answer on trial is a good one."""
+
+TRIALS = 3
+"""Good answers in a row that end a trial."""
+
+
+class Ejector:
+    """Ejects upstreams of one service and takes them back; at most `cap` of them at a time."""
+
+    def __init__(self, cap: float, random: Random):
+        self.cap = cap
+        self.random = random
+        self.count = 0
+
+    def allowed(self, total: int) -> int:
+        """Return how many of `total` upstreams may be out: the cap, but one of three or more."""
+        if self.cap <= 0.0 or total < 3:
+            return 0
+        return max(1, int(self.cap * total))
+
+    def should_eject(self, upstream: UpstreamEvidence, now: float) -> bool:
+        """Return whether its failures or its latency stand out from its pool."""
+        averages = upstream.averages
+        if upstream.failed_in_row >= FAILURES_IN_ROW:
+            share = upstream.failure_share(now)
+            return share > max(FAILURE_LIMIT, FAILURE_RATIO * averages.failures)
+        if upstream.samples < FEWEST_SAMPLES:
+            return False
+        return upstream.slowness(now) > SLOW_LIMIT or (
+            upstream.slowness(now) > 2.0 and upstream.overdue(now) > OVERDUE_LIMIT
+        )
+
+    def eject(self, upstream: UpstreamEvidence, now: float, ejected: int, total: int) -> bool:
+        """Eject it unless the cap forbids; `ejected` of `total` upstreams are out already."""
+        if ejected >= self.allowed(total):
+            return False
+        length = min(LONGEST_EJECTION, FIRST_EJECTION * 2**upstream.ejections)
+        upstream.ejected_until = now + length * self.random.uniform(0.75, 1.25)
+        upstream.ejections += 1
+        upstream.on_trial = True
+        upstream.good_trials = 0
+        self.count += 1
+        return True
+
+    def judge_trial(self, upstream: UpstreamEvidence, now: float, slow: bool) -> bool:
+        """Take in an answer of an upstream on trial; return whether it must be ejected again."""
+        if slow:
+            return True
+        upstream.good_trials += 1
+        if upstream.good_trials >= TRIALS:
+            upstream.on_trial = False
+            upstream.ejections = 0
+            upstream.samples = 0
+            upstream.failures = 0.0
+            upstream.cold_since = now
+        return False
--- /dev/null
+++ b/sequoiabridge/policy/evidence.py
@@ -0,0 +1,251 @@
+"""What one daemon knows of each upstream of a service, and how old each piece of it is.
+
+Times are seconds on the daemon's monotonic clock. Every piece of evidence fades: with age it moves
+towards the average of the pool, so that old news neither attracts nor repels work for long.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from math import exp
+from statistics import median
+
+from .base import LoadReport
+
+REPORT_FADE = 0.04
+"""Seconds in which a load report loses 63% of its weight; neighbours change in milliseconds."""
+
+LATENCY_FADE = 5.0
+"""Seconds in which the mean latency of an upstream loses 63% of its weight."""
+
+FAILURE_FADE = 2.0
+"""Seconds in which the share of failures loses 63% of its weight."""
+
+LATENCY_GAIN = 0.2
+"""Weight of the newest latency in an upstream's mean."""
+
+FAILURE_GAIN = 0.2
+"""Weight of the newest outcome in an upstream's share of failures."""
+
+FEWEST_OUTCOMES = 8
+"""Outcomes after which the averages of a small pool are worked out anew."""
+
+FIRST_LATENCY = 0.01
+"""Seconds assumed for a call before anything was measured."""
+
+
+class UpstreamSpec:
+    """One upstream as the fleet's configuration describes it."""
+
+    __slots__ = ("name", "address", "slots", "connections", "data_centre", "drained", "pool")
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        slots: int,
+        connections: int,
+        data_centre: str,
+        drained: bool = False,
+        pool: str = "",
+    ):
+        self.name = name
+        self.address = address
+        self.slots = slots
+        self.connections = connections
+        self.data_centre = data_centre
+        self.drained = drained
+        self.pool = pool
+
+
+class PoolAverages:
+    """Averages over the upstreams of a service, towards which old evidence fades.
+
+    Each upstream counts once, however many calls it gets: else the one that attracts the most
+    work, perhaps wrongly, would set the measure.
+
+    Attributes:
+        latency: Median of the upstreams' mean latencies, in seconds.
+        others: Mean work per slot that upstreams reported beside this daemon's own.
+        failures: Mean share of calls that failed.
+    """
+
+    __slots__ = ("latency", "others", "failures", "due")
+
+    def __init__(self):
+        self.latency = FIRST_LATENCY
+        self.others = 0.0
+        self.failures = 0.0
+        self.due = 0
+
+    def count(self, upstreams: Collection[UpstreamEvidence], now: float) -> None:
+        """Count one more outcome; work the averages out anew once each upstream had about one."""
+        self.due -= 1
+        if self.due <= 0:
+            self.due = max(FEWEST_OUTCOMES, len(upstreams))
+            self.refresh(upstreams, now)
+
+    def refresh(self, upstreams: Collection[UpstreamEvidence], now: float) -> None:
+        """Work the averages out anew."""
+        latencies = [u.latency for u in upstreams if u.samples]
+        if latencies:
+            self.latency = median(latencies)
+        reports = [u.others / u.slots for u in upstreams if u.report is not None]
+        if reports:
+            self.others = sum(reports) / len(reports)
+        if upstreams:
+            self.failures = sum(u.failure_share(now) for u in upstreams) / len(upstreams)
+
+
+class UpstreamEvidence:
+    """One upstream as this daemon sees it.
+
+    Attributes:
+        draining: Incarnation with which the upstream said that it is leaving, or None.
+        drained: The operator wants no new work on it.
+        gone: It has left the configuration; only calls in flight still refer to it.
+        cold_since: Time from which its share of the work grows (slow start), or None.
+        ejected_until: Time before which it gets no work; 0.0 when it is not ejected.
+        ejections: How often in a row it was ejected; sets the back-off.
+        on_trial: It is back from an ejection and must first answer well, one call at a time.
+        starts: Starting times of this daemon's calls in flight, oldest first.
+        others: Work of other daemons, from the last report, in calls.
+        trust: 0 to 1, how far its reports agree with what its latency shows.
+    """
+
+    __slots__ = (
+        "name",
+        "address",
+        "pool",
+        "slots",
+        "connections",
+        "data_centre",
+        "drained",
+        "draining",
+        "gone",
+        "cold_since",
+        "ejected_until",
+        "ejections",
+        "on_trial",
+        "good_trials",
+        "starts",
+        "averages",
+        "report",
+        "report_at",
+        "others",
+        "trust",
+        "latency",
+        "latency_at",
+        "samples",
+        "failures",
+        "failed_at",
+        "failed_in_row",
+        "shed_until",
+        "sheds_in_row",
+        "suspected_by",
+        "suspected",
+        "probed_at",
+    )
+
+    def __init__(self, spec: UpstreamSpec, averages: PoolAverages):
+        self.averages = averages
+        self.configure(spec)
+        self.draining: int | None = None
+        self.gone = False
+        self.cold_since: float | None = None
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.on_trial = False
+        self.good_trials = 0
+        self.starts: list[float] = []
+        self.report: LoadReport | None = None
+        self.report_at = float("-inf")
+        self.others = 0.0
+        self.trust = 1.0
+        self.latency = averages.latency
+        self.latency_at = float("-inf")
+        self.samples = 0
+        self.failures = 0.0
+        self.failed_at = float("-inf")
+        self.failed_in_row = 0
+        self.shed_until = 0.0
+        self.sheds_in_row = 0
+        self.suspected_by: dict[str, float] = {}
+        self.suspected = False
+        self.probed_at = float("-inf")
+
+    def configure(self, spec: UpstreamSpec) -> None:
+        """Take over what the configuration says; the evidence stays."""
+        self.name = spec.name
+        self.address = spec.address
+        self.pool = spec.pool
+        self.slots = max(1, spec.slots)
+        self.connections = spec.connections
+        self.data_centre = spec.data_centre
+        self.drained = spec.drained
+
+    @property
+    def in_flight(self) -> int:
+        """This daemon's own calls that are with the upstream."""
+        return len(self.starts)
+
+    def started(self, now: float) -> None:
+        """Count one more call in flight."""
+        self.starts.append(now)
+
+    def ended(self, now: float, elapsed: float) -> None:
+        """Count the call that started nearest to `now - elapsed` as ended."""
+        if not self.starts:
+            return
+        start = now - elapsed
+        nearest = min(range(len(self.starts)), key=lambda i: abs(self.starts[i] - start))
+        del self.starts[nearest]
+
+    def load(self, now: float) -> float:
+        """Return the estimated work at the upstream per slot, this daemon's calls included."""
+        average = self.averages.others * self.slots
+        weight = self.trust * exp((self.report_at - now) / REPORT_FADE)
+        others = average + (self.others - average) * weight
+        return (others + len(self.starts)) / self.slots
+
+    def slowness(self, now: float) -> float:
+        """Return its mean latency as a multiple of the pool's; fades to 1 with age."""
+        if not self.samples:
+            return 1.0
+        weight = exp((self.latency_at - now) / LATENCY_FADE)
+        return 1.0 + (self.latency / self.averages.latency - 1.0) * weight
+
+    def failure_share(self, now: float) -> float:
+        """Return the recent share of its calls that failed; fades to 0 with age."""
+        if not self.failures:
+            return 0.0
+        return self.failures * exp((self.failed_at - now) / FAILURE_FADE)
+
+    def overdue(self, now: float) -> float:
+        """Return the age of its oldest call in flight as a multiple of the pool's latency."""
+        if not self.starts:
+            return 0.0
+        return (now - self.starts[0]) / self.averages.latency
+
+    def learn_latency(self, now: float, elapsed: float) -> None:
+        """Take in the latency of one good answer."""
+        self.samples += 1
+        mean = self.averages.latency * self.slowness(now) if self.samples > 1 else elapsed
+        self.latency = mean + LATENCY_GAIN * (elapsed - mean)
+        self.latency_at = now
+
+    def learn_outcome(self, now: float, failed: bool) -> None:
+        """Take in whether one call failed."""
+        share = self.failure_share(now)
+        self.failures = share + FAILURE_GAIN * (failed - share)
+        self.failed_at = now
+        self.failed_in_row = self.failed_in_row + 1 if failed else 0
+
+    def learn_report(self, now: float, report: LoadReport) -> None:
+        """Take in the upstream's own word on its load, unless a newer one is known."""
+        at = now - report.age
+        if report.in_flight < 0 or at < self.report_at:
+            return
+        self.report = report
+        self.report_at = at
+        self.others = max(0.0, float(report.in_flight - len(self.starts)))
--- /dev/null
+++ b/sequoiabridge/tests/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions: choice, limits, retries, crashes, probes and shares."""
