--- /dev/null
+++ b/benchmarks/oracle.py
@@ -0,0 +1,256 @@
+"""Judges a trial from the outside: what upstreams ran, and what each caller was told.
+
+It knows nothing of the code under test. Its evidence is the upstreams' own record (`Run`), what
+callers were told (`Told`), which versions of the configuration were accepted and seen in force,
+and which upstreams were leaving from when on.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from sequoiabridge.tests.standins.upstream_record import Run
+
+
+class Kind(Enum):
+    """What a caller asked for."""
+
+    READ = "read"
+    APPROVAL = "approval"
+    UPLOAD = "upload"
+
+
+class Told(msgspec.Struct, kw_only=True):
+    """One sending of one piece of work, and what its caller was told.
+
+    `status` is 0 if no whole answer head came. `whole` is true if the answer ended cleanly.
+    `outcome` is the outcome header of an answer that the system made itself, else empty.
+    Times are on the clock of the upstreams' record, in seconds.
+    """
+
+    kind: Kind
+    nonce: str
+    attempt: str
+    caller: str = ""
+    key: str = ""
+    digest: str = ""
+    began: float = 0.0
+    ended: float = 0.0
+    window: float = 0.0
+    status: int = 0
+    whole: bool = False
+    outcome: str = ""
+    reason: str = ""
+    request: str = ""
+    answer_nonce: str = ""
+    answer_digest: str = ""
+    answer_intact: bool = False
+    error: str = ""
+
+    @property
+    def good(self) -> bool:
+        """True if the work was done as asked, as far as the caller can tell."""
+        return self.whole and 200 <= self.status < 300
+
+
+class Leaving(msgspec.Struct, kw_only=True):
+    """An upstream was leaving from `since` until `until`; new work may come for `limit` more."""
+
+    upstream: str
+    since: float
+    limit: float
+    until: float = float("inf")
+
+
+class Accepted(msgspec.Struct, kw_only=True):
+    """An operator was told at `at` that a version of the configuration is accepted."""
+
+    version: int
+    at: float
+
+
+class InForce(msgspec.Struct, kw_only=True):
+    """A VM that said it was ready had a version in force at `at`."""
+
+    vm: str
+    version: int
+    at: float
+
+
+class Measuring(msgspec.Struct, kw_only=True):
+    """What was spent on probes of one service against its budget."""
+
+    service: str
+    probes: int
+    calls: int
+    per_1000: float
+    burst: float
+
+
+class Promise(Enum):
+    """What must always hold."""
+
+    AT_MOST_ONCE = "unrepeatable work ran at most once"
+    NOT_RUN = "told not-run means it did not run"
+    OWN_ANSWER = "each answer is whole and its caller's own"
+    UPLOADS = "no accepted upload is lost"
+    LEAVING = "no new work to a leaving upstream after its limit"
+    CONFIGURATION = "an accepted configuration is in force in time and never older"
+    MEASURING = "measuring stays inside its budget"
+
+
+class Violation:
+    """A promise that did not hold, with the evidence in one line."""
+
+    __slots__ = ("promise", "detail")
+
+    def __init__(self, promise: Promise, detail: str):
+        self.promise = promise
+        self.detail = detail
+
+    def __repr__(self) -> str:
+        return f"{self.promise.value}: {self.detail}"
+
+
+class Evidence:
+    """All that is known of one trial from the outside."""
+
+    __slots__ = ("runs", "told", "leaving", "accepted", "in_force", "measuring", "in_force_limit")
+
+    def __init__(
+        self,
+        runs: list[Run],
+        told: list[Told],
+        leaving: Iterable[Leaving] = (),
+        accepted: Iterable[Accepted] = (),
+        in_force: Iterable[InForce] = (),
+        measuring: Iterable[Measuring] = (),
+        in_force_limit: float = 4.0,
+    ):
+        self.runs = runs
+        self.told = told
+        self.leaving = list(leaving)
+        self.accepted = list(accepted)
+        self.in_force = list(in_force)
+        self.measuring = list(measuring)
+        self.in_force_limit = in_force_limit
+
+
+def judge(evidence: Evidence) -> list[Violation]:
+    """Return everything that breaks a promise; an empty list means that all hold."""
+    checks = (at_most_once, not_run, own_answers, uploads, leaving, configuration, measuring)
+    return [violation for check in checks for violation in check(evidence)]
+
+
+def at_most_once(evidence: Evidence) -> Iterable[Violation]:
+    """Each approval ran at most once, however often it was sent."""
+    runs = runs_by_work(evidence.runs)
+    works = {work_of(told) for told in evidence.told if told.kind is Kind.APPROVAL}
+    for work in sorted(works):
+        count = len(runs[work])
+        if count > 1:
+            places = ", ".join(run.upstream for run in runs[work])
+            yield Violation(Promise.AT_MOST_ONCE, f"{work} ran {count} times, at {places}")
+
+
+def not_run(evidence: Evidence) -> Iterable[Violation]:
+    """A sending told `not-run` did not run; work told only `not-run` ran nowhere."""
+    runs = {run.attempt for run in evidence.runs if run.attempt}
+    for told in evidence.told:
+        if told.outcome == "not-run" and told.attempt in runs:
+            yield Violation(Promise.NOT_RUN, f"{told.attempt} ({told.reason}) ran")
+    by_work = runs_by_work(evidence.runs)
+    for work, all_told in told_by_work(evidence.told).items():
+        if all(told.outcome == "not-run" for told in all_told) and by_work[work]:
+            yield Violation(Promise.NOT_RUN, f"{work} ran, each sending was told not-run")
+
+
+def own_answers(evidence: Evidence) -> Iterable[Violation]:
+    """A good answer that ended cleanly carries its own request's nonce and an intact body."""
+    for told in evidence.told:
+        if not told.good or (told.kind is Kind.UPLOAD and not told.answer_nonce):
+            continue
+        if not told.answer_intact:
+            yield Violation(Promise.OWN_ANSWER, f"{told.attempt} got a body that is not whole")
+        if told.answer_nonce != told.nonce or told.answer_digest != told.digest:
+            yield Violation(Promise.OWN_ANSWER, f"{told.attempt} got that of {told.answer_nonce}")
+
+
+def uploads(evidence: Evidence) -> Iterable[Violation]:
+    """Each upload that a caller was told is accepted reached an upstream whole."""
+    delivered = {run.digest for run in evidence.runs if run.status < 400}
+    for told in evidence.told:
+        if told.kind is Kind.UPLOAD and told.good and told.digest not in delivered:
+            yield Violation(Promise.UPLOADS, f"{told.attempt} was accepted and reached no upstream")
+
+
+def leaving(evidence: Evidence) -> Iterable[Violation]:
+    """No run began at a leaving upstream after its limit."""
+    for entry in evidence.leaving:
+        for run in evidence.runs:
+            late = entry.since + entry.limit < run.began < entry.until
+            if run.upstream == entry.upstream and late:
+                after = run.began - entry.since
+                yield Violation(
+                    Promise.LEAVING, f"{run.upstream} got {run.attempt} {after:.1f} s after"
+                )
+
+
+def configuration(evidence: Evidence) -> Iterable[Violation]:
+    """A ready VM never goes back, and has each accepted version within the limit."""
+    newest: dict[str, int] = defaultdict(int)
+    for seen in sorted(evidence.in_force, key=lambda seen: seen.at):
+        if seen.version < newest[seen.vm]:
+            detail = f"{seen.vm} went from {newest[seen.vm]} to {seen.version}"
+            yield Violation(Promise.CONFIGURATION, detail)
+        newest[seen.vm] = max(newest[seen.vm], seen.version)
+        due = [a.version for a in evidence.accepted if a.at + evidence.in_force_limit < seen.at]
+        if due and seen.version < max(due):
+            detail = f"{seen.vm} is ready with {seen.version}, {max(due)} was due"
+            yield Violation(Promise.CONFIGURATION, detail)
+
+
+def measuring(evidence: Evidence) -> Iterable[Violation]:
+    """Probes stay inside the operator's budget."""
+    for spent in evidence.measuring:
+        allowed = spent.burst + spent.calls * spent.per_1000 / 1000
+        if spent.probes > allowed:
+            detail = f"{spent.service}: {spent.probes} probes, {allowed:.1f} allowed"
+            yield Violation(Promise.MEASURING, detail)
+
+
+WorkName = tuple[str, str, str]
+"""Caller, key and nonce of one piece of work; of an upload, its digest alone."""
+
+
+def work_of(told: Told) -> WorkName:
+    """Return the name of the work that a sending belongs to."""
+    if told.kind is Kind.UPLOAD:
+        return ("", "", told.digest)
+    if told.key:
+        return (told.caller, told.key, "")
+    return ("", "", told.nonce)
+
+
+def runs_by_work(runs: list[Run]) -> dict[WorkName, list[Run]]:
+    """Group runs under each name that their work may have."""
+    groups: dict[WorkName, list[Run]] = defaultdict(list)
+    for run in runs:
+        if run.repeat:
+            continue
+        names = {("", "", run.digest), ("", "", run.nonce)}
+        if run.key:
+            names.add((run.caller, run.key, ""))
+        for name in names:
+            groups[name].append(run)
+    return groups
+
+
+def told_by_work(all_told: list[Told]) -> dict[WorkName, list[Told]]:
+    """Group what callers were told by the work that they asked for."""
+    groups: dict[WorkName, list[Told]] = defaultdict(list)
+    for told in all_told:
+        groups[work_of(told)].append(told)
+    return groups
--- a/sequoiabridge/tests/standins/upstream.py
+++ b/sequoiabridge/tests/standins/upstream.py
@@ -162,6 +162,7 @@
         return self.record.begin(
             request=request.header(REQUEST_ID),
             nonce=request.header(b"x-nonce"),
+            attempt=request.header(b"x-attempt"),
             key=request.header(IDEMPOTENCY_KEY),
             caller=request.header(CALLER),
             method=request.method,
--- a/sequoiabridge/tests/standins/upstream_record.py
+++ b/sequoiabridge/tests/standins/upstream_record.py
@@ -13,14 +13,16 @@
 class Run(msgspec.Struct, kw_only=True):
     """One request that began to run; times are wall times in seconds.
 
-    `repeat` marks the second and later deliveries of an upload that the upstream has already,
-    which change nothing there.
+    `nonce` names the caller's work and `attempt` one sending of it, both from headers of the
+    caller. `repeat` marks the second and later deliveries of an upload that the upstream has
+    already, which change nothing there.
     """
 
     number: int
     upstream: str
     request: str = ""
     nonce: str = ""
+    attempt: str = ""
     key: str = ""
     caller: str = ""
     method: str = ""
