Give the stand-in upstream an injected clock

Cause: the fault matrix runs it inside the test's process on a clock that tests move. Ruled out: a second, simpler fake upstream, which would be judged less strictly. Change: record, noise and load history take their time from a Clock. Conclusion: one stand-in serves processes and the matrix.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,6 +1,6 @@
 """Starts and ends the processes of a trial, each by its own process id, and writes their settings.
 
-A process that serves prints one JSON line with its addresses once it is ready.
+A process that serves prints its address, or a JSON line of them, once it is ready.
 """
 
 import signal
@@ -52,7 +52,7 @@
         while time.monotonic() < end:
             first = self.out.read_bytes().partition(b"\n")
             if first[1]:
-                self.ready = msgspec.json.decode(first[0])
+                self.ready = read_ready(first[0])
                 return self
             if self.child.poll() is not None:
                 break
@@ -132,6 +132,13 @@
         return path
 
 
+def read_ready(line: bytes) -> dict:
+    """Return the addresses that a process printed: a JSON map, or its address alone."""
+    if line.startswith(b"{"):
+        return msgspec.json.decode(line)
+    return {"address": line.decode().strip()}
+
+
 def free_addresses(count: int, kind: int = socket.SOCK_STREAM) -> list[str]:
     """Return `count` loopback addresses that were free a moment ago."""
     socks = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
--- a/sequoiabridge/tests/standins/upstream.py
+++ b/sequoiabridge/tests/standins/upstream.py
@@ -7,7 +7,6 @@
 
 import hashlib
 import os
-import time
 from random import Random
 from urllib.parse import parse_qs, urlsplit
 
@@ -45,8 +44,9 @@
         self.random = Random(seed)
         self.noise = Noise(seed + 1, 0.0)
         self.record = record
+        self.clock = record.clock
         self.faults = Faults()
-        self.started = time.monotonic()
+        self.started = self.clock.now()
         self.free = curio.Semaphore(slots)
         self.in_flight = 0
         self.open_time = 0.0
@@ -113,7 +113,7 @@
         """Run a request that has its slot, recorded before anything of it takes effect."""
         run = self.begin(request)
         if request.header(b"x-mark") == self.faults.crash_mark:
-            os._exit(CRASH_STATUS)
+            await self.crash()
         if self.chance(self.faults.fail):
             self.record.end(run, 500)
             await watch.cancel()
@@ -180,17 +180,21 @@
 
     def work_time(self) -> float:
         """Return the seconds that one piece of work takes now."""
-        now = time.monotonic()
+        now = self.clock.now()
         factor = self.faults.slow * self.noise.at(now)
         age = now - self.started
         if age < self.faults.cold_s:
             factor *= 1 + (self.faults.cold_factor - 1) * (1 - age / self.faults.cold_s)
         return self.work * factor * self.random.uniform(0.5, 1.5)
 
+    async def crash(self) -> None:
+        """End the process at once, in the middle of whatever it does."""
+        os._exit(CRASH_STATUS)
+
     def headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers that each answer carries."""
         fields = [(b"content-type", b"application/json")]
-        fields.append((LOAD, load_header(self.history, self.slots, self.faults)))
+        fields.append((LOAD, load_header(self.history, self.clock.now(), self.slots, self.faults)))
         if self.faults.drain:
             fields.append((DRAIN, b"%d" % self.faults.drain))
         return fields
@@ -209,7 +213,7 @@
     def change(self, step: int) -> None:
         """Count work in flight up or down."""
         self.in_flight += step
-        self.history.note(self.in_flight)
+        self.history.note(self.clock.now(), self.in_flight)
 
     async def control(self, client, peer) -> None:
         """Serve one connection of the control port."""
@@ -235,7 +239,7 @@
                 merged = msgspec.structs.asdict(self.faults) | msgspec.json.decode(request.body)
                 self.faults = msgspec.convert(merged, Faults)
                 if self.faults.cold_s:
-                    self.started = time.monotonic()
+                    self.started = self.clock.now()
                 return 200, msgspec.json.encode(self.faults)
             case "GET", "/faults":
                 return 200, msgspec.json.encode(self.faults)
--- a/sequoiabridge/tests/standins/upstream_faults.py
+++ b/sequoiabridge/tests/standins/upstream_faults.py
@@ -1,6 +1,5 @@
 """The faults that a stand-in upstream can be told to show, each off by default."""
 
-import time
 from collections import deque
 from random import Random
 
@@ -74,22 +73,22 @@
     def __init__(self):
         self.changes: deque[tuple[float, int]] = deque([(0.0, 0)], maxlen=self.KEPT)
 
-    def note(self, in_flight: int) -> None:
-        """Remember that the work in flight is `in_flight` from now on."""
-        self.changes.append((time.monotonic(), in_flight))
+    def note(self, now: float, in_flight: int) -> None:
+        """Remember that the work in flight is `in_flight` from `now` on."""
+        self.changes.append((now, in_flight))
 
     def at(self, when: float) -> int:
-        """Return the work in flight at monotonic time `when`."""
+        """Return the work in flight at the time `when`."""
         for changed, in_flight in reversed(self.changes):
             if changed <= when:
                 return in_flight
         return self.changes[0][1]
 
 
-def load_header(history: LoadHistory, slots: int, faults: Faults) -> bytes:
+def load_header(history: LoadHistory, now: float, slots: int, faults: Faults) -> bytes:
     """Return the value of the load header, truthful or not as `faults` says."""
     lag = faults.report_lag_ms / 1000
-    in_flight = history.at(time.monotonic() - lag)
+    in_flight = history.at(now - lag)
     if faults.lie_in_flight >= 0:
         in_flight = faults.lie_in_flight
     age = 0 if faults.report_lag_hidden else faults.report_lag_ms
--- a/sequoiabridge/tests/standins/upstream_record.py
+++ b/sequoiabridge/tests/standins/upstream_record.py
@@ -5,10 +5,12 @@
 """
 
 import os
-import time
+from itertools import count
 
 import msgspec
 
+from ...timers import Clock, SystemClock
+
 
 class Run(msgspec.Struct, kw_only=True):
     """One request that began to run; times are wall times in seconds.
@@ -47,25 +49,28 @@
 class Record:
     """The append-only list of runs of one stand-in."""
 
-    __slots__ = ("upstream", "runs", "file")
+    __slots__ = ("upstream", "runs", "file", "clock", "numbers")
 
-    def __init__(self, upstream: str, path: str = ""):
+    def __init__(self, upstream: str, path: str = "", clock: Clock | None = None):
         self.upstream = upstream
+        self.clock = clock or SystemClock()
+        # A process that takes the place of another goes on in the same file.
+        self.numbers = count(round(self.clock.wall() * 1e6))
         self.runs: list[Run] = []
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
         self.file = os.open(path, flags, 0o600) if path else None
 
     def begin(self, **fields) -> Run:
         """Note that a request begins to run; called before anything of it takes effect."""
-        number = time.time_ns()
-        run = Run(number=number, upstream=self.upstream, began=time.time(), **fields)
+        number, now = next(self.numbers), self.clock.wall()
+        run = Run(number=number, upstream=self.upstream, began=now, **fields)
         self.runs.append(run)
         self._write(run)
         return run
 
     def end(self, run: Run, status: int) -> None:
         """Note that `run` has ended with `status`."""
-        run.ended = time.time()
+        run.ended = self.clock.wall()
         run.status = status
         self._write(
             RunEnd(number=run.number, upstream=self.upstream, ended=run.ended, status=status)
