--- /dev/null
+++ b/sequoiabridge/tests/matrix/fakes.py
@@ -0,0 +1,233 @@
+"""The fakes at the interfaces: upstreams, connections to them, the store, frames between VMs.
+
+Each tells `Steps` what it sees and fails as it is told. The stand-ins themselves are the ones that
+also run as processes.
+"""
+
+import socket
+from collections import deque
+
+import curio
+from curio.io import Socket
+from curio.traps import _read_wait
+
+from ...exceptions import UpstreamFailed
+from ...fleet.channel import Channel
+from ...upstreams.link import Link
+from ..standins.memory import MemoryObjects, MemoryTables
+from ..standins.upstream import Upstream
+from ..standins.upstream_http import GONE, Incoming, Wire
+from .steps import Moment, Step, Steps
+from .virtual import OwnedTask, Owner, adopt
+
+INBOX = 256
+"""Frames that wait for a frozen VM; more are dropped, as the sockets of a stopped process do."""
+
+
+class StepWire(Wire):
+    """Says when a request's head and body have come."""
+
+    __slots__ = ("upstream",)
+
+    async def event(self) -> object:
+        event = await super().event()
+        kind = type(event).__name__
+        step = {"Request": Step.SEND_HEAD, "Data": Step.SEND_BODY}.get(kind)
+        if step is not None:
+            await self.upstream.reached(step)
+        return event
+
+    async def _write(self, data: bytes) -> None:
+        half = len(data) // 2
+        await super()._write(data[:half])
+        await self.upstream.reached(Step.RELAY)
+        await super()._write(data[half:])
+
+
+class FakeUpstream(Upstream):
+    """A stand-in upstream inside the test's process."""
+
+    def __init__(self, name: str, address: str, steps: Steps, record, seed: int):
+        super().__init__(name, 2, 6.0, seed, record)
+        self.address = address
+        self.steps = steps
+        self.owner = Owner(name)
+        self.ends: set[socket.socket] = set()
+        self.up = True
+
+    async def reached(self, step: Step) -> None:
+        await self.steps.reached(step, upstream=self.name)
+
+    async def serve(self, client, peer) -> None:
+        wire = StepWire(client)
+        wire.upstream = self
+        self.wires.add(wire)
+        try:
+            while (request := await wire.request()) and await self.handle(wire, request):
+                pass
+        except GONE:
+            pass
+        finally:
+            self.wires.discard(wire)
+            await client.close()
+
+    async def run(self, wire: Wire, request: Incoming, watch: curio.Task) -> bool:
+        if request.header(b"sequoia-upload-id"):
+            await self.reached(Step.DELIVER)
+        return await super().run(wire, request, watch)
+
+    def begin(self, request: Incoming):
+        run = super().begin(request)
+        return run
+
+    async def crash(self) -> None:
+        await adopt(None, self.end)
+        await curio.sleep(0)
+
+    async def end(self) -> None:
+        """Be killed: everything open breaks, and new connections are refused until `restart`."""
+        self.up = False
+        self.owner.freeze()
+        for end in self.ends:
+            end.shutdown(socket.SHUT_RDWR)
+        self.ends.clear()
+        self.wires.clear()
+
+    def restart(self) -> None:
+        """Be started again, with nothing left of before but the record of what ran."""
+        self.owner = Owner(self.name)
+        self.free = curio.Semaphore(self.slots)
+        self.in_flight = 0
+        self.uploads.clear()
+        self.up = True
+
+
+class Dialer:
+    """Takes the place of `open_link`: connects VMs to the fake upstreams by socket pairs."""
+
+    def __init__(self, steps: Steps):
+        self.steps = steps
+        self.upstreams: dict[str, FakeUpstream] = {}
+        self.ends: dict[Owner, set[socket.socket]] = {}
+
+    async def open(self, address: str, clock, max_head: int, timeout: float) -> Link:
+        await self.steps.reached(Step.OPEN, upstream=self.name(address))
+        upstream = self.upstreams.get(address)
+        if upstream is None or not upstream.up:
+            raise UpstreamFailed(f"{address}: connection refused. Try another.", sent=False)
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        upstream.ends.add(far)
+        self.ends.setdefault(OwnedTask.running.owner, set()).add(near)
+        await adopt(upstream.owner, upstream.serve, Socket(far), None)
+        return Link(address, near, clock, max_head)
+
+    def name(self, address: str) -> str:
+        """Return the name of the upstream at an address."""
+        upstream = self.upstreams.get(address)
+        return upstream.name if upstream else ""
+
+    def cut(self, owner: Owner) -> None:
+        """Break all connections of a VM that was killed."""
+        for end in self.ends.pop(owner, ()):
+            if end.fileno() >= 0:
+                end.shutdown(socket.SHUT_RDWR)
+
+
+class StepTables(MemoryTables):
+    """The table service in memory; says which step a write belongs to.
+
+    `step_of` maps the writes of a transaction to a step, or to None.
+    """
+
+    def __init__(self, steps: Steps, step_of, faults=None):
+        super().__init__(faults)
+        self.steps = steps
+        self.step_of = step_of
+
+    async def transact(self, conditions, writes, timeout):
+        step = self.step_of(self, conditions, writes)
+        if step is not None:
+            await self.steps.reached(step, Moment.BEFORE)
+        result = await super().transact(conditions, writes, timeout)
+        if step is not None:
+            await self.steps.reached(step, Moment.AFTER)
+        return result
+
+
+class StepObjects(MemoryObjects):
+    """The object store in memory; says when a chunk is written or cleaned up."""
+
+    def __init__(self, steps: Steps, faults=None):
+        super().__init__(faults)
+        self.steps = steps
+
+    async def put(self, name, data, timeout):
+        await self.steps.reached(Step.CHUNK, Moment.BEFORE)
+        result = await super().put(name, data, timeout)
+        await self.steps.reached(Step.CHUNK, Moment.AFTER)
+        return result
+
+    async def delete(self, name, timeout):
+        await self.steps.reached(Step.CLEAN_UP, Moment.BEFORE)
+        result = await super().delete(name, timeout)
+        await self.steps.reached(Step.CLEAN_UP, Moment.AFTER)
+        return result
+
+
+class Network:
+    """Carries frames between VMs; `blocked` holds (from, to) pairs of addresses."""
+
+    def __init__(self):
+        self.channels: dict[str, FakeChannel] = {}
+        self.blocked: set[tuple[str, str]] = set()
+
+    def partition(self, address: str, *, inward: bool = True, outward: bool = True) -> None:
+        """Cut one VM off from all others, in one or both directions."""
+        for other in self.channels:
+            if inward:
+                self.blocked.add((other, address))
+            if outward:
+                self.blocked.add((address, other))
+
+    def heal(self) -> None:
+        """Let all frames through again."""
+        self.blocked.clear()
+
+
+class FakeChannel(Channel):
+    """A daemon's channel over `Network`."""
+
+    def __init__(self, network: Network, address: str):
+        self.network = network
+        self.address = address
+        self.inbox: deque[bytes] = deque(maxlen=INBOX)
+        self.near, self.far = socket.socketpair()
+        self.near.setblocking(False)
+        self.far.setblocking(False)
+        network.channels[address] = self
+
+    def send(self, address: str, frame: bytes) -> bool:
+        target = self.network.channels.get(address)
+        if target is None or (self.address, address) in self.network.blocked:
+            return True
+        target.inbox.append(frame)
+        try:
+            target.far.send(b"x")
+        except BlockingIOError:
+            return True
+        return True
+
+    def redial(self, address: str) -> None:
+        """There is no connection to close."""
+
+    async def run(self, receive) -> None:
+        while True:
+            await _read_wait(self.near)
+            self.near.recv(INBOX)
+            while self.inbox:
+                receive(self.inbox.popleft())
+
+    async def close(self) -> None:
+        if self.network.channels.get(self.address) is self:
+            del self.network.channels[self.address]
