--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -49,7 +49,7 @@
     `health` maps an entry's address to the address of its health check ("IP:port"), or to "".
     """
 
-    def __init__(self, health: dict[str, str], seed: int = 1, path: str = "/health"):
+    def __init__(self, health: dict[str, str], seed: int = 1, path: str = "/ready"):
         self.health = dict(health)
         self.path = path
         self.healthy = list(health)
@@ -62,10 +62,19 @@
     async def check(self) -> None:
         """Check all entries for ever; run as a task."""
         while True:
-            found = [entry for entry, place in list(self.health.items()) if await self.ok(place)]
-            self.healthy = found
+            async with curio.TaskGroup() as group:
+                for entry, place in list(self.health.items()):
+                    await group.spawn(self.check_one, entry, place)
             await curio.sleep(HEALTH_INTERVAL)
 
+    async def check_one(self, entry: str, place: str) -> None:
+        """Check one entry, and send it callers from now on or no more."""
+        ready = await self.ok(place)
+        if ready and entry not in self.healthy:
+            self.healthy.append(entry)
+        if not ready and entry in self.healthy:
+            self.healthy.remove(entry)
+
     async def ok(self, place: str) -> bool:
         """Return True if the health check at `place` says that the VM is ready."""
         if not place:
@@ -87,12 +96,13 @@
         self.caller = Caller(patience)
         self.told: list[Told] = []
         self.count = 0
+        self.stopped = False
 
     async def run(self, rate: float, seconds: float) -> None:
-        """Send `rate` pieces of work a second for `seconds`, and wait for the last answer."""
+        """Send `rate` pieces of work a second for `seconds`, or until `stopped` is set."""
         start = due = time.monotonic()
         async with curio.TaskGroup() as group:
-            while due < start + seconds:
+            while due < start + seconds and not self.stopped:
                 await curio.sleep(max(0.0, due - time.monotonic()))
                 await group.spawn(self.one)
                 due += self.random.expovariate(rate)
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -93,6 +93,7 @@
         self.temporary = tempfile.TemporaryDirectory(prefix="sequoiabridge-")
         self.folder = Path(self.temporary.name)
         self.processes: list[Process] = []
+        self.count = 0
 
     def __enter__(self) -> "Trial":
         return self
@@ -111,10 +112,16 @@
     def upstream(self, name: str, seed: int, **options) -> Process:
         """Start a stand-in upstream; `options` are those of its command line."""
         record = str(self.folder / f"{name}.record")
+        self.count += 1
         module = "sequoiabridge.tests.standins.upstream"
         more = [f"--{key.replace('_', '-')}={value}" for key, value in options.items()]
         return self.start(
-            name, module, f"--name={name}", f"--seed={seed}", f"--record={record}", *more
+            f"{name}.{self.count}",
+            module,
+            f"--name={name}",
+            f"--seed={seed}",
+            f"--record={record}",
+            *more,
         )
 
     def record_files(self) -> list[Path]:
--- a/benchmarks/scene.py
+++ b/benchmarks/scene.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import os
 import secrets
 import signal
 import subprocess
@@ -132,6 +133,13 @@
         self.upstreams[name] = process
         return process
 
+    def restart_upstream(self, name: str) -> Process:
+        """Start an upstream that was killed again, at the same address with an empty memory."""
+        old = self.upstreams[name]
+        spec = next(spec for spec in SERVICES if name.startswith(spec.name))
+        self.starts += 1
+        return self.start_upstream(spec, name, self.starts, address=old.ready["address"])
+
     def new_daemon(self, name: str) -> Daemon:
         """Return a daemon with fresh addresses."""
         return Daemon(name, *free_addresses(3))
@@ -174,8 +182,9 @@
         """Run one verb of the command-line tool against a daemon."""
         target = daemon or self.daemons[0]
         command = [sys.executable, "-m", TOOL, verb, *arguments]
-        command += [f"--admin={target.admin}", f"--token={self.token}"]
-        done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        command.append(f"--admin={target.admin}")
+        secret = os.environ | {"SEQUOIA_TOKEN": self.token}
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60, env=secret)
         if done.returncode:
             raise RuntimeError(f"{verb} exited {done.returncode}: {done.stdout}{done.stderr}")
         return done.stdout.strip()
@@ -208,7 +217,7 @@
 def healthy(daemon: Daemon) -> bool:
     """Return True if a daemon passes the balancer's health check."""
     try:
-        with urllib.request.urlopen(f"http://{daemon.admin}/health", timeout=1.0) as answer:
+        with urllib.request.urlopen(f"http://{daemon.admin}/ready", timeout=1.0) as answer:
             return answer.status == 200
     except OSError:
         return False
--- a/sequoiabridge/tests/matrix/fakes.py
+++ b/sequoiabridge/tests/matrix/fakes.py
@@ -76,10 +76,6 @@
             await self.reached(Step.DELIVER)
         return await super().run(wire, request, watch)
 
-    def begin(self, request: Incoming):
-        run = super().begin(request)
-        return run
-
     async def crash(self) -> None:
         await adopt(None, self.end)
         await curio.sleep(0)
