--- a/sequoiabridge/fleet/bucket.py
+++ b/sequoiabridge/fleet/bucket.py
@@ -23,6 +23,9 @@
 QUEUE_LIMIT = 2_000
 """Items that wait at most; beyond, the oldest of the lowest urgency is dropped."""
 
+SMALLEST = 24
+"""Bytes below which nothing fits a frame any more."""
+
 HEARTBEAT = "heartbeat"
 """The purse of bare heartbeats, answers to them and state exchange requests."""
 FLOORS = {
@@ -142,6 +145,8 @@
         for entry in self.waiting():
             if bucket.room(entry.urgency) < used + TRANSPORT_OVERHEAD:
                 break
+            if room - used < SMALLEST:
+                break
             if target in entry.known:
                 continue
             if used + entry.size > room and (chosen or entry.urgency > Urgency.CONFIGURATION):
--- a/sequoiabridge/fleet/channel.py
+++ b/sequoiabridge/fleet/channel.py
@@ -37,6 +37,10 @@
 class Channel(ABC):
     """Sends frames to addresses (IP:port) and hands over those that come in."""
 
+    @abstractmethod
+    def listen(self) -> None:
+        """Bind the address; raises `ConfigurationError` if that fails."""
+
     @abstractmethod
     def send(self, address: str, frame: bytes) -> bool:
         """Send a frame without waiting; return False if it had to be dropped."""
@@ -72,7 +76,6 @@
         self.redials = 0
 
     def listen(self) -> None:
-        """Bind the address; raises `ConfigurationError` if that fails."""
         self.pull = pynng.Pull0(recv_buffer_size=256, recv_max_size=MAX_FRAME)
         try:
             self.pull.listen(f"tcp://{self.address}")
@@ -103,8 +106,6 @@
             push.close()
 
     async def run(self, receive: Receive) -> None:
-        if self.pull is None:
-            self.listen()
         descriptor = self.pull.recv_fd
         while True:
             if not self._drain(receive):
--- a/sequoiabridge/fleet/counters.py
+++ b/sequoiabridge/fleet/counters.py
@@ -3,11 +3,12 @@
 from collections import Counter
 
 from .base import Urgency
+from .bucket import TRANSPORT_OVERHEAD
 from .wire import Bad
 
 
 class Counters:
-    """Totals since the start; bytes include the estimate of transport overhead when sent.
+    """Totals since the start; bytes include the estimate of transport overhead.
 
     Attributes:
         bytes_by_urgency: Bytes of items and updates sent, without frames and overhead.
@@ -32,6 +33,16 @@
         self.bytes_by_urgency: Counter[Urgency] = Counter()
         self.bad: Counter[Bad] = Counter()
 
+    def sent(self, frame: bytes) -> None:
+        """Count a frame that leaves."""
+        self.messages_sent += 1
+        self.bytes_sent += len(frame) + TRANSPORT_OVERHEAD
+
+    def received(self, frame: bytes) -> None:
+        """Count a frame that came in."""
+        self.messages_received += 1
+        self.bytes_received += len(frame) + TRANSPORT_OVERHEAD
+
     def dump(self) -> dict:
         """Describe the totals for the state dump and the metrics."""
         return {
--- a/sequoiabridge/fleet/currency.py
+++ b/sequoiabridge/fleet/currency.py
@@ -50,11 +50,18 @@
         """A read of the table failed."""
         self.store_up = False
 
-    def heard(self, name: str, version: int, now: float) -> None:
-        """The VM `name` says, in a message that is no replay, that `version` is in force there."""
-        self.heard_at[name] = now
+    def seen(self, version: int, now: float) -> None:
+        """Another VM says, in a message that is no replay, that `version` is in force there."""
         self._know(version, now)
 
+    def heard(self, name: str, at: float) -> None:
+        """The VM `name` answered a ping that was sent at `at`, with its version.
+
+        Only such a round trip proves anything about the present: after a pause of this process,
+        old messages still come in.
+        """
+        self.heard_at[name] = max(at, self.heard_at.get(name, at))
+
     def fleet(self, live: int, expected: int) -> None:
         """Set how many VMs are live and how many there should be, this one included in both."""
         self.live, self.expected = live, expected
--- /dev/null
+++ b/sequoiabridge/fleet/loads.py
@@ -0,0 +1,100 @@
+"""Which of this VM's evidence on upstreams is worth telling the others.
+
+A suspect comes first, in both directions: that an upstream has become one, and that it is none any
+more. Then come the largest changes since the last word. What has hardly changed is not told, since
+the other VMs have evidence of their own; the room that the byte bucket leaves is the limit.
+"""
+
+from collections.abc import Iterable
+
+from .base import LoadItem
+
+ITEM_SIZE = 60
+"""Bytes of a load item in a frame, an estimate for names of usual length."""
+CHANGE = 0.5
+"""Share by which a value must have moved to be worth telling."""
+FEW = 2
+"""A change of work in flight by less than this is noise: an instance has two slots."""
+SUSPECT_AGAIN = 5.0
+"""Seconds after which a suspect is named again."""
+EXPIRED = 10.0
+"""Seconds after which a word no longer counts as told, and evidence is too old to tell."""
+
+
+class LocalLoad:
+    """This VM's evidence on one upstream; `measured` is on the daemon's clock, in seconds."""
+
+    __slots__ = ("upstream", "in_flight", "latency_us", "suspect", "measured")
+
+    def __init__(
+        self, upstream: str, in_flight: int, latency_us: int, suspect: bool, measured: float
+    ):
+        self.upstream = upstream
+        self.in_flight = in_flight
+        self.latency_us = latency_us
+        self.suspect = suspect
+        self.measured = measured
+
+
+class Told:
+    """The last word on one upstream."""
+
+    __slots__ = ("load", "at")
+
+    def __init__(self, load: LocalLoad, at: float):
+        self.load = load
+        self.at = at
+
+
+def worth_sending(
+    loads: Iterable[LocalLoad], told: dict[str, Told], room: float, now: float
+) -> list[LoadItem]:
+    """Return the items to publish now, most useful first, and note them in `told`.
+
+    Args:
+        loads: Evidence on upstreams; what is older than `EXPIRED` is passed over.
+        told: What was told before, by upstream; the caller keeps it between calls.
+        room: Bytes that the byte bucket leaves for load.
+    """
+    fresh = [load for load in loads if now - load.measured < EXPIRED]
+    scored = [(score(load, told.get(load.upstream), now), load) for load in fresh]
+    wanted = sorted((s for s in scored if s[0] > 0), key=lambda s: (-s[0], s[1].upstream))
+    chosen = [load for _, load in wanted[: max(0, int(room // ITEM_SIZE))]]
+    for load in chosen:
+        told[load.upstream] = Told(load, now)
+    return [as_item(load, now) for load in chosen]
+
+
+def score(load: LocalLoad, told: Told | None, now: float) -> float:
+    """Return how much the others gain from a piece of evidence; 0 means not worth its bytes."""
+    last = told.load if told is not None and now - told.at < EXPIRED else None
+    was_suspect = last is not None and last.suspect
+    if load.suspect != was_suspect:
+        return 1_000.0
+    if load.suspect and now - told.at >= SUSPECT_AGAIN:
+        return 500.0
+    if last is None:
+        return 1.0 if load.in_flight >= FEW else 0.0
+    return max(in_flight_change(load, last), latency_change(load, last))
+
+
+def in_flight_change(load: LocalLoad, last: LocalLoad) -> float:
+    """Return the change of work in flight relative to the last word, 0 if it is small."""
+    change = abs(load.in_flight - last.in_flight)
+    if change < FEW:
+        return 0.0
+    share = change / max(FEW, last.in_flight)
+    return share if share >= CHANGE else 0.0
+
+
+def latency_change(load: LocalLoad, last: LocalLoad) -> float:
+    """Return by how much the mean time has grown or shrunk, 0 if it is little."""
+    low, high = sorted((max(1, load.latency_us), max(1, last.latency_us)))
+    share = high / low - 1
+    return share if share >= CHANGE else 0.0
+
+
+def as_item(load: LocalLoad, now: float) -> LoadItem:
+    """Return the evidence as it is sent."""
+    age_ms = int((now - load.measured) * 1000)
+    return LoadItem(load.upstream, load.in_flight, load.latency_us, load.suspect, age_ms)
--- a/sequoiabridge/fleet/members.py
+++ b/sequoiabridge/fleet/members.py
@@ -1,4 +1,4 @@
-"""What the membership state machine keeps and returns: options, members, pings, events."""
+"""What the membership state machine keeps and returns: options, messages, events."""
 
 from enum import Enum
 
@@ -52,6 +52,7 @@
     REPLACED = "replaced"
     PAUSED = "paused"
     DECLARED_DEAD = "declared-dead"
+    NAME_CONFLICT = "name-conflict"
 
 
 class Event:
@@ -104,32 +105,6 @@
         self.redial = redial
 
 
-class Pending:
-    """A ping that waits for its answer."""
-
-    __slots__ = ("number", "name", "address", "sent", "indirect", "probing")
-
-    def __init__(self, number: int, name: str, address: str, sent: float, probing: bool):
-        self.number = number
-        self.name = name
-        self.address = address
-        self.sent = sent
-        self.indirect = False
-        self.probing = probing
-
-
-class Relay:
-    """Whom to tell when a ping sent on another VM's behalf is answered."""
-
-    __slots__ = ("address", "name", "number", "at")
-
-    def __init__(self, address: str, name: str, number: int, at: float):
-        self.address = address
-        self.name = name
-        self.number = number
-        self.at = at
-
-
 LIVE = (MemberState.ALIVE, MemberState.SUSPECT)
 RANK = {
     MemberState.ALIVE: 0,
--- a/sequoiabridge/fleet/roster.py
+++ b/sequoiabridge/fleet/roster.py
@@ -6,7 +6,6 @@
 
 import math
 from collections.abc import Iterable
-from random import Random
 
 from .base import MemberState, MemberView
 from .members import LIVE, MembershipOptions
@@ -16,12 +15,9 @@
 class Roster:
     """Members by name, with what is derived from them kept up to date."""
 
-    def __init__(
-        self, me: MemberView, seeds: Iterable[str], options: MembershipOptions, random: Random
-    ):
+    def __init__(self, me: MemberView, seeds: Iterable[str], options: MembershipOptions):
         self.me = me
         self.options = options
-        self.random = random
         self.members: dict[str, MemberView] = {}
         self.by_address: dict[str, str] = {}
         self.live_names: dict[str, None] = {}
@@ -96,7 +92,7 @@
         if member.state in LIVE:
             self.live_names[name] = None
             self.by_address[address] = name
-            self.expected.add(address)
+            self.expected |= {address} - {self.me.address}
             return
         self.live_names.pop(name, None)
         holder = self.at(address)
--- /dev/null
+++ b/sequoiabridge/fleet/sender.py
@@ -0,0 +1,83 @@
+"""Builds, pays for, signs and sends messages; what waits for their receiver rides on them."""
+
+from .base import MemberView
+from .bucket import HEARTBEAT, TRANSPORT_OVERHEAD, ByteBucket
+from .channel import Channel
+from .counters import Counters
+from .currency import Currency
+from .members import Outgoing
+from .spreader import Spreader
+from .wire import HEADER_SIZE, PACKET_SIZE, Codec, Message
+
+BASE_SIZE = 130
+"""Bytes of a message that carries nothing, an estimate."""
+
+
+class Sender:
+    """The way out of this daemon for all control messages."""
+
+    def __init__(
+        self,
+        me: MemberView,
+        spreader: Spreader,
+        currency: Currency,
+        codec: Codec,
+        channel: Channel,
+        bucket: ByteBucket,
+        counters: Counters,
+    ):
+        self.me = me
+        self.spreader = spreader
+        self.currency = currency
+        self.codec = codec
+        self.channel = channel
+        self.bucket = bucket
+        self.counters = counters
+        self.sequence = 0
+
+    def message(self, outgoing: Outgoing) -> Message:
+        """Return the message to be sent, with this VM's name, incarnation and version."""
+        me = self.me
+        self.sequence += 1
+        return Message(
+            int(outgoing.kind),
+            me.name,
+            me.address,
+            me.data_centre,
+            me.incarnation,
+            self.sequence,
+            outgoing.to_incarnation,
+            self.currency.in_force,
+            outgoing.number,
+            outgoing.target,
+            retry=outgoing.redial,
+            updates=outgoing.updates,
+        )
+
+    def send(self, outgoing: Outgoing, now: float, message: Message | None = None) -> None:
+        """Send a message with what waits for its receiver, as the bucket allows.
+
+        What was taken from the queue counts as sent even if the channel drops the frame:
+        the other members, and the comparison of state, make up for it.
+        """
+        self.bucket.refill(now)
+        if self.bucket.room(HEARTBEAT) <= 0:
+            self.counters.not_sent += 1
+            return
+        message = message or self.message(outgoing)
+        if outgoing.to_incarnation:
+            self._fill(message, outgoing.name, now)
+        frame = self.codec.encode(message, outgoing.address)
+        self.bucket.spend(len(frame) + TRANSPORT_OVERHEAD)
+        self.counters.sent(frame)
+        if outgoing.redial:
+            self.channel.redial(outgoing.address)
+        if not self.channel.send(outgoing.address, frame):
+            self.counters.not_sent += 1
+
+    def _fill(self, message: Message, target: str, now: float) -> None:
+        used = HEADER_SIZE + BASE_SIZE + 48 * len(message.updates)
+        used += sum(len(parcel.item) + 20 for parcel in message.parcels)
+        room = PACKET_SIZE - used
+        for entry in self.spreader.fill(message, target, room, self.bucket, now):
+            self.counters.bytes_by_urgency[entry.urgency] += entry.size
--- a/sequoiabridge/fleet/spreader.py
+++ b/sequoiabridge/fleet/spreader.py
@@ -114,14 +114,14 @@
             message.parcels = [*message.parcels, parcel]
         return entries
 
-    def next_target(self, lowest: Urgency) -> MemberView | None:
-        """Return a live member that lacks the most urgent waiting item, or None."""
-        live = self.membership.live()
+    def next_target(self, lowest: Urgency) -> tuple[Entry, MemberView] | None:
+        """Return the most urgent waiting item and a live member that lacks it, or None."""
         for entry in self.queue.waiting(lowest):
-            lacking = [m for m in live if m.name not in entry.known]
+            lacking = [m for m in self.membership.live() if m.name not in entry.known]
             if lacking:
-                return self.random.choice(lacking)
-            self.queue.remove(entry)
+                return entry, self.random.choice(lacking)
+            if self.membership.roster.live_names:
+                self.queue.remove(entry)
         return None
 
     # Comparison of state.
@@ -130,6 +130,10 @@
         """Return the digest of live members and marks."""
         return digest_of((subject, rank) for subject, rank, _ in self._state())
 
+    def differs(self, digest: list[int]) -> bool:
+        """Return True if another daemon's digest shows that it knows more, less or other."""
+        return bool(differing(self.digest(), digest))
+
     def state_for(self, digest: list[int], now: float) -> tuple[list[Update], list[Parcel]]:
         """Return what is in the buckets that differ from `digest`, as much as fits one frame."""
         wanted = differing(self.digest(), digest)
--- a/sequoiabridge/tests/fleet/pump.py
+++ b/sequoiabridge/tests/fleet/pump.py
@@ -24,6 +24,9 @@
     def redial(self, address):
         self.pump.silent.discard((self.address, address))
 
+    def listen(self):
+        pass
+
     async def run(self, receive):
         raise AssertionError("the pump delivers")
 
@@ -68,29 +71,27 @@
         return node
 
     def kill(self, node):
-        self.nodes.pop(node.membership.me.address)
+        self.nodes.pop(node.me.address)
 
     def leave(self, node):
         """Leave on purpose and stop."""
-        now = self.clock.now()
-        for outgoing in node.membership.leave(now):
-            node._send(outgoing, now)
+        node.say_goodbye()
         self.kill(node)
 
     def pause(self, node):
-        self.paused[node.membership.me.address] = []
+        self.paused[node.me.address] = []
 
     def resume(self, node):
-        address = node.membership.me.address
+        address = node.me.address
         for frame in self.paused.pop(address):
             node.receive(frame)
 
     def cut(self, group, rest, both=True):
         for a in group:
             for b in rest:
-                self.cuts.add((a.membership.me.address, b.membership.me.address))
+                self.cuts.add((a.me.address, b.me.address))
                 if both:
-                    self.cuts.add((b.membership.me.address, a.membership.me.address))
+                    self.cuts.add((b.me.address, a.me.address))
 
     def send(self, source, target, frame):
         link = (source, target)
@@ -125,8 +126,8 @@
 
     def complete(self):
         """True if every running VM knows exactly the running VMs as live."""
-        names = {n.membership.me.name for n in self.all()}
-        return all(set(live_names(n)) | {n.membership.me.name} == names for n in self.all())
+        names = {n.me.name for n in self.all()}
+        return all(set(live_names(n)) | {n.me.name} == names for n in self.all())
 
     def _deliver(self):
         now = self.clock.now()
@@ -151,7 +152,7 @@
 
 
 def incarnation(node):
-    return node.membership.me.incarnation
+    return node.me.incarnation
 
 
 GONE = (MemberState.DEAD, MemberState.LEFT)
--- /dev/null
+++ b/sequoiabridge/tests/fleet/test_bucket.py
@@ -0,0 +1,68 @@
+"""The byte bucket: its rate, who goes first, and that nobody above is starved."""
+
+import msgspec
+import pytest
+
+from ...fleet.base import ConfigurationItem, DrainItem, LoadItem, Urgency
+from ...fleet.bucket import HEARTBEAT, QUEUE_LIMIT, ByteBucket, Entry, OutQueue
+from ...fleet.wire import Parcel
+from .pump import GONE, Pump, state
+
+
+def entry(subject, urgency, size=50):
+    return Entry(subject, urgency, Parcel(msgspec.Raw(b"\xc0"), "vm1"), size, 0.0)
+
+
+def test_a_newer_item_takes_the_place_of_one_that_waits():
+    queue = OutQueue()
+    old, new = entry("a", Urgency.LOAD), entry("a", Urgency.LOAD)
+    queue.put(old)
+    queue.put(new)
+    assert list(queue.waiting()) == [new]
+    assert queue.count == 1
+
+
+@pytest.mark.parametrize("above", list(Urgency)[:-1])
+def test_a_flood_of_one_urgency_leaves_the_bucket_to_those_above(above):
+    bucket = ByteBucket(3000, 0.0)
+    below = Urgency(above + 1)
+    while bucket.room(below) > 0:
+        bucket.spend(10)
+    assert bucket.room(above) > 0
+    assert bucket.room(HEARTBEAT) > bucket.room(Urgency.CONFIGURATION) > 0
+
+
+def test_the_most_urgent_go_first_and_a_full_queue_drops_the_lowest():
+    queue, bucket = OutQueue(), ByteBucket(3000, 0.0)
+    for i in range(QUEUE_LIMIT + 5):
+        queue.put(entry(i, Urgency.LOAD))
+    queue.put(entry("c", Urgency.CONFIGURATION))
+    queue.put(entry("d", Urgency.DRAIN))
+    assert queue.dropped == 7
+    chosen = queue.take("vm2", 130, bucket, 18)
+    assert [e.urgency for e in chosen] == [Urgency.CONFIGURATION, Urgency.DRAIN]
+
+
+def test_each_item_goes_to_each_vm_once_and_only_so_often():
+    queue, bucket = OutQueue(), ByteBucket(3000, 0.0)
+    queue.put(entry("c", Urgency.DRAIN))
+    counts = [len(queue.take(f"vm{i // 2}", 1000, bucket, 18)) for i in range(40)]
+    assert counts[:4] == [1, 0, 1, 0]
+    assert sum(counts) == 5
+
+
+def test_a_flood_keeps_the_rate_and_kills_nobody_and_configuration_still_gets_through():
+    pump = Pump(6)
+    pump.run(10)
+    first, *others = pump.all()
+    start = pump.clock.now(), first.counters.bytes_sent
+    for second in range(20):
+        for i in range(100):
+            first.publish(LoadItem(f"up{i}", second, 1, False, 0), Urgency.LOAD)
+            first.publish(DrainItem(f"up{i}-{second}", second), Urgency.DRAIN)
+        pump.run(1)
+    first.publish(ConfigurationItem(1, b"x" * 300), Urgency.CONFIGURATION)
+    assert pump.run_until(lambda: all(n.currency.newest == 1 for n in others), 4)
+    spent = first.counters.bytes_sent - start[1]
+    assert spent <= 3000 * (pump.clock.now() - start[0]) + 2 * 3000
+    assert all(state(a, f"vm{i}") not in GONE for a in pump.all() for i in range(1, 7))
--- /dev/null
+++ b/sequoiabridge/tests/fleet/test_spreading.py
@@ -0,0 +1,137 @@
+"""Items through the fleet: configuration, lost marks, late joiners, pauses."""
+
+import pytest
+
+from ...fleet.base import ConfigurationItem, CrashItem, DrainItem, LoadItem, Urgency
+from ...fleet.currency import CONFIRM_WITHIN
+from .pump import Pump, live_names
+
+IN_FORCE = 4.0
+"""Seconds from acceptance to in force everywhere that the brief allows."""
+
+
+def running(count=18, **more):
+    pump = Pump(count, **more)
+    pump.run(20)
+    assert pump.complete()
+    for node in pump.all():
+        node.subscribe(ConfigurationItem, lambda item, sender, node=node: apply_all(node))
+    return pump
+
+
+def apply_all(node):
+    while item := node.currency.take():
+        node.applied(item.version)
+
+
+def accept(node, version, size=300):
+    node.applied(version)
+    node.publish(ConfigurationItem(version, b"x" * size), Urgency.CONFIGURATION)
+
+
+def in_force(pump, version):
+    return lambda: all(n.currency.in_force == version for n in pump.all())
+
+
+@pytest.mark.parametrize(("size", "loss"), [(300, 0.0), (300, 0.2), (3000, 0.0)])
+def test_a_change_is_in_force_everywhere_in_time_and_its_author_knows(size, loss):
+    pump = running()
+    pump.loss = loss
+    author = pump.all()[5]
+    accept(author, 1, size)
+    ack = author.track(1)
+    assert pump.run_until(in_force(pump, 1), IN_FORCE) is not None
+    told = pump.run_until(lambda: author.spread(1) == (18, 18), 10)
+    assert told is not None
+    assert ack.count([*live_names(author)]) == (17, 17)
+
+
+def test_changes_of_several_authors_are_applied_in_order_by_a_vm_that_was_paused():
+    pump = running(6)
+    nodes, late = pump.all()[:5], pump.all()[5]
+    order = []
+    late.subscribe(ConfigurationItem, lambda item, sender: order.append(late.currency.in_force))
+    pump.pause(late)
+    for version in range(1, 6):
+        accept(nodes[version - 1], version)
+        pump.run(0.5)
+    pump.paused[late.me.address].clear()
+    pump.resume(late)
+    assert pump.run_until(in_force(pump, 5), IN_FORCE) is not None
+    assert order == sorted(order)
+
+
+def test_a_joiner_gets_marks_and_configuration_from_its_peers_while_the_store_is_down():
+    pump = running(6)
+    nodes = pump.all()
+    accept(nodes[0], 1)
+    nodes[1].publish(DrainItem("up1", 3), Urgency.DRAIN)
+    pump.run(30)
+    new, heard = pump.add(7), []
+    new.subscribe(ConfigurationItem, lambda item, sender: apply_all(new))
+    new.subscribe(DrainItem, lambda item, sender: heard.append((item, sender)))
+    assert not new.currency.ready(pump.clock.now())
+    assert pump.run_until(lambda: new.currency.ready(pump.clock.now()), 15) is not None
+    assert new.currency.in_force == 1
+    assert pump.run_until(lambda: heard == [(DrainItem("up1", 3), "vm2")], 15) is not None
+
+
+def test_a_mark_that_was_lost_on_every_link_arrives_in_the_end_and_only_once():
+    pump = running(6)
+    nodes = pump.all()
+    heard = []
+    for node in nodes[1:]:
+        node.subscribe(CrashItem, lambda item, sender: heard.append(item.fingerprint))
+    pump.loss = 1.0
+    nodes[0].publish(CrashItem("print", "up1", 5.0), Urgency.CRASH)
+    pump.run(1.5)
+    assert heard == []
+    pump.loss = 0.0
+    assert pump.run_until(lambda: len(heard) == 5, 60) is not None
+    pump.run(30)
+    assert len(heard) == 5
+
+
+def test_the_newer_word_on_a_subject_wins_in_whatever_order_they_come():
+    pump = running(3)
+    first, second, third = pump.all()
+    heard = []
+    third.subscribe(DrainItem, lambda item, sender: heard.append(item))
+    first.publish(DrainItem("up1", 8, leaving=False), Urgency.DRAIN)
+    pump.run(2)
+    second.publish(DrainItem("up1", 7), Urgency.DRAIN)
+    pump.run(15)
+    assert heard == [DrainItem("up1", 8, leaving=False)]
+
+
+def test_a_load_item_arrives_with_the_time_it_waited_added_to_its_age():
+    pump = running(2)
+    first, second = pump.all()
+    heard = []
+    second.subscribe(LoadItem, lambda item, sender: heard.append((item, sender)))
+    pump.loss = 1.0
+    first.bucket.spend(3000)
+    first.publish(LoadItem("up1", 2, 900, True, 40), Urgency.LOAD)
+    pump.loss = 0.0
+    assert pump.run_until(lambda: heard, 5) is not None
+    item, sender = heard[0]
+    assert sender == "vm1"
+    assert item.age_ms > 40
+
+
+def test_a_minority_that_is_cut_off_with_the_store_down_ends_its_readiness():
+    pump = running(7)
+    nodes = pump.all()
+    accept(nodes[0], 1)
+    pump.run(CONFIRM_WITHIN)
+    assert all(n.currency.ready(pump.clock.now()) for n in nodes)
+    pump.cut(nodes[:3], nodes[3:])
+    pump.run(20)
+    ready = [n.currency.ready(pump.clock.now()) for n in nodes]
+    assert ready == [False] * 3 + [True] * 4
+    accept(nodes[6], 2)
+    pump.run(5)
+    pump.cuts.clear()
+    assert pump.run_until(in_force(pump, 2), 20) is not None
+    pump.run(10)
+    assert all(n.currency.ready(pump.clock.now()) for n in nodes)
--- /dev/null
+++ b/sequoiabridge/tests/fleet/test_wire.py
@@ -0,0 +1,118 @@
+"""Frames of an attacker, of a broken link, and of a newer daemon."""
+
+import msgspec
+import pytest
+
+from ...fleet.base import CrashItem, DrainItem, MemberState, Urgency
+from ...fleet.replay import COUNT_BITS, WINDOW, Admission, ReplayGuard
+from ...fleet.wire import MAX_FRAME, WIRE_VERSION, Bad, Codec, Kind, Message, Update, sign
+from .pump import KEY, Pump, incarnation, live_names, state
+
+ME, OTHER = "10.0.0.1:7000", "10.0.0.2:7000"
+
+
+def message(**more):
+    return Message(int(Kind.PING), "vm2", OTHER, "dc", 5, 1, 7, **more)
+
+
+def test_a_frame_comes_through_whole():
+    sent = message(updates=[Update("vm3", "10.0.0.3:7000", "dc", 9, 1)])
+    assert Codec([KEY], ME).decode(Codec([KEY], OTHER).encode(sent, ME)).ok == sent
+
+
+@pytest.mark.parametrize(
+    ("spoil", "bad"),
+    [
+        (lambda f: f[:-1] + bytes([f[-1] ^ 1]), Bad.MAC),
+        (lambda f: f[:5] + bytes([f[5] ^ 1]) + f[6:], Bad.MAC),
+        (lambda f: f[:-3], Bad.MAC),
+        (lambda f: f[:17], Bad.TRUNCATED),
+        (lambda f: b"", Bad.TRUNCATED),
+        (lambda f: f + bytes(MAX_FRAME), Bad.OVERSIZE),
+        (lambda f: bytes([WIRE_VERSION + 1]) + f[1:], Bad.UNKNOWN_VERSION),
+        (lambda f: f[:1] + sign(KEY, ME, b"\x91\x01") + b"\x91\x01", Bad.MALFORMED),
+    ],
+)
+def test_a_spoiled_frame_is_dropped_for_its_own_reason(spoil, bad):
+    frame = Codec([KEY], OTHER).encode(message(), ME)
+    assert Codec([KEY], ME).decode(spoil(frame)).error is bad
+
+
+def test_a_frame_for_another_vm_or_under_another_key_is_dropped():
+    frame = Codec([KEY], OTHER).encode(message(), ME)
+    assert Codec([KEY], "10.0.0.3:7000").decode(frame).error is Bad.MAC
+    assert Codec([b"x" * 32], ME).decode(frame).error is Bad.MAC
+
+
+def test_keys_can_be_changed_while_the_fleet_runs():
+    new = b"n" * 32
+    before, during = Codec([KEY, new], ME), Codec([new, KEY], OTHER)
+    assert before.decode(during.encode(message(), ME)).is_ok()
+    assert during.decode(before.encode(message(), OTHER)).is_ok()
+
+
+def test_an_older_daemon_reads_what_it_knows_of_a_newer_ones_message():
+    class NewItem(msgspec.Struct, tag="new", array_like=True):
+        text: str
+
+    codec = Codec([KEY], ME)
+    body = msgspec.msgpack.decode(msgspec.msgpack.encode(message()))
+    body[12] = [["vm3", "10.0.0.3:7000", "dc", 9, 0, "a field more"]]
+    body[13] = [[codec.pack(NewItem("x")), "vm2", 0], [["drain", "up1", 3, True, "more"], "vm2"]]
+    raw = msgspec.msgpack.encode([*body, "a field more"])
+    got = codec.decode(bytes([WIRE_VERSION]) + sign(KEY, ME, raw) + raw).ok
+    assert got.updates[0].name == "vm3"
+    assert codec.unpack(got.parcels[0].item).error is Bad.UNKNOWN_ITEM
+    assert codec.unpack(got.parcels[1].item).ok == DrainItem("up1", 3)
+
+
+def test_a_sequence_number_is_taken_once_in_any_order():
+    guard, session = ReplayGuard(), 5 << COUNT_BITS
+    assert [guard.admit("a", session, n) for n in (10, 12, 11)] == [Admission.NEW] * 3
+    assert guard.admit("a", session + 1, 11) is Admission.REPLAYED
+    assert guard.admit("a", session, 10**12) is Admission.NEW
+    assert guard.admit("a", session, 10**12 - WINDOW) is Admission.REPLAYED
+    assert guard.admit("a", 6 << COUNT_BITS, 1) is Admission.NEW
+    assert guard.admit("a", session, 10**13) is Admission.OLD_SESSION
+
+
+def test_recorded_frames_do_nothing_to_the_same_or_a_replaced_vm():
+    pump = Pump(2)
+    pump.run(5)
+    first, second = pump.all()
+    recorded = []
+    send = pump.send
+    pump.send = lambda s, t, f: (recorded.append(f), send(s, t, f)) if t == ME else send(s, t, f)
+    second.publish(CrashItem("print", "up1", 1.0), Urgency.CRASH)
+    pump.run(1)
+    heard = []
+    first.subscribe(CrashItem, lambda item, sender: heard.append(item))
+    dropped = first.counters.bad[Bad.REPLAYED]
+    for frame in recorded:
+        first.receive(frame)
+    assert heard == []
+    assert first.counters.bad[Bad.REPLAYED] == dropped + len(recorded)
+
+    pump.kill(second)
+    fresh = pump.add(1)
+    fresh.subscribe(CrashItem, lambda item, sender: heard.append(item))
+    for frame in recorded:
+        fresh.receive(frame)
+    pump.run(20)
+    assert heard == []
+    assert live_names(fresh) == []
+
+
+def test_an_unknown_kind_and_state_are_dropped_and_counted():
+    pump = Pump(2)
+    pump.run(5)
+    first, second = pump.all()
+    sender = second.sender
+    for kind, states in ((99, []), (Kind.GOSSIP, [Update("vm9", "10.0.0.9:7000", "dc", 1, 77)])):
+        sender.sequence += 1
+        odd = Message(int(kind), "vm2", OTHER, "dc", incarnation(second), sender.sequence, 0)
+        odd.to_incarnation, odd.updates = incarnation(first), states
+        first.receive(second.codec.encode(odd, ME))
+    assert first.counters.bad[Bad.UNKNOWN_KIND] == 1
+    assert state(first, "vm9") is None
+    assert state(first, "vm2") is MemberState.ALIVE
