Keep a scrape, a dump and long answers from holding up calls

Cause: metrics are formatted in the thread that serves callers. Ruled out: a thread (interpreter lock, integers would need locks), a text cache (the refresh has the same pause). Change: exposition.render, filtering in chunks, a limit of 1,000 rows unless the command names one, the dump gives way between parts; addresses by config.units, so IPv6 works; the tool's client tested against the port.

--- a/sequoiabridge/metrics.py
+++ b/sequoiabridge/metrics.py
@@ -9,9 +9,9 @@
 
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 
-from prometheus_client import CollectorRegistry, GCCollector, ProcessCollector, generate_latest
+from prometheus_client import CollectorRegistry, GCCollector, ProcessCollector
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
@@ -19,6 +19,7 @@
     Metric,
 )
 
+from .exposition import Samples, SimpleFamily, cumulative, pieces, render
 from .logs import get_log
 from .outcome import Outcome, Reason
 from .parts import Part
@@ -38,9 +39,6 @@
 CALLS_PER_COST = 1000
 """The cost of measuring is given per so many calls."""
 
-Samples = Iterable[tuple[tuple[str, ...], float]]
-"""Label values and the value that belongs to them."""
-
 
 class CallSeries:
     """Counts of one service and kind; `buckets` are not cumulative."""
@@ -90,7 +88,7 @@
 
     def __init__(
         self,
-        family: type[GaugeMetricFamily] | type[CounterMetricFamily],
+        family: SimpleFamily,
         name: str,
         help_text: str,
         labels: tuple[str, ...],
@@ -174,15 +172,17 @@
         """Show a counter that another part keeps; `name` without `_total`."""
         self.readings.append(Reading(CounterMetricFamily, name, help_text, labels, read))
 
-    def text(self) -> bytes:
-        """Return everything in Prometheus' text format."""
-        return generate_latest(self.registry)
+    async def text(self) -> bytes:
+        """Return everything in Prometheus' text format; other tasks run in between."""
+        return await render(self.registry)
 
     def collect(self) -> Iterator[Metric]:
-        """Build the metric families; called by the registry for each scrape."""
+        """Build the metric families in pieces; called by the registry for each scrape."""
         yield from self._call_families()
         for count in self.counts:
-            yield family(CounterMetricFamily, count.name, count.help, count.labels, count.samples())
+            yield from pieces(
+                CounterMetricFamily, count.name, count.help, count.labels, count.samples()
+            )
         yield from self._cost_families()
         for reading in self.readings:
             yield from self._read(reading)
@@ -237,7 +237,7 @@
 
     def _read(self, reading: Reading) -> Iterator[Metric]:
         try:
-            yield family(
+            yield from pieces(
                 reading.family, reading.name, reading.help, reading.labels, reading.samples()
             )
         except Exception as error:
@@ -247,24 +247,35 @@
             self.failures.add(reading.name)
 
     def _call_families(self) -> Iterator[Metric]:
-        labels = ["service", "kind"]
-        calls = CounterMetricFamily("sequoia_calls", "Calls answered.", labels=[*labels, "status"])
-        latency = HistogramMetricFamily(
-            "sequoia_call_seconds", "Time from head to last byte of the answer.", labels=labels
+        labels = ("service", "kind")
+        calls = list(self.calls.items())
+        statuses = (
+            ((*key, status), number)
+            for key, series in calls
+            for status, number in zip(STATUS_CLASSES, series.statuses, strict=True)
+            if number
+        )
+        windows = (
+            ((*key, answer), number)
+            for key, series in calls
+            for answer, number in (("yes", series.in_window), ("no", series.late))
         )
-        window = CounterMetricFamily(
+        yield from pieces(
+            CounterMetricFamily, "sequoia_calls", "Calls answered.", (*labels, "status"), statuses
+        )
+        yield from pieces(
+            CounterMetricFamily,
             "sequoia_calls_by_window",
             "Calls answered in their window or late.",
-            labels=[*labels, "in_window"],
+            (*labels, "in_window"),
+            windows,
         )
-        for key, series in self.calls.items():
-            for status, number in zip(STATUS_CLASSES, series.statuses, strict=True):
-                if number:
-                    calls.add_metric([*key, status], number)
-            latency.add_metric(key, cumulative(series.buckets), series.seconds)
-            window.add_metric([*key, "yes"], series.in_window)
-            window.add_metric([*key, "no"], series.late)
-        return iter((calls, latency, window))
+        for key, series in calls:
+            latency = HistogramMetricFamily(
+                "sequoia_call_seconds", "Time from head to last byte of the answer.", labels=labels
+            )
+            latency.add_metric(key, cumulative(BUCKET_NAMES, series.buckets), series.seconds)
+            yield latency
 
     def _cost_families(self) -> Iterator[Metric]:
         calls: defaultdict[str, int] = defaultdict(int)
@@ -280,28 +291,4 @@
                 for service, number in calls.items()
             ]
             full_name = f"sequoia_{name}_per_1000_calls"
-            yield family(GaugeMetricFamily, full_name, help_text, ("service",), samples)
-
-
-def family(
-    kind: type[GaugeMetricFamily] | type[CounterMetricFamily],
-    name: str,
-    help_text: str,
-    labels: tuple[str, ...],
-    samples: Samples,
-) -> Metric:
-    """Build one metric family."""
-    built = kind(name, help_text, labels=labels)
-    for label_values, value in samples:
-        built.add_metric(label_values, value)
-    return built
-
-
-def cumulative(buckets: list[int]) -> list[tuple[str, float]]:
-    """Return the buckets as Prometheus wants them: each with all that are below it."""
-    total = 0
-    result = []
-    for name, number in zip(BUCKET_NAMES, buckets, strict=True):
-        total += number
-        result.append((name, total))
-    return result
+            yield from pieces(GaugeMetricFamily, full_name, help_text, ("service",), samples)
--- a/sequoiabridge/operators/admin.py
+++ b/sequoiabridge/operators/admin.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-from socket import SHUT_WR
+from socket import AF_INET, AF_INET6, SHUT_WR
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import curio
 import h11
 from curio import network
 
+from ..config.units import join_address, split_address
 from ..logs import get_log
 from ..parts import Part
 from .errors import RequestRejected
@@ -174,9 +175,10 @@
 
     async def bind(self) -> None:
         """Bind the address; afterwards `address` has the port."""
-        host, _, port = self.address.rpartition(":")
-        self.sock = network.tcp_server_socket(host, int(port))
-        self.address = "{}:{}".format(*self.sock.getsockname()[:2])
+        ip, port = split_address(self.address)
+        family = AF_INET6 if ":" in ip else AF_INET
+        self.sock = network.tcp_server_socket(ip, port, family)
+        self.address = join_address(*self.sock.getsockname()[:2])
         log.info("listening on %s", self.address)
 
     async def run(self) -> None:
--- a/sequoiabridge/operators/dump.py
+++ b/sequoiabridge/operators/dump.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Sequence
 
+import curio
+
 from ..logs import get_log
 from ..parts import Part
 from .errors import NotFound
@@ -35,8 +37,8 @@
         self.parts = parts
         self.secrets = [secret for secret in secrets if secret]
 
-    def collect(self, only: str | None = None) -> dict:
-        """Return the dump of all parts, or of the one named `only`.
+    async def collect(self, only: str | None = None) -> dict:
+        """Return the dump of all parts, or of the one named `only`; tasks run between parts.
 
         Raises:
             NotFound: There is no part of that name; the message lists those there are.
@@ -45,8 +47,12 @@
         names = sorted({part.name for part in parts})
         if only is not None and only not in names:
             raise NotFound(f"There is no part {only}; parts are {', '.join(names)}.")
-        chosen = [part for part in parts if only in (None, part.name)]
-        return {"vm": self.vm, "parts": {part.name: self._dump(part) for part in chosen}}
+        shown = {}
+        for part in parts:
+            if only in (None, part.name):
+                shown[part.name] = self._dump(part)
+                await curio.sleep(0)
+        return {"vm": self.vm, "parts": shown}
 
     def _dump(self, part: Part) -> object:
         try:
--- a/sequoiabridge/operators/executor.py
+++ b/sequoiabridge/operators/executor.py
@@ -4,6 +4,7 @@
 
 from urllib.parse import quote
 
+import curio
 import msgspec
 from expression import Error, Ok, Result
 
@@ -12,7 +13,7 @@
 from ..timers import Clock
 from .bases import ConfigurationGate, Releases, StateSource
 from .changes import Proposal, check_expected, propose_command, propose_document, row_table
-from .commands import ChangeCommand, Command, Diff, Explain, Release, Show
+from .commands import ChangeCommand, Command, Diff, Explain, Release, Show, Subject
 from .errors import LanguageError, NotFound
 from .filtering import Test, chosen, compile_tests
 from .gather import Gatherer
@@ -21,6 +22,9 @@
 from .reply import Reply
 from .rows import GATHERED, ROWS, ShowRow, fields_of
 
+DEFAULT_LIMIT = 1000
+"""Rows of an answer when the command names no limit: a long one holds up calls on this VM."""
+
 Replied = Result[Reply, SequoiaError]
 
 
@@ -82,9 +86,12 @@
         return await self._own_rows(parsed.ok, tests.ok)
 
     async def explain(self, request_id: str) -> Replied:
-        """Return what the journals of this VM and the others say about a request."""
+        """Return what this VM's journal says about a request, else what the others' say."""
+        own = self.journal.explain(request_id)
+        if own is not None:
+            return Ok(self._reply(["vm", "line"], [[self.vm, line] for line in own]))
         gathered = await self.gatherer.gather(f"/explain/{quote(request_id, safe='')}?local=1")
-        rows = [[self.vm, line] for line in self.journal.explain(request_id) or []]
+        rows: list[list[str]] = []
         for vm, body in sorted(gathered.answers.items()):
             lines = decoded(body, list[str])
             if lines is None:
@@ -106,15 +113,21 @@
         rows, heard, not_heard = own.ok, [self.vm], {}
         if show.subject in GATHERED:
             more, heard, not_heard = await self._others_rows(show, text)
-            rows = sorted(rows + more, key=sort_key, reverse=show.subject.value == "refusals")
-            rows = rows[: show.limit]
+            rows = ordered(rows + more, show)
+        limit = limit_of(show)
         columns = fields_of(show.subject)
-        table = [[getattr(row, column) for column in columns] for row in rows]
-        return Ok(self._reply(columns, table, heard, not_heard))
+        table = [[getattr(row, column) for column in columns] for row in rows[:limit]]
+        cut = len(rows) > limit and show.limit is None
+        message = f"Only the first {limit} rows; add where, or limit N for more." if cut else ""
+        return Ok(self._reply(columns, table, heard, not_heard, message))
 
     async def _own_rows(self, show: Show, tests: list[Test]) -> Result[list[ShowRow], SequoiaError]:
-        rows = await self.source.rows(show.subject, show.of)
-        return rows.map(lambda found: chosen(found, tests, show.limit))
+        found = await self.source.rows(show.subject, show.of)
+        if found.is_error():
+            return found
+        # One row over the limit shows that there are more.
+        rows = ordered(await chosen(found.ok, tests), show)
+        return Ok(rows[: limit_of(show) + 1])
 
     async def _others_rows(
         self, show: Show, text: str
@@ -127,6 +140,7 @@
                 gathered.not_heard[vm] = "its answer could not be read"
                 continue
             rows += found
+            await curio.sleep(0)
         heard = [self.vm, *sorted(gathered.answers.keys() - gathered.not_heard.keys())]
         return rows, heard, gathered.not_heard
 
@@ -197,10 +211,22 @@
         return None
 
 
+def limit_of(show: Show) -> int:
+    """Return how many rows are shown at most."""
+    return DEFAULT_LIMIT if show.limit is None else show.limit
+
+
+def ordered(rows: list[ShowRow], show: Show) -> list[ShowRow]:
+    """Put rows of several VMs in order: by their first two columns, refusals newest first."""
+    if show.subject not in GATHERED:
+        return rows
+    return sorted(rows, key=sort_key, reverse=show.subject is Subject.REFUSALS)
+
+
 def sort_key(row: ShowRow) -> tuple[str, str]:
-    """Return the key by which rows of several VMs are put in order: their first two columns."""
+    """Return the first two columns, which are texts in all rows that are gathered."""
     first, second = row.__struct_fields__[:2]
-    return str(getattr(row, first)), str(getattr(row, second))
+    return getattr(row, first), getattr(row, second)
 
 
 def not_explained(request_id: str, not_heard: dict[str, str]) -> str:
--- a/sequoiabridge/operators/fetch.py
+++ b/sequoiabridge/operators/fetch.py
@@ -5,6 +5,7 @@
 import curio
 import h11
 
+from ..config.units import split_address
 from ..exceptions import AdminError
 
 READ_BYTES = 65536
@@ -32,8 +33,7 @@
 
 
 async def _exchange(address: str, target: str, token: str) -> tuple[int, bytearray]:
-    host, _, port = address.rpartition(":")
-    sock = await curio.open_connection(host, int(port))
+    sock = await curio.open_connection(*split_address(address))
     async with sock:
         connection = h11.Connection(h11.CLIENT)
         headers = [
--- a/sequoiabridge/operators/filtering.py
+++ b/sequoiabridge/operators/filtering.py
@@ -1,10 +1,11 @@
-"""Which rows `show` answers with: `of`, `where` and `limit`, with values checked by type."""
+"""Which rows `show` answers with: `of` and `where`, with values checked by type."""
 
 from __future__ import annotations
 
 import operator
 from collections.abc import Callable
 
+import curio
 import msgspec
 from expression import Error, Ok, Result
 
@@ -14,6 +15,9 @@
 
 Test = Callable[[ShowRow], bool]
 
+CHUNK_ROWS = 500
+"""Rows that are tested before other tasks may run."""
+
 TRUE = frozenset({"yes", "true", "on", "1"})
 FALSE = frozenset({"no", "false", "off", "0"})
 
@@ -72,7 +76,11 @@
     return word in TRUE
 
 
-def chosen(rows: list[ShowRow], tests: list[Test], limit: int | None) -> list[ShowRow]:
-    """Return the rows that pass all tests, at most `limit`."""
-    passed = [row for row in rows if all(test(row) for test in tests)]
-    return passed if limit is None else passed[:limit]
+async def chosen(rows: list[ShowRow], tests: list[Test]) -> list[ShowRow]:
+    """Return the rows that pass all tests; calls are served between chunks of rows."""
+    passed: list[ShowRow] = []
+    for start in range(0, len(rows), CHUNK_ROWS):
+        chunk = rows[start : start + CHUNK_ROWS]
+        passed += [row for row in chunk if all(test(row) for test in tests)]
+        await curio.sleep(0)
+    return passed
--- a/sequoiabridge/operators/routes.py
+++ b/sequoiabridge/operators/routes.py
@@ -84,7 +84,7 @@
         raise RequestRejected(401, "unauthorized", message)
 
     async def _metrics(self, request: AdminRequest) -> AdminAnswer:
-        return AdminAnswer(200, METRICS_TYPE, self.metrics.text())
+        return AdminAnswer(200, METRICS_TYPE, await self.metrics.text())
 
     async def _ready(self, request: AdminRequest) -> AdminAnswer:
         ready, why = self.readiness.check()
@@ -94,7 +94,7 @@
         return text_answer("The daemon runs.")
 
     async def _dump(self, request: AdminRequest) -> AdminAnswer:
-        return json_answer(self.dump.collect(request.query.get("part")))
+        return json_answer(await self.dump.collect(request.query.get("part")))
 
     async def _explain(self, request: AdminRequest) -> AdminAnswer:
         request_id = request.path.removeprefix(EXPLAIN)
--- a/sequoiabridge/tests/operators/test_dump.py
+++ b/sequoiabridge/tests/operators/test_dump.py
@@ -1,5 +1,6 @@
 """The state dump: a failing part does not spoil it, and no secret is shown."""
 
+import curio
 import msgspec
 import pytest
 
@@ -25,21 +26,23 @@
 
 def test_a_failing_part_is_shown_as_an_error_beside_the_others():
     parts = [FakePart("queue", {"length": 3}), FakePart("fleet", ValueError(f"no {SECRET}"))]
-    shown = Dump("vm1", lambda: parts, [SECRET]).collect()["parts"]
+    dump = Dump("vm1", lambda: parts, [SECRET])
+    shown = curio.run(dump.collect)["parts"]
     assert shown == {"queue": {"length": 3}, "fleet": {"error": f"ValueError: no {HIDDEN}"}}
 
 
 def test_no_secret_is_shown_by_name_or_by_value():
     deep = {"url": f"x?{SECRET}=1", SECRET: [SECRET], "Token": "short", "at": ({1}, object())}
     dump = Dump("vm1", lambda: [FakePart("settings", deep)], [SECRET, ""])
-    text = msgspec.json.encode(dump.collect("settings")).decode()
+    text = msgspec.json.encode(curio.run(dump.collect, "settings")).decode()
     assert SECRET not in text and "short" not in text and "x?(hidden)=1" in text
     with pytest.raises(NotFound, match="parts are settings"):
-        dump.collect("none")
+        curio.run(dump.collect, "none")
 
 
 def test_a_part_that_shows_itself_ends():
     endless = {}
     endless["self"] = endless
-    shown = Dump("vm1", lambda: [FakePart("loop", endless)]).collect()
+    dump = Dump("vm1", lambda: [FakePart("loop", endless)])
+    shown = curio.run(dump.collect)
     assert "too deep" in msgspec.json.encode(shown).decode()
--- a/sequoiabridge/tests/operators/test_executor.py
+++ b/sequoiabridge/tests/operators/test_executor.py
@@ -5,7 +5,9 @@
 
 from ...exceptions import ConflictError
 from ...operators.errors import Behind, InvalidChange, LanguageError, NotFound
+from ...operators.executor import DEFAULT_LIMIT
 from ...operators.gather import Peer
+from ...operators.rows import UpstreamRow
 from .fakes import FakeDaemon
 
 
@@ -45,7 +47,7 @@
     assert reply.heard == ["vm1", "vm2"]
     assert set(reply.not_heard) == {"silent", "cut", "gone"}
     assert "no answer within" in reply.not_heard["silent"]
-    assert len(gathered("show upstreams limit 1").rows) == 1
+    assert [row[:2] for row in gathered("show upstreams limit 1").rows] == [["a1", "vm1"]]
 
 
 def test_explain_asks_the_vm_that_had_the_call():
@@ -77,6 +79,16 @@
     assert [row[0] for row in FakeDaemon().ask("show upstreams of mottag").rows] == ["a2"]
 
 
+def test_a_long_answer_is_cut_and_says_so():
+    daemon = FakeDaemon()
+    rows = [UpstreamRow(f"u{number:04}", "vm1") for number in range(DEFAULT_LIMIT + 1)]
+    daemon.executor.source.found = rows[::-1]
+    reply = daemon.ask("show upstreams")
+    assert (len(reply.rows), reply.rows[0][0]) == (DEFAULT_LIMIT, "u0000")
+    assert "Only the first" in reply.message
+    assert len(daemon.ask("show upstreams limit 9999").rows) == DEFAULT_LIMIT + 1
+
+
 def test_set_keeps_the_other_options_and_a_dry_run_changes_nothing():
     daemon = FakeDaemon()
     change = "set upstream a1 slots = 4"
--- /dev/null
+++ b/sequoiabridge/tests/operators/test_tool_and_port.py
@@ -0,0 +1,49 @@
+"""The tool's client against the real admin port: what one sends, the other understands."""
+
+import curio
+import pytest
+
+from ...commands.client import AdminClient, NothingFound
+from ...exceptions import AdminError, ConfigurationError, ConflictError
+from .fakes import TOKEN, FakeDaemon
+
+
+def with_client(work, token=TOKEN):
+    """Run `work(client)` in a thread beside a daemon's admin port."""
+
+    async def run():
+        async with FakeDaemon() as daemon:
+            client = AdminClient(daemon.server.address, token)
+            return await curio.run_in_thread(work, client)
+
+    return curio.run(run)
+
+
+def test_ask_apply_and_explain():
+    asked = with_client(lambda client: client.post("ask", body="show upstreams of mottag"))
+    assert [dict(zip(asked["columns"], row, strict=True))["name"] for row in asked["rows"]] == [
+        "a2"
+    ]
+    assert (asked["heard"], asked["not_heard"], asked["version"]) == (["vm1"], {}, 1)
+    text = "[service mottag]\npath_prefix = /images\n"
+    dry = with_client(lambda client: client.post("apply", body=text, dry_run="1", expect="1"))
+    assert ["service", "spendview", "(entry)", "removed", ""] in dry["rows"]
+
+
+@pytest.mark.parametrize(
+    "path, body, error",
+    [
+        (("ask",), "show serices", ConfigurationError),
+        (("ask",), "drain upstream a1 expect version 0", ConflictError),
+        (("explain", "a/b?c"), None, NothingFound),
+    ],
+)
+def test_errors_keep_their_kind_on_the_way(path, body, error):
+    def work(client):
+        return client.get(*path) if body is None else client.post(*path, body=body)
+
+    with pytest.raises(error) as raised:
+        with_client(work)
+    assert ("column 6: expected services" in str(raised.value)) == ("serices" in str(body))
+    with pytest.raises(AdminError, match="bearer token"):
+        with_client(work, token="wrong")
--- a/sequoiabridge/tests/test_metrics.py
+++ b/sequoiabridge/tests/test_metrics.py
@@ -3,6 +3,9 @@
 import re
 from pathlib import Path
 
+import curio
+from prometheus_client.parser import text_string_to_metric_families
+
 from ..metrics import Metrics
 from ..outcome import Outcome, Reason
 
@@ -42,13 +45,26 @@
     metrics.gauge("sequoia_ready", "Ready.", lambda: 1 // 0)
     metrics.gauge("sequoia_queue_length", "Queue.", lambda: [(("mottag",), 3)], ("service",))
     metrics.refused("mottag", Reason.QUEUE_FULL, Outcome.NOT_RUN)
-    metrics.text()
-    text = metrics.text().decode()
+    curio.run(metrics.text)
+    text = curio.run(metrics.text).decode()
     assert 'sequoia_queue_length{service="mottag"} 3.0' in text
     assert 'sequoia_collect_failures_total{metric="sequoia_ready"} 1.0' in text
     assert 'outcome="not-run",reason="queue-full"' in text
 
 
+def test_a_family_cut_into_pieces_is_one_family_in_the_text():
+    metrics = Metrics()
+    for number in range(250):
+        metrics.answered(f"service-{number}", "read", 200, 0.004, True)
+    text = curio.run(metrics.text).decode()
+    assert text.count("# TYPE sequoia_call_seconds histogram") == 1
+    families = list(text_string_to_metric_families(text))
+    assert len({family.name for family in families}) == len(families)
+    by_name = {family.name: family.samples for family in families}
+    assert len(by_name["sequoia_calls"]) == 250
+    assert len(by_name["sequoia_calls_by_window"]) == 500
+
+
 def test_the_page_names_every_metric_that_the_daemon_has_from_the_start():
     named = set(re.findall(r"`(sequoia_\w+)`", PAGE.read_text(encoding="utf-8")))
     has = {metric.name for metric in Metrics().collect()}
