Mend what the first runs of the whole path showed

Cause: in a trial of the demo on a scratch copy, approvals were cut off (the server looked at a body that the pipeline had replaced), replays came without their answer (an answer in memory was counted as streaming), and a caller that connected anew was taken for another one (its identity had the port), so that one key ran twice. The daemon's module did nothing when run. Change: each mended; dispatch tests on a fake connector; explain notes; scene waits for admin ports.

--- a/benchmarks/scene.py
+++ b/benchmarks/scene.py
@@ -124,6 +124,7 @@
             process.wait_ready()
         for daemon in self.daemons:
             self.start_daemon(daemon)
+        self.wait_for("/live", self.daemons)
         self.apply(self.configuration())
         self.wait_ready(self.daemons)
 
@@ -191,8 +192,12 @@
 
     def wait_ready(self, daemons: list[Daemon]) -> None:
         """Wait until all of `daemons` pass their health check."""
+        self.wait_for("/ready", daemons)
+
+    def wait_for(self, path: str, daemons: list[Daemon]) -> None:
+        """Wait until `path` of the admin ports of all `daemons` answers well."""
         end = time.monotonic() + READY_TIMEOUT
-        while waiting := [daemon for daemon in daemons if not healthy(daemon)]:
+        while waiting := [daemon for daemon in daemons if not healthy(daemon, path)]:
             if time.monotonic() > end:
                 logs = "\n".join(d.process.log_tail() for d in waiting)
                 raise RuntimeError(f"not ready: {[d.name for d in waiting]}\n{logs}")
@@ -214,10 +219,10 @@
         return [run for path in self.trial.record_files() for run in read_record(str(path))]
 
 
-def healthy(daemon: Daemon) -> bool:
-    """Return True if a daemon passes the balancer's health check."""
+def healthy(daemon: Daemon, path: str = "/ready") -> bool:
+    """Return True if a daemon passes the balancer's health check, or another one."""
     try:
-        with urllib.request.urlopen(f"http://{daemon.admin}/ready", timeout=1.0) as answer:
+        with urllib.request.urlopen(f"http://{daemon.admin}{path}", timeout=1.0) as answer:
             return answer.status == 200
     except OSError:
         return False
--- a/sequoiabridge/callers/connection.py
+++ b/sequoiabridge/callers/connection.py
@@ -102,6 +102,7 @@
     async def _exchange(self, event: h11.Request, head: Head) -> bool:
         """Have the handler answer a request; return True if another may follow."""
         request = self._request(event, head)
+        body = request.body  # The handler may put another in its place.
         handler = self.server.handler
         self.wire.handling()
         try:
@@ -109,11 +110,11 @@
         except CallerGone:
             raise
         except Exception as error:
-            await self._send(self._refused(error), request.method, request.body)
+            await self._send(self._refused(error), request.method, body)
             return await self._next_cycle()
         clean = False
         try:
-            await self._send(answer, request.method, request.body)
+            await self._send(answer, request.method, body)
             clean = True
         except CallerGone:
             raise
--- a/sequoiabridge/commands/daemon.py
+++ b/sequoiabridge/commands/daemon.py
@@ -51,3 +51,7 @@
     from ..daemon import Daemon
 
     return curio.run(Daemon(settings).run) or 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/sequoiabridge/commands/main.py
+++ b/sequoiabridge/commands/main.py
@@ -55,3 +55,7 @@
         print(json.dumps({"error": {"kind": kind, "message": message, "exit": error.exit_code}}))
     print(f"sequoiactl: {message}", file=sys.stderr)
     return error.exit_code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/sequoiabridge/pipeline/accounting.py
+++ b/sequoiabridge/pipeline/accounting.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 
 from ..exceptions import UpstreamFailed
+from ..operators.steps import AttemptEnded
 from ..policy.base import Failure
 from ..timers import Clock
 from ..upstreams.base import Connector
@@ -141,7 +142,11 @@
 
     async def _ended(self, state: ServiceState, attempt: Attempt, kind: Failure) -> None:
         now = self.clock.now()
-        state.pool.failed(attempt.evidence, now, kind, now - attempt.started)
+        seconds = now - attempt.started
+        state.pool.failed(attempt.evidence, now, kind, seconds)
+        if kind is not Failure.CANCELLED:
+            step = AttemptEnded(attempt.evidence.name, kind, attempt.sent, seconds)
+            attempt.exchange.note(step)
         self.observer.failed(attempt.exchange, attempt.evidence.name, kind)
 
 
--- a/sequoiabridge/pipeline/attempt.py
+++ b/sequoiabridge/pipeline/attempt.py
@@ -179,12 +179,12 @@
 
     async def _read_small_body(self) -> None:
         body = self.answer.body
-        if body is None or isinstance(body, BytesBody):
-            return
-        while piece := await body.read():
-            self.pieces.append(piece)
-        self.answer.body = BytesBody(b"".join(self.pieces))
-        self.connection = None
+        if body is not None and not isinstance(body, BytesBody):
+            while piece := await body.read():
+                self.pieces.append(piece)
+            self.answer.body = BytesBody(b"".join(self.pieces))
+        # The body gave the connection back when it ended.
+        await self.finish()
 
     def proven_not_run(self) -> None:
         """Take back that the request may have run: nothing was sent, or the upstream said so."""
--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -9,6 +9,7 @@
 import curio
 
 from ..exceptions import Refusal, UpstreamFailed
+from ..operators.steps import Chosen, Repeated
 from ..outcome import Reason
 from ..policy.evidence import UpstreamEvidence
 from ..policy.retries import may_retry
@@ -67,12 +68,16 @@
     def _choose(
         self, exchange: Exchange, state: ServiceState, tried: list[str]
     ) -> UpstreamEvidence | None:
-        evidence = state.pool.choose(self.clock.now(), tried)
-        if evidence is None or evidence.name in tried:
-            return None
-        if tried:
+        now = self.clock.now()
+        evidence = state.pool.choose(now, tried)
+        if evidence is not None and evidence.name in tried:
+            evidence = None
+        # Weighing is told in full only where somebody will ask: it costs as much as the choice.
+        if tried or evidence is None or exchange.notes is not None:
+            name = evidence.name if evidence is not None else None
+            exchange.note(Chosen(name, state.pool.explain(now)))
+        if tried and evidence is not None:
             self.observer.retried(exchange.service.name, False)
-            exchange.note(f"sent again, to {evidence.name}")
         return evidence
 
     def _begin(
@@ -117,7 +122,7 @@
             attempts.append(self._begin(exchange, state, evidence, fresh=True))
             tried.append(evidence.name)
             self.observer.retried(exchange.service.name, True)
-            exchange.note(f"hedged at {evidence.name}")
+            exchange.note(Repeated("hedge", True, f"silent, so also sent to {evidence.name}"))
         race = Race(self.accounting, state, attempts)
         try:
             async with curio.timeout_after(max(0.0, left)):
@@ -157,8 +162,12 @@
         left = exchange.deadline - self.clock.now()
         sent = exchange.unproven > 0
         if not may_retry(exchange.rule.idempotent, sent, exchange.attempts, left):
+            exchange.note(Repeated("retry", False, "not allowed, or no attempt or time left"))
+            return False
+        if not self._pay(state):
+            exchange.note(Repeated("retry", False, "the retry budget is spent"))
             return False
-        return self._pay(state)
+        return True
 
 
 def _replayable(exchange: Exchange) -> bool:
--- a/sequoiabridge/pipeline/identify.py
+++ b/sequoiabridge/pipeline/identify.py
@@ -16,7 +16,8 @@
 class Identify(Filter):
     """Reads the caller's identity, idempotency key and deadline from the documented headers.
 
-    Without `Sequoia-Caller` the caller is its address. The deadline is kept as an offset to the
+    Without `Sequoia-Caller` the caller is its IP number, whatever its port: a caller that
+    connects anew keeps its keys. The deadline is kept as an offset to the
     arrival; `match.Match` bounds it by the rule's window.
     """
 
@@ -25,7 +26,7 @@
     name = "identify"
 
     async def enter(self, exchange: Exchange) -> None:
-        exchange.caller = exchange.request.peer
+        exchange.caller = exchange.request.peer.rpartition(":")[0]
         for name, value in exchange.request.headers:
             if name == headers.CALLER:
                 exchange.caller = value.decode("latin-1")
--- a/sequoiabridge/pipeline/record.py
+++ b/sequoiabridge/pipeline/record.py
@@ -23,6 +23,10 @@
         self.journal = journal
         self.clock = clock
 
+    async def enter(self, exchange: Exchange) -> None:
+        if self.journal.sampled():
+            exchange.notes = []
+
     async def leave(self, exchange: Exchange, clean: bool) -> None:
         now = self.clock.now()
         service = exchange.service.name if exchange.service else NO_SERVICE
--- a/sequoiabridge/pipeline/spool.py
+++ b/sequoiabridge/pipeline/spool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .. import headers
 from .base import Filter
 from .exchange import Exchange
 from .uploads import UploadHandler
@@ -20,5 +21,8 @@
         self.handler = handler
 
     async def enter(self, exchange: Exchange) -> None:
-        if exchange.rule.upload == SPOOL:
-            exchange.answer = await self.handler.handle(exchange)
+        if exchange.rule.upload != SPOOL:
+            return
+        answer = await self.handler.handle(exchange)
+        answer.headers = [*answer.headers, (headers.REQUEST_ID, exchange.id.encode())]
+        exchange.answer = answer
--- /dev/null
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -0,0 +1,154 @@
+"""A connector whose upstreams behave as a test says, and a small service to dispatch to."""
+
+from enum import Enum
+from random import Random
+
+import curio
+
+from ...config.document import Document
+from ...config.loading import parse_document
+from ...exceptions import UpstreamFailed
+from ...headers import NOT_RUN
+from ...pipeline.accounting import Observer
+from ...pipeline.dispatch import Dispatch
+from ...pipeline.exchange import Answer, Body, Exchange, Request
+from ...pipeline.services import Services
+from ...timers import SystemClock
+from ...upstreams.base import Connector, UpstreamConnection
+
+
+class Act(Enum):
+    """What an upstream does with a request."""
+
+    ANSWER = "answer"
+    FAIL = "fail"
+    SHED = "shed"
+    REFUSE_CONNECTION = "refuse connection"
+    RESET = "reset"
+    CUT = "cut"
+    STAY_SILENT = "stay silent"
+
+
+class FakeConnection(UpstreamConnection):
+    """One connection to an upstream that acts as told."""
+
+    def __init__(self, network, address, act):
+        self.network = network
+        self.address = address
+        self.act = act
+        self.opened = self.last_heard = network.clock.now()
+        self.requests = 0
+        self.closed = False
+
+    async def send(self, request):
+        self.network.received.append((self.address, request))
+
+    async def read_head(self):
+        if self.act is Act.STAY_SILENT:
+            await curio.sleep(3600)
+        if self.act is Act.RESET:
+            raise UpstreamFailed("reset", sent=True)
+        if self.act is Act.SHED:
+            return Answer(503, [(NOT_RUN, b"1")], 0, None)
+        status = 500 if self.act is Act.FAIL else 200
+        return Answer(status, [(b"x-from", self.address.encode())], 5, Streamed(self.act))
+
+    @property
+    def clean(self):
+        return not self.closed
+
+    async def close(self):
+        self.closed = True
+
+
+class Streamed(Body):
+    """The body `hello`, or one that breaks off after its first bytes."""
+
+    def __init__(self, act):
+        self.pieces = [b"hel", b"lo"]
+        self.act = act
+
+    async def read(self):
+        if self.act is Act.CUT and len(self.pieces) == 1:
+            raise UpstreamFailed("cut off", sent=True)
+        return self.pieces.pop(0) if self.pieces else b""
+
+
+class FakeNetwork(Connector):
+    """Upstreams by address; `received` has what reached them, in order."""
+
+    def __init__(self, acts):
+        self.clock = SystemClock()
+        self.acts = acts
+        self.received = []
+        self.connections = []
+
+    async def acquire(self, address, *, fresh, timeout):
+        if self.acts[address] is Act.REFUSE_CONNECTION:
+            raise UpstreamFailed("refused", sent=False)
+        connection = FakeConnection(self, address, self.acts[address])
+        self.connections.append(connection)
+        return connection
+
+    async def release(self, connection):
+        return None
+
+    async def suspect(self, address, opened_before):
+        return None
+
+
+class Quiet(Observer):
+    """An observer that only counts."""
+
+    def __init__(self):
+        self.failures = []
+
+    def draining(self, upstream, incarnation):
+        return None
+
+    def failed(self, exchange, upstream, failure):
+        self.failures.append(failure)
+
+    def retried(self, service, hedge):
+        return None
+
+
+def document(upstreams: int, **rule) -> Document:
+    """Return a configuration of one service with so many upstreams and one rule."""
+    lines = ["[service s]", "[pool p]", "service = s", "[rule r]", "service = s"]
+    lines += [f"{key} = {value}" for key, value in rule.items()]
+    for number in range(1, upstreams + 1):
+        lines += [f"[upstream u{number}]", "pool = p", f"address = 127.0.0.1:{number}"]
+    return parse_document("\n".join(lines)).ok
+
+
+class Bench:
+    """A dispatch over a fake network; `acts` are those of upstreams u1, u2, …"""
+
+    def __init__(self, *acts: Act, seed=7, **rule):
+        self.network = FakeNetwork({f"127.0.0.1:{n}": act for n, act in enumerate(acts, 1)})
+        self.clock = self.network.clock
+        self.observer = Quiet()
+        self.services = Services(self.clock, Random(seed), lambda address, count: None, lambda: 1)
+        self.document = document(len(acts), **rule)
+        self.services.update(self.document)
+        self.dispatch = Dispatch(self.services, self.network, self.clock, self.observer)
+
+    def exchange(self, window=30.0) -> Exchange:
+        """Return a call that matched the rule."""
+        now = self.clock.now()
+        exchange = Exchange("id", Request(b"POST", b"/", [(b"host", b"s")]), now)
+        exchange.service = self.document.services["s"]
+        exchange.rule = self.document.rules["r"]
+        exchange.deadline = now + window
+        return exchange
+
+    def run(self, exchange: Exchange) -> Answer:
+        """Dispatch a call; raises its `Refusal`."""
+        return curio.run(self.dispatch.run, exchange)
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many attempts the evidence still counts."""
+        pool = self.services.by_name["s"].pool
+        return sum(upstream.in_flight for upstream in pool.upstreams.values())
