--- a/sequoiabridge/config/draft.py
+++ b/sequoiabridge/config/draft.py
@@ -212,9 +212,10 @@
         rules = {s.service for s in touched if s.heading == "rule"}
         self.new.rule_tables = without(self.old.rule_tables, rules)
         services = {s.service for s in touched if s.heading == "pool"}
-        for pools in (self.old.pools, self.new.pools):
-            names = {s.pool for s in touched if s.heading == "upstream"}
-            services |= {pools[name].service for name in names if name in pools}
+        # A pool that is gone or moved is touched itself, so the new pools are enough here.
+        pools = self.new.pools
+        names = {s.pool for s in touched if s.heading == "upstream"}
+        services |= {pools[name].service for name in names if name in pools}
         self.new.upstream_lists = without(self.old.upstream_lists, services)
 
 
--- a/sequoiabridge/config/units.py
+++ b/sequoiabridge/config/units.py
@@ -6,9 +6,12 @@
 
 from .fields import REQUIRED, BadValue, Field
 
-DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,17})?)\s*(ms|s|m|h)")
+DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)\s*(ms|s|m|h)")
 SIZE = re.compile(r"([0-9]{1,15})\s*(B|KB|MB|GB|TB)?", re.IGNORECASE)
 
+DECIMALS = 9
+"""Durations are kept to the nanosecond, so that each can be written without loss."""
+
 SECONDS = {"s": 1, "m": 60, "h": 3600}
 BYTES = {"TB": 1000**4, "GB": 1000**3, "MB": 1000**2, "KB": 1000, "B": 1}
 
@@ -40,7 +43,7 @@
         if not match:
             raise self.bad(text)
         number, unit = float(match[1]), match[2]
-        value = number / 1000 if unit == "ms" else number * SECONDS[unit]
+        value = round(number / 1000 if unit == "ms" else number * SECONDS[unit], DECIMALS)
         if not self.least <= value <= self.most:
             raise self.bad(text)
         return value
@@ -55,7 +58,7 @@
         thousandths = round(value * 1000)
         if thousandths / 1000 == value:
             return f"{thousandths}ms"
-        return f"{value:.17f}".rstrip("0") + "s"
+        return f"{value:.{DECIMALS}f}".rstrip("0").rstrip(".") + "s"
 
 
 class Size(Field):
