Keep to defaults together where a newer release's rule is not understood

Cause: a committed rule whose `idempotent` this release cannot read fell back to no, while its `hedge = yes` stayed: two options that must not go together.

Ruled out: refusing the committed change (this VM would stay on an older version).

Change: an option that does not go with the others falls back to its default too, its text kept; apply sends the text that it checked instead of reading the file again; a byte order mark is accepted; texts of several lines survive to_ini; the daemon's exit code is tested.

--- a/sequoiabridge/commands/apply.py
+++ b/sequoiabridge/commands/apply.py
@@ -2,7 +2,8 @@
 
 from pathlib import Path
 
-from ..config.loading import load_document
+from ..config.ini import read_file
+from ..config.loading import parse_document
 from ..config.problem import sentence
 from ..exceptions import ConfigurationError
 from .client import NOT_ALL_HEARD, TIMEOUT, make_client
@@ -33,13 +34,14 @@
         strict: Send nothing if the file has warnings; fail if a VM was not heard.
     """
     client = make_client(admin, token_file, timeout)
-    read = load_document(file)
+    text = read_file(file)
+    read = text.bind(lambda content: parse_document(content, str(file)))
     problems = read.error if read.is_error() else read.ok.warnings(str(file))
     if read.is_error() or (strict and problems):
         raise ConfigurationError(f"Nothing was sent: {sentence(problems)}.")
     query = {"dry_run": "1"} if dry_run else {}
     if expect is not None:
         query["expect"] = str(expect)
-    answer = client.post("apply", body=file.read_text(encoding="utf-8"), **query)
+    answer = client.post("apply", body=text.ok, **query)
     show(answer, json)
     return 0 if all_heard(answer) or not strict else NOT_ALL_HEARD
--- a/sequoiabridge/config/ini.py
+++ b/sequoiabridge/config/ini.py
@@ -24,7 +24,7 @@
         if Path(path).stat().st_size > MAX_FILE:
             wrong = f"the file has more than {MAX_FILE} bytes"
             return Error([Problem(source, "", "", wrong, "give a smaller file")])
-        return Ok(Path(path).read_text(encoding="utf-8"))
+        return Ok(Path(path).read_text(encoding="utf-8-sig"))
     except OSError as error:
         wrong = f"the file cannot be read ({error.strerror})"
         return Error([Problem(source, "", "", wrong, "check its name and its rights")])
@@ -103,6 +103,9 @@
     """Return INI text that `read_sections` reads back."""
     blocks = []
     for header, options in sections.items():
-        lines = [f"[{header}]"] + [f"{key} = {text}".rstrip() for key, text in options.items()]
+        lines = [f"[{header}]"]
+        for key, text in options.items():
+            # Lines after the first are indented, or they would be options of their own.
+            lines.append(f"{key} = {text}".rstrip().replace("\n", "\n  "))
         blocks.append("\n".join(lines) + "\n")
     return "\n".join(blocks)
--- a/sequoiabridge/config/loading.py
+++ b/sequoiabridge/config/loading.py
@@ -18,10 +18,7 @@
 
     The document has version 1 and the file's name as author; apply it with `diff`.
     """
-    text = read_file(path)
-    if text.is_error():
-        return Error(text.error)
-    return parse_document(text.ok, str(path))
+    return read_file(path).bind(lambda text: parse_document(text, str(path)))
 
 
 def parse_document(text: str, source: str = "configuration") -> Result[Document, list[Problem]]:
--- a/sequoiabridge/config/section.py
+++ b/sequoiabridge/config/section.py
@@ -75,9 +75,11 @@
             problems += [cls.unknown_option(key, source, header) for key in sorted(unknown)]
         if problems:
             return Error(problems)
-        problems = [Problem(source, header, *found) for found in section.check()]
-        if problems and not keep_unknown:
-            return Error(problems)
+        wrong = list(section.check())
+        if wrong and not keep_unknown:
+            return Error([Problem(source, header, *found) for found in wrong])
+        for key, _, _ in wrong:
+            section.set_aside(key, mapping.get(key, ""))
         return Ok(section)
 
     def take_known(
@@ -98,12 +100,16 @@
                 setattr(self, key, field.parse(text))
             except BadValue as error:
                 if keep_unknown and not field.required:
-                    setattr(self, key, field.default)
-                    self.keep({key: text})
+                    self.set_aside(key, text)
                     continue
                 problems.append(Problem(source, header, key, error.wrong, error.instead))
         return problems
 
+    def set_aside(self, key: str, text: str) -> None:
+        """Use an option's default, and keep its text."""
+        setattr(self, key, self.fields[key].default)
+        self.keep({key: text})
+
     def keep(self, texts: dict[str, str]) -> None:
         """Add texts that this release does not understand to `extra`."""
         self.extra = {**self.extra, **texts}
--- a/sequoiabridge/config/settings.py
+++ b/sequoiabridge/config/settings.py
@@ -150,10 +150,7 @@
     @classmethod
     def load(cls, path: str | Path) -> Result[Self, list[Problem]]:
         """Read a settings file; on failure return every problem in it."""
-        text = read_file(path)
-        if text.is_error():
-            return Error(text.error)
-        return cls.parse(text.ok, str(path))
+        return read_file(path).bind(lambda text: cls.parse(text, str(path)))
 
     @classmethod
     def parse(cls, text: str, source: str = "settings") -> Result[Self, list[Problem]]:
--- a/sequoiabridge/tests/commands/test_tool.py
+++ b/sequoiabridge/tests/commands/test_tool.py
@@ -1,13 +1,17 @@
 """The tool against a daemon that refuses, conflicts, falls silent or is not there."""
 
 import json
+import sys
 import threading
 from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
 from ...commands import daemon
 from ...commands.main import main
+from ...exceptions import StoreUnavailable
 
 TOKEN = "operators-token-0001"
 TABLE = {
@@ -147,3 +151,22 @@
     file.write_text("[vm]\nname = a\n")
     assert daemon.main([str(file)]) == 2
     assert "[vm] data_centre: the option is missing" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("error", "code"), [(None, 0), (StoreUnavailable("The store is down."), 4)]
+)
+def test_the_daemons_end_is_its_exit_code(monkeypatch, capsys, error, code):
+    class Daemon:
+        def __init__(self, settings):
+            assert settings.vm.name == "entry-1"
+
+        async def run(self):
+            if error:
+                raise error
+
+    package = daemon.__package__.rpartition(".")[0]
+    monkeypatch.setitem(sys.modules, f"{package}.daemon", SimpleNamespace(Daemon=Daemon))
+    example = Path(__file__).parents[3] / "examples" / "vm.ini"
+    assert daemon.main([str(example)]) == code
+    assert ("sequoiabridged: The store is down.\n" in capsys.readouterr().err) == bool(error)
--- a/sequoiabridge/tests/config/test_document.py
+++ b/sequoiabridge/tests/config/test_document.py
@@ -100,7 +100,15 @@
     assert again.merged("rule", "new", {"order": "3"}).options == {**options, "order": "3"}
 
 
+def test_a_hedge_is_not_made_where_idempotence_is_not_understood(document):
+    options = {"service": "reports", "idempotent": "sometimes", "hedge": "yes"}
+    rule = change(document, SetEntry("rule", "new", options), committed=True).ok.rules["new"]
+    assert not rule.hedge and not rule.idempotent and rule.options() == options
+
+
 def test_another_format_and_a_torn_message_are_problems(document):
+    later = msgspec.msgpack.encode([[["s", "pool", "p", {}, "more"]], 1, "more"])
+    assert Change.decode(later).ok.entries == [SetEntry("pool", "p", {})]
     data = msgspec.msgpack.encode([[], 99])
     assert "newer release" in Change.decode(data).error[0].instead
     assert Document.decode(document.encode()[:-5]).is_error()
--- a/sequoiabridge/tests/config/test_settings.py
+++ b/sequoiabridge/tests/config/test_settings.py
@@ -77,6 +77,14 @@
     assert "hush" not in refused[0].text
 
 
+def test_a_byte_order_mark_does_no_harm_and_other_encodings_are_named(tmp_path):
+    file = tmp_path / "vm.ini"
+    file.write_text(GOOD, encoding="utf-8-sig")
+    assert Settings.load(file).is_ok()
+    file.write_text(GOOD, encoding="utf-16")
+    assert "UTF-8" in Settings.load(file).error[0].wrong
+
+
 def test_a_file_that_is_not_there_is_a_problem(tmp_path):
     (found,) = Settings.load(tmp_path / "none.ini").error
     assert "cannot be read" in found.wrong
