--- a/sequoiabridge/pipeline/uploads.py
+++ b/sequoiabridge/pipeline/uploads.py
@@ -16,8 +16,9 @@
     UploadState,
     UploadTooLarge,
     UploadUnknown,
+    keyed_id,
 )
-from ..store.upload_table import Unsettled
+from ..store.upload_table import AcceptanceUnknown, Unsettled
 from ..store.upload_writer import IncomingUpload, Received
 from ..store.uploads import Uploads
 from ..upstreams.base import UpstreamRequest
@@ -30,6 +31,7 @@
     {
         b"content-length",
         b"host",
+        names.CALLER,
         names.DEADLINE,
         names.IDEMPOTENCY_KEY,
         names.UPLOAD_ID,
@@ -43,6 +45,7 @@
 """Statuses by which an upstream refuses an upload for good."""
 
 REFUSALS: dict[type[SequoiaError], tuple[int, Reason]] = {
+    AcceptanceUnknown: (503, Reason.STORE_DOWN),
     Unsettled: (503, Reason.STORE_DOWN),
     StoreUnavailable: (503, Reason.STORE_DOWN),
     UploadConflict: (409, Reason.UPLOAD_CONFLICT),
@@ -50,7 +53,13 @@
     UploadUnknown: (404, Reason.BAD_REQUEST),
     UploadTooLarge: (413, Reason.BODY_TOO_LARGE),
 }
-"""Status and reason of the refusal for each error; an unsettled commit alone is `unknown`."""
+"""Status and reason of the refusal for each error; only an unsettled acceptance is `unknown`."""
+
+LOOKUP = "?"
+"""Value of `Sequoia-Upload-Offset` that asks for the offset."""
+
+MAX_DIGITS = 19
+"""Digits that an offset must stay under."""
 
 HEX_DIGEST = 64
 """Characters of a SHA-256 in hexadecimal."""
@@ -115,24 +124,27 @@
 
 
 def _incoming(exchange: Exchange) -> IncomingUpload:
-    request = exchange.request
-    upload_id = _upload_id(request)
-    offset = _offset(request)
+    request, service, caller = exchange.request, exchange.service.name, exchange.caller
+    key = exchange.key or _text(request, names.IDEMPOTENCY_KEY)
+    upload_id, offset = _upload_id(request), _text(request, names.UPLOAD_OFFSET)
     if offset is not None and upload_id is None:
-        raise _bad("Sequoia-Upload-Offset needs Sequoia-Upload-Id; send both")
-    if upload_id is not None and offset is None and request.length != 0:
-        raise _bad("a body with Sequoia-Upload-Id needs Sequoia-Upload-Offset; send both")
+        if not key:
+            raise _bad("Sequoia-Upload-Offset needs Sequoia-Upload-Id or Idempotency-Key; add one")
+        upload_id = keyed_id(service, caller, key)
+    is_lookup = upload_id is not None and offset in (None, LOOKUP)
+    if is_lookup and request.length != 0:
+        raise _bad("a body for an upload that exists needs Sequoia-Upload-Offset; add its number")
     return IncomingUpload(
-        exchange.service.name,
-        exchange.caller,
+        service,
+        caller,
         request.method,
         request.target,
-        [field for field in request.headers if field[0] not in NOT_PASSED_ON | {names.CALLER}],
+        [field for field in request.headers if field[0] not in NOT_PASSED_ON],
         request.body,
         request.length,
-        key=exchange.key or _text(request, names.IDEMPOTENCY_KEY),
+        key=key,
         upload_id=upload_id,
-        offset=offset,
+        offset=None if is_lookup or offset is None else _number(offset),
         digest=_digest(request),
         max_size=exchange.rule.max_body,
     )
@@ -145,12 +157,9 @@
     return text
 
 
-def _offset(request: Request) -> int | None:
-    text = _text(request, names.UPLOAD_OFFSET)
-    if text is None:
-        return None
-    if not (text.isascii() and text.isdecimal() and len(text) < 19):
-        raise _bad("Sequoia-Upload-Offset is not a number of bytes; look it up")
+def _number(text: str) -> int:
+    if not (text.isascii() and text.isdecimal() and len(text) < MAX_DIGITS):
+        raise _bad("Sequoia-Upload-Offset is neither a number of bytes nor ?; correct it")
     return int(text)
 
 
@@ -187,6 +196,6 @@
 
 def _refusal(error: SequoiaError) -> Refusal:
     status, reason = REFUSALS[type(error)]
-    outcome = Outcome.UNKNOWN if isinstance(error, Unsettled) else Outcome.NOT_RUN
+    outcome = Outcome.UNKNOWN if isinstance(error, AcceptanceUnknown) else Outcome.NOT_RUN
     retry_after = RETRY_AFTER if isinstance(error, StoreUnavailable) else None
     return Refusal(status, outcome, reason, str(error), retry_after)
--- a/sequoiabridge/store/upload_table.py
+++ b/sequoiabridge/store/upload_table.py
@@ -26,6 +26,10 @@
     """A commit got no answer in time: it may have taken effect or take effect later."""
 
 
+class AcceptanceUnknown(StoreUnavailable):
+    """The accepting commit is unsettled: the upload may be accepted now, or later, or never."""
+
+
 class Held:
     """A manifest and the version of its row as this VM last knew them."""
 
@@ -114,15 +118,27 @@
                 return Held(after, version + 1)
             if error.kind is StoreErrorKind.CONDITION_FAILED:
                 row = await self._settled(after, waiting, lost)
-                if row is not None and row.manifest.token == after.token:
+                if _wrote(row, after):
                     return row
-                if row is None or before is None or row.manifest.token != before.token:
-                    raise UploadConflict(f"upload {after.id} was changed elsewhere; ask its offset")
-                version = row.version
+                if not _unchanged(row, before):
+                    raise _conflict(after)
+                version = row.version if row else 0
                 continue
             lost = lost or error.kind is StoreErrorKind.UNKNOWN
-            if not await waiting.wait():
-                raise Unsettled(error.message) if lost else _unavailable(error)
+            if await waiting.wait():
+                continue
+            if not lost:
+                raise _unavailable(error)
+            return await self._last_word(before, after)
+
+    async def _last_word(self, before: Manifest | None, after: Manifest) -> Held:
+        """Settle by one more read when the time is up; it may be up after a pause of this VM."""
+        row = await self._settled(after, Patience(self.clock, self.sleep, 0.0), lost=True)
+        if _wrote(row, after):
+            return row
+        if _unchanged(row, before):
+            raise Unsettled(f"upload {after.id}: a commit got no answer; look the upload up later")
+        raise _conflict(after)
 
     async def _try(self, version: int, after: Manifest, rows: list[Write]) -> StoreError | None:
         conditions = [Condition(MANIFESTS, after.id, version)]
@@ -142,6 +158,20 @@
                         raise Unsettled(error.message) if lost else _unavailable(error)
 
 
+def _wrote(row: Held | None, after: Manifest) -> bool:
+    return row is not None and row.manifest.token == after.token
+
+
+def _unchanged(row: Held | None, before: Manifest | None) -> bool:
+    if row is None or before is None:
+        return row is before
+    return row.manifest.token == before.token
+
+
+def _conflict(after: Manifest) -> UploadConflict:
+    return UploadConflict(f"upload {after.id} was changed elsewhere; ask for its offset")
+
+
 def _held(row: Row | None) -> Held | None:
     if row is None:
         return None
--- a/sequoiabridge/store/upload_writer.py
+++ b/sequoiabridge/store/upload_writer.py
@@ -17,7 +17,7 @@
     accepted,
     extended,
 )
-from .upload_table import Held
+from .upload_table import AcceptanceUnknown, Held, Unsettled
 
 if TYPE_CHECKING:
     from .uploads import Uploads
@@ -198,6 +198,8 @@
             )
         except UploadConflict:
             self.held = await self._accepted_before(manifest)
+        except Unsettled as error:
+            raise AcceptanceUnknown(str(error)) from error
         return Received(self.held.manifest)
 
     async def _whole_digest(self) -> str:
--- a/sequoiabridge/store/uploads.py
+++ b/sequoiabridge/store/uploads.py
@@ -109,7 +109,7 @@
 
         Raises:
             StoreUnavailable: Nothing was accepted; the caller may resume.
-            Unsettled: Whether it was accepted is not known yet; the caller looks it up.
+            AcceptanceUnknown: Whether it was accepted is not known yet; the caller looks it up.
             UploadConflict: Another writer came first, or the offset does not fit.
             UploadKeyReused: The content differs from what the key or id names.
             UploadUnknown: No such upload of this caller.
@@ -203,19 +203,17 @@
     async def _own(self, held: Held, incoming: IncomingUpload) -> Held:
         """Fence the older writers of an upload that is not accepted yet."""
         manifest = held.manifest
+        check_offset(manifest, incoming.offset or 0)
         check_same(manifest, incoming)
         if manifest.state not in (UploadState.OPEN, UploadState.ABANDONED):
             return held
-        check_offset(manifest, incoming.offset or 0)
         return await self.table.advance(held, taken_over(manifest, self.stamp()), START_PATIENCE)
 
     async def _replayed(self, manifest: Manifest, incoming: IncomingUpload) -> Received:
         """Answer for an upload that is accepted already, after comparing the content."""
         if not incoming.digest or incoming.digest != manifest.digest:
-            start = incoming.offset or 0
-            check_offset(manifest, start)
             cutter = Cutter(incoming.body)
-            await compare(cutter, manifest, start)
+            await compare(cutter, manifest, incoming.offset or 0)
             more = await cutter.take(1)
             if cutter.gone is not None:
                 raise cutter.gone
