--- /dev/null
+++ b/sequoiabridge/fleet/fleet.py
@@ -0,0 +1,307 @@
+"""The fleet's part of the daemon: joins the state machines to the channel and the timers.
+
+Only the channel does I/O. With a channel of a test's own, a manual clock and a seeded random
+source, whole fleets of nodes run in one process and in virtual time.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+
+import curio
+
+from ..logs import get_log
+from ..parts import Part
+from ..timers import Clock, Subscription, Timers
+from .base import AnyItem, ConfigurationItem, Fleet, Item, MemberState, MemberView, Urgency
+from .bucket import DEFAULT_RATE, TRANSPORT_OVERHEAD, ByteBucket
+from .channel import Channel, NngChannel
+from .counters import Counters
+from .currency import Currency, SpreadAck
+from .members import Event, EventKind, MembershipOptions
+from .membership import Membership
+from .prober import to
+from .repair import Repair
+from .replay import Admission, ReplayGuard, first_incarnation
+from .sender import BASE_SIZE, Sender
+from .spreader import Spreader
+from .wire import PACKET_SIZE, Bad, Codec, Kind, Message
+
+log = get_log("fleet")
+
+TICK = 0.2
+"""Seconds between two ticks of the state machines."""
+FANOUT = 2
+"""Members that get urgent items at once, and again in each tick."""
+LOAD_EVERY = 0.5
+"""Seconds between two messages that carry only what is not urgent."""
+
+ItemListener = Callable[[AnyItem, str], None]
+EventListener = Callable[[Event], None]
+
+
+class FleetNode(Fleet, Part):
+    """Membership and exchange with the other daemons.
+
+    Args:
+        address: IP:port to listen on, and under which the others reach this VM.
+        seeds: IP:port of some VMs of the fleet; this VM's own may be among them.
+        keys: One or two keys, see `wire.parse_keys`.
+        bytes_per_second: What all messages together may take.
+    """
+
+    name = "fleet"
+
+    def __init__(
+        self,
+        vm: str,
+        data_centre: str,
+        address: str,
+        seeds: Sequence[str],
+        keys: Sequence[bytes],
+        timers: Timers,
+        clock: Clock,
+        random: Random,
+        bytes_per_second: float = DEFAULT_RATE,
+        channel: Channel | None = None,
+        options: MembershipOptions | None = None,
+    ):
+        now, incarnation = clock.now(), first_incarnation(clock.wall())
+        self.timers, self.clock, self.random = timers, clock, random
+        self.channel = channel or NngChannel(address)
+        me = MemberView(vm, address, data_centre, incarnation, MemberState.ALIVE, now)
+        self.me = me
+        self.membership = Membership(me, seeds, options or MembershipOptions(), random, now)
+        self.codec = Codec(keys, address)
+        self.guard = ReplayGuard()
+        self.bucket = ByteBucket(bytes_per_second, now)
+        self.counters = Counters()
+        self.currency = Currency(now)
+        self.spreader = Spreader(self.membership, self.codec, random)
+        self.sender = Sender(
+            me,
+            self.spreader,
+            self.currency,
+            self.codec,
+            self.channel,
+            self.bucket,
+            self.counters,
+        )
+        self.repair = Repair(
+            self.membership, self.spreader, self.currency, self.sender, random, now
+        )
+        self.item_listeners: list[tuple[type[Item], ItemListener]] = []
+        self.event_listeners: list[EventListener] = []
+        self.next_rest = now
+        self.subscription: Subscription | None = None
+        self.receiver: curio.Task | None = None
+
+    # The interface of `Fleet`, and what else other parts ask.
+
+    def publish(self, item: AnyItem, urgency: Urgency) -> None:
+        now = self.clock.now()
+        self.spreader.publish(item, urgency, now)
+        self._spread_urgent(now)
+
+    def subscribe(self, kind: type[Item], callback: ItemListener) -> None:
+        self.item_listeners.append((kind, callback))
+
+    def members(self) -> list[MemberView]:
+        return [self.me, *self.membership.roster.members.values()]
+
+    def live_count(self) -> int:
+        return len(self.membership.roster.live_names) + 1
+
+    def on_event(self, listener: EventListener) -> None:
+        """Call `listener` when a VM joins, is suspected, dies or leaves, and on own pauses."""
+        self.event_listeners.append(listener)
+
+    def hint(self, addresses: Iterable[str]) -> None:
+        """Take the fleet addresses (IP:port) of the platform's VM list as read just now."""
+        self.membership.roster.hint(addresses)
+
+    def applied(self, version: int) -> bool:
+        """Note that a version is in force here; False if it is older than the one in force."""
+        if not self.currency.applied(version, self.clock.now()):
+            return False
+        self.me.version = version
+        return True
+
+    def track(self, version: int) -> SpreadAck:
+        """Count from now on which VMs confirm that a version is in force there."""
+        return self.repair.track(version, self.clock.now())
+
+    def spread(self, version: int) -> tuple[int, int]:
+        """Return (n, m): the version is known to be in force on n of m live VMs."""
+        views = [self.me, *self.membership.live()]
+        return sum(view.version >= version for view in views), len(views)
+
+    # Life.
+
+    async def start(self) -> None:
+        """Listen, and subscribe to the timers."""
+        self.channel.listen()
+        self.receiver = await curio.spawn(self.channel.run, self.receive, daemon=True)
+        self.subscription = self.timers.every(TICK, "fleet", self.tick)
+
+    async def leave(self) -> None:
+        """Tell the others that this VM leaves on purpose, and close the channel."""
+        self.say_goodbye()
+        if self.subscription is not None:
+            self.subscription.cancel()
+        if self.receiver is not None:
+            await self.receiver.cancel()
+        await self.channel.close()
+
+    def say_goodbye(self) -> None:
+        """Tell some members that this VM leaves; it answers nobody from then on."""
+        now = self.clock.now()
+        for outgoing in self.membership.leave(now):
+            self.sender.send(outgoing, now)
+
+    def tick(self) -> None:
+        """Do what is due; the timers call this."""
+        now = self.clock.now()
+        if self.membership.leaving:
+            return
+        for outgoing in self.membership.tick(now):
+            self.sender.send(outgoing, now)
+        self._settle(now)
+        self.currency.fleet(self.live_count(), len(self.membership.roster.expected) + 1)
+        self._spread_urgent(now)
+        self.repair.tick(now)
+        self._spread_rest(now)
+
+    def receive(self, frame: bytes) -> None:
+        """Take in one frame; the channel calls this."""
+        now = self.clock.now()
+        self.counters.received(frame)
+        result = self.codec.decode(frame)
+        if result.is_error():
+            self.counters.bad[result.error] += 1
+            return
+        message = result.ok
+        if message.kind not in KNOWN_KINDS:
+            self.counters.bad[Bad.UNKNOWN_KIND] += 1
+            return
+        fresh = self.membership.fresh(message)
+        if fresh and not self._admit(message, now):
+            return
+        answers = self.membership.received(message, now)
+        learned = bool(self.membership.ledger.changed)
+        for outgoing in answers:
+            self.sender.send(outgoing, now)
+        self._settle(now)
+        if fresh and not self.membership.leaving:
+            self._take_in(message, learned, now)
+
+    def dump(self) -> dict:
+        now = self.clock.now()
+        return {
+            "incarnation": self.me.incarnation,
+            "live": self.live_count(),
+            "expected": len(self.membership.roster.expected) + 1,
+            "paused_s": round(self.membership.paused_for, 1),
+            "members": [describe(member, now) for member in self.members()],
+            "version": self.currency.in_force,
+            "newest_version": self.currency.newest,
+            "not_current_because": self.currency.why(now),
+            "bucket_bytes": round(self.bucket.tokens),
+            "waiting": self.spreader.queue.sizes(),
+            "dropped": self.spreader.queue.dropped,
+            "marks": len(self.spreader.marks.marks),
+            "connections": self.channel.connections(),
+            "stale": self.membership.stale,
+            "counters": self.counters.dump(),
+        }
+
+    # Receiving.
+
+    def _admit(self, message: Message, now: float) -> bool:
+        admission = self.guard.admit(message.sender, message.incarnation, message.sequence)
+        if admission is Admission.NEW:
+            return True
+        self.counters.bad[Bad.REPLAYED] += 1
+        if admission is Admission.OLD_SESSION:
+            for outgoing in self.membership.outdated(message):
+                self.sender.send(outgoing, now)
+        return False
+
+    def _take_in(self, message: Message, learned: bool, now: float) -> None:
+        """Take in the version and the items of a message that is no replay."""
+        self.currency.seen(message.version, now)
+        items = self.spreader.received(message, now)
+        for item, origin in items:
+            self._deliver(item, origin, now)
+        self.repair.received(message, learned or bool(items), now)
+        self._spread_urgent(now)
+
+    def _deliver(self, item: AnyItem | None, origin: str, now: float) -> None:
+        if item is None:
+            self.counters.bad[Bad.UNKNOWN_ITEM] += 1
+            return
+        if isinstance(item, ConfigurationItem):
+            self.currency.offer(item, now)
+        for kind, listener in self.item_listeners:
+            if isinstance(item, kind):
+                listener(item, origin)
+
+    def _settle(self, now: float) -> None:
+        """Queue and tell what the last step of the membership changed."""
+        ledger = self.membership.ledger
+        changed, ledger.changed = ledger.changed, []
+        self.spreader.queue_updates(changed, now)
+        trips, self.membership.round_trips = self.membership.round_trips, []
+        for name, at in trips:
+            self.currency.heard(name, at)
+        events, ledger.events = ledger.events, []
+        for event in events:
+            self._tell(event, now)
+
+    def _tell(self, event: Event, now: float) -> None:
+        log.info("VM %s: %s %s", event.name, event.kind.value, event.detail)
+        if event.kind is EventKind.PAUSED:
+            self.currency.resumed()
+        if event.kind is EventKind.JOINED and self.live_count() == 2:
+            self.repair.next_compare = now
+        for listener in self.event_listeners:
+            listener(event)
+
+    # Spreading.
+
+    def _spread_urgent(self, now: float) -> None:
+        """Send what is urgent to members that lack it, as long as the bucket pays for it."""
+        self.bucket.refill(now)
+        for _ in range(FANOUT):
+            found = self.spreader.next_target(Urgency.CRASH)
+            if found is None:
+                return
+            entry, target = found
+            needed = min(entry.size, PACKET_SIZE) + BASE_SIZE + TRANSPORT_OVERHEAD
+            if self.bucket.room(entry.urgency) < needed:
+                return
+            self.sender.send(to(target, Kind.GOSSIP), now)
+
+    def _spread_rest(self, now: float) -> None:
+        """Use what the bucket leaves for items that are not urgent."""
+        if now < self.next_rest or self.bucket.room(Urgency.LOAD) < PACKET_SIZE:
+            return
+        self.next_rest = now + LOAD_EVERY
+        found = self.spreader.next_target(Urgency.LOAD)
+        if found is not None:
+            self.sender.send(to(found[1], Kind.GOSSIP), now)
+
+
+KNOWN_KINDS = frozenset(int(kind) for kind in Kind)
+
+
+def describe(member: MemberView, now: float) -> dict:
+    """Return a member as shown in the dump."""
+    return {
+        "name": member.name,
+        "address": member.address,
+        "data_centre": member.data_centre,
+        "state": member.state.name.lower(),
+        "incarnation": member.incarnation,
+        "since_s": round(now - member.since, 1),
+        "version": member.version,
+    }
