Keep what is stored when a caller leaves or is too slow

Cause: the HTTP server cancels the handler of a caller that has gone, and ends a slow body by a refusal; both lost the chunks that were stored but not committed (no accepted upload). Change: both commit them, so that the caller resumes from there. Checked by a test in a curio kernel, and by one that a fault in one delivery leaves the others.

--- a/sequoiabridge/store/upload_chunks.py
+++ b/sequoiabridge/store/upload_chunks.py
@@ -5,7 +5,7 @@
 
 from expression import Result
 
-from ..exceptions import CallerGone, StoreUnavailable
+from ..exceptions import CallerGone, Refusal, StoreUnavailable
 from ..pipeline.exchange import Body
 from .base import ObjectStore, StoreErrorKind
 from .upload_index import CHUNK_PREFIX, chunk_name
@@ -37,7 +37,7 @@
 
     Attributes:
         whole: SHA-256 of everything that was taken.
-        gone: Why the body was cut short, once it was.
+        gone: Why the body was cut short (caller left, or was too slow), once it was.
     """
 
     __slots__ = ("body", "rest", "whole", "gone")
@@ -46,7 +46,7 @@
         self.body = body
         self.rest = b""
         self.whole = hashlib.sha256()
-        self.gone: CallerGone | None = None
+        self.gone: CallerGone | Refusal | None = None
 
     async def take(self, size: int) -> Piece:
         """Return the next `size` bytes; fewer only at the end or when `gone` is set."""
@@ -67,7 +67,7 @@
             return b""
         try:
             return await self.body.read()
-        except CallerGone as error:
+        except (CallerGone, Refusal) as error:
             self.gone = error
             return b""
 
--- a/sequoiabridge/store/upload_writer.py
+++ b/sequoiabridge/store/upload_writer.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import curio
+
 from ..exceptions import StoreUnavailable
 from ..pipeline.exchange import Body, RawHeaders
 from .upload_chunks import Cutter, Piece
@@ -22,6 +24,9 @@
 if TYPE_CHECKING:
     from .uploads import Uploads
 
+KEEP_PATIENCE = 1.0
+"""Seconds to commit what is stored after the caller has left."""
+
 
 class IncomingUpload:
     """A caller's request to start, resume or look up an upload.
@@ -124,11 +129,20 @@
     async def run(self) -> Received:
         """Take the whole body and accept the upload."""
         await compare(self.cutter, self.held.manifest, self.start)
+        try:
+            return await self._take_all()
+        except curio.CancelledError:
+            # The caller left while this task waited for the store.
+            async with curio.disable_cancellation():
+                await self._keep(KEEP_PATIENCE)
+            raise
+
+    async def _take_all(self) -> Received:
         more = True
         while more:
             more = await self._take_chunk()
             if more and self._commit_due():
-                await self._commit()
+                await self._commit(self.uploads.patience_seconds)
         return await self._accept()
 
     async def _take_chunk(self) -> bool:
@@ -137,7 +151,7 @@
             self._check_size(len(piece.data))
             await self._store(piece)
         if self.cutter.gone is not None:
-            await self._keep()
+            await self._keep(self.uploads.patience_seconds)
             raise self.cutter.gone
         return len(piece.data) == self.uploads.chunk_size
 
@@ -152,6 +166,7 @@
         await self.uploads.chunks.put(self.held.manifest.id, chunk, piece.data)
         self.pending.append(chunk)
         self.uploads.progress[self.held.manifest.id] = self.offset
+        self.uploads.counts["chunks"] += 1
 
     def _check_size(self, more: int) -> None:
         limit = self.incoming.max_size
@@ -164,20 +179,18 @@
             bool(self.pending) and waited >= self.uploads.commit_interval
         )
 
-    async def _commit(self) -> None:
+    async def _commit(self, patience: float) -> None:
         stamp = self.uploads.stamp()
         manifest = extended(self.held.manifest, self.pending, stamp)
-        self.held = await self.uploads.table.advance(
-            self.held, manifest, self.uploads.patience_seconds
-        )
+        self.held = await self.uploads.table.advance(self.held, manifest, patience)
         self.pending = []
         self.committed_at = self.uploads.clock.now()
 
-    async def _keep(self) -> None:
+    async def _keep(self, patience: float) -> None:
         if not self.pending:
             return
         try:
-            await self._commit()
+            await self._commit(patience)
         except (StoreUnavailable, UploadConflict):
             # Nothing was promised: the caller resumes from what is committed.
             return
@@ -208,7 +221,7 @@
         digest = self.cutter.whole.hexdigest() if self.start == 0 else ""
         if announced and not digest:
             if self.pending:
-                await self._commit()
+                await self._commit(self.uploads.patience_seconds)
             digest = await self.uploads.chunks.digest(self.held.manifest)
         if announced and announced != digest:
             raise UploadKeyReused(f"the content has digest {digest}, not {announced}; send it anew")
--- a/sequoiabridge/tests/standins/uploads.py
+++ b/sequoiabridge/tests/standins/uploads.py
@@ -9,7 +9,9 @@
 from itertools import count
 from random import Random
 
+import curio
 import msgspec
+from curio.meta import curio_running
 
 from ...exceptions import CallerGone, UpstreamFailed
 from ...pipeline.exchange import Body
@@ -28,10 +30,15 @@
 
 
 @types.coroutine
-def pause():
+def _yield():
     yield
 
 
+async def pause():
+    """Let the test go on; in a curio kernel, let other tasks run."""
+    await (curio.sleep(0) if curio_running() else _yield())
+
+
 def finish(coroutine):
     """Drive a coroutine to its end and return its result."""
     while True:
--- a/sequoiabridge/tests/store/test_uploads.py
+++ b/sequoiabridge/tests/store/test_uploads.py
@@ -1,5 +1,6 @@
 """Uploads under faults at each step, judged by the store's content and the upstream's record."""
 
+import curio
 import pytest
 
 from ...exceptions import CallerGone, StoreUnavailable
@@ -12,7 +13,7 @@
     keyed_id,
 )
 from ...store.upload_table import AcceptanceUnknown
-from ..standins.uploads import World, finish, incoming, killed_after
+from ..standins.uploads import CHUNK, World, finish, incoming, killed_after
 
 DATA = b"ledger of the year 2026"
 ID = keyed_id("lataus", "uni", "k")
@@ -338,3 +339,40 @@
         finish(late)
     finish(orphans.step(world.clock.wall()))
     assert world.objects.objects == {} and world.upstream.kept == {}
+
+
+def test_a_caller_that_leaves_while_the_store_is_slow_finds_its_chunks_again():
+    world = World()
+    vm = world.vm("a", commit_every=99)
+
+    async def left():
+        task = await curio.spawn(receive(vm))
+        while len(world.objects.objects) < 3:
+            await curio.sleep(0)
+        await task.cancel()
+
+    curio.run(left)
+    assert finish(vm.receive(incoming(b"", upload_id=ID))).offset >= 2 * CHUNK
+    assert vm.idle
+
+
+def test_a_step_delivers_several_and_one_fault_does_not_stop_the_others():
+    world = World()
+    vm = world.vm("a")
+    other = finish(vm.receive(incoming(b"other", key="o"))).id
+    finish(receive(vm))
+    deliveries = world.deliveries(vm)
+    send = world.upstream.send
+
+    async def broken(manifest, body):
+        if manifest.id == other:
+            raise ZeroDivisionError
+        return await send(manifest, body)
+
+    deliveries.send = broken
+    curio.run(deliveries.step, world.clock.wall())
+    assert world.upstream.kept == CONTENTS and deliveries.idle
+    deliveries.send = send
+    world.clock.advance(100.0)
+    curio.run(deliveries.step, world.clock.wall())
+    assert world.upstream.kept == CONTENTS | {other: b"other"}
