--- a/sequoiabridge/config/service.py
+++ b/sequoiabridge/config/service.py
@@ -4,7 +4,7 @@
 from .section import Section
 from .units import HostPattern, PathPrefix
 
-CHOOSERS = ("evidence", "random", "round-robin", "least-in-flight", "two-choices")
+CHOOSERS = ("evidence", "random", "round-robin", "least-own", "two-choices")
 """Names of the ways to choose an upstream; the policy part knows the classes."""
 
 
--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -169,7 +169,7 @@
             self.vm, self.services, self.ledger, self.fleet, self.metrics, self.clock
         )
         prober = Prober(self.connector, self.clock)
-        self.probing = Probing(self.services, prober, self.metrics, self.clock)
+        self.probing = Probing(self.services, prober, self.metrics, self.sharing, self.clock)
         self.admit = Admit(self.services, self.clock)
         filters = [
             Record(self.metrics, self.journal, self.clock),
--- a/sequoiabridge/pipeline/probing.py
+++ b/sequoiabridge/pipeline/probing.py
@@ -5,9 +5,9 @@
 import curio
 
 from ..metrics import Metrics
-from ..policy.base import Failure
 from ..timers import Clock, Timers
 from ..upstreams.probes import Probe, Prober
+from .accounting import Observer
 from .services import Services, ServiceState
 
 LOOK_EVERY = 0.02
@@ -22,10 +22,13 @@
 class Probing:
     """The edge of `policy.probing`."""
 
-    def __init__(self, services: Services, prober: Prober, metrics: Metrics, clock: Clock):
+    def __init__(
+        self, services: Services, prober: Prober, metrics: Metrics, observer: Observer, clock: Clock
+    ):
         self.services = services
         self.prober = prober
         self.metrics = metrics
+        self.observer = observer
         self.clock = clock
 
     def subscribe(self, timers: Timers) -> None:
@@ -51,14 +54,7 @@
 
     def _take_in(self, state: ServiceState, name: str, probe: Probe) -> None:
         now = self.clock.now()
-        if probe.drain is not None:
-            state.pool.drain(name, probe.drain, now)
-        state.pool.probed(name, now, _failure(probe), probe.latency, probe.load)
-
-
-def _failure(probe: Probe) -> Failure | None:
-    if probe.healthy:
-        return None
-    if probe.failure is None:
-        return Failure.ERROR
-    return Failure.TIMEOUT if probe.failure.timed_out else Failure.CONNECT
+        if probe.drain is not None and state.pool.drain(name, probe.drain, now):
+            self.observer.draining(name, probe.drain)
+        if probe.load is not None:
+            state.pool.probed(name, now, probe.latency, probe.load)
--- a/sequoiabridge/policy/evidence.py
+++ b/sequoiabridge/policy/evidence.py
@@ -12,7 +12,7 @@
 
 from .base import LoadReport
 
-REPORT_FADE = 0.04
+REPORT_FADE = 0.015
 """Seconds in which a load report loses 63% of its weight; neighbours change in milliseconds."""
 
 LATENCY_FADE = 5.0
