--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -136,6 +136,7 @@
     daemon: str = "",
     pid: int = 0,
     upstream: str = "",
+    upstream_pid: int = 0,
 ) -> None:
     """Measure the hop.
 
@@ -146,17 +147,18 @@
     :param daemon: IP:port of a running daemon to measure in place of the forwarding relay
     :param pid: that daemon's process id
     :param upstream: IP:port of the running `benchmarks.hop_upstream` that it forwards to
+    :param upstream_pid: that upstream's process id
     """
     started: list[Process] = []
     try:
         if not daemon:
             started.append(Process("hop_upstream"))
-            upstream = started[0].address
+            upstream, upstream_pid = started[0].address, started[0].pid
             started.append(Process("hop_relay", upstream))
             daemon, pid = started[1].address, started[1].pid
         started.append(Process("hop_bare", upstream))
         bare = Relay("bare", started[-1].address, started[-1].pid)
-        direct = Relay("direct", upstream, started[0].pid)
+        direct = Relay("direct", upstream, upstream_pid)
         relays = [direct, bare, Relay("ours", daemon, pid)]
         gc.freeze()
         ratio = bench_one(relays, calls, turns)
