Drop half of h11's events and the re-registering of sockets from a call

Cause: a profile of the first version showed the selector's KeyError message calling repr on sockets (two system calls each), four epoll_ctl a call, and ten h11 events a call of which six only tell h11 that a message has ended. Change: waits name a Descriptor, cheap to show; KeptSelector leaves sockets registered between two waits; a new h11 connection replaces the ends of messages; a sized body that is all there is taken from h11's buffer as it is. Conclusion: h11's two parses and two serialisations are what is left to look at.

--- a/benchmarks/hop_relay.py
+++ b/benchmarks/hop_relay.py
@@ -10,6 +10,7 @@
 from sequoiabridge.callers.server import CallerServer, Handler
 from sequoiabridge.headers import REQUEST_ID
 from sequoiabridge.pipeline.exchange import Answer, Request
+from sequoiabridge.selector import KeptSelector
 from sequoiabridge.timers import SystemClock
 from sequoiabridge.upstreams.base import UpstreamRequest
 from sequoiabridge.upstreams.connections import ConnectorLimits, HttpConnector
@@ -69,4 +70,4 @@
 
 
 if __name__ == "__main__":
-    curio.run(serve, sys.argv[1])
+    curio.run(serve, sys.argv[1], selector=KeptSelector())
--- a/sequoiabridge/callers/connection.py
+++ b/sequoiabridge/callers/connection.py
@@ -12,7 +12,7 @@
 from ..exceptions import CallerGone, Refusal, SequoiaError, UpstreamFailed
 from ..headers import DRAIN, LOAD, NOT_RUN
 from ..logs import get_log
-from ..pipeline.exchange import Answer, BytesBody, Request
+from ..pipeline.exchange import Answer, Body, BytesBody, Request
 from .body import CallerBody
 from .framing import request_head
 from .refusals import bad_request, internal_error, refusal_answer, too_slow, upstream_failed
@@ -25,6 +25,7 @@
 
 NOT_TO_CALLERS = FRAMING | {LOAD, DRAIN, NOT_RUN}
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+BODILESS = frozenset({204, 304})
 END = h11.EndOfMessage()
 CLOSE = (CONNECTION, b"close")
 
@@ -38,14 +39,19 @@
 
 
 class CallerConnection:
-    """Serves one caller; `run` is its task."""
+    """Serves one caller; `run` is its task.
 
-    __slots__ = ("server", "wire", "peer")
+    Attributes:
+        keeps_alive: False once the answer under way is the last on the connection.
+    """
+
+    __slots__ = ("server", "wire", "peer", "keeps_alive")
 
     def __init__(self, server: CallerServer, sock: socket.socket, peer: str):
         self.server = server
         self.wire = CallerWire(sock, server.limits, server.clock)
         self.peer = peer
+        self.keeps_alive = True
 
     async def run(self) -> None:
         """Serve requests until either side has had enough, then close."""
@@ -102,6 +108,7 @@
     async def _exchange(self, event: h11.Request, head: Head) -> bool:
         """Have the handler answer a request; return True if another may follow."""
         request = self._request(event, head)
+        self.keeps_alive = head.keeps_alive
         handler = self.server.handler
         self.wire.handling()
         try:
@@ -110,7 +117,7 @@
             raise
         except Exception as error:
             await self._send(self._refused(error), request.method, request.body)
-            return await self._next_cycle()
+            return await self._next_cycle(request.body)
         clean = False
         try:
             await self._send(answer, request.method, request.body)
@@ -124,14 +131,12 @@
             if answer.body is not None:
                 await answer.body.close()
             await handler.finished(request, answer, clean)
-        return clean and await self._next_cycle()
+        return clean and await self._next_cycle(request.body)
 
     def _request(self, event: h11.Request, head: Head) -> Request:
         length = None if head.chunked else head.length or 0
         body = None
-        if length == 0:
-            self.wire.http.next_event()
-        else:
+        if length != 0:
             body = CallerBody(self.wire, length, self.server.limits.max_body)
         return Request(event.method, event.target, head.pairs, length, body, self.peer)
 
@@ -148,12 +153,11 @@
     async def _refuse_head(self, refusal: Refusal) -> bool:
         """Answer a request that could not be read, and end the connection."""
         answer = refusal_answer(refusal, self.server.ids())
-        await self._send(answer, b"", None, last=True)
+        self.keeps_alive = False
+        await self._send(answer, b"", None)
         return await self._next_cycle()
 
-    async def _send(
-        self, answer: Answer, method: bytes, body: CallerBody | None, last: bool = False
-    ) -> None:
+    async def _send(self, answer: Answer, method: bytes, body: CallerBody | None) -> None:
         """Send an answer, in one piece if its body is in memory.
 
         Raises:
@@ -162,40 +166,49 @@
         """
         http, wire = self.wire.http, self.wire
         unread = body is not None and not body.ended and not body.skip_buffered()
-        fields = self._fields(answer, last or unread or self.server.stopping)
+        if unread or self.server.stopping:
+            self.keeps_alive = False
+        fields = self._fields(answer)
         status = answer.status
         reason = REASON_PHRASES.get(status, b"")
         response = h11.Response(status_code=status, headers=fields, reason=reason)
+        source = answer.body
         try:
-            parts = http.send_with_data_passthrough(response)
-            data = serialized(parts)
-            source = answer.body
-            if source is None or method == b"HEAD" or status in (204, 304):
-                await wire.send(data + http.send(END))
-            elif type(source) is BytesBody:
-                content = http.send(h11.Data(await source.read()))
-                await wire.send(b"".join((data, content, http.send(END))))
+            head = serialized(http.send_with_data_passthrough(response))
+            if source is None or method == b"HEAD" or status in BODILESS:
+                await wire.send(head)
+                await self._stream_end()
+            elif isinstance(source, BytesBody):
+                await self._send_whole(head, source.data, answer.length)
             else:
-                await wire.send(data)
-                await self._stream(answer)
+                await wire.send(head)
+                await self._stream(source)
         except h11.LocalProtocolError as error:
             message = f"The answer does not fit its framing: {error}."
             raise UpstreamFailed(message, sent=True) from error
 
-    async def _stream(self, answer: Answer) -> None:
+    async def _send_whole(self, head: bytes, data: bytes, length: int | None) -> None:
+        """Send an answer in one piece; h11 need not count a body whose length is compared here."""
+        if length != len(data):
+            raise UpstreamFailed("The answer's body is not as long as it says.", sent=True)
+        await self.wire.send(head + data)
+
+    async def _stream(self, body: Body) -> None:
         http, wire = self.wire.http, self.wire
-        while piece := await answer.body.read():
+        while piece := await body.read():
             parts = http.send_with_data_passthrough(h11.Data(piece))
             await wire.send(parts[0] if len(parts) == 1 else b"".join(parts))
-        if end := http.send(END):
-            await wire.send(end)
+        await self._stream_end()
+
+    async def _stream_end(self) -> None:
+        if end := self.wire.http.send(END):
+            await self.wire.send(end)
 
-    @staticmethod
-    def _fields(answer: Answer, last: bool) -> Fields:
+    def _fields(self, answer: Answer) -> Fields:
         pairs = [pair for pair in answer.headers if pair[0] not in NOT_TO_CALLERS]
         if answer.length is not None and answer.status != 204:
             pairs.append((CONTENT_LENGTH, b"%d" % answer.length))
-        if last:
+        if not self.keeps_alive:
             pairs.append(CLOSE)
         return Fields(pairs)
 
@@ -208,11 +221,10 @@
         if answer.length is None and self.wire.http.their_http_version != b"1.1":
             self.wire.abort_on_close()
 
-    async def _next_cycle(self) -> bool:
+    async def _next_cycle(self, body: CallerBody | None = None) -> bool:
         """Get ready for the next request; False if there can be none."""
-        http = self.wire.http
-        if http.our_state is h11.DONE and http.their_state is h11.DONE:
-            http.start_next_cycle()
+        if self.keeps_alive and (body is None or body.ended):
+            self.wire.renew()
             return True
         await self.wire.drain()
         return False
--- a/sequoiabridge/callers/framing.py
+++ b/sequoiabridge/callers/framing.py
@@ -32,7 +32,7 @@
         raise bad_request(f"The head has more than {max_head} bytes. Send fewer headers.", 431)
     if (b"\n " in raw or b"\n\t" in raw) and _is_folded(raw):
         raise bad_request("A header is folded over two lines. Write it on one.")
-    head = Head(event.headers, DROPPED)
+    head = Head(event, DROPPED)
     if head.length is not None:
         _check_length(head, raw)
     if event.method == b"CONNECT":
--- a/sequoiabridge/callers/wire.py
+++ b/sequoiabridge/callers/wire.py
@@ -14,6 +14,7 @@
 from ..codec import READ_SIZE
 from ..exceptions import CallerGone
 from ..logs import get_log
+from ..selector import Descriptor
 from ..timers import Clock
 from .limits import CallerLimits
 
@@ -54,6 +55,7 @@
 
     __slots__ = (
         "sock",
+        "descriptor",
         "limits",
         "clock",
         "http",
@@ -66,6 +68,7 @@
 
     def __init__(self, sock: socket.socket, limits: CallerLimits, clock: Clock):
         self.sock = sock
+        self.descriptor = Descriptor(sock.fileno())
         self.limits = limits
         self.clock = clock
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head)
@@ -84,10 +87,10 @@
         self.phase = phase
         self.deadline = self.clock.now() + timeout
         while True:
-            await _read_wait(self.sock)
             try:
                 data = self.sock.recv(READ_SIZE)
             except BlockingIOError:
+                await _read_wait(self.descriptor)
                 continue
             except OSError as error:
                 raise CallerGone(f"Its connection broke: {error}.") from error
@@ -133,13 +136,23 @@
                 return
             size += len(data)
 
+    def renew(self) -> None:
+        """Get ready for the next request, of which some bytes may be here.
+
+        A new h11 connection costs less than to tell the old one of all ends of the messages.
+        """
+        rest = self.http.trailing_data[0]
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.max_head)
+        if rest:
+            self.http.receive_data(rest)
+
     def abort_on_close(self) -> None:
         """Make the close a reset, for an answer whose end is shown by nothing but the close."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
 
     async def close(self) -> None:
         """Close the socket; only the task that serves the connection may do so."""
-        await _io_release(self.sock)
+        await _io_release(self.descriptor)
         self.sock.close()
 
     def check(self, now: float) -> None:
@@ -174,7 +187,7 @@
         while rest:
             self.phase = Phase.ANSWER
             self.deadline = self.clock.now() + self.limits.body_timeout
-            await _write_wait(self.sock)
+            await _write_wait(self.descriptor)
             try:
                 rest = rest[self.sock.send(rest) :]
             except BlockingIOError:
--- a/sequoiabridge/codec.py
+++ b/sequoiabridge/codec.py
@@ -19,6 +19,7 @@
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 CONNECTION = b"connection"
+HTTP_11 = b"1.1"
 
 FRAMING = HOP_BY_HOP | {CONTENT_LENGTH}
 """Fields that each side writes anew for its own connection."""
@@ -51,16 +52,18 @@
     """The fields of a received head that go on, and its framing.
 
     `length` is the Content-Length or None; `chunked` and `length` are as sent, not yet judged.
+    `keeps_alive` tells if the sender takes or sends another message on the connection.
     """
 
-    __slots__ = ("pairs", "length", "chunked")
+    __slots__ = ("pairs", "length", "chunked", "keeps_alive")
 
-    def __init__(self, headers: Headers, drop: frozenset[bytes]):
+    def __init__(self, event: h11.Request | h11.Response, drop: frozenset[bytes]):
         self.pairs: list[tuple[bytes, bytes]] = []
         self.length: int | None = None
         self.chunked = False
+        self.keeps_alive = event.http_version == HTTP_11
         options: list[bytes] = []
-        for name, value in headers.raw_items():
+        for name, value in event.headers.raw_items():
             name = name.lower()
             if name not in drop:
                 self.pairs.append((name, value))
@@ -71,10 +74,12 @@
             elif name == CONNECTION:
                 options.append(value)
         if options:
-            self._drop_named(options)
+            self._obey(options)
 
-    def _drop_named(self, options: Iterable[bytes]) -> None:
+    def _obey(self, options: Iterable[bytes]) -> None:
         named = {option.strip().lower() for value in options for option in value.split(b",")}
+        if b"close" in named:
+            self.keeps_alive = False
         named -= ORDINARY_OPTIONS
         if named:
             self.pairs = [pair for pair in self.pairs if pair[0] not in named]
--- /dev/null
+++ b/sequoiabridge/selector.py
@@ -0,0 +1,132 @@
+"""A selector for curio's kernel that leaves sockets registered between two waits.
+
+A relayed call waits on two sockets in turn. curio's kernel unregisters the one and registers the
+other each time, two system calls and a good deal of Python for each wait. This selector only marks
+a socket as not waited for, and takes it off the epoll descriptor when it has an event
+that nobody waits for. Pass it as `curio.run(main, selector=KeptSelector())`.
+"""
+
+import select
+from selectors import EVENT_READ, EVENT_WRITE
+
+MASKS = {
+    EVENT_READ: select.EPOLLIN,
+    EVENT_WRITE: select.EPOLLOUT,
+    EVENT_READ | EVENT_WRITE: select.EPOLLIN | select.EPOLLOUT,
+}
+NOT_READ = ~select.EPOLLIN
+NOT_WRITE = ~select.EPOLLOUT
+
+
+class Descriptor:
+    """Stands for one open file at the selector; unlike a number it is never used again.
+
+    It must be the same object for all waits on a file, and a new one for each file.
+    """
+
+    __slots__ = ("number",)
+
+    def __init__(self, number: int):
+        self.number = number
+
+    def fileno(self) -> int:
+        """Return the file descriptor."""
+        return self.number
+
+
+class Key:
+    """A file that is waited for; curio reads these attributes."""
+
+    __slots__ = ("fileobj", "events", "data")
+
+    def __init__(self, fileobj: object, events: int, data: object):
+        self.fileobj = fileobj
+        self.events = events
+        self.data = data
+
+
+class KeptSelector:
+    """The part of `selectors.EpollSelector` that curio's kernel uses.
+
+    Attributes:
+        keys: What is waited for, by file descriptor.
+        kept: File object and events on the epoll descriptor, by file descriptor. An object other
+            than the kept one means that the descriptor was closed and given out again.
+    """
+
+    def __init__(self):
+        self.epoll = select.epoll()
+        self.keys: dict[int, Key] = {}
+        self.kept: dict[int, tuple[object, int]] = {}
+
+    def register(self, fileobj: object, events: int, data: object = None) -> Key:
+        """Wait for `events` on `fileobj`, a descriptor or an object with `fileno`."""
+        fd = _number(fileobj)
+        kept = self.kept.get(fd)
+        if kept is None or kept[0] is not fileobj or kept[1] != events:
+            self._put(fd, fileobj, events)
+        key = self.keys[fd] = Key(fileobj, events, data)
+        return key
+
+    def unregister(self, fileobj: object) -> Key:
+        """Wait for `fileobj` no more."""
+        key = self.keys.pop(_number(fileobj))
+        if isinstance(fileobj, int):
+            self._drop(fileobj)
+        return key
+
+    def modify(self, fileobj: object, events: int, data: object = None) -> Key:
+        """Wait for other `events` on `fileobj`."""
+        return self.register(fileobj, events, data)
+
+    def get_key(self, fileobj: object) -> Key:
+        """Return the key of `fileobj`, or raise `KeyError` if it is not waited for."""
+        return self.keys[_number(fileobj)]
+
+    def select(self, timeout: float | None = None) -> list[tuple[Key, int]]:
+        """Return the keys that have events, with these, after at most `timeout` seconds."""
+        try:
+            events = self.epoll.poll(timeout, max(len(self.kept), 1))
+        except InterruptedError:
+            return []
+        ready = []
+        for fd, event in events:
+            key = self.keys.get(fd)
+            if key is None:
+                self._drop(fd)
+                continue
+            mask = (EVENT_WRITE if event & NOT_READ else 0) | (
+                EVENT_READ if event & NOT_WRITE else 0
+            )
+            if mask := mask & key.events:
+                ready.append((key, mask))
+        return ready
+
+    def close(self) -> None:
+        """Close the epoll descriptor."""
+        self.epoll.close()
+        self.keys.clear()
+        self.kept.clear()
+
+    def _put(self, fd: int, fileobj: object, events: int) -> None:
+        mask = MASKS[events]
+        try:
+            if fd in self.kept:
+                self.epoll.modify(fd, mask)
+            else:
+                self.epoll.register(fd, mask)
+        except FileNotFoundError:
+            self.epoll.register(fd, mask)
+        self.kept[fd] = (fileobj, events)
+
+    def _drop(self, fd: int) -> None:
+        self.kept.pop(fd, None)
+        try:
+            self.epoll.unregister(fd)
+        except OSError:
+            # It was closed, and epoll forgot it by itself.
+            return
+
+
+def _number(fileobj: object) -> int:
+    return fileobj if isinstance(fileobj, int) else fileobj.fileno()
--- a/sequoiabridge/tests/upstreams/scripted.py
+++ b/sequoiabridge/tests/upstreams/scripted.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from ...selector import KeptSelector
 from ...timers import ManualClock
 from ...upstreams.base import UpstreamRequest
 from ...upstreams.connections import ConnectorLimits, HttpConnector
@@ -46,7 +47,7 @@
             await task.cancel()
             await listener.close()
 
-    curio.run(main)
+    curio.run(main, selector=KeptSelector())
 
 
 def answering(*answers):
--- a/sequoiabridge/upstreams/exchange.py
+++ b/sequoiabridge/upstreams/exchange.py
@@ -92,8 +92,9 @@
                 piece = await request.body.read()
                 if piece:
                     await self._send_piece(piece)
-            if not link.refused and (end := link.http.send(END)):
-                await self._send(end)
+            if request.body is not None and not link.refused:
+                await self._send(link.http.send(END))
+            link.request_ended = not link.refused
         except h11.LocalProtocolError as error:
             message = f"The request does not fit HTTP: {error}. Correct the request."
             raise link.failed(message) from error
@@ -104,11 +105,12 @@
         event = link.early
         while event is None:
             if not link.fed:
-                await link.wait_and_receive()
+                await link.receive()
             event = self._response()
-        head = Head(event.headers, NOT_FROM_UPSTREAMS)
+        head = Head(event, NOT_FROM_UPSTREAMS)
+        link.keeps_alive = head.keeps_alive
         if self.method == b"HEAD" or event.status_code in BODILESS:
-            link.next_event()
+            link.answer_ended = not link.http.trailing_data[0]
             await self.give_back()
             return Answer(event.status_code, head.pairs, head.length, None)
         if head.chunked == (head.length is not None):
@@ -117,18 +119,17 @@
         return await self._with_body(event.status_code, head)
 
     async def _with_body(self, status: int, head: Head) -> Answer:
-        """Return the answer, its body with it if all of that has come."""
-        pieces = []
-        event = self.link.next_event()
-        while type(event) is h11.Data:
-            pieces.append(bytes(event.data))
-            event = self.link.next_event()
-        data = b"".join(pieces)
-        if event is h11.NEED_DATA:
-            body = AnswerBody(self, data)
-            return Answer(status, head.pairs, head.length, body)
+        """Return the answer, its body with it if all of that has come.
+
+        A sized body that is all there is taken as it is: h11 would only count its bytes.
+        """
+        link = self.link
+        rest = link.http.trailing_data[0]
+        if head.length is None or len(rest) < head.length:
+            return Answer(status, head.pairs, head.length, AnswerBody(self))
+        link.answer_ended = len(rest) == head.length
         await self.give_back()
-        return Answer(status, head.pairs, len(data), BytesBody(data))
+        return Answer(status, head.pairs, head.length, BytesBody(rest[: head.length]))
 
     def _response(self) -> h11.Response | None:
         """Return the answer's head if h11 has it; interim answers are passed over."""
@@ -181,11 +182,10 @@
 class AnswerBody(Body):
     """An answer's body that is still coming; gives the connection back at its end or close."""
 
-    __slots__ = ("connection", "held")
+    __slots__ = ("connection",)
 
-    def __init__(self, connection: HttpConnection, held: bytes):
+    def __init__(self, connection: HttpConnection):
         self.connection = connection
-        self.held = held
 
     async def read(self) -> bytes:
         """Return the next piece, b"" at the clean end.
@@ -193,9 +193,6 @@
         Raises:
             UpstreamFailed: The body was cut short; the connection is closed.
         """
-        if self.held:
-            data, self.held = self.held, b""
-            return data
         if self.connection.returned:
             return b""
         link = self.connection.link
@@ -207,6 +204,7 @@
             raise
         if type(event) is h11.Data:
             return bytes(event.data)
+        link.answer_ended = not link.http.trailing_data[0]
         await self.connection.give_back()
         return b""
 
@@ -222,6 +220,10 @@
         pairs.append(CHUNKED)
     elif request.length or request.method in WITH_BODY:
         pairs.append((CONTENT_LENGTH, b"%d" % request.length))
-    if not any(name == b"host" for name, _ in pairs):
-        pairs.append((b"host", address.encode()))
+    try:
+        return h11.Request(method=request.method, target=request.target, headers=Fields(pairs))
+    except h11.LocalProtocolError:
+        if any(name == b"host" for name, _ in pairs):
+            raise
+    pairs.append((b"host", address.encode()))
     return h11.Request(method=request.method, target=request.target, headers=Fields(pairs))
--- a/sequoiabridge/upstreams/link.py
+++ b/sequoiabridge/upstreams/link.py
@@ -10,6 +10,7 @@
 
 from ..codec import READ_SIZE
 from ..exceptions import UpstreamFailed
+from ..selector import Descriptor
 from ..timers import Clock
 
 LEAST_REFUSAL = 400
@@ -26,11 +27,15 @@
         sent: True once a byte of the present request may have left.
         early: The head of an answer that came before the request's body was sent, or None.
         fed: True if h11 holds bytes that have not been looked at.
+        request_ended: True once the whole request was sent.
+        answer_ended: True once the whole answer has come, and nothing after it.
+        keeps_alive: True if the upstream takes another request.
     """
 
     __slots__ = (
         "address",
         "sock",
+        "descriptor",
         "http",
         "clock",
         "opened",
@@ -39,6 +44,10 @@
         "sent",
         "early",
         "fed",
+        "request_ended",
+        "answer_ended",
+        "keeps_alive",
+        "max_head",
         "waiting",
         "closed",
         "both",
@@ -47,14 +56,14 @@
     def __init__(self, address: str, sock: socket.socket, clock: Clock, max_head: int):
         self.address = address
         self.sock = sock
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=max_head)
+        self.descriptor = Descriptor(sock.fileno())
+        self.max_head = max_head
         self.clock = clock
         self.opened = clock.now()
         self.last_heard = self.opened
         self.requests = 0
-        self.sent = False
         self.early: h11.Response | None = None
-        self.fed = False
+        self._renew()
         self.waiting = False
         self.closed = False
         self.both: select.epoll | None = None
@@ -83,19 +92,10 @@
         self.waiting = True
         try:
             while not self.receive_now():
-                await _read_wait(self.sock)
+                await _read_wait(self.descriptor)
         finally:
             self.waiting = False
 
-    async def wait_and_receive(self) -> None:
-        """Do as `receive`, for bytes that are known not to be there yet."""
-        self.waiting = True
-        try:
-            await _read_wait(self.sock)
-        finally:
-            self.waiting = False
-        await self.receive()
-
     def receive_now(self) -> bool:
         """Feed h11 what has come; False if nothing has."""
         if self.closed:
@@ -139,7 +139,7 @@
         the socket is ready for either is that one thing.
         """
         if self.early is not None:
-            await _write_wait(self.sock)
+            await _write_wait(self.descriptor)
             return
         if self.both is None:
             self.both = select.epoll()
@@ -152,14 +152,21 @@
 
     def finish(self) -> bool:
         """Get ready for another request; False if the connection cannot carry one."""
-        http = self.http
-        ended = http.our_state is h11.DONE and http.their_state is h11.DONE
-        if self.closed or self.early or not ended or http.trailing_data[0]:
+        whole = self.request_ended and self.answer_ended and self.keeps_alive
+        if not whole or self.closed or self.early:
             return False
-        http.start_next_cycle()
-        self.sent = False
+        self._renew()
         return True
 
+    def _renew(self) -> None:
+        """Forget the last request; a new h11 connection costs less than another cycle of it."""
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=self.max_head)
+        self.sent = False
+        self.fed = False
+        self.request_ended = False
+        self.answer_ended = False
+        self.keeps_alive = False
+
     async def close(self) -> None:
         """Close at once. A task that waits on the connection is woken and fails."""
         self.closed = True
@@ -169,7 +176,7 @@
             except OSError:
                 return
             return
-        await _io_release(self.sock)
+        await _io_release(self.descriptor)
         if self.both is not None:
             self.both.close()
         self.sock.close()
