Add at-most-once claims

Cause: an approval that may not be repeated must run at most once, also when the answer to its claim is lost, its holder is paused, or the claim's insert takes effect after the caller was told not-run. Ruled out: taking over a lapsed claim (a paused holder may still send); deleting released rows (an old write could then meet its condition again). Change: claims as rows HELD, DONE, UNKNOWN, RELEASED under a token of one attempt; a released row stays as a tombstone; an abandoned insert is fenced by a tombstone under its own condition; listing, release by operators with an audit entry and a grace, removal by age.

--- /dev/null
+++ b/sequoiabridge/store/claim_admin.py
@@ -0,0 +1,187 @@
+"""What operators and time do to claims: listing, release by hand, removal by age."""
+
+from random import Random
+
+from expression import Error, Ok, Result
+
+from ..exceptions import SequoiaError
+from ..logs import get_log
+from ..timers import Clock, Timers
+from .base import Condition, Row, StoreError, StoreErrorKind, Write
+from .claim_rows import (
+    AUDIT,
+    AUDIT_DECODER,
+    CLAIM_DECODER,
+    CLAIMS,
+    ENCODER,
+    KEY_BYTES,
+    REPORT_GRACE,
+    AuditRow,
+    ClaimRow,
+    ClaimState,
+    finished,
+    new_token,
+)
+from .client import CALL_TIMEOUT, StoreClient
+from .rates import Priority
+
+log = get_log("claims")
+
+RETENTION = 24 * 3600.0
+"""Seconds for which a finished claim is kept; its key is refused or replayed that long."""
+
+SWEEP_PERIOD = 10.0
+"""Seconds between two steps of the removal by age."""
+
+PAGE = 100
+"""Rows read in one step of the removal, and in one step of a list."""
+
+DELETE_BATCH = 25
+"""Rows removed by one transaction."""
+
+MAX_PAGES = 50
+"""Pages read for one list."""
+
+RELEASE_GRACE = 30.0
+"""Seconds after a holder's deadline before an operator may release its claim."""
+
+OPEN_STATES = (ClaimState.HELD, ClaimState.UNKNOWN)
+"""States that only the holder or an operator ends."""
+
+
+class ClaimNotReleased(SequoiaError):
+    """An operator's release was refused or is not proven; the message says why."""
+
+
+class ListedClaim:
+    """An open claim for the operator: the row's key, the row, and for how long it is open."""
+
+    __slots__ = ("row_key", "row", "open_for")
+
+    def __init__(self, row_key: str, row: ClaimRow, open_for: float):
+        self.row_key = row_key
+        self.row = row
+        self.open_for = open_for
+
+
+class ClaimList:
+    """Open claims found; `next_after` is where to go on, None if the table was read to its end."""
+
+    __slots__ = ("claims", "next_after")
+
+    def __init__(self, claims: list[ListedClaim], next_after: str | None):
+        self.claims = claims
+        self.next_after = next_after
+
+
+class ClaimAdmin:
+    """Lists, releases and removes claims. `random` chooses where this VM begins to look."""
+
+    def __init__(
+        self, store: StoreClient, clock: Clock, random: Random, retention: float = RETENTION
+    ):
+        self.store = store
+        self.clock = clock
+        self.retention = retention
+        self.cursor = random.randbytes(KEY_BYTES).hex()
+        self.removed = 0
+
+    def subscribe(self, timers: Timers) -> None:
+        """Remove old claims step by step."""
+        timers.every(SWEEP_PERIOD, "claims sweep", self.sweep)
+
+    async def listed(self, limit: int, after: str = "") -> Result[ClaimList, StoreError]:
+        """Return up to `limit` claims whose outcome nobody has reported by their deadline."""
+        found: list[ListedClaim] = []
+        for _ in range(MAX_PAGES):
+            page = await self._page(after)
+            if page.is_error():
+                return page
+            for row in page.ok:
+                after = row.key
+                self._add_open(found, row)
+                if len(found) == limit:
+                    return Ok(ClaimList(found, after))
+            if len(page.ok) < PAGE:
+                return Ok(ClaimList(found, None))
+        return Ok(ClaimList(found, after))
+
+    async def release_by_operator(
+        self, row_key: str, author: str, reason: str, timeout: float
+    ) -> Result[ClaimRow, SequoiaError]:
+        """Free an open claim's key on the operator's word that its request did not run.
+
+        The release and its audit entry are one transaction. Refused within `RELEASE_GRACE` of the
+        holder's deadline: until then a holder that was paused might still send.
+        """
+        found = await self.store.read(CLAIMS, row_key, timeout)
+        if found.is_error():
+            return Error(ClaimNotReleased(found.error.message))
+        if found.ok is None:
+            return Error(ClaimNotReleased(f"no claim {row_key}; list the claims again"))
+        row = CLAIM_DECODER.decode(found.ok.value)
+        problem = self._not_releasable(row)
+        if problem:
+            return Error(ClaimNotReleased(problem))
+        audit = AuditRow(row_key, author, reason, self.clock.wall(), new_token(), row)
+        return await self._release(found.ok, row, audit, timeout)
+
+    async def audit(self, limit: int, after: str = "") -> Result[list[AuditRow], StoreError]:
+        """Return releases by operators, oldest first."""
+        rows = await self.store.scan(AUDIT, "", after, limit, CALL_TIMEOUT)
+        return rows.map(lambda found: [AUDIT_DECODER.decode(row.value) for row in found])
+
+    async def sweep(self) -> int:
+        """Look at one page of claims and remove the finished ones past their age."""
+        page = await self._page(self.cursor)
+        if page.is_error():
+            return 0
+        self.cursor = page.ok[-1].key if len(page.ok) == PAGE else ""
+        old = [row for row in page.ok if self._is_old(row)][:DELETE_BATCH]
+        if not old:
+            return 0
+        conditions = [Condition(CLAIMS, row.key, row.version) for row in old]
+        writes = [Write(CLAIMS, row.key, None) for row in old]
+        result = await self.store.transact(conditions, writes, CALL_TIMEOUT, Priority.BACKGROUND)
+        removed = len(old) if result.is_ok() else 0
+        self.removed += removed
+        return removed
+
+    async def _page(self, after: str) -> Result[list[Row], StoreError]:
+        return await self.store.scan(CLAIMS, "", after, PAGE, CALL_TIMEOUT, Priority.BACKGROUND)
+
+    def _is_old(self, row: Row) -> bool:
+        claim = CLAIM_DECODER.decode(row.value)
+        age = self.clock.wall() - max(claim.at, claim.until)
+        return claim.state not in OPEN_STATES and age > self.retention
+
+    def _add_open(self, found: list[ListedClaim], row: Row) -> None:
+        claim = CLAIM_DECODER.decode(row.value)
+        wall = self.clock.wall()
+        overdue = claim.state is ClaimState.UNKNOWN or wall > claim.until + REPORT_GRACE
+        if claim.state in OPEN_STATES and overdue:
+            found.append(ListedClaim(row.key, claim, wall - claim.at))
+
+    def _not_releasable(self, row: ClaimRow) -> str | None:
+        if row.state not in OPEN_STATES:
+            return f"the claim is {row.state.value} already; there is nothing to release"
+        wait = row.until + RELEASE_GRACE - self.clock.wall()
+        if wait > 0:
+            return f"its holder {row.vm} may still send; release it in {wait:.0f} s"
+        return None
+
+    async def _release(
+        self, found: Row, row: ClaimRow, audit: AuditRow, timeout: float
+    ) -> Result[ClaimRow, SequoiaError]:
+        released = finished(row, ClaimState.RELEASED)
+        entry = Write(AUDIT, f"{audit.at:017.6f}-{audit.token}", ENCODER.encode(audit))
+        conditions = [Condition(CLAIMS, found.key, found.version), Condition(AUDIT, entry.key, 0)]
+        writes = [Write(CLAIMS, found.key, ENCODER.encode(released)), entry]
+        deadline = self.clock.now() + timeout
+        result = await self.store.transact_settled(conditions, writes, entry, deadline)
+        if result.is_ok():
+            log.info("Claim %s released by %s.", found.key, audit.author)
+            return Ok(released)
+        if result.error.kind is StoreErrorKind.CONDITION_FAILED:
+            return Error(ClaimNotReleased("the claim changed meanwhile; list the claims again"))
+        return Error(ClaimNotReleased(f"not proven: {result.error.message}"))
--- /dev/null
+++ b/sequoiabridge/store/claim_reports.py
@@ -0,0 +1,127 @@
+"""Reports on claims that are not yet proven in the table: kept and tried again until they are."""
+
+from collections import OrderedDict
+
+import curio
+
+from ..logs import get_log
+from .base import Condition, StoreErrorKind, Write
+from .claim_rows import CLAIM_DECODER, CLAIMS, ENCODER, ClaimRow, ClaimState, finished
+from .client import CALL_TIMEOUT, StoreClient
+from .rates import Priority
+
+log = get_log("claims")
+
+MAX_REPORTS = 10_000
+"""Reports kept; while there are so many, no new claim is made."""
+
+MAX_BODIES = 500
+"""Reports whose answer is kept in memory for later replay; the others are done without one."""
+
+REPORT_ROUNDS = 3
+"""Times that one report is tried before it waits for its next turn."""
+
+
+class Report:
+    """The outcome to write over the row that holds `row.token`.
+
+    `version` is the row's version as last known. An abandoned claim, whose own insert may still
+    land, is written as a tombstone under the insert's own condition: of the two, one takes effect.
+    """
+
+    __slots__ = ("row_key", "row", "version")
+
+    def __init__(self, row_key: str, row: ClaimRow, version: int):
+        self.row_key = row_key
+        self.row = row
+        self.version = version
+
+
+class Reports:
+    """Writes reports, and keeps the unproven ones by token for another try."""
+
+    def __init__(self, store: StoreClient):
+        self.store = store
+        self.kept: OrderedDict[str, Report] = OrderedDict()
+        self.proven = 0
+        self.overtaken = 0
+
+    @property
+    def is_full(self) -> bool:
+        """True if no further claim may be made before some reports are proven."""
+        return len(self.kept) >= MAX_REPORTS
+
+    def has_abandoned(self, token: str) -> bool:
+        """True if nothing was sent, and nothing will be, under the claim with this token."""
+        report = self.kept.get(token)
+        return report is not None and report.row.state is ClaimState.RELEASED
+
+    def keep(self, report: Report) -> None:
+        """Keep a report for another try; of many, only the first keep their answers."""
+        if len(self.kept) >= MAX_BODIES and report.row.body is not None:
+            report.row = finished(report.row, report.row.state, report.row.status)
+        self.kept[report.row.token] = report
+
+    async def write(self, report: Report, priority: Priority = Priority.NORMAL) -> bool:
+        """Try to write a report now; true if it is proven, else it is kept."""
+        self.keep(report)
+        for _ in range(REPORT_ROUNDS):
+            settled = await self._step(report, priority)
+            if settled is None:
+                continue
+            if settled:
+                self.kept.pop(report.row.token, None)
+                self.proven += 1
+            return settled
+        return False
+
+    async def settle(self, limit: int) -> int:
+        """Try up to `limit` kept reports again, oldest first; return how many are left.
+
+        They are tried at the same time, so that they share transactions.
+        """
+        if self.store.is_down:
+            return len(self.kept)
+        batch = list(self.kept.values())[:limit]
+        async with curio.TaskGroup() as group:
+            for report in batch:
+                await group.spawn(self.write, report, Priority.BACKGROUND)
+        for report in batch:
+            if report.row.token in self.kept:
+                self.kept.move_to_end(report.row.token)
+        return len(self.kept)
+
+    async def _step(self, report: Report, priority: Priority) -> bool | None:
+        """Make one try: true if settled, false if unproven, None to try at once again."""
+        condition = Condition(CLAIMS, report.row_key, report.version)
+        write = Write(CLAIMS, report.row_key, ENCODER.encode(report.row))
+        result = await self.store.transact([condition], [write], CALL_TIMEOUT, priority)
+        if result.is_ok():
+            return True
+        if result.error.kind is not StoreErrorKind.CONDITION_FAILED:
+            return False
+        found = await self.store.read(CLAIMS, report.row_key, CALL_TIMEOUT, priority)
+        if found.is_error():
+            return False
+        return self._compare(report, found.ok)
+
+    def _compare(self, report: Report, found) -> bool | None:
+        if found is None:
+            return self._without_row(report)
+        row = CLAIM_DECODER.decode(found.value)
+        if row.token != report.row.token or row.state is not ClaimState.HELD:
+            return self._overtaken(report, row)
+        report.version = found.version
+        return None
+
+    def _without_row(self, report: Report) -> bool | None:
+        # Gone by age, or deleted between two steps; only an insert under version 0 can still land.
+        abandoned = report.row.state is ClaimState.RELEASED and report.version == 0
+        return None if abandoned else True
+
+    def _overtaken(self, report: Report, row: ClaimRow) -> bool:
+        same = row.token == report.row.token and row.state is report.row.state
+        if not same and report.row.state is not ClaimState.RELEASED:
+            self.overtaken += 1
+            log.warning("Claim %s is no longer this VM's: %s.", report.row_key, row.state.value)
+        return True
--- /dev/null
+++ b/sequoiabridge/store/claims.py
@@ -0,0 +1,217 @@
+"""At-most-once work: a claim is proven in the table before the first byte leaves this VM.
+
+A claim is never taken over because time has passed: its holder may be paused and send later. What
+cannot be proven by the deadline is not sent, and its row is released under its own token later.
+"""
+
+import curio
+from expression import Result
+
+from ..parts import Part
+from ..timers import Clock, Timers
+from .base import Condition, Row, StoreErrorKind, Write
+from .claim_reports import Report, Reports
+from .claim_results import (
+    ClaimBusy,
+    ClaimGranted,
+    ClaimMismatch,
+    ClaimReplay,
+    ClaimResult,
+    ClaimUnavailable,
+    ClaimUnknown,
+)
+from .claim_rows import (
+    CLAIM_DECODER,
+    CLAIMS,
+    ENCODER,
+    ClaimRow,
+    ClaimState,
+    Standing,
+    claim_key,
+    finished,
+    new_token,
+    standing,
+)
+from .client import CALL_TIMEOUT, StoreClient
+from .rates import Priority
+
+MAX_ROUNDS = 4
+"""Times that a claim is tried on a row that others change meanwhile."""
+
+SETTLE_PERIOD = 1.0
+"""Seconds between two rounds of settling unproven reports."""
+
+SETTLE_BATCH = 50
+"""Reports tried in one such round."""
+
+
+class ClaimCounts:
+    """Plain counters of outcomes, for metrics and the dump."""
+
+    __slots__ = ("granted", "replayed", "busy", "unknown", "mismatched", "unavailable")
+    __slots__ += ("abandoned",)
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
+
+
+class Claims(Part):
+    """Claims of this VM; `vm_name` is shown to operators and proves nothing."""
+
+    name = "claims"
+
+    def __init__(self, store: StoreClient, clock: Clock, vm_name: str):
+        self.store = store
+        self.clock = clock
+        self.vm_name = vm_name
+        self.reports = Reports(store)
+        self.counts = ClaimCounts()
+        self.held: dict[str, ClaimGranted] = {}
+
+    def subscribe(self, timers: Timers) -> None:
+        """Settle unproven reports in the background."""
+        timers.every(SETTLE_PERIOD, "claims settle", self.settle)
+
+    async def acquire(
+        self, service: str, caller: str, key: str, body_digest: str, deadline: float
+    ) -> ClaimResult:
+        """Claim the work named by `key` within service and caller.
+
+        `deadline` is on the monotonic clock: a claim not proven by then is `ClaimUnavailable`,
+        and the holder of a granted one sends nothing after it.
+        """
+        now, wall = self.clock.now(), self.clock.wall()
+        if self.reports.is_full:
+            return self._unavailable("too many claims wait for the store; try again later")
+        row = ClaimRow(
+            state=ClaimState.HELD,
+            token=new_token(),
+            vm=self.vm_name,
+            service=service,
+            caller=caller,
+            key=key,
+            digest=body_digest,
+            at=wall,
+            until=wall + max(0.0, deadline - now),
+        )
+        return await self._claim(claim_key(service, caller, key), row, deadline)
+
+    async def complete(
+        self,
+        claim: ClaimGranted,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes | None,
+    ) -> bool:
+        """Report that the work ran; a small answer is kept for replay, None keeps none.
+
+        True if the report is proven; otherwise it is tried again in the background.
+        """
+        return await self._report(
+            claim, finished(claim.row, ClaimState.DONE, status, headers, body)
+        )
+
+    async def unknown(self, claim: ClaimGranted) -> bool:
+        """Report that the request was sent, and that nobody knows whether it ran."""
+        return await self._report(claim, finished(claim.row, ClaimState.UNKNOWN))
+
+    async def release(self, claim: ClaimGranted) -> bool:
+        """Report that the request is proven not to have run; the key may be claimed again."""
+        return await self._report(claim, finished(claim.row, ClaimState.RELEASED))
+
+    async def settle(self) -> int:
+        """Try unproven reports again; return how many are left. Called until 0 before a stop."""
+        return await self.reports.settle(SETTLE_BATCH)
+
+    def dump(self) -> dict:
+        """Describe held claims, unproven reports and counters."""
+        counts = {name: getattr(self.counts, name) for name in self.counts.__slots__}
+        return {
+            "held": len(self.held),
+            "unproven_reports": len(self.reports.kept),
+            "overtaken": self.reports.overtaken,
+            **counts,
+        }
+
+    async def _claim(self, row_key: str, row: ClaimRow, deadline: float) -> ClaimResult:
+        version = 0
+        for _ in range(MAX_ROUNDS):
+            result = await self._insert(row_key, row, version, deadline)
+            if result.is_ok():
+                return self._granted(row_key, row, version, deadline)
+            if result.error.kind is StoreErrorKind.UNKNOWN:
+                return self._abandoned(row_key, row, version)
+            if result.error.kind is not StoreErrorKind.CONDITION_FAILED:
+                return self._unavailable(result.error.message)
+            found = await self._read(row_key, deadline)
+            if found.is_error():
+                return self._unavailable(found.error.message)
+            answer = self._judge(found.ok, row)
+            if answer is not None:
+                return answer
+            version = found.ok.version if found.ok else 0
+        return self._unavailable("the claim is contended; try again")
+
+    async def _insert(self, row_key: str, row: ClaimRow, version: int, deadline: float) -> Result:
+        condition = Condition(CLAIMS, row_key, version)
+        write = Write(CLAIMS, row_key, ENCODER.encode(row))
+        try:
+            return await self.store.transact_settled(
+                [condition], [write], write, deadline, Priority.CLAIM
+            )
+        except curio.CancelledError:
+            self._abandoned(row_key, row, version)
+            raise
+
+    async def _read(self, row_key: str, deadline: float) -> Result:
+        left = min(CALL_TIMEOUT, max(0.0, deadline - self.clock.now()))
+        return await self.store.read(CLAIMS, row_key, left, Priority.CLAIM)
+
+    def _judge(self, found: Row | None, row: ClaimRow) -> ClaimResult | None:
+        """Return the answer for the row in the way, None if it may be claimed."""
+        if found is None:
+            return None
+        other = CLAIM_DECODER.decode(found.value)
+        if self.reports.has_abandoned(other.token):
+            return None
+        kind = standing(other, row.digest, self.clock.wall())
+        if kind is Standing.FREE:
+            return None
+        if kind is Standing.MISMATCH:
+            self.counts.mismatched += 1
+            return ClaimMismatch()
+        if kind is Standing.DONE:
+            self.counts.replayed += 1
+            return ClaimReplay(other.status, other.headers, other.body)
+        if kind is Standing.BUSY:
+            self.counts.busy += 1
+            return ClaimBusy(other.vm, other.at)
+        self.counts.unknown += 1
+        return ClaimUnknown(other.vm, other.at)
+
+    def _granted(
+        self, row_key: str, row: ClaimRow, version: int, deadline: float
+    ) -> ClaimGranted | ClaimUnavailable:
+        claim = ClaimGranted(row_key, row, version + 1, deadline)
+        if self.clock.now() >= deadline:
+            self.reports.keep(Report(row_key, finished(row, ClaimState.RELEASED), version + 1))
+            self.counts.abandoned += 1
+            return self._unavailable("the claim came too late; try again")
+        self.held[row.token] = claim
+        self.counts.granted += 1
+        return claim
+
+    def _abandoned(self, row_key: str, row: ClaimRow, version: int) -> ClaimUnavailable:
+        # Nothing is ever sent under this token: this object is the only one that knew it.
+        self.reports.keep(Report(row_key, finished(row, ClaimState.RELEASED), version))
+        self.counts.abandoned += 1
+        return self._unavailable("the store did not confirm the claim in time; try again")
+
+    def _unavailable(self, message: str) -> ClaimUnavailable:
+        self.counts.unavailable += 1
+        return ClaimUnavailable(message)
+
+    async def _report(self, claim: ClaimGranted, row: ClaimRow) -> bool:
+        self.held.pop(claim.row.token, None)
+        return await self.reports.write(Report(claim.row_key, row, claim.version))
--- a/sequoiabridge/store/client.py
+++ b/sequoiabridge/store/client.py
@@ -4,7 +4,7 @@
 time, refuses at once while the store is down, and settles lost answers by reading back.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 from expression import Ok, Result
@@ -53,6 +53,7 @@
         fleet_reads: Reads a second for the whole fleet, 0 for no limit.
         grouping: Send waiting transactions as one when their rows allow.
         count_rows: The platform counts each written row, not each transaction.
+        sleep: Waits the seconds between two tries of one transaction.
     """
 
     name = "store"
@@ -68,9 +69,11 @@
         *,
         grouping: bool = True,
         count_rows: bool = False,
+        sleep: Callable[[float], Awaitable[None]] = curio.sleep,
     ):
         self.tables = tables
         self.clock = clock
+        self.sleep = sleep
         self.gate = Gate(clock, live_count, fleet_writes, fleet_reads, count_rows)
         self.committer = Committer(self.gate, tables, grouping)
         self.objects = MeteredObjects(self.gate, objects)
@@ -143,7 +146,7 @@
                 return settled
             if self.is_down:
                 break
-            await curio.sleep(SETTLE_PAUSE * 2**round_number)
+            await self.sleep(SETTLE_PAUSE * 2**round_number)
         return self._left_open(sent)
 
     def _left_open(self, sent: bool) -> Result:
--- a/sequoiabridge/tests/store/store_fakes.py
+++ b/sequoiabridge/tests/store/store_fakes.py
@@ -22,6 +22,7 @@
         self.clock = clock or ManualClock()
 
     def client(self, writes: float = 0.0, reads: float = 0.0, **options) -> StoreClient:
+        options.setdefault("sleep", no_sleep)
         return StoreClient(
             self.tables, self.objects, self.clock, lambda: 1, writes, reads, **options
         )
--- /dev/null
+++ b/sequoiabridge/tests/store/test_claims.py
@@ -0,0 +1,190 @@
+"""At-most-once claims against each fault of the store, races, pauses and operators."""
+
+import random
+
+import curio
+import pytest
+
+from ...store.claim_admin import RELEASE_GRACE, ClaimAdmin
+from ...store.claim_results import (
+    ClaimBusy,
+    ClaimGranted,
+    ClaimMismatch,
+    ClaimReplay,
+    ClaimUnavailable,
+    ClaimUnknown,
+)
+from ...store.claim_rows import REPORT_GRACE, STORED_BODY_LIMIT
+from ...store.claims import Claims
+from ..standins.memory import ALWAYS
+from .store_fakes import Bench
+
+WINDOW = 2.0
+
+
+def claims(bench, vm="vm1"):
+    return Claims(bench.client(), bench.clock, vm)
+
+
+def acquire(of, key="k", digest="d", caller="c"):
+    deadline = of.clock.now() + WINDOW
+    return curio.run(of.acquire, "s", caller, key, digest, deadline)
+
+
+def admin(bench, **options):
+    return ClaimAdmin(bench.client(), bench.clock, random.Random(1), **options)
+
+
+def test_duplicate_gets_the_stored_answer_at_another_vm():
+    bench = Bench()
+    claim = acquire(claims(bench))
+    assert isinstance(acquire(claims(bench, "vm2")), ClaimBusy)
+    assert curio.run(claims(bench).complete, claim, 201, [(b"x-po", b"7")], b"ok")
+    replay = acquire(claims(bench, "vm2"))
+    assert isinstance(replay, ClaimReplay)
+    assert (replay.status, replay.headers, replay.body) == (201, [(b"x-po", b"7")], b"ok")
+    assert isinstance(acquire(claims(bench), digest="other"), ClaimMismatch)
+    assert isinstance(acquire(claims(bench), caller="c2"), ClaimGranted)
+
+
+def test_large_answer_is_done_but_not_kept():
+    bench = Bench()
+    store = claims(bench)
+    curio.run(store.complete, acquire(store), 200, [], b"x" * (STORED_BODY_LIMIT + 1))
+    replay = acquire(store)
+    assert isinstance(replay, ClaimReplay) and replay.body is None
+
+
+def test_two_claimers_at_once_one_is_granted():
+    bench = Bench()
+    deadline = bench.clock.now() + WINDOW
+
+    async def race():
+        async with curio.TaskGroup() as group:
+            for vm in range(5):
+                of = claims(bench, f"vm{vm}")
+                await group.spawn(of.acquire, "s", "c", "k", "d", deadline)
+        return group.results
+
+    kinds = sorted(type(result).__name__ for result in curio.run(race))
+    assert kinds == ["ClaimBusy"] * 4 + ["ClaimGranted"]
+
+
+@pytest.mark.parametrize("lost", ["lose_answers", "lose_writes", "late"])
+def test_lost_answer_is_settled_by_the_token(lost):
+    bench = Bench()
+    setattr(bench.faults, lost, 1)
+    assert isinstance(acquire(claims(bench)), ClaimGranted)
+    bench.tables.land_late()
+    assert isinstance(acquire(claims(bench, "vm2")), ClaimBusy)
+
+
+def test_store_down_is_refused_without_a_trace():
+    bench = Bench()
+    bench.faults.down = True
+    store = claims(bench)
+    assert isinstance(acquire(store), ClaimUnavailable)
+    assert not bench.tables.rows and not store.reports.kept
+
+
+@pytest.mark.parametrize("order", ["lands-then-settles", "settles-then-lands"])
+def test_insert_that_lands_after_not_run_neither_blocks_nor_doubles(order):
+    bench = Bench()
+    first, second = claims(bench), claims(bench, "vm2")
+    bench.faults.late = ALWAYS
+    assert isinstance(acquire(first), ClaimUnavailable)
+    bench.faults.late = 0
+    bench.clock.advance(WINDOW)
+    steps = [bench.tables.land_late, lambda: curio.run(first.settle)]
+    for step in steps if order == "lands-then-settles" else steps[::-1]:
+        step()
+    granted = acquire(second)
+    assert isinstance(granted, ClaimGranted)
+    bench.tables.land_late()
+    assert curio.run(second.complete, granted, 200, [], b"ok")
+    assert isinstance(acquire(first), ClaimReplay)
+
+
+def test_late_insert_fails_once_another_vm_was_granted_and_had_released():
+    bench = Bench()
+    first, second = claims(bench), claims(bench, "vm2")
+    bench.faults.late = ALWAYS
+    acquire(first)
+    bench.faults.late = 0
+    bench.clock.advance(WINDOW)
+    assert curio.run(second.release, acquire(second))
+    assert bench.tables.land_late() == 0
+    assert curio.run(first.settle) == 0
+    assert isinstance(acquire(second), ClaimGranted)
+
+
+def test_caller_who_goes_away_meanwhile_leaves_a_claim_that_is_released():
+    bench = Bench()
+    store = claims(bench)
+    bench.faults.late = 1
+
+    async def cancelled():
+        deadline = bench.clock.now() + WINDOW
+        task = await curio.spawn(store.acquire, "s", "c", "k", "d", deadline)
+        while not bench.tables.waiting:
+            await curio.sleep(0)
+        await task.cancel()
+        bench.tables.land_late()
+        return await store.settle()
+
+    assert curio.run(cancelled) == 0
+    assert isinstance(acquire(claims(bench, "vm2")), ClaimGranted)
+
+
+def test_paused_holder_is_never_taken_over_and_reports_late():
+    bench = Bench()
+    holder, other = claims(bench), claims(bench, "vm2")
+    claim = acquire(holder)
+    bench.clock.advance(WINDOW + REPORT_GRACE + 3600.0)
+    assert isinstance(acquire(other), ClaimUnknown)
+    assert curio.run(holder.complete, claim, 200, [], b"late")
+    assert acquire(other).body == b"late"
+
+
+@pytest.mark.parametrize("lost", ["down", "lose_answers", "lose_writes", "late"])
+def test_report_that_gets_no_answer_is_proven_later(lost):
+    bench = Bench()
+    store = claims(bench)
+    claim = acquire(store)
+    setattr(bench.faults, lost, 1)
+    assert not curio.run(store.complete, claim, 200, [], b"ok")
+    setattr(bench.faults, lost, 0)
+    assert curio.run(store.settle) == 0
+    bench.tables.land_late()
+    assert isinstance(acquire(claims(bench, "vm2")), ClaimReplay)
+
+
+def test_operator_frees_a_dead_vms_claim_and_its_late_report_changes_nothing():
+    bench = Bench()
+    dead, other, operator = claims(bench), claims(bench, "vm2"), admin(bench)
+    claim = acquire(dead)
+    early = curio.run(operator.release_by_operator, claim.row_key, "anna", "checked", 5.0)
+    assert "may still send" in str(early.error)
+    bench.clock.advance(WINDOW + RELEASE_GRACE)
+    listed = curio.run(operator.listed, 10).ok
+    assert [(c.row.vm, c.row.key) for c in listed.claims] == [("vm1", "k")]
+    bench.faults.lose_answers = 1
+    assert curio.run(operator.release_by_operator, claim.row_key, "anna", "checked", 5.0).is_ok()
+    assert [entry.author for entry in curio.run(operator.audit, 10).ok] == ["anna"]
+    assert isinstance(acquire(other), ClaimGranted)
+    curio.run(dead.complete, claim, 200, [], b"old")
+    assert dead.reports.overtaken == 1
+    assert isinstance(acquire(claims(bench, "vm3")), ClaimBusy)
+
+
+def test_sweep_removes_finished_claims_by_age_and_never_open_ones():
+    bench = Bench()
+    store, operator = claims(bench), admin(bench, retention=60.0)
+    curio.run(store.complete, acquire(store, "done"), 200, [], b"")
+    curio.run(store.unknown, acquire(store, "unknown"))
+    acquire(store, "held")
+    bench.clock.advance(WINDOW + 59.0)
+    assert sum(curio.run(operator.sweep) for _ in range(2)) == 0
+    bench.clock.advance(2.0)
+    assert sum(curio.run(operator.sweep) for _ in range(2)) == 1
+    assert len(bench.tables.find("claims", "", "", 9)) == 2
--- /dev/null
+++ b/sequoiabridge/tests/store/test_claims_stateful.py
@@ -0,0 +1,131 @@
+"""Random sequences of claims, faults, kills and pauses; the oracle counts what was sent per key."""
+
+import random
+from collections import Counter
+
+import curio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from ...store.claim_admin import RELEASE_GRACE, ClaimAdmin
+from ...store.claim_results import ClaimGranted, ClaimReplay, ClaimUnavailable
+from ...store.claim_rows import claim_key
+from ...store.claims import Claims
+from .store_fakes import Bench
+
+VMS = st.integers(0, 2)
+KEYS = st.sampled_from(["a", "b"])
+FAULTS = st.sampled_from(["lose_answers", "lose_writes", "late", "lose_reads"])
+PICK = st.integers(0, 99)
+WINDOW = 2.0
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Three VMs, two keys. A holding is a granted claim, and whether it was sent."""
+
+    def __init__(self):
+        super().__init__()
+        self.kernel = curio.Kernel()
+        self.bench = Bench()
+        self.vms = [self.new_vm(number) for number in range(3)]
+        self.admin = ClaimAdmin(self.bench.client(), self.bench.clock, random.Random(1))
+        self.holdings: list[list] = []
+        self.sends: Counter[str] = Counter()
+        self.orphans: set[str] = set()
+
+    def new_vm(self, number: int) -> Claims:
+        return Claims(self.bench.client(), self.bench.clock, f"vm{number}")
+
+    def run(self, call, *args):
+        return self.kernel.run(call, *args)
+
+    def acquire(self, vm: int, key: str):
+        deadline = self.bench.clock.now() + WINDOW
+        return self.run(self.vms[vm].acquire, "s", "c", key, "d", deadline)
+
+    @rule(fault=FAULTS, count=st.integers(1, 8))
+    def fail(self, fault, count):
+        setattr(self.bench.faults, fault, count)
+
+    @rule(vm=VMS, key=KEYS)
+    def claim(self, vm, key):
+        result = self.acquire(vm, key)
+        if isinstance(result, ClaimGranted):
+            self.holdings.append([vm, key, result, False])
+        if isinstance(result, ClaimReplay):
+            assert self.sends[key] == 1
+
+    @precondition(lambda self: self.holdings)
+    @rule(pick=PICK)
+    def send(self, pick):
+        holding = self.holdings[pick % len(self.holdings)]
+        if not holding[3] and self.bench.clock.now() < holding[2].deadline:
+            holding[3] = True
+            self.sends[holding[1]] += 1
+
+    @precondition(lambda self: self.holdings)
+    @rule(pick=PICK, known=st.booleans())
+    def report(self, pick, known):
+        vm, _key, claim, sent = self.holdings.pop(pick % len(self.holdings))
+        if not sent:
+            self.run(self.vms[vm].release, claim)
+        elif known:
+            self.run(self.vms[vm].complete, claim, 200, [], b"ok")
+        else:
+            self.run(self.vms[vm].unknown, claim)
+
+    @rule()
+    def land_late(self):
+        self.bench.tables.land_late()
+
+    @rule(vm=VMS)
+    def settle(self, vm):
+        self.run(self.vms[vm].settle)
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 3.0, WINDOW + RELEASE_GRACE]))
+    def pause(self, seconds):
+        self.bench.clock.advance(seconds)
+
+    @rule(vm=VMS)
+    def kill(self, vm):
+        self.orphans |= {report.row.key for report in self.vms[vm].reports.kept.values()}
+        self.orphans |= {holding[1] for holding in self.holdings if holding[0] == vm}
+        self.holdings = [holding for holding in self.holdings if holding[0] != vm]
+        self.vms[vm] = self.new_vm(vm)
+
+    @rule(key=KEYS)
+    def operator_releases(self, key):
+        if self.sends[key] == 0:
+            self.run(self.admin.release_by_operator, claim_key("s", "c", key), "anna", "ok", 5.0)
+
+    @invariant()
+    def sent_at_most_once(self):
+        assert all(count <= 1 for count in self.sends.values())
+
+    def teardown(self):
+        try:
+            self.check_that_nothing_stays_blocked()
+        finally:
+            self.kernel.run(shutdown=True)
+
+    def check_that_nothing_stays_blocked(self):
+        for fault in ("lose_answers", "lose_writes", "late", "lose_reads"):
+            setattr(self.bench.faults, fault, 0)
+        self.bench.clock.advance(60.0)
+        for _ in range(2):
+            self.bench.tables.land_late()
+            for vm in range(3):
+                self.run(self.vms[vm].store.probe)
+                self.run(self.vms[vm].settle)
+        held = {holding[1] for holding in self.holdings}
+        for key in {"a", "b"} - held - self.orphans:
+            result = self.acquire(0, key)
+            assert not isinstance(result, ClaimUnavailable)
+            assert isinstance(result, ClaimGranted) == (self.sends[key] == 0)
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None, database=None
+)
