--- a/sequoiabridge/store/claim_admin.py
+++ b/sequoiabridge/store/claim_admin.py
@@ -30,7 +30,7 @@
 RETENTION = 24 * 3600.0
 """Seconds for which a finished claim is kept; its key is refused or replayed that long."""
 
-SWEEP_PERIOD = 10.0
+SWEEP_PERIOD = 2.0
 """Seconds between two steps of the removal by age."""
 
 PAGE = 100
@@ -136,8 +136,9 @@
         page = await self._page(self.cursor)
         if page.is_error():
             return 0
-        self.cursor = page.ok[-1].key if len(page.ok) == PAGE else ""
-        old = [row for row in page.ok if self._is_old(row)][:DELETE_BATCH]
+        old = [row for row in page.ok if self._is_old(row)]
+        self.cursor = self._next_cursor(page.ok, old)
+        old = old[:DELETE_BATCH]
         if not old:
             return 0
         conditions = [Condition(CLAIMS, row.key, row.version) for row in old]
@@ -150,6 +151,11 @@
     async def _page(self, after: str) -> Result[list[Row], StoreError]:
         return await self.store.scan(CLAIMS, "", after, PAGE, CALL_TIMEOUT, Priority.BACKGROUND)
 
+    def _next_cursor(self, page: list[Row], old: list[Row]) -> str:
+        if len(old) > DELETE_BATCH:
+            return old[DELETE_BATCH - 1].key
+        return page[-1].key if len(page) == PAGE else ""
+
     def _is_old(self, row: Row) -> bool:
         claim = CLAIM_DECODER.decode(row.value)
         age = self.clock.wall() - max(claim.at, claim.until)
--- a/sequoiabridge/store/claim_reports.py
+++ b/sequoiabridge/store/claim_reports.py
@@ -62,8 +62,12 @@
             report.row = finished(report.row, report.row.state, report.row.status)
         self.kept[report.row.token] = report
 
-    async def write(self, report: Report, priority: Priority = Priority.NORMAL) -> bool:
-        """Try to write a report now; true if it is proven, else it is kept."""
+    async def write(self, report: Report, priority: Priority = Priority.CLAIM) -> bool:
+        """Try to write a report now; true if it is proven, else it is kept.
+
+        As urgent as new claims are: with less, claims at the limit of the rate would starve the
+        reports, and held rows would pile up.
+        """
         self.keep(report)
         for _ in range(REPORT_ROUNDS):
             settled = await self._step(report, priority)
--- a/sequoiabridge/store/committer.py
+++ b/sequoiabridge/store/committer.py
@@ -5,7 +5,7 @@
 
 from .base import Condition, StoreError, StoreErrorKind, TableService, Write
 from .gate import FAIR_WAIT, Gate, store_error
-from .groups import Waiting, merged, take_group
+from .groups import MAX_ROWS, Waiting, merged, take_group
 from .rates import Priority
 
 MAX_FLIGHTS = 4
@@ -73,7 +73,7 @@
                 if not await self._pay():
                     await self.flights.release()
                     return
-                group = take_group(self.waiting, self.grouping)
+                group = take_group(self.waiting, self.grouping, self._room())
                 self.gate.writes.tokens -= self._cost(group) - 1
                 await curio.spawn(self._fly, group, daemon=True)
         finally:
@@ -92,6 +92,11 @@
                 await self.arrived.wait()
         return False
 
+    def _room(self) -> int:
+        # Where each row counts, a group is no larger than what is paid for already.
+        paid = 1 + int(max(0.0, self.gate.writes.tokens))
+        return min(MAX_ROWS, paid) if self.gate.count_rows else MAX_ROWS
+
     def _cost(self, group: list[Waiting]) -> int:
         return sum(len(entry.writes) for entry in group) if self.gate.count_rows else 1
 
--- a/sequoiabridge/store/groups.py
+++ b/sequoiabridge/store/groups.py
@@ -44,7 +44,9 @@
             await self.done.set()
 
 
-def take_group(waiting: list[Waiting], grouping: bool = True) -> list[Waiting]:
+def take_group(
+    waiting: list[Waiting], grouping: bool = True, max_rows: int = MAX_ROWS
+) -> list[Waiting]:
     """Take out of `waiting` the transactions to send next: most urgent first, oldest first.
 
     Two transactions that name the same row never share a group: they depend on each other.
@@ -53,7 +55,7 @@
     keys: set[tuple[str, str]] = set()
     rows = size = 0
     for entry in sorted((e for e in waiting if e.result is None), key=lambda e: e.priority):
-        if group and not _fits(entry, keys, rows, size):
+        if group and (rows + len(entry.writes) > max_rows or not _fits(entry, keys, size)):
             continue
         group.append(entry)
         keys |= entry.keys
@@ -73,7 +75,5 @@
     return conditions, [write for entry in group for write in entry.writes]
 
 
-def _fits(entry: Waiting, keys: set, rows: int, size: int) -> bool:
-    if rows + len(entry.writes) > MAX_ROWS or size + entry.size > MAX_BYTES:
-        return False
-    return keys.isdisjoint(entry.keys)
+def _fits(entry: Waiting, keys: set, size: int) -> bool:
+    return size + entry.size <= MAX_BYTES and keys.isdisjoint(entry.keys)
--- a/sequoiabridge/store/http_connection.py
+++ b/sequoiabridge/store/http_connection.py
@@ -4,6 +4,7 @@
 the request left this VM, everything after the first byte is `UNKNOWN`.
 """
 
+import select
 import socket
 from collections import deque
 
@@ -80,13 +81,9 @@
         """True if young enough, and nothing (no end either) came while it was idle."""
         if now - self.idle_since > IDLE_LIMIT:
             return False
-        try:
-            self.sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        poller = select.poll()
+        poller.register(self.sock.fileno(), select.POLLIN)
+        return not poller.poll(0)
 
 
 class PlatformClient:
--- a/sequoiabridge/tests/store/test_claims.py
+++ b/sequoiabridge/tests/store/test_claims.py
@@ -79,14 +79,51 @@
     assert isinstance(acquire(claims(bench, "vm2")), ClaimBusy)
 
 
-def test_store_down_is_refused_without_a_trace():
+@pytest.mark.parametrize("lost", ["lose_answers", "lose_writes", "late"])
+def test_another_vms_row_is_never_taken_for_the_own_one(lost):
+    bench = Bench()
+    assert isinstance(acquire(claims(bench, "vm2")), ClaimGranted)
+    setattr(bench.faults, lost, 1)
+    assert isinstance(acquire(claims(bench)), ClaimBusy)
+
+
+@pytest.mark.parametrize("fault", ["down", "reject"])
+def test_refusing_store_is_not_run_without_a_trace(fault):
     bench = Bench()
-    bench.faults.down = True
+    setattr(bench.faults, fault, 1)
     store = claims(bench)
     assert isinstance(acquire(store), ClaimUnavailable)
     assert not bench.tables.rows and not store.reports.kept
 
 
+def test_slow_store_is_refused_and_its_effect_is_undone_later():
+    bench = Bench()
+    store = claims(bench)
+    bench.faults.slow = 60.0
+    assert isinstance(acquire(store), ClaimUnavailable)
+    assert len(bench.tables.rows) == 1
+    bench.faults.slow = 0.0
+    bench.clock.advance(WINDOW)
+    curio.run(store.store.probe)
+    assert curio.run(store.settle) == 0
+    assert isinstance(acquire(claims(bench, "vm2")), ClaimGranted)
+
+
+def test_vm_paused_while_it_claims_is_not_granted_after_its_deadline():
+    bench = Bench()
+    store = claims(bench)
+    bench.faults.slow = 0.1
+
+    async def pause(_seconds):
+        bench.clock.advance(WINDOW + 1.0)
+
+    bench.tables.sleep = pause
+    assert isinstance(acquire(store), ClaimUnavailable)
+    bench.faults.slow = 0.0
+    assert curio.run(store.settle) == 0
+    assert isinstance(acquire(claims(bench, "vm2")), ClaimGranted)
+
+
 @pytest.mark.parametrize("order", ["lands-then-settles", "settles-then-lands"])
 def test_insert_that_lands_after_not_run_neither_blocks_nor_doubles(order):
     bench = Bench()
