Leave claims of a newer version alone, and test the run-time faults

Cause: during a rolling replacement an older daemon may read a row that it cannot decode, and an exception on the request path would have been told as something else than not-run. Change: such a row gives ClaimUnavailable, is not listed, removed or released; the stand-in process's control endpoint and late effect have a test over sockets.

--- a/sequoiabridge/store/claim_admin.py
+++ b/sequoiabridge/store/claim_admin.py
@@ -11,7 +11,6 @@
 from .claim_rows import (
     AUDIT,
     AUDIT_DECODER,
-    CLAIM_DECODER,
     CLAIMS,
     ENCODER,
     KEY_BYTES,
@@ -21,6 +20,7 @@
     ClaimState,
     finished,
     new_token,
+    read_claim,
 )
 from .client import CALL_TIMEOUT, StoreClient
 from .rates import Priority
@@ -119,7 +119,7 @@
             return Error(ClaimNotReleased(found.error.message))
         if found.ok is None:
             return Error(ClaimNotReleased(f"no claim {row_key}; list the claims again"))
-        row = CLAIM_DECODER.decode(found.ok.value)
+        row = read_claim(found.ok.value)
         problem = self._not_releasable(row)
         if problem:
             return Error(ClaimNotReleased(problem))
@@ -157,18 +157,24 @@
         return page[-1].key if len(page) == PAGE else ""
 
     def _is_old(self, row: Row) -> bool:
-        claim = CLAIM_DECODER.decode(row.value)
+        claim = read_claim(row.value)
+        if claim is None or claim.state in OPEN_STATES:
+            return False
         age = self.clock.wall() - max(claim.at, claim.until)
-        return claim.state not in OPEN_STATES and age > self.retention
+        return age > self.retention
 
     def _add_open(self, found: list[ListedClaim], row: Row) -> None:
-        claim = CLAIM_DECODER.decode(row.value)
+        claim = read_claim(row.value)
+        if claim is None:
+            return
         wall = self.clock.wall()
         overdue = claim.state is ClaimState.UNKNOWN or wall > claim.until + REPORT_GRACE
         if claim.state in OPEN_STATES and overdue:
             found.append(ListedClaim(row.key, claim, wall - claim.at))
 
-    def _not_releasable(self, row: ClaimRow) -> str | None:
+    def _not_releasable(self, row: ClaimRow | None) -> str | None:
+        if row is None:
+            return "the row is of a newer version; ask a VM of that version"
         if row.state not in OPEN_STATES:
             return f"the claim is {row.state.value} already; there is nothing to release"
         wait = row.until + RELEASE_GRACE - self.clock.wall()
--- a/sequoiabridge/store/claim_reports.py
+++ b/sequoiabridge/store/claim_reports.py
@@ -6,7 +6,7 @@
 
 from ..logs import get_log
 from .base import Condition, StoreErrorKind, Write
-from .claim_rows import CLAIM_DECODER, CLAIMS, ENCODER, ClaimRow, ClaimState, finished
+from .claim_rows import CLAIMS, ENCODER, ClaimRow, ClaimState, finished, read_claim
 from .client import CALL_TIMEOUT, StoreClient
 from .rates import Priority
 
@@ -112,7 +112,9 @@
     def _compare(self, report: Report, found) -> bool | None:
         if found is None:
             return self._without_row(report)
-        row = CLAIM_DECODER.decode(found.value)
+        row = read_claim(found.value)
+        if row is None:
+            return False
         if row.token != report.row.token or row.state is not ClaimState.HELD:
             return self._overtaken(report, row)
         report.version = found.version
--- a/sequoiabridge/store/claim_rows.py
+++ b/sequoiabridge/store/claim_rows.py
@@ -83,6 +83,14 @@
 AUDIT_DECODER = msgspec.msgpack.Decoder(AuditRow)
 
 
+def read_claim(value: bytes) -> ClaimRow | None:
+    """Return the claim in a row's value, None if a newer version of the daemon wrote it."""
+    try:
+        return CLAIM_DECODER.decode(value)
+    except msgspec.DecodeError:
+        return None
+
+
 def new_token() -> str:
     """Return a token that no other attempt has."""
     return secrets.token_hex(TOKEN_BYTES)
--- a/sequoiabridge/store/claims.py
+++ b/sequoiabridge/store/claims.py
@@ -21,7 +21,6 @@
     ClaimUnknown,
 )
 from .claim_rows import (
-    CLAIM_DECODER,
     CLAIMS,
     ENCODER,
     ClaimRow,
@@ -30,6 +29,7 @@
     claim_key,
     finished,
     new_token,
+    read_claim,
     standing,
 )
 from .client import CALL_TIMEOUT, StoreClient
@@ -172,7 +172,9 @@
         """Return the answer for the row in the way, None if it may be claimed."""
         if found is None:
             return None
-        other = CLAIM_DECODER.decode(found.value)
+        other = read_claim(found.value)
+        if other is None:
+            return self._unavailable("the claim's row is of a newer version; replace this VM")
         if self.reports.has_abandoned(other.token):
             return None
         kind = standing(other, row.digest, self.clock.wall())
--- a/sequoiabridge/tests/standins/platform.py
+++ b/sequoiabridge/tests/standins/platform.py
@@ -2,6 +2,7 @@
 
 Prints its address as one line when it listens. `POST /control` with JSON fields of `Faults`
 switches faults at run time, `PUT /vms` sets the VM list, `GET /control` returns the counts.
+Where the in-memory stand-in refuses connections (`down`), this one closes them without an answer.
 """
 
 import sys
--- a/sequoiabridge/tests/store/test_claims.py
+++ b/sequoiabridge/tests/store/test_claims.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from ...store.base import Write
 from ...store.claim_admin import RELEASE_GRACE, ClaimAdmin
 from ...store.claim_results import (
     ClaimBusy,
@@ -55,6 +56,17 @@
     assert isinstance(replay, ClaimReplay) and replay.body is None
 
 
+def test_row_of_a_newer_version_is_left_alone():
+    bench = Bench()
+    claim = acquire(claims(bench))
+    bench.tables.put(Write("claims", claim.row_key, b"\xc1 newer"))
+    assert isinstance(acquire(claims(bench, "vm2")), ClaimUnavailable)
+    assert curio.run(admin(bench).listed, 9).ok.claims == []
+    assert curio.run(admin(bench).sweep) == 0
+    refused = curio.run(admin(bench).release_by_operator, claim.row_key, "anna", "checked", 5.0)
+    assert "newer version" in str(refused.error)
+
+
 def test_two_claimers_at_once_one_is_granted():
     bench = Bench()
     deadline = bench.clock.now() + WINDOW
--- a/sequoiabridge/tests/store/test_http.py
+++ b/sequoiabridge/tests/store/test_http.py
@@ -6,6 +6,7 @@
 
 from ...store.base import Condition, ListedVm, StoreErrorKind, Write
 from ...store.http import HttpObjects, HttpTables, HttpVmList
+from ...store.http_connection import PlatformClient
 from ...timers import SystemClock
 from ..standins.platform import Platform
 
@@ -85,6 +86,22 @@
     assert refused.error.kind is StoreErrorKind.NOT_SENT
 
 
+def test_faults_are_switched_at_run_time():
+    async def check(address, platform):
+        control, tables = PlatformClient(address, SystemClock()), HttpTables(address, SystemClock())
+        await control.call("POST", "/control", b'{"late": 1, "late_after": 0.01}', 5.0)
+        late = await tables.transact(ABSENT, WRITE, 5.0)
+        assert late.error.kind is StoreErrorKind.UNKNOWN
+        while (await tables.read("t", "a", 5.0)).ok is None:
+            await curio.sleep(0.005)
+        await control.call("PUT", "/vms", b"[]", 5.0)
+        assert (await HttpVmList(address, SystemClock()).vms(5.0)).ok == []
+        counts = (await control.call("GET", "/control", b"", 5.0)).ok.body
+        assert b'"writes":{"passed":1,' in counts
+
+    run(check)
+
+
 def test_connection_closed_while_idle_is_not_used_for_a_write():
     async def check(address, platform):
         tables = HttpTables(address, SystemClock())
