--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 .PHONY: bench-hop
 bench-hop: $(VENV)/ready
 	$(BIN)/python -m benchmarks.hop
+.PHONY: bench-claims
+bench-claims: $(VENV)/ready
+	$(BIN)/python -m benchmarks.claims
