Close the holes that broken code showed in the operators' tests

Change: tests for a peer whose answer cannot be read, the order of gathered rows, the rows sent to other VMs, columns over several lines, and a refused client that still sends.

--- a/sequoiabridge/tests/operators/test_admin.py
+++ b/sequoiabridge/tests/operators/test_admin.py
@@ -70,7 +70,7 @@
     chunked = b"POST /ask HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
     answers = serve(
         request("GET", "/live", extra=f"X: {'y' * 5000}\r\n"),
-        request("POST", "/ask", b"z" * 2000),
+        request("POST", "/ask", b"z" * 1_000_000),
         chunked + b"7d0\r\n" + b"z" * 2000 + b"\r\n0\r\n\r\n",
         b"GET /live HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
         max_head=1000,
--- a/sequoiabridge/tests/operators/test_executor.py
+++ b/sequoiabridge/tests/operators/test_executor.py
@@ -11,26 +11,31 @@
 from .fakes import FakeDaemon
 
 
-async def accept_only(sock, answer=b""):
-    client, _ = await sock.accept()
+async def accept_only(sock, answer):
+    async with sock:
+        client, _ = await sock.accept()
     async with client:
         await client.sendall(answer)
         if not answer:
             await curio.sleep(3600)
 
 
+CUT_SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n[{"
+GARBLED = b'HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n[{"name":1}]'
+
+
 def gathered(command):
-    """Ask a daemon whose peers are: one that lives, one silent, one cut short, one unknown."""
+    """Ask a daemon whose peers are: one alive, one silent, cut short, garbled, and unknown."""
 
     async def run():
-        silent, short = (curio.network.tcp_server_socket("127.0.0.1", 0) for _ in range(2))
-        ports = [sock.getsockname()[1] for sock in (silent, short)]
-        cut = b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n[{"
-        tasks = [await curio.spawn(accept_only(silent)), await curio.spawn(accept_only(short, cut))]
-        async with silent, short, FakeDaemon("vm2") as other:
+        peers, tasks = [Peer("gone", "")], []
+        for vm, answer in (("silent", b""), ("cut", CUT_SHORT), ("garbled", GARBLED)):
+            sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+            peers.append(Peer(vm, f"127.0.0.1:{sock.getsockname()[1]}"))
+            tasks.append(await curio.spawn(accept_only(sock, answer)))
+        async with FakeDaemon("vm0") as other:
             other.journal.record("r7", "spendview", "read", "a1", 200, 0.01, 0.0, attempts=2)
-            peers = [Peer("vm2", other.server.address), Peer("gone", "")]
-            peers += [Peer("silent", f"127.0.0.1:{ports[0]}"), Peer("cut", f"127.0.0.1:{ports[1]}")]
+            peers.append(Peer("vm0", other.server.address))
             # The live one may take its time; the silent one is given up after the timeout.
             daemon = FakeDaemon("vm1", peers=peers, timeout=0.5)
             result = await daemon.executor.execute(command, "anna")
@@ -43,20 +48,20 @@
 
 def test_rows_of_vms_that_fail_are_missing_by_name():
     reply = gathered("show upstreams where in_flight >= 2")
-    assert [row[:2] for row in reply.rows] == [["a1", "vm1"], ["a1", "vm2"]]
-    assert reply.heard == ["vm1", "vm2"]
-    assert set(reply.not_heard) == {"silent", "cut", "gone"}
+    assert [row[:2] for row in reply.rows] == [["a1", "vm0"], ["a1", "vm1"]]
+    assert reply.heard == ["vm1", "vm0"]
+    assert set(reply.not_heard) == {"silent", "cut", "garbled", "gone"}
     assert "no answer within" in reply.not_heard["silent"]
-    assert [row[:2] for row in gathered("show upstreams limit 1").rows] == [["a1", "vm1"]]
+    assert [row[:2] for row in gathered("show upstreams limit 1").rows] == [["a1", "vm0"]]
 
 
 def test_explain_asks_the_vm_that_had_the_call():
     reply = gathered("explain r7")
-    assert [row[0] for row in reply.rows] == ["vm2", "vm2"]
+    assert [row[0] for row in reply.rows] == ["vm0", "vm0"]
     assert "after 10.0 ms and 2 attempt(s)" in reply.rows[-1][1]
     missing = gathered("explain r8")
     assert isinstance(missing, NotFound)
-    assert "Not heard: cut, gone, silent" in str(missing)
+    assert "Not heard: cut, garbled, gone, silent" in str(missing)
 
 
 @pytest.mark.parametrize(
@@ -87,6 +92,8 @@
     assert (len(reply.rows), reply.rows[0][0]) == (DEFAULT_LIMIT, "u0000")
     assert "Only the first" in reply.message
     assert len(daemon.ask("show upstreams limit 9999").rows) == DEFAULT_LIMIT + 1
+    for_others = curio.run(daemon.executor.local_rows("show upstreams limit 2")).ok
+    assert [row.name for row in for_others] == ["u0000", "u0001", "u0002"]
 
 
 def test_set_keeps_the_other_options_and_a_dry_run_changes_nothing():
--- a/sequoiabridge/tests/operators/test_parser.py
+++ b/sequoiabridge/tests/operators/test_parser.py
@@ -46,6 +46,7 @@
         ("show upstreams of", 18, "expected a name or value"),
         ("show upstreams where slot > 2", 22, "but found slot"),
         ("show services where nme = x", 21, "Did you mean name?"),
+        ("show services\nwhere nme = x", 21, "Did you mean name?"),
         ("drain pool p", 7, "expected upstream, but found pool"),
         ("add rule r with path /x", 22, 'expected "="'),
         ("add rule r with path = /x, path = /y", 28, "given twice"),
