--- /dev/null
+++ b/benchmarks/policy_players.py
@@ -0,0 +1,145 @@
+"""What plays against the fake pool: our policy, the baselines, and a probe-pool baseline."""
+
+from collections import deque
+
+from sequoiabridge.policy.base import Chooser, Failure, LoadReport
+from sequoiabridge.policy.choosers import chooser_named, untried
+from sequoiabridge.policy.evidence import UpstreamSpec
+from sequoiabridge.policy.pool import PoolOptions, PoolState
+from sequoiabridge.policy.probing import ProbeBudget
+
+from .policy_pool import SLOTS
+
+PROBE_BYTES = 260
+"""Bytes of one probe both ways over HTTP/1.1, heads included; see `docs/design/choosing.md`."""
+
+ITEM_BYTES = 60
+"""Bytes of one load item to one peer, framing included."""
+
+
+class ProbePoolChooser(Chooser):
+    """Baseline: the pool of recent probes known from Prequal (hot-cold rule on load and latency).
+
+    Of the probes kept, those under the 84th percentile of recent loads are cold: the one with the
+    least latency wins; if none is cold, the least load does. Its probes carry the instance's own
+    mean latency, which our load reports do not.
+    """
+
+    KEEP, MAX_AGE, USES, HOT, REMOVE = 16, 1.0, 2, 0.84, True
+
+    def __init__(self):
+        self.probes = deque(maxlen=self.KEEP)
+        self.loads = deque(maxlen=64)
+        self.turn = False
+
+    def probed(self, now, name, in_flight, latency):
+        for old in [p for p in self.probes if p[0] == name]:
+            self.probes.remove(old)
+        self.probes.append([name, in_flight, latency, now, self.USES])
+        self.loads.append(in_flight)
+
+    def choose(self, candidates, now, random, tried=()):
+        known = {c.name: c for c in untried(candidates, tried)}
+        while self.probes and self.probes[0][3] < now - self.MAX_AGE:
+            self.probes.popleft()
+        usable = [p for p in self.probes if p[0] in known]
+        if not usable:
+            return random.choice(list(known.values())) if known else None
+        limit = sorted(self.loads)[int(self.HOT * (len(self.loads) - 1))]
+        cold = [p for p in usable if p[1] <= limit]
+        best = min(cold, key=lambda p: p[2]) if cold else min(usable, key=lambda p: p[1])
+        self.take(best)
+        return known[best[0]]
+
+    def take(self, best):
+        """Count the use of a probe, and drop the oldest and the worst in turn."""
+        best[1] += 1
+        best[4] -= 1
+        if best[4] <= 0:
+            self.probes.remove(best)
+        if self.REMOVE and len(self.probes) > 1:
+            self.turn = not self.turn
+            worst = self.probes[0] if self.turn else max(self.probes, key=lambda p: p[1])
+            self.probes.remove(worst)
+
+
+class Player:
+    """One VM: a pool state with a chooser, and what it spends on measuring."""
+
+    def __init__(self, kind, names, late, random, probes, tail_weight, share):
+        self.random, self.late, self.peers, self.share = random, late, [], share
+        self.probing = None
+        self.spent_probes = self.spent_bytes = 0
+        own = kind == "evidence"
+        chooser = ProbePoolChooser() if kind == "probe-pool" else chooser_named(kind)
+        options = PoolOptions(0.3 if own else 0.0, tail_weight, probes)
+        self.state = PoolState("katalog", options, chooser, random)
+        self.specs = [UpstreamSpec(n, n, SLOTS, 260, "a") for n in names]
+        self.state.set_upstreams([s for s in self.specs if s.name != late], 0.0)
+        self.budget = ProbeBudget(probes, tail_weight)
+        self.tokens, self.per_call, self.own = 0.0, probes / 1000, own
+        self.fake = None
+        self.told = {}
+
+    def grow(self, now):
+        """The upstream that joins late is configured."""
+        if self.late:
+            self.state.set_upstreams(self.specs, now)
+
+    def send(self, now):
+        """A call came in: choose for it, and probe what it pays for."""
+        evidence = self.state.choose(now)
+        self.probe(now)
+        if evidence is None:
+            return None, None
+        self.state.sent(evidence, now)
+        return evidence.name, evidence
+
+    def probe(self, now):
+        if not self.per_call:
+            return
+        if self.own:
+            self.budget.earned(1, now)
+            targets = self.budget.next_targets(self.state, now)
+        else:
+            self.tokens += self.per_call
+            count, self.tokens = int(self.tokens), self.tokens % 1
+            targets = [self.random.choice(self.state.usable).name for _ in range(count)]
+        for name in targets:
+            self.spent_probes += 1
+            self.spent_bytes += PROBE_BYTES
+            self.fake.probe(now, name, self.probed)
+
+    def probed(self, now, name, in_flight, latency):
+        if self.own:
+            self.state.probed(name, now, 0.002, LoadReport(in_flight, SLOTS))
+        else:
+            self.state.chooser.probed(now, name, in_flight, latency)
+
+    def answered(self, now, evidence, elapsed, in_flight, leaving):
+        self.state.answered(evidence, now, 200, elapsed, LoadReport(in_flight, SLOTS))
+        if leaving:
+            self.state.drain(evidence.name, 1, now)
+        self.tell(now, evidence)
+
+    def failed(self, now, evidence, elapsed):
+        self.state.failed(evidence, now, Failure.ERROR, elapsed)
+        self.tell(now, evidence)
+
+    def tell(self, now, evidence):
+        """Tell the peers when an upstream becomes a suspect, if sharing is on."""
+        if not self.share:
+            return
+        suspect = evidence.ejected_until > now
+        if not suspect or now - self.told.get(evidence.name, -9.0) < 1.0:
+            return
+        self.told[evidence.name] = now
+        in_flight = evidence.report.in_flight if evidence.report else 0
+        word = (evidence.name, in_flight, evidence.latency, True, now - evidence.report_at)
+        for peer in self.peers:
+            self.spent_bytes += ITEM_BYTES
+            self.fake.at(now + 0.002, peer.hear, word, str(id(self)))
+
+    def hear(self, now, word, sender):
+        name, in_flight, latency, suspect, age = word
+        self.state.heard(name, in_flight, latency, suspect, max(0.0, age), sender, now)
--- a/sequoiabridge/policy/choosers.py
+++ b/sequoiabridge/policy/choosers.py
@@ -9,7 +9,10 @@
 from .base import Chooser, Weighed
 from .evidence import UpstreamEvidence
 
-OVERDUE_FROM = 3.0
+SPREAD = 0.1
+"""Largest random share added to a cost, so that daemons with the same news part."""
+
+OVERDUE_FROM = 2.0
 """A call in flight counts against its upstream from this multiple of the pool's latency."""
 
 OVERDUE_COST = 0.5
@@ -24,10 +27,10 @@
 SHED_COST = 4.0
 """Work per slot that a fresh refusal counts as."""
 
-SUSPECT_COST = 1.0
+SUSPECT_COST = 3.0
 """Work per slot that other VMs' suspicion counts as, at most."""
 
-SLOW_FROM = 1.5
+SLOW_FROM = 2.0
 """Latency, as a multiple of the pool's, from which an upstream counts as slow."""
 
 
@@ -52,7 +55,7 @@
     ) -> UpstreamEvidence | None:
         best, lowest = None, float("inf")
         for candidate in untried(candidates, tried):
-            score = self.score(candidate, now) * (1.0 + 0.1 * random.random())
+            score = self.score(candidate, now) * (1.0 + SPREAD * random.random())
             if score < lowest:
                 best, lowest = candidate, score
         return best
--- a/sequoiabridge/policy/evidence.py
+++ b/sequoiabridge/policy/evidence.py
@@ -12,8 +12,11 @@
 
 from .base import LoadReport
 
-REPORT_FADE = 0.04
-"""Seconds in which a load report loses 63% of its weight; neighbours change in milliseconds."""
+REPORT_FADE = 1.5
+"""Times the pool's latency in which a load report loses 63% of its weight.
+
+A queue lives as long as the calls in it: news of it ages by their length, not by the clock.
+"""
 
 LATENCY_FADE = 5.0
 """Seconds in which the mean latency of an upstream loses 63% of its weight."""
@@ -68,15 +71,17 @@
         latency: Median of the upstreams' mean latencies, in seconds.
         others: Mean work per slot that upstreams reported beside this daemon's own.
         failures: Mean share of calls that failed.
+        known: Whether any latency was measured yet.
     """
 
-    __slots__ = ("latency", "others", "failures", "due")
+    __slots__ = ("latency", "others", "failures", "due", "known")
 
     def __init__(self):
         self.latency = FIRST_LATENCY
         self.others = 0.0
         self.failures = 0.0
         self.due = 0
+        self.known = False
 
     def count(self, upstreams: Collection[UpstreamEvidence], now: float) -> None:
         """Count one more outcome; work the averages out anew once each upstream had about one."""
@@ -204,7 +209,7 @@
     def load(self, now: float) -> float:
         """Return the estimated work at the upstream per slot, this daemon's calls included."""
         average = self.averages.others * self.slots
-        weight = self.trust * exp((self.report_at - now) / REPORT_FADE)
+        weight = self.trust * exp((self.report_at - now) / (REPORT_FADE * self.averages.latency))
         others = average + (self.others - average) * weight
         return (others + len(self.starts)) / self.slots
 
@@ -229,9 +234,11 @@
 
     def learn_latency(self, now: float, elapsed: float) -> None:
         """Take in the latency of one good answer."""
-        self.samples += 1
-        mean = self.averages.latency * self.slowness(now) if self.samples > 1 else elapsed
+        if not self.averages.known:
+            self.averages.latency, self.averages.known = elapsed, True
+        mean = self.averages.latency * self.slowness(now)
         self.latency = mean + LATENCY_GAIN * (elapsed - mean)
+        self.samples += 1
         self.latency_at = now
 
     def learn_outcome(self, now: float, failed: bool) -> None:
--- a/sequoiabridge/policy/pool.py
+++ b/sequoiabridge/policy/pool.py
@@ -42,6 +42,12 @@
 LIE_LATENCY = 1.5
 """Latency, as a multiple of the pool's, with which a report under the average disagrees."""
 
+SUSPECT_OVERDUE = 4.0
+"""Age of a call in flight, as a multiple of the pool's latency, that makes a suspect."""
+
+SUSPECT_SLOWNESS = 2.0
+"""Latency, as a multiple of the pool's, that makes a suspect."""
+
 REMEMBERED_DRAINS = 256
 """Incarnations kept for upstreams that the configuration does not name (yet)."""
 
@@ -198,6 +204,26 @@
             upstream.suspected_by.pop(sender, None)
         self._refresh(now)
 
+    def suspect(self, upstream: UpstreamEvidence, now: float) -> bool:
+        """Return whether something speaks against the upstream, so that a probe pays best there."""
+        return (
+            upstream.on_trial
+            or upstream.suspected
+            or upstream.overdue(now) > SUSPECT_OVERDUE
+            or (upstream.samples > 0 and upstream.slowness(now) > SUSPECT_SLOWNESS)
+        )
+
+    def probe_candidates(self) -> Sequence[UpstreamEvidence]:
+        """Return the upstreams that a probe may be spent on: all, or a sample of many."""
+        staying = [u for u in self.upstreams.values() if u.draining is None and not u.drained]
+        return staying if len(staying) <= SMALL_POOL else self.random.sample(staying, SAMPLE)
+
+    def probed(self, name: str, now: float, elapsed: float, report: LoadReport) -> None:
+        """A probe was answered: a report like any other, but no proof that calls go well."""
+        upstream = self.upstreams.get(name)
+        if upstream is not None:
+            upstream.learn_report(now, report)
+
     def drain(self, name: str, incarnation: int, now: float) -> bool:
         """The upstream is leaving; return whether that is news."""
         known, leaving = self.incarnations.get(name, (-1, False))
