Add admission, retry budget, crash ledger, probe budget and shares

Cause: limits, retries and probes are decisions too, and must be driven by tests without a clock. Change: the modules, each with unit tests.

--- /dev/null
+++ b/sequoiabridge/policy/admission.py
@@ -0,0 +1,292 @@
+"""Which calls of a service run now, wait, or are refused at once.
+
+Calls over the concurrency limit wait in a bounded queue, ordered by deadline. A call whose window
+can't be met is refused as soon as that is known, with an estimate of when to try again. While
+others wait, one caller's calls take at most its share of the limit and of the queue.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import Enum
+from heapq import heappop, heappush
+from math import exp
+
+from ..outcome import Reason
+from .concurrency import ConcurrencyLimit
+from .quantiles import LatencyHistogram
+
+INTERVAL_GAIN = 0.1
+"""Weight of the newest gap between two ends of calls in its mean."""
+
+QUICK_SHARE = 0.25
+"""A window counts as lost when less is left than this share of calls needs: kinds differ much."""
+
+REFRESHED_AFTER = 32
+"""Answers after which the quick latency is read anew."""
+
+ESTIMATE_FADE = 2.0
+"""Seconds without an end of a call in which the estimates lose 63%.
+
+Else estimates so bad that they refuse every call would never be corrected.
+"""
+
+SHORTEST_RETRY, LONGEST_RETRY = 0.05, 10.0
+"""Bounds in seconds of `retry_after`."""
+
+
+class Ticket:
+    """One call that asks to be admitted; times are seconds on the daemon's clock."""
+
+    __slots__ = ("caller", "deadline", "arrived", "weight", "admitted_at", "waiting")
+
+    def __init__(self, caller: str, deadline: float, arrived: float, weight: float = 1.0):
+        self.caller = caller
+        self.deadline = deadline
+        self.arrived = arrived
+        self.weight = weight
+        self.admitted_at: float | None = None
+        self.waiting = False
+
+
+class Verdict(Enum):
+    """What becomes of a call that was offered."""
+
+    ADMITTED = "admitted"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+class Decision:
+    """The verdict on one call; `reason` and `retry_after` (seconds) go with a refusal."""
+
+    __slots__ = ("verdict", "reason", "retry_after")
+
+    def __init__(
+        self, verdict: Verdict, reason: Reason | None = None, retry_after: float | None = None
+    ):
+        self.verdict = verdict
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+ADMITTED = Decision(Verdict.ADMITTED)
+QUEUED = Decision(Verdict.QUEUED)
+
+
+class AdmissionQueue:
+    """Admission of one service on one daemon.
+
+    Args:
+        limit: How many calls may run at a time.
+        queue_limit: How many calls may wait.
+        caller_share: Share (0 to 1) of the limit and of the queue that one caller may take while
+            others wait.
+    """
+
+    def __init__(self, limit: ConcurrencyLimit, queue_limit: int, caller_share: float):
+        self.limit = limit
+        self.queue_limit = queue_limit
+        self.caller_share = caller_share
+        self.latencies = LatencyHistogram()
+        self.latency = 0.0
+        self.learned_at = 0.0
+        self.answers = 0
+        self.interval = 0.0
+        self.last_end: float | None = None
+        self.running = 0
+        self.waiting = 0
+        self.running_by: Counter[str] = Counter()
+        self.waiting_by: Counter[str] = Counter()
+        self.heap: list[tuple[float, int, Ticket]] = []
+        self.displaced: list[Ticket] = []  # refused already, for the next `expire`
+        self.order = 0
+        self.refused: Counter[Reason] = Counter()
+
+    def offer(self, ticket: Ticket, now: float) -> Decision:
+        """Decide on a new call; a queued one comes back from `release` or from `expire`."""
+        quick = self.quick_latency(now)
+        if now + quick >= ticket.deadline:
+            return self._refuse(Reason.CANNOT_MEET_WINDOW, now)
+        if self.running < self.limit.allowed and not self.waiting:
+            self._admit(ticket, now)
+            return ADMITTED
+        if self._over_queue_share(ticket.caller):
+            return self._refuse(Reason.CALLER_SHARE, now)
+        if now + self._wait(self._ahead_of(ticket), now) + quick > ticket.deadline:
+            return self._refuse(Reason.CANNOT_MEET_WINDOW, now)
+        if self.waiting >= self.queue_limit and not self._displace(ticket.weight):
+            return self._refuse(Reason.QUEUE_FULL, now)
+        self._queue(ticket)
+        return QUEUED
+
+    def release(self, ticket: Ticket, now: float, latency: float, ok: bool) -> list[Ticket]:
+        """An admitted call ended after `latency` seconds; return the calls admitted now."""
+        if ticket.admitted_at is None:
+            return []
+        ticket.admitted_at = None
+        self.running -= 1
+        _less(self.running_by, ticket.caller)
+        self._learn(now, latency, ok)
+        self.limit.ended(now, latency, ok, self.running + 1, self.waiting)
+        return self._admit_waiting(now)
+
+    def abandon(self, ticket: Ticket, now: float) -> list[Ticket]:
+        """The caller left; return the calls admitted now if that freed a place."""
+        if ticket.waiting:
+            self._unqueue(ticket)
+            return []
+        if ticket.admitted_at is None:
+            return []
+        return self.release(ticket, now, now - ticket.admitted_at, False)
+
+    def expire(self, now: float) -> list[Ticket]:
+        """Take out and return the waiting calls to refuse now; call it after `offer` too.
+
+        Their window can no longer be met, or a call of more weight took their place.
+        """
+        expired, self.displaced = self.displaced, []
+        while self.heap:
+            ticket = self.heap[0][2]
+            if ticket.waiting and now + self.quick_latency(now) <= ticket.deadline:
+                break
+            heappop(self.heap)
+            if ticket.waiting:
+                self._unqueue(ticket)
+                expired.append(ticket)
+        self.refused[Reason.CANNOT_MEET_WINDOW] += len(expired)
+        return expired
+
+    def next_expiry(self, now: float) -> float | None:
+        """Return the time at which `expire` should run next, or None if nothing waits."""
+        if self.displaced:
+            return float("-inf")
+        while self.heap and not self.heap[0][2].waiting:
+            heappop(self.heap)
+        return self.heap[0][2].deadline - self.quick_latency(now) if self.heap else None
+
+    def quick_latency(self, now: float) -> float:
+        """Return the seconds that a quick call needs; the estimate fades without answers."""
+        return self.latency * exp((self.learned_at - now) / ESTIMATE_FADE)
+
+    def retry_after(self, now: float) -> float:
+        """Return the seconds after which the queue of now should have drained."""
+        return min(LONGEST_RETRY, max(SHORTEST_RETRY, self._wait(self.waiting + 1, now)))
+
+    def dump(self, now: float) -> dict:
+        """Describe the state for operators."""
+        return {
+            "limit": self.limit.allowed,
+            "running": self.running,
+            "waiting": self.waiting,
+            "oldest wait ms": round(self._oldest_wait(now) * 1000, 1),
+            "quick latency ms": round(self.quick_latency(now) * 1000, 2),
+            "refused": {reason.value: count for reason, count in self.refused.items()},
+            "most by caller": dict((self.running_by + self.waiting_by).most_common(5)),
+        }
+
+    def _refuse(self, reason: Reason, now: float) -> Decision:
+        self.refused[reason] += 1
+        return Decision(Verdict.REFUSED, reason, self.retry_after(now))
+
+    def _admit(self, ticket: Ticket, now: float) -> None:
+        ticket.admitted_at = now
+        self.running += 1
+        self.running_by[ticket.caller] += 1
+
+    def _queue(self, ticket: Ticket) -> None:
+        ticket.waiting = True
+        self.waiting += 1
+        self.waiting_by[ticket.caller] += 1
+        self.order += 1
+        heappush(self.heap, (ticket.deadline, self.order, ticket))
+
+    def _unqueue(self, ticket: Ticket) -> None:
+        ticket.waiting = False
+        self.waiting -= 1
+        _less(self.waiting_by, ticket.caller)
+
+    def _displace(self, weight: float) -> bool:
+        """Take the latest of the lightest waiting calls out if it is lighter than `weight`."""
+        lightest = min(
+            (t for _, _, t in self.heap if t.waiting),
+            key=lambda t: (t.weight, -t.deadline),
+            default=None,
+        )
+        if lightest is None or lightest.weight >= weight:
+            return False
+        self._unqueue(lightest)
+        self.displaced.append(lightest)
+        return True
+
+    def _learn(self, now: float, latency: float, ok: bool) -> None:
+        """Take in the end of a call: its latency, and the gap since the last end if any waited."""
+        if ok:
+            self.latencies.add(latency)
+            self.answers += 1
+            if self.answers % REFRESHED_AFTER == 1:
+                self.latency = self.latencies.quantile(QUICK_SHARE) or 0.0
+        self.learned_at = now
+        if self.last_end is not None:
+            gap = now - self.last_end
+            self.interval += (INTERVAL_GAIN if self.interval else 1.0) * (gap - self.interval)
+        self.last_end = now if self.waiting else None
+
+    def _wait(self, ahead: int, now: float) -> float:
+        """Return the expected seconds until `ahead` calls have found a place."""
+        interval = self.interval * exp((self.learned_at - now) / ESTIMATE_FADE)
+        return ahead * max(interval, self.quick_latency(now) / self.limit.allowed)
+
+    def _ahead_of(self, ticket: Ticket) -> int:
+        """Return how many waiting calls have an earlier deadline, this one counted."""
+        return 1 + sum(t.waiting and t.deadline <= ticket.deadline for _, _, t in self.heap)
+
+    def _over_queue_share(self, caller: str) -> bool:
+        """Return whether a caller holds its share of the queue; alone it may have it all."""
+        alone = self.running_by.keys() <= {caller} and self.waiting_by.keys() <= {caller}
+        return not alone and self.waiting_by[caller] >= max(1, self.caller_share * self.queue_limit)
+
+    def _over_running_share(self, caller: str) -> bool:
+        """Return whether a caller runs its share of the limit while others wait."""
+        others_wait = self.waiting > self.waiting_by[caller]
+        return others_wait and self.running_by[caller] >= max(
+            1, self.caller_share * self.limit.allowed
+        )
+
+    def _admit_waiting(self, now: float) -> list[Ticket]:
+        """Admit by deadline; callers that have their share come after all others."""
+        admitted: list[Ticket] = []
+        passed: list[Ticket] = []
+        quick = self.quick_latency(now)
+        while self.heap and self.running < self.limit.allowed:
+            ticket = heappop(self.heap)[2]
+            if not ticket.waiting:
+                continue
+            if now + quick > ticket.deadline:
+                self._unqueue(ticket)
+                self.displaced.append(ticket)
+            elif self._over_running_share(ticket.caller):
+                passed.append(ticket)
+            else:
+                self._move_in(ticket, now, admitted)
+        for ticket in passed:
+            if self.running < self.limit.allowed:
+                self._move_in(ticket, now, admitted)
+            else:
+                self.order += 1
+                heappush(self.heap, (ticket.deadline, self.order, ticket))
+        return admitted
+
+    def _move_in(self, ticket: Ticket, now: float, admitted: list[Ticket]) -> None:
+        self._unqueue(ticket)
+        self._admit(ticket, now)
+        admitted.append(ticket)
+
+    def _oldest_wait(self, now: float) -> float:
+        return max((now - t.arrived for _, _, t in self.heap if t.waiting), default=0.0)
+
+
+def _less(counts: Counter[str], caller: str) -> None:
+    counts[caller] -= 1
+    if counts[caller] <= 0:
+        del counts[caller]
--- /dev/null
+++ b/sequoiabridge/tests/policy/test_admission.py
@@ -0,0 +1,100 @@
+"""Admission: order by deadline, early refusal, fairness, weight, recovery, the adaptive limit."""
+
+from ...outcome import Reason
+from ...policy.admission import AdmissionQueue, Ticket, Verdict
+from ...policy.concurrency import ConcurrencyLimit
+
+
+def make(limit=2, queue_limit=10, caller_share=0.5):
+    return AdmissionQueue(ConcurrencyLimit(limit, limit, limit), queue_limit, caller_share)
+
+
+def fill(queue, count, caller="a", now=0.0, deadline=10.0):
+    tickets = [Ticket(caller, deadline, now) for _ in range(count)]
+    return tickets, [queue.offer(t, now) for t in tickets]
+
+
+def test_waiting_calls_are_admitted_by_deadline():
+    queue = make(1)
+    (first,), _ = fill(queue, 1)
+    late, early = Ticket("a", 9.0, 0.0), Ticket("b", 5.0, 0.1)
+    assert queue.offer(late, 0.0).verdict is queue.offer(early, 0.1).verdict is Verdict.QUEUED
+    assert queue.release(first, 0.2, 0.2, True) == [early]
+    assert queue.release(early, 0.4, 0.2, True) == [late]
+
+
+def test_a_window_that_cannot_be_met_is_refused_at_once_and_while_waiting():
+    queue = make(1)
+    running, now = Ticket("a", 1e9, 0.0), 0.0
+    for _ in range(40):
+        queue.offer(running, now)
+        now += 0.1
+        queue.release(running, now, 0.1, True)
+    decision = queue.offer(Ticket("a", now + 0.05, now), now)
+    assert decision.reason is Reason.CANNOT_MEET_WINDOW and decision.retry_after > 0
+    queue.offer(running, now)
+    waiting = Ticket("b", now + 0.3, now)
+    assert queue.offer(waiting, now).verdict is Verdict.QUEUED
+    assert queue.expire(now + 0.1) == []
+    assert queue.expire(queue.next_expiry(now) + 0.06) == [waiting]
+    assert queue.release(running, now + 0.3, 0.3, True) == []
+
+
+def test_estimates_too_bad_to_admit_anything_fade():
+    queue = make(1)
+    (slow,), _ = fill(queue, 1, deadline=1e9)
+    queue.release(slow, 60.0, 60.0, True)
+    assert queue.offer(Ticket("a", 61.0, 60.0), 60.0).verdict is Verdict.REFUSED
+    assert queue.offer(Ticket("a", 91.0, 90.0), 90.0).verdict is Verdict.ADMITTED
+
+
+def test_one_caller_leaves_room_for_others_but_may_use_what_nobody_wants():
+    queue = make(4, 10, 0.5)
+    greedy, _ = fill(queue, 4, "greedy")
+    _, more = fill(queue, 10, "greedy")
+    assert all(d.verdict is Verdict.QUEUED for d in more)
+    queue = make(4, 10, 0.5)
+    greedy, _ = fill(queue, 4, "greedy")
+    fill(queue, 2, "modest", deadline=11.0)
+    _, more = fill(queue, 8, "greedy", deadline=9.0)
+    assert [d.reason for d in more].count(Reason.CALLER_SHARE) == 3
+    admitted = []
+    for ticket in greedy:
+        admitted += queue.release(ticket, 0.1, 0.1, True)
+    assert [t.caller for t in admitted].count("modest") == 2 and len(admitted) == 4
+
+
+def test_a_full_queue_refuses_but_more_weight_displaces_less():
+    queue = make(1, 2, 1.0)
+    fill(queue, 3)
+    light = [entry[2] for entry in queue.heap]
+    assert queue.offer(Ticket("b", 9.0, 0.0), 0.0).reason is Reason.QUEUE_FULL
+    assert queue.offer(Ticket("b", 9.0, 0.0, weight=5.0), 0.0).verdict is Verdict.QUEUED
+    (displaced,) = queue.expire(0.0)
+    assert displaced in light and queue.waiting == 2
+
+
+def test_a_caller_that_leaves_frees_its_place():
+    queue = make(1)
+    (running,), _ = fill(queue, 1)
+    (waiting, second), _ = fill(queue, 2, "b")
+    assert queue.abandon(waiting, 0.1) == []
+    assert queue.abandon(running, 0.2) == [second]
+    assert queue.abandon(running, 0.3) == [] and queue.running == 1
+
+
+def test_the_limit_falls_when_latency_rises_and_grows_only_in_use():
+    limit = ConcurrencyLimit(20, 2, 100)
+    for _ in range(200):
+        limit.ended(0.0, 0.01, True, 3, 0)
+    assert limit.allowed == 20
+    for _ in range(400):
+        limit.ended(0.0, 0.01, True, limit.allowed, 5)
+    grown = limit.allowed
+    assert grown > 25
+    for _ in range(400):
+        limit.ended(0.0, 0.08, True, limit.allowed, 5)
+    assert limit.allowed < grown / 2
+    for _ in range(2000):
+        limit.ended(0.0, 0.0, False, limit.allowed, 5)
+    assert limit.allowed == 2
--- /dev/null
+++ b/sequoiabridge/tests/policy/test_crashes.py
@@ -0,0 +1,75 @@
+"""Requests that crash upstreams: blocked after two, innocents left alone, both errors counted."""
+
+from random import Random
+
+from ...policy.crashes import FORGET_AFTER, CrashLedger
+
+UPSTREAMS = 12
+
+
+def test_alone_with_two_dead_upstreams_blocks_and_release_holds_against_old_words():
+    ledger = CrashLedger()
+    assert ledger.seen("bad", "u1", "vm1", 100.0, 1.0)
+    assert not ledger.seen("bad", "u1", "vm2", 100.3, 1.1)
+    assert not ledger.blocked("bad", 1.2)
+    ledger.seen("bad", "u2", "vm2", 103.0, 4.0)
+    assert ledger.blocked("bad", 4.1) and ledger.listed(4.1)[0].upstreams == ["u1", "u2"]
+    assert ledger.release("bad", 110.0)
+    assert not ledger.seen("bad", "u3", "vm3", 104.0, 12.0)
+    assert not ledger.blocked("bad", 12.1)
+
+
+def test_a_crash_is_forgotten_after_a_time_and_an_answer_clears():
+    ledger = CrashLedger()
+    for i, name in enumerate(("u1", "u2")):
+        ledger.seen("bad", name, "vm1", 100.0 + 5 * i, 5.0 * i)
+        ledger.seen("good", name, "vm1", 100.0 + 5 * i, 5.0 * i)
+    assert not ledger.blocked("bad", 6.0)
+    ledger.survived("good", 106.0)
+    ledger.seen("bad", "u3", "vm1", 112.0, 12.0)
+    assert ledger.blocked("bad", 13.0) and not ledger.blocked("good", 13.0)
+    assert not ledger.blocked("bad", 13.0 + FORGET_AFTER)
+    assert ledger.listed(13.0 + FORGET_AFTER) == []
+
+
+def test_a_pool_that_loses_its_power_blocks_no_request():
+    ledger, random = CrashLedger(), Random(1)
+    for wave in range(2):
+        for upstream in range(UPSTREAMS):
+            for _ in range(2):
+                retried = f"r{random.randrange(2 * UPSTREAMS)}"
+                ledger.seen(retried, f"u{upstream}", "vm", 100.0 + 3 * wave, 3.0 * wave)
+    assert not ledger.stopped
+
+
+def crash_with(ledger, random, poison, now):
+    """One upstream dies with `poison` (or of something else) and 0 to 3 other requests."""
+    upstream = f"u{random.randrange(UPSTREAMS)}"
+    others = [f"r{random.randrange(40)}" for _ in range(random.randrange(4))]
+    for fingerprint in others + ([poison] if poison else []):
+        ledger.seen(fingerprint, upstream, f"vm{random.randrange(18)}", now, now)
+
+
+def measure(seed):
+    """Return (poison blocked after 2, after 4 crashes, innocents blocked, innocents seen)."""
+    ledger, random = CrashLedger(), Random(seed)
+    after = []
+    now = 1000.0
+    for _ in range(4):
+        crash_with(ledger, random, "poison", now)
+        if random.random() < 0.3:
+            crash_with(ledger, random, None, now + 4.0)
+        after.append("poison" in ledger.stopped)
+        now += 9.0
+    return after[1], after[3], len(ledger.stopped - {"poison"}), len(ledger.by_fingerprint) - 1
+
+
+def test_both_errors_stay_small():
+    runs = [measure(seed) for seed in range(300)]
+    missed = sum(not four for _, four, _, _ in runs) / len(runs)
+    wrongly = sum(r[2] for r in runs) / sum(r[3] for r in runs)
+    at_two = sum(two for two, _, _, _ in runs) / len(runs)
+    print(f"blocked at 2: {at_two:.3f}, missed at 4: {missed:.3f}, innocents: {wrongly:.4f}")
+    assert missed <= 0.05
+    assert wrongly <= 0.005
+    assert at_two >= 0.5
--- /dev/null
+++ b/sequoiabridge/tests/policy/test_probing.py
@@ -0,0 +1,59 @@
+"""Probes stay inside the budget, go to suspects first, and are withheld where cost weighs more."""
+
+from random import Random
+
+from ...policy.base import LoadReport
+from ...policy.choosers import chooser_named
+from ...policy.evidence import UpstreamSpec
+from ...policy.pool import PoolOptions, PoolState
+from ...policy.probing import BURST, ProbeBudget
+
+
+def make(count=8):
+    pool = PoolState("katalog", PoolOptions(), chooser_named("evidence"), Random(3))
+    specs = [UpstreamSpec(f"u{i}", f"10.0.0.{i}:80", 2, 260, "a") for i in range(count)]
+    pool.set_upstreams(specs, 0.0)
+    for i, upstream in enumerate(pool.upstreams.values()):
+        for _ in range(3):
+            pool.sent(upstream, 0.9)
+            pool.answered(upstream, 1.0 + i / 1000, 200, 0.006, LoadReport(1, 2))
+    return pool
+
+
+def test_no_more_probes_than_calls_paid_for_and_none_without_calls():
+    pool, budget = make(), ProbeBudget(50.0, 1.0)
+    now, sent = 2.0, 0
+    for _ in range(10_000):
+        now += 0.005
+        budget.earned(1, now)
+        sent += len(budget.next_targets(pool, now))
+    assert 490 <= sent <= 500
+    now += 3600.0
+    assert sum(len(budget.next_targets(pool, now + i)) for i in range(100)) <= BURST
+    budget.spent(2600, 0.002)
+    assert budget.dump(now)["bytes per 1000 calls"] == 260.0
+
+
+def test_a_suspect_comes_before_older_evidence():
+    pool, budget = make(), ProbeBudget(1000.0, 1.0)
+    pool.sent(pool.upstreams["u7"], 1.1)
+    budget.earned(1, 1.3)
+    assert budget.next_targets(pool, 1.3) == ["u7"]
+    budget.earned(1, 1.35)
+    assert budget.next_targets(pool, 1.35) == ["u0"]
+
+
+def test_old_evidence_is_worth_a_probe_only_where_the_tail_weighs():
+    pool = make()
+    thrifty, eager = ProbeBudget(1000.0, 0.1), ProbeBudget(1000.0, 0.9)
+    for budget in (thrifty, eager):
+        budget.earned(4, 1.1)
+    assert thrifty.next_targets(pool, 1.1) == []
+    assert eager.next_targets(pool, 1.1) == ["u0", "u1", "u2", "u3"]
+
+
+def test_an_upstream_that_leaves_costs_no_probe():
+    pool, budget = make(2), ProbeBudget(1000.0, 1.0)
+    pool.drain("u0", 1, 1.1)
+    budget.earned(8, 5.0)
+    assert budget.next_targets(pool, 5.0) == ["u1"]
--- /dev/null
+++ b/sequoiabridge/tests/policy/test_retries.py
@@ -0,0 +1,88 @@
+"""Retries: the truth table, a fleet that keeps its ratio, hedge delays; connection shares too."""
+
+from itertools import product
+
+from ...policy.quantiles import LatencyHistogram
+from ...policy.retries import FIRST_RETRIES, RetryBudget, RetryRule, hedge_delay, may_retry
+from ...policy.shares import LiveCount, connection_share
+
+
+def test_may_retry_truth_table():
+    allowed = {
+        (idempotent, sent, proven)
+        for idempotent, sent, proven in product((True, False), repeat=3)
+        if may_retry(RetryRule(idempotent), sent, proven, 1, 1.0)
+    }
+    assert (False, True, False) not in allowed
+    assert len(allowed) == 7
+    for idempotent, sent, proven in allowed:
+        assert not may_retry(RetryRule(idempotent), sent, proven, 3, 1.0)
+        assert not may_retry(RetryRule(idempotent), sent, proven, 1, 0.001)
+
+
+def play(vms, ratio, seconds, fails, told=True):
+    """Let each VM make 100 calls a second, each failure retried if the budget allows."""
+    budgets = [RetryBudget(ratio) for _ in range(vms)]
+    retries = successes = 0
+    for step in range(int(seconds * 100)):
+        now = step / 100
+        for number, budget in enumerate(budgets):
+            if not fails(now, number):
+                budget.succeeded(now)
+                successes += 1
+            elif budget.take(now):
+                retries += 1
+            if told and step % 100 == 30 and (word := budget.report(now)):
+                for other in budgets:
+                    if other is not budget:
+                        other.heard(str(number), word.period, word.retries, word.successes, now)
+    return retries, successes
+
+
+def test_eighteen_vms_together_keep_the_ratio_through_an_outage():
+    retries, successes = play(18, 0.1, 30, lambda now, vm: 10 <= now < 30)
+    assert 0 < retries <= 0.1 * successes + FIRST_RETRIES * 3
+
+
+def test_one_vm_with_all_the_failures_may_use_the_others_budget():
+    alone, successes = play(18, 0.1, 20, lambda now, vm: vm == 0, told=False)
+    shared, _ = play(18, 0.1, 20, lambda now, vm: vm == 0)
+    assert shared > 5 * max(1, alone) and shared <= 0.1 * successes
+
+
+def test_words_of_retries_are_counted_once_and_forgotten():
+    budget = RetryBudget(0.1)
+    for _ in range(3):
+        budget.heard("vm2", 7, 0, 1000, 8.0)
+    assert budget.dump(8.5)["other VMs' successes"] == 1000
+    assert sum(budget.take(9.5) for _ in range(500)) == 12
+    assert budget.dump(30.0)["vms heard"] == 0
+    assert sum(budget.take(30.5) for _ in range(500)) == FIRST_RETRIES
+
+
+def test_hedges_wait_for_the_tail_and_less_so_where_it_counts():
+    latencies = LatencyHistogram()
+    assert hedge_delay(latencies, 1.0) == 0.1
+    for i in range(3000):
+        latencies.add(0.3 if i % 20 == 0 else 0.010)
+    assert 0.009 < hedge_delay(latencies, 1.0) < 0.012
+    assert 0.27 < hedge_delay(latencies, 0.0) < 0.33
+    for _ in range(9000):
+        latencies.add(0.05)
+    assert 0.045 < latencies.quantile(0.5) < 0.056
+
+
+def test_connection_shares_never_fill_an_instance_while_the_fleet_changes():
+    for connections, vms in product((220, 260), range(1, 40)):
+        share = connection_share(connections, vms)
+        assert share * (vms + 1) <= connections
+        assert share * vms >= 0.45 * connections
+    assert connection_share(220, 18) >= 9
+    assert connection_share(10, 1000) == 1
+
+
+def test_shares_shrink_at_once_and_grow_only_after_a_partition_would_be_over():
+    count = LiveCount()
+    assert [count.seen(n, t) for n, t in ((13, 0), (18, 1), (9, 2), (9, 30))] == [13, 18, 18, 18]
+    assert count.seen(9, 32.5) == 9
+    assert count.seen(18, 33.0) == 18
