--- a/sequoiabridge/policy/probing.py
+++ b/sequoiabridge/policy/probing.py
@@ -49,11 +49,7 @@
         """Return the names of the upstreams to probe now, and take the tokens for them."""
         if self.tokens < 1.0:
             return []
-        ranked = sorted(self._candidates(pool, now), reverse=True)
-        chosen = [
-            upstream
-            for _, upstream in zip(range(int(self.tokens)), _unranked(ranked), strict=False)
-        ]
+        chosen = self._worth_a_probe(pool, now)[: int(self.tokens)]
         for upstream in chosen:
             upstream.probed_at = now
         self.tokens -= len(chosen)
@@ -75,21 +71,20 @@
             "upstream ms per 1000 calls": round(self.upstream_time * 1000 * per, 3),
         }
 
-    def _candidates(
-        self, pool: PoolState, now: float
-    ) -> list[tuple[bool, float, int, UpstreamEvidence]]:
-        """Return (suspect, age of evidence, number, upstream) of those worth a probe."""
-        worth = []
-        for number, upstream in enumerate(pool.probe_candidates()):
+    def _worth_a_probe(self, pool: PoolState, now: float) -> list[UpstreamEvidence]:
+        """Return suspects first, then the upstreams whose evidence is old, oldest first."""
+        suspects, old = [], []
+        for upstream in pool.probe_candidates():
             gap = now - upstream.probed_at
-            if gap < LEAST_GAP:
-                continue
-            suspect = pool.suspect(upstream, now)
-            age = now - max(upstream.report_at, upstream.probed_at)
-            if suspect and gap >= SUSPECT_GAP or not suspect and age >= self.worth_age:
-                worth.append((suspect, age, number, upstream))
-        return worth
-
-
-def _unranked(ranked: list[tuple[bool, float, int, UpstreamEvidence]]) -> list[UpstreamEvidence]:
-    return [upstream for _, _, _, upstream in ranked]
+            if pool.suspect(upstream, now):
+                if gap >= SUSPECT_GAP:
+                    suspects.append(upstream)
+            elif gap >= LEAST_GAP and now - upstream.report_at >= self.worth_age:
+                old.append(upstream)
+        suspects.sort(key=_age)
+        old.sort(key=_age)
+        return suspects + old
+
+
+def _age(upstream: UpstreamEvidence) -> float:
+    return max(upstream.report_at, upstream.probed_at)
