Hold two chunks less while delivering, hash in steps

Cause: a spooling VM held 21 MB for uploads in chunks of 4 MB, and hashed whole chunks in one go. Change: a chunk is handed on in pieces of 256 KB and let go before the next is read; hashing and fast bodies let other tasks run every 256 KB; make bench-upload prints memory and event loop lag.

--- a/benchmarks/upload.py
+++ b/benchmarks/upload.py
@@ -16,6 +16,7 @@
 
 import defopt
 
+from sequoiabridge.store.uploads import CHUNK_SIZE, COMMIT_EVERY
 from sequoiabridge.tests.standins.upstream_record import read_record
 
 from .processes import Process, Trial
@@ -40,6 +41,7 @@
         self.cpu = 0.0
         self.writes = self.reads = 0.0
         self.memory_before = self.memory_after = 0.0
+        self.lag = {"p99": 0.0, "max": 0.0}
 
     @property
     def more(self) -> float:
@@ -101,8 +103,9 @@
 class Bench:
     """The processes of the benchmark and its turns."""
 
-    def __init__(self, trial: Trial, megabytes: int):
+    def __init__(self, trial: Trial, megabytes: int, chunk: int, commit_every: int):
         self.trial = trial
+        self.options = (str(chunk), str(commit_every))
         self.body = secrets.token_bytes(megabytes * MEGABYTE)
         self.digest = hashlib.sha256(self.body).hexdigest()
         platform = trial.start("platform", PLATFORM, "--address=127.0.0.1:0").wait_ready()
@@ -117,7 +120,7 @@
 
     def way(self, name: str) -> Way:
         """Start upstream and VM of one way."""
-        arguments = (name, self.upstream(name), self.store)
+        arguments = (name, self.upstream(name), self.store, *self.options)
         vm = self.trial.start(f"vm-{name}", "benchmarks.upload_vm", *arguments).wait_ready()
         return Way(name, vm.ready["address"], vm)
 
@@ -149,11 +152,15 @@
     def wait_delivered(self, count: int) -> None:
         """Wait until the spooling VM has delivered `count` uploads."""
         end = time.monotonic() + DELIVERY_TIMEOUT
-        while dump(self.spool.address)["deliveries"]["confirmed"] < count:
+        while self.confirmed() < count:
             if time.monotonic() > end:
                 raise RuntimeError(f"not delivered; the log ends:\n{self.spool.vm.log_tail()}")
             time.sleep(0.05)
 
+    def confirmed(self) -> int:
+        """Return how many uploads the spooling VM has delivered."""
+        return dump(self.spool.address)["deliveries"]["confirmed"]
+
     def run(self, turns: int) -> None:
         """Take turns: direct, streamed, spooled."""
         self.measure_idle()
@@ -164,6 +171,7 @@
                 self.turn(way, number)
         for way in (self.stream, self.spool):
             way.memory_after = peak_memory(way.vm.child.pid)
+            way.lag = dump(way.address)["lag"]
 
     def whole(self) -> int:
         """Return how many uploads the upstreams have got whole, each counted once."""
@@ -177,12 +185,14 @@
     print(f"{turns} uploads of {megabytes} MB each way; store idle, taken off below: ", end="")
     print(f"{bench.idle[0]:.1f} writes/s, {bench.idle[1]:.1f} reads/s")
     titles = ("MB/s", "accepted s", "delivered s", "CPU s/100", "peak MB", "MB more")
-    print(f"{'':<8}" + "".join(f"{t:>13}" for t in (*titles, "writes/100", "reads/100")))
+    titles += ("writes/100", "reads/100", "lag p99 ms", "lag max ms")
+    print(f"{'':<8}" + "".join(f"{t:>13}" for t in titles))
     for way in (bench.direct, bench.stream, bench.spool):
         accepted = median(way.seconds)
         delivered = median(way.delivered) if way.delivered else accepted
         cells = [megabytes / accepted, accepted, delivered, way.cpu * per_100, way.memory_after]
         cells += [way.more, way.writes * per_100, way.reads * per_100]
+        cells += [way.lag["p99"], way.lag["max"]]
         print(f"{way.name:<8}" + "".join(f"{cell:>13.2f}" for cell in cells))
     chunks = dump(bench.spool.address)["uploads"]["counts"]["chunks"]
     print(f"object puts per 100 MB: {chunks * per_100:.1f}")
@@ -196,14 +206,22 @@
     )
 
 
-def main(*, megabytes: int = 100, turns: int = 3) -> None:
+def main(
+    *,
+    megabytes: int = 100,
+    turns: int = 3,
+    chunk: int = CHUNK_SIZE,
+    commit_every: int = COMMIT_EVERY,
+) -> None:
     """Measure both ways of an upload.
 
     :param megabytes: size of each upload
     :param turns: uploads each way
+    :param chunk: bytes of a chunk
+    :param commit_every: chunks that are committed together
     """
     with Trial() as trial:
-        bench = Bench(trial, megabytes)
+        bench = Bench(trial, megabytes, chunk, commit_every)
         bench.run(turns)
         report(bench, megabytes, turns)
 
--- a/sequoiabridge/store/upload_chunks.py
+++ b/sequoiabridge/store/upload_chunks.py
@@ -3,6 +3,7 @@
 import hashlib
 from collections.abc import Callable
 
+import curio
 from expression import Result
 
 from ..exceptions import CallerGone, Refusal, StoreUnavailable
@@ -16,6 +17,10 @@
 """Seconds for one call to the object store."""
 
 
+HASH_STEP = 256 * 1024
+"""Bytes hashed in one go; other tasks run in between."""
+
+
 class UploadCut(CallerGone):
     """A delivery's body ended early: a chunk is missing or damaged, or the lease was lost."""
 
@@ -33,17 +38,20 @@
 class Cutter:
     """Cuts a body into pieces of a given size; holds one piece at a time.
 
-    Hashes bytes as they come, so that the event loop is never held for a whole chunk.
+    Hashes bytes as they come and lets other tasks run between steps: a body that comes faster
+    than it is hashed would hold up all other calls, for a read that does not wait never yields.
 
     Attributes:
         whole: SHA-256 of everything that was taken.
         gone: Why the body was cut short (caller left, or was too slow), once it was.
     """
 
-    __slots__ = ("body", "rest", "whole", "gone")
+    __slots__ = ("body", "sleep", "rest", "whole", "gone", "held")
 
-    def __init__(self, body: Body | None):
+    def __init__(self, body: Body | None, sleep=curio.sleep):
         self.body = body
+        self.sleep = sleep
+        self.held = 0
         self.rest = b""
         self.whole = hashlib.sha256()
         self.gone: CallerGone | Refusal | None = None
@@ -65,19 +73,25 @@
     async def _read(self) -> bytes:
         if self.body is None or self.gone is not None:
             return b""
+        if self.held >= HASH_STEP:
+            self.held = 0
+            await self.sleep(0)
         try:
-            return await self.body.read()
+            data = await self.body.read()
         except (CallerGone, Refusal) as error:
             self.gone = error
             return b""
+        self.held += len(data)
+        return data
 
 
 class ChunkStore:
     """Puts and reads chunks; a lost answer is settled by the name, which is written only once."""
 
-    def __init__(self, objects: ObjectStore, patience: Callable[[], Patience]):
+    def __init__(self, objects: ObjectStore, patience: Callable[[], Patience], sleep=curio.sleep):
         self.objects = objects
         self.patience = patience
+        self.sleep = sleep
 
     async def put(self, upload: str, chunk: Chunk, data: bytes) -> None:
         """Store a chunk. Raises `StoreUnavailable` if it is not known to be stored in time."""
@@ -101,7 +115,8 @@
         while True:
             match await self.objects.get(name, PUT_TIMEOUT):
                 case Result(tag="ok", ok=data):
-                    return _checked(name, chunk, data)
+                    await self._check(name, chunk, data)
+                    return data
                 case Result(error=error):
                     if not await waiting.wait():
                         raise StoreUnavailable(f"{error.message}; the delivery is tried again")
@@ -110,11 +125,25 @@
         """Return the SHA-256 of all committed chunks, in hexadecimal."""
         whole = hashlib.sha256()
         for chunk in manifest.chunks:
-            data = memoryview(await self.get(manifest.id, chunk))
-            for start in range(0, len(data), HASH_STEP):
-                whole.update(data[start : start + HASH_STEP])
+            await self._hash(await self.get(manifest.id, chunk), whole)
         return whole.hexdigest()
 
+    async def _check(self, name: str, chunk: Chunk, data: bytes | None) -> None:
+        if data is None:
+            raise UploadCut(f"chunk {name} is not in the object store; look at the upload's state")
+        digest = hashlib.sha256()
+        await self._hash(data, digest)
+        if len(data) != chunk.length or digest.digest() != chunk.digest:
+            raise UploadCut(f"chunk {name} is damaged; its content in the object store has changed")
+
+    async def _hash(self, data: bytes, digest) -> None:
+        """Hash in steps, so that calls are not held up by a whole chunk."""
+        view = memoryview(data)
+        for start in range(0, len(data), HASH_STEP):
+            if start:
+                await self.sleep(0)
+            digest.update(view[start : start + HASH_STEP])
+
     async def names(self, after: str, limit: int) -> list[str]:
         """Return up to `limit` names of chunks of all uploads, in order, over `after`."""
         match await self.objects.names(CHUNK_PREFIX, after, limit, PUT_TIMEOUT):
@@ -126,15 +155,3 @@
     async def discard(self, name: str) -> bool:
         """Remove a chunk by its name; return whether it is known to be gone."""
         return (await self.objects.delete(name, PUT_TIMEOUT)).is_ok()
-
-
-HASH_STEP = 1 << 20
-"""Bytes hashed in one go when chunks are read back."""
-
-
-def _checked(name: str, chunk: Chunk, data: bytes | None) -> bytes:
-    if data is None:
-        raise UploadCut(f"chunk {name} is not in the object store; look at the upload's state")
-    if len(data) != chunk.length or hashlib.sha256(data).digest() != chunk.digest:
-        raise UploadCut(f"chunk {name} is damaged; ask the platform, its content has changed")
-    return data
--- a/sequoiabridge/store/upload_delivery.py
+++ b/sequoiabridge/store/upload_delivery.py
@@ -48,6 +48,10 @@
 """Index entries looked at in one step."""
 
 
+PIECE = 256 * 1024
+"""Bytes of a chunk that are handed on at a time."""
+
+
 class Delivery(Enum):
     """What an attempt at a delivery came to."""
 
@@ -81,25 +85,36 @@
     Renews the lease as it goes and ends with `UploadCut` when the lease is someone else's.
     """
 
-    __slots__ = ("deliveries", "held", "next", "complete")
+    __slots__ = ("deliveries", "held", "next", "chunk", "at", "complete")
 
     def __init__(self, deliveries: "Deliveries", held: Held):
         self.deliveries = deliveries
         self.held = held
         self.next = 0
+        self.chunk = b""
+        self.at = 0
         self.complete = not held.manifest.chunks
 
     async def read(self) -> bytes:
+        if self.at == len(self.chunk) and not await self._next_chunk():
+            return b""
+        piece = self.chunk[self.at : self.at + PIECE]
+        self.at += len(piece)
+        return piece
+
+    async def _next_chunk(self) -> bool:
         manifest = self.held.manifest
+        # Let go of the old chunk first: one is held at a time.
+        self.chunk, self.at = b"", 0
         if self.next == len(manifest.chunks):
             self.complete = True
-            return b""
+            return False
         await self._renew()
         chunk = manifest.chunks[self.next]
-        data = await self.deliveries.uploads.chunks.get(manifest.id, chunk)
+        self.chunk = await self.deliveries.uploads.chunks.get(manifest.id, chunk)
         self.next += 1
         self.deliveries.progress[manifest.id] = chunk.offset + chunk.length
-        return data
+        return True
 
     async def _renew(self) -> None:
         try:
--- a/sequoiabridge/store/upload_writer.py
+++ b/sequoiabridge/store/upload_writer.py
@@ -115,7 +115,7 @@
         self.uploads = uploads
         self.held = held
         self.incoming = incoming
-        self.cutter = Cutter(incoming.body)
+        self.cutter = Cutter(incoming.body, uploads.chunks.sleep)
         self.start = incoming.offset or 0
         self.pending: list[Chunk] = []
         self.committed_at = uploads.clock.now()
--- a/sequoiabridge/store/uploads.py
+++ b/sequoiabridge/store/uploads.py
@@ -90,7 +90,7 @@
         self.head_start = head_start
         self.token = token
         self.table = ManifestTable(tables, clock, sleep)
-        self.chunks = ChunkStore(objects, lambda: Patience(clock, sleep, patience))
+        self.chunks = ChunkStore(objects, lambda: Patience(clock, sleep, patience), sleep)
         self.receiving = 0
         self.progress: dict[str, int] = {}
         self.counts: Counter[str] = Counter()
@@ -212,7 +212,7 @@
     async def _replayed(self, manifest: Manifest, incoming: IncomingUpload) -> Received:
         """Answer for an upload that is accepted already, after comparing the content."""
         if not incoming.digest or incoming.digest != manifest.digest:
-            cutter = Cutter(incoming.body)
+            cutter = Cutter(incoming.body, self.chunks.sleep)
             await compare(cutter, manifest, incoming.offset or 0)
             more = await cutter.take(1)
             if cutter.gone is not None:
