Renew the lease within a chunk and while the digest is worked out

Cause: a delivery that needs longer than the lease for one chunk, or for reading a resumed upload once for its digest, lost its lease to the next VM, which lost it again: it might never end.

--- a/sequoiabridge/store/upload_chunks.py
+++ b/sequoiabridge/store/upload_chunks.py
@@ -1,7 +1,7 @@
 """Chunks of an upload: cut from a caller's body, put in the object store, read back whole."""
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 from expression import Result
@@ -21,6 +21,10 @@
 """Bytes hashed in one go; other tasks run in between."""
 
 
+BeforeEach = Callable[[], Awaitable[None]]
+"""Called before each chunk that is read back."""
+
+
 class UploadCut(CallerGone):
     """A delivery's body ended early: a chunk is missing or damaged, or the lease was lost."""
 
@@ -121,10 +125,12 @@
                     if not await waiting.wait():
                         raise StoreUnavailable(f"{error.message}; the delivery is tried again")
 
-    async def digest(self, manifest: Manifest) -> str:
+    async def digest(self, manifest: Manifest, before_each: BeforeEach | None = None) -> str:
         """Return the SHA-256 of all committed chunks, in hexadecimal."""
         whole = hashlib.sha256()
         for chunk in manifest.chunks:
+            if before_each is not None:
+                await before_each()
             await self._hash(await self.get(manifest.id, chunk), whole)
         return whole.hexdigest()
 
--- a/sequoiabridge/store/upload_delivery.py
+++ b/sequoiabridge/store/upload_delivery.py
@@ -96,6 +96,7 @@
         self.complete = not held.manifest.chunks
 
     async def read(self) -> bytes:
+        await self.renew()
         if self.at == len(self.chunk) and not await self._next_chunk():
             return b""
         piece = self.chunk[self.at : self.at + PIECE]
@@ -109,14 +110,14 @@
         if self.next == len(manifest.chunks):
             self.complete = True
             return False
-        await self._renew()
         chunk = manifest.chunks[self.next]
         self.chunk = await self.deliveries.uploads.chunks.get(manifest.id, chunk)
         self.next += 1
         self.deliveries.progress[manifest.id] = chunk.offset + chunk.length
         return True
 
-    async def _renew(self) -> None:
+    async def renew(self) -> None:
+        """Keep the lease if it is time to. Raises `UploadCut` if it is someone else's."""
         try:
             self.held = await self.deliveries.renew(self.held, self.held.manifest.digest)
         except UploadConflict as error:
@@ -238,7 +239,8 @@
         body = ChunkBody(self, held)
         try:
             if not manifest.digest:
-                body.held = await self.renew(held, await self.uploads.chunks.digest(manifest))
+                digest = await self.uploads.chunks.digest(manifest, body.renew)
+                body.held = await self.renew(body.held, digest)
             sent = await self.send(body.held.manifest, body)
         except SequoiaError as error:
             sent = Sent(Delivery.RETRY, str(error))
--- a/sequoiabridge/tests/store/test_uploads.py
+++ b/sequoiabridge/tests/store/test_uploads.py
@@ -232,10 +232,17 @@
     assert world.manifests()[0].state is UploadState.DELIVERED
 
 
-def test_a_slow_delivery_keeps_its_lease():
+@pytest.mark.parametrize("resumed", [False, True])
+def test_a_slow_delivery_keeps_its_lease(resumed):
     world = World()
     vm = world.vm("a")
-    finish(receive(vm))
+    if resumed:
+        with pytest.raises(CallerGone):
+            finish(receive(vm, cut=13))
+        finish(vm.receive(incoming(DATA[13:], upload_id=ID, offset=13)))
+        assert world.manifests()[0].digest == ""
+    else:
+        finish(receive(vm))
     task = world.deliveries(vm).deliver(ID)
     while not world.upstream.kept:
         task.send(None)
