--- a/sequoiabridge/tests/store/test_uploads.py
+++ b/sequoiabridge/tests/store/test_uploads.py
@@ -252,6 +252,19 @@
     assert world.manifests()[0].sent > 0
 
 
+def test_a_chunk_that_the_object_store_changed_is_never_sent():
+    world = World()
+    vm = world.vm("a")
+    finish(receive(vm))
+    name = sorted(world.objects.objects)[1]
+    finish(vm.chunks.discard(name))
+    finish(world.objects.put(name, b"XXXX", 1.0))
+    finish(world.deliveries(vm).deliver(ID))
+    waiting = finish(vm.listed(10))[0]
+    assert world.upstream.kept == {} and waiting.state is UploadState.ACCEPTED
+    assert "damaged" in waiting.error
+
+
 def test_a_key_and_an_id_belong_to_one_caller():
     world = World()
     vm = world.vm("a")
