--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,7 @@
 .PHONY: bench-claims
 bench-claims: $(VENV)/ready
 	$(BIN)/python -m benchmarks.claims
+
+.PHONY: bench-upload
+bench-upload: $(VENV)/ready
+	$(BIN)/python -m benchmarks.upload
--- a/sequoiabridge/store/upload_delivery.py
+++ b/sequoiabridge/store/upload_delivery.py
@@ -48,6 +48,10 @@
 """Index entries looked at in one step."""
 
 
+PIECE = 256 * 1024
+"""Bytes of a chunk that are handed on at a time."""
+
+
 class Delivery(Enum):
     """What an attempt at a delivery came to."""
 
@@ -81,27 +85,39 @@
     Renews the lease as it goes and ends with `UploadCut` when the lease is someone else's.
     """
 
-    __slots__ = ("deliveries", "held", "next", "complete")
+    __slots__ = ("deliveries", "held", "next", "chunk", "at", "complete")
 
     def __init__(self, deliveries: "Deliveries", held: Held):
         self.deliveries = deliveries
         self.held = held
         self.next = 0
+        self.chunk = b""
+        self.at = 0
         self.complete = not held.manifest.chunks
 
     async def read(self) -> bytes:
+        await self.renew()
+        if self.at == len(self.chunk) and not await self._next_chunk():
+            return b""
+        piece = self.chunk[self.at : self.at + PIECE]
+        self.at += len(piece)
+        return piece
+
+    async def _next_chunk(self) -> bool:
         manifest = self.held.manifest
+        # Let go of the old chunk first: one is held at a time.
+        self.chunk, self.at = b"", 0
         if self.next == len(manifest.chunks):
             self.complete = True
-            return b""
-        await self._renew()
+            return False
         chunk = manifest.chunks[self.next]
-        data = await self.deliveries.uploads.chunks.get(manifest.id, chunk)
+        self.chunk = await self.deliveries.uploads.chunks.get(manifest.id, chunk)
         self.next += 1
         self.deliveries.progress[manifest.id] = chunk.offset + chunk.length
-        return data
+        return True
 
-    async def _renew(self) -> None:
+    async def renew(self) -> None:
+        """Keep the lease if it is time to. Raises `UploadCut` if it is someone else's."""
         try:
             self.held = await self.deliveries.renew(self.held, self.held.manifest.digest)
         except UploadConflict as error:
@@ -223,7 +239,8 @@
         body = ChunkBody(self, held)
         try:
             if not manifest.digest:
-                body.held = await self.renew(held, await self.uploads.chunks.digest(manifest))
+                digest = await self.uploads.chunks.digest(manifest, body.renew)
+                body.held = await self.renew(body.held, digest)
             sent = await self.send(body.held.manifest, body)
         except SequoiaError as error:
             sent = Sent(Delivery.RETRY, str(error))
