--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,301 @@
+"""What membership and spreading cost: bytes, CPU, memory and time, in virtual time and for real.
+
+Virtual time runs the daemon's own state machines, codec and byte bucket with a link of 1 ms in
+place of sockets; only the time inside them is counted. Real processes talk over loopback.
+"""
+
+import gc
+import json
+import resource
+import statistics
+import subprocess
+import sys
+import time
+from random import Random
+from types import FunctionType, ModuleType
+
+import curio
+
+from sequoiabridge.fleet.base import ConfigurationItem, Urgency
+from sequoiabridge.fleet.fleet import FleetNode
+from sequoiabridge.fleet.loads import LocalLoad, worth_sending
+from sequoiabridge.tests.fleet.pump import KEY, Pump, PumpChannel
+from sequoiabridge.timers import ManualClock, SystemClock, Timers
+
+FLEET = 18
+SIZES = (18, 50, 100, 200, 500)
+SEED_SHARE = 10
+"""One VM in this many is a seed; all start at the same moment."""
+SETTLE = 120.0
+"""Virtual seconds that a fleet may take to know itself."""
+IDLE = 30.0
+"""Seconds of virtual time over which an idle fleet is measured."""
+CHANGES = 50
+CHANGE_SIZE = 300
+"""Bytes of a change: one upstream added, with its options."""
+GAP = 3.0
+"""Virtual seconds between two changes."""
+LIMIT = 30.0
+REAL_SECONDS = 12.0
+NOT_STATE = (type, ModuleType, FunctionType, PumpChannel, Pump, Timers, Random, ManualClock)
+UPSTREAMS = 15
+"""Upstreams on which each VM has evidence to share."""
+
+
+class TimedPump(Pump):
+    """A pump that adds up the time spent inside the nodes, link and queue apart."""
+
+    def __init__(self, *args, **more):
+        self.spent = 0.0
+        super().__init__(*args, **more)
+
+    def add(self, number, name=None, offset=None):
+        node = super().add(number, name, offset)
+        node.tick, node.receive = self.timed(node.tick), self.timed(node.receive)
+        return node
+
+    def timed(self, function):
+        def call(*args):
+            start = time.perf_counter()
+            function(*args)
+            self.spent += time.perf_counter() - start
+
+        return call
+
+
+class Cost:
+    """Bytes a second and CPU share of a node between two moments of virtual time."""
+
+    def __init__(self, pump):
+        self.pump = pump
+        self.start = pump.clock.now()
+        self.spent = pump.spent
+        self.sent = self.bytes()
+
+    def bytes(self):
+        return [node.counters.bytes_sent for node in self.pump.all()]
+
+    def figures(self):
+        """Return mean and largest bytes/s of a node, and its mean CPU share in percent."""
+        seconds = self.pump.clock.now() - self.start
+        each = [(b - a) / seconds for a, b in zip(self.sent, self.bytes(), strict=True)]
+        cpu = (self.pump.spent - self.spent) / seconds / len(each) * 100
+        return statistics.mean(each), max(each), cpu
+
+
+def settled(count):
+    """Return a fleet in which everybody knows everybody, and the virtual seconds it took."""
+    pump = TimedPump(count, seeds=max(3, count // SEED_SHARE))
+    start = pump.clock.now()
+    while any(n.live_count() < count for n in pump.all()) and pump.clock.now() < start + SETTLE:
+        pump.run(0.5)
+    took = pump.clock.now() - start
+    pump.run(30)
+    for node in pump.all():
+        node.subscribe(ConfigurationItem, lambda item, sender, node=node: apply_all(node))
+    return pump, took
+
+
+def apply_all(node):
+    """Put every change in force whose turn has come."""
+    while item := node.currency.take():
+        node.applied(item.version)
+
+
+def accept(pump, author, version):
+    """Publish a change; return the virtual seconds to in force everywhere and to known so."""
+    author.applied(version)
+    author.publish(ConfigurationItem(version, b"x" * CHANGE_SIZE), Urgency.CONFIGURATION)
+    nodes = pump.all()
+    start = pump.clock.now()
+    there = pump.run_until(lambda: all(n.currency.in_force >= version for n in nodes), LIMIT)
+    pump.run_until(lambda: author.spread(version)[0] == len(nodes), LIMIT)
+    return there, pump.clock.now() - start
+
+
+def spread_changes(pump, count):
+    """Spread `count` changes of different authors; return both lists of seconds."""
+    there, known = [], []
+    for version in range(1, count + 1):
+        seconds = accept(pump, pump.all()[version % len(pump.nodes)], version)
+        there.append(seconds[0] if seconds[0] is not None else LIMIT)
+        known.append(seconds[1])
+        pump.run(GAP)
+    return there, known
+
+
+def share_load(pump, seconds):
+    """Let each node publish shifting evidence; return the bytes/s of load sent by a node."""
+    told = {node.me.name: {} for node in pump.all()}
+    before = load_bytes(pump)
+    for _ in range(int(seconds / 0.5)):
+        now = pump.clock.now()
+        for node in pump.all():
+            loads = [evidence(pump.random, i, now) for i in range(UPSTREAMS)]
+            room = node.bucket.room(Urgency.LOAD)
+            for item in worth_sending(loads, told[node.me.name], room, now):
+                node.publish(item, Urgency.LOAD)
+        pump.run(0.5)
+    return (load_bytes(pump) - before) / seconds / len(pump.nodes)
+
+
+def load_bytes(pump):
+    return sum(n.counters.bytes_by_urgency[Urgency.LOAD] for n in pump.all())
+
+
+def evidence(random, number, now):
+    """Return evidence on an upstream whose load shifts all the time; one in 30 is a suspect."""
+    suspect = random.random() < 1 / 30
+    return LocalLoad(f"spendview-{number}", random.randint(0, 4), 6000, suspect, now - 0.05)
+
+
+def fleet_of_today():
+    """Measure the fleet of 18 in virtual time; return its figures."""
+    pump, took = settled(FLEET)
+    cost = Cost(pump)
+    pump.run(IDLE)
+    idle = cost.figures()
+    cost = Cost(pump)
+    there, known = spread_changes(pump, CHANGES)
+    busy = cost.figures()
+    cost = Cost(pump)
+    load = share_load(pump, 20)
+    shared = cost.figures()
+    print(f"{FLEET} nodes, virtual time; complete after {took:.1f} s")
+    print(f"  idle:          {idle[0]:6.0f} bytes/s (most {idle[1]:.0f}), CPU {idle[2]:.2f}%")
+    print(
+        f"  a change a {GAP:.0f} s: {busy[0]:6.0f} bytes/s (most {busy[1]:.0f}), CPU {busy[2]:.2f}%"
+    )
+    print(
+        f"  sharing load:  {shared[0]:6.0f} bytes/s (most {shared[1]:.0f}), of it load {load:.0f}"
+    )
+    print(f"  in force everywhere: {quantiles(there)}")
+    print(f"  known to its author: {quantiles(known)}")
+    return idle, busy, there
+
+
+def quantiles(values):
+    ordered = sorted(values)
+    p99 = ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))]
+    return f"p50 {statistics.median(ordered):.2f} p99 {p99:.2f} max {ordered[-1]:.2f} s"
+
+
+def memory_of(root):
+    """Return the bytes of all plain data that a node holds, shared parts of the link left out."""
+    seen, waiting, total = set(), [root], 0
+    while waiting:
+        thing = waiting.pop()
+        if id(thing) in seen or isinstance(thing, NOT_STATE):
+            continue
+        seen.add(id(thing))
+        total += sys.getsizeof(thing)
+        waiting += gc.get_referents(thing)
+    return total
+
+
+def slope(count):
+    """Print one row of the table of sizes."""
+    pump, took = settled(count)
+    memory = memory_of(pump.all()[-1]) / 1024
+    cost = Cost(pump)
+    pump.run(IDLE)
+    mean, most, cpu = cost.figures()
+    there, known = spread_changes(pump, 5)
+    print(
+        f"{count:7d} {took:10.1f} {mean:8.0f} {most:8.0f} {cpu:8.2f} {cpu * 2000:10.0f} "
+        f"{memory:8.0f} {max(there):9.2f} {max(known):9.2f}",
+        flush=True,
+    )
+
+
+async def real_node(number, count, port):
+    """Run one node for a while and print its figures as JSON."""
+    timers = Timers(SystemClock())
+    await curio.spawn(timers.run, daemon=True)
+    addresses = [f"127.0.0.1:{port + i}" for i in range(count)]
+    node = FleetNode(
+        f"vm{number}",
+        "dc1",
+        addresses[number],
+        addresses[:3],
+        [KEY],
+        timers,
+        timers.clock,
+        Random(number),
+    )
+    times = {}
+    node.subscribe(ConfigurationItem, lambda item, sender: (apply_all(node), note(times, item)))
+    await node.start()
+    await curio.sleep(REAL_SECONDS)
+    idle = await measure(node, REAL_SECONDS)
+    if number == 0:
+        await curio.spawn(publish_all, node, times, daemon=True)
+    busy = await measure(node, REAL_SECONDS)
+    rss = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    live = node.live_count()
+    print(json.dumps({"idle": idle, "busy": busy, "mb": rss, "live": live, "times": times}))
+    await curio.sleep(1.0)
+    await node.leave()
+
+
+def note(times, item):
+    times[item.version] = time.time()
+
+
+async def publish_all(node, times):
+    for version in range(1, int(REAL_SECONDS) - 2):
+        times[version] = time.time()
+        node.applied(version)
+        node.publish(ConfigurationItem(version, b"x" * CHANGE_SIZE), Urgency.CONFIGURATION)
+        await curio.sleep(1.0)
+
+
+async def measure(node, seconds):
+    cpu, sent = time.process_time(), node.counters.bytes_sent
+    await curio.sleep(seconds)
+    share = (time.process_time() - cpu) / seconds * 100
+    return [(node.counters.bytes_sent - sent) / seconds, share]
+
+
+def real_processes(count, port=17_300):
+    """Run `count` processes over loopback and print what they measured."""
+    command = [sys.executable, "-m", "benchmarks.fleet", "node"]
+    started = [
+        subprocess.Popen([*command, str(i), str(count), str(port)], stdout=subprocess.PIPE)
+        for i in range(count)
+    ]
+    rows = [json.loads(p.communicate(timeout=120)[0].splitlines()[-1]) for p in started]
+    delays = [
+        max(row["times"].get(version, float("inf")) for row in rows) - at
+        for version, at in rows[0]["times"].items()
+    ]
+    live = min(row["live"] for row in rows)
+    print(f"{count} processes over loopback, each sees at least {live} live")
+    for phase in ("idle", "busy"):
+        sent = [row[phase][0] for row in rows]
+        cpu = [row[phase][1] for row in rows]
+        print(
+            f"  {phase}: {statistics.mean(sent):.0f} bytes/s (most {max(sent):.0f}), "
+            f"CPU {statistics.mean(cpu):.2f}% (most {max(cpu):.2f})"
+        )
+    print(f"  memory {max(row['mb'] for row in rows):.0f} MB; {quantiles(delays)} to in force")
+
+
+def main():
+    """Print all tables; the last line has the figures at 18."""
+    if sys.argv[1:2] == ["node"]:
+        curio.run(real_node, *[int(word) for word in sys.argv[2:5]])
+        return
+    print("   VMs complete_s  bytes/s     most    CPU_%  tick+msgs_us   KB/VM in_force_s known_s")
+    for count in SIZES:
+        slope(count)
+    real_processes(FLEET)
+    idle, busy, there = fleet_of_today()
+    print(
+        f"at {FLEET}: idle {idle[0]:.0f} bytes/s, CPU {idle[2]:.2f}%; with a change a {GAP:.0f} s "
+        f"{busy[0]:.0f} bytes/s, CPU {busy[2]:.2f}%; in force {quantiles(there)}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/sequoiabridge/fleet/bucket.py
+++ b/sequoiabridge/fleet/bucket.py
@@ -23,6 +23,10 @@
 QUEUE_LIMIT = 2_000
 """Items that wait at most; beyond, the oldest of the lowest urgency is dropped."""
 
+RIDE = 480
+"""Bytes of words about members that a heartbeat may carry whatever the bucket holds. Without
+them, VMs that start together know only their seeds, whose answers to them all empty the bucket,
+so that nobody ever hears of anybody else."""
 SMALLEST = 24
 """Bytes below which nothing fits a frame any more."""
 
@@ -133,26 +137,33 @@
             if urgency <= lowest:
                 yield from list(self.queues[urgency].values())
 
-    def take(self, target: str, room: int, bucket: ByteBucket, fleet_size: int) -> list[Entry]:
+    def take(
+        self, target: str, room: int, bucket: ByteBucket, fleet_size: int, heartbeat: bool = False
+    ) -> list[Entry]:
         """Choose what goes to `target` in one frame with `room` bytes left, and note it as sent.
 
         The caller spends the bytes. An entry larger than the room goes only if it is the first
-        and a configuration change, in a frame of its own.
+        and a configuration change, in a frame of its own. On a `heartbeat`, a few words about
+        members go even when the bucket does not pay for them; see `RIDE`.
         """
         chosen: list[Entry] = []
-        used = 0
+        used = riding = 0
         limit = retransmits(fleet_size)
         for entry in self.waiting():
-            if bucket.room(entry.urgency) < used + TRANSPORT_OVERHEAD:
-                break
             if room - used < SMALLEST:
                 break
+            rides = False
+            if bucket.room(entry.urgency) < used + TRANSPORT_OVERHEAD:
+                rides = heartbeat and entry.urgency is Urgency.MEMBERSHIP
+                if not rides or riding + entry.size > RIDE:
+                    continue
             if target in entry.known:
                 continue
             if used + entry.size > room and (chosen or entry.urgency > Urgency.CONFIGURATION):
                 continue
             chosen.append(entry)
             used += entry.size
+            riding += rides * entry.size
             self._sent(entry, target, limit)
         return chosen
 
--- a/sequoiabridge/fleet/spreader.py
+++ b/sequoiabridge/fleet/spreader.py
@@ -34,7 +34,7 @@
 )
 from .members import update_of
 from .membership import Membership
-from .wire import PACKET_SIZE, Codec, Message, Parcel, Update, urgency_of
+from .wire import PACKET_SIZE, Codec, Kind, Message, Parcel, Update, urgency_of
 
 MAX_CHANGE = 12_000
 """Bytes of the largest change that is spread; of a larger one only the version is."""
@@ -104,7 +104,8 @@
     ) -> list[Entry]:
         """Add to a message what waits for `target`; return what was added."""
         size = len(self.membership.roster.live_names) + 1
-        entries = self.queue.take(target, room, bucket, size)
+        heartbeat = message.kind in (Kind.PING, Kind.ACK)
+        entries = self.queue.take(target, room, bucket, size, heartbeat)
         for entry in entries:
             if isinstance(entry.content, Update):
                 message.updates = [*message.updates, entry.content]
