Give a new VM the whole configuration from a peer when the table is down

Cause: changes alone can't bring a VM from nothing to the newest version, and the peers keep only recent ones, so with the table service down a new VM would never have become ready. Change: after 3 s behind, a VM asks one peer for the compressed document in pieces of 1,000 bytes, each paid as configuration; a checksum over the whole keeps two versions from being mixed. Conclusion: at 3,000 bytes/s a document of 5 kB compressed takes a few virtual seconds; one of 80 kB would take about half a minute (reasoned, not measured).

--- a/sequoiabridge/fleet/currency.py
+++ b/sequoiabridge/fleet/currency.py
@@ -14,6 +14,8 @@
 """Different VMs that must have been heard lately, so that a cut-off VM notices."""
 FETCH_AFTER = 0.3
 """Seconds to wait for a change that is on its way before asking for it."""
+SNAPSHOT_AFTER = 3.0
+"""Seconds behind the newest version after which the whole configuration is asked for."""
 FETCH_EVERY = 0.5
 """Seconds between two requests for the same changes."""
 
@@ -30,10 +32,10 @@
         self.in_force = 0
         self.newest = 0
         self.newest_at = now
+        self.behind_since = now
         self.held: dict[int, ConfigurationItem] = {}
         self.heard_at: dict[str, float] = {}
         self.table_at: float | None = None
-        self.store_up = True
         self.live = 1
         self.expected = 1
         self.asked_at = float("-inf")
@@ -42,14 +44,9 @@
 
     def table(self, version: int, now: float) -> None:
         """The table was read and names `version` as the newest; `now` is when the read began."""
-        self.store_up = True
         self.table_at = now
         self._know(version, now)
 
-    def store_down(self) -> None:
-        """A read of the table failed."""
-        self.store_up = False
-
     def seen(self, version: int, now: float) -> None:
         """Another VM says, in a message that is no replay, that `version` is in force there."""
         self._know(version, now)
@@ -112,6 +109,10 @@
             last += 1
         return range(first, last + 1)
 
+    def wants_snapshot(self, now: float) -> bool:
+        """Return True if changes alone have not brought the newest version for some time."""
+        return self.in_force < self.newest and now - self.behind_since >= SNAPSHOT_AFTER
+
     def ready(self, now: float) -> bool:
         """Return True if the configuration in force is known to be the newest."""
         return self.why(now) == ""
@@ -152,8 +153,11 @@
         return ""
 
     def _know(self, version: int, now: float) -> None:
-        if version > self.newest:
-            self.newest, self.newest_at = version, now
+        if version <= self.newest:
+            return
+        if self.in_force == self.newest:
+            self.behind_since = now
+        self.newest, self.newest_at = version, now
 
 
 class SpreadAck:
--- a/sequoiabridge/fleet/fleet.py
+++ b/sequoiabridge/fleet/fleet.py
@@ -23,6 +23,7 @@
 from .repair import Repair
 from .replay import Admission, ReplayGuard, first_incarnation
 from .sender import BASE_SIZE, Sender
+from .snapshot import Consumer, Provider, SnapshotExchange
 from .spreader import Spreader
 from .wire import PACKET_SIZE, Bad, Codec, Kind, Message
 
@@ -89,6 +90,7 @@
         self.repair = Repair(
             self.membership, self.spreader, self.currency, self.sender, random, now
         )
+        self.snapshots = SnapshotExchange(self.membership, self.currency, self.sender, random)
         self.item_listeners: list[tuple[type[Item], ItemListener]] = []
         self.event_listeners: list[EventListener] = []
         self.next_rest = now
@@ -126,6 +128,16 @@
         self.me.version = version
         return True
 
+    def exchange_documents(self, provider: Provider, consumer: Consumer) -> None:
+        """Let whole configurations be given to, and taken from, other VMs.
+
+        Args:
+            provider: Returns the version in force and its encoding.
+            consumer: Called with a newer version and its encoding; puts it in force and calls
+                `applied`.
+        """
+        self.snapshots.provider, self.snapshots.consumer = provider, consumer
+
     def track(self, version: int) -> SpreadAck:
         """Count from now on which VMs confirm that a version is in force there."""
         return self.repair.track(version, self.clock.now())
@@ -169,6 +181,7 @@
         self.currency.fleet(self.live_count(), len(self.membership.roster.expected) + 1)
         self._spread_urgent(now)
         self.repair.tick(now)
+        self.snapshots.tick(now)
         self._spread_rest(now)
 
     def receive(self, frame: bytes) -> None:
@@ -233,6 +246,7 @@
         for item, origin in items:
             self._deliver(item, origin, now)
         self.repair.received(message, learned or bool(items), now)
+        self.snapshots.received(message, now)
         self._spread_urgent(now)
 
     def _deliver(self, item: AnyItem | None, origin: str, now: float) -> None:
--- /dev/null
+++ b/sequoiabridge/fleet/snapshot.py
@@ -0,0 +1,135 @@
+"""The whole configuration from another VM, for one that can read it nowhere else.
+
+A new VM that finds the table service down, or one that missed more changes than its peers still
+hold, asks one peer for the document in pieces. Each piece is paid from the sender's byte bucket
+as configuration. A checksum over the whole ends a transfer whose pieces do not fit together.
+"""
+
+from collections.abc import Callable
+from random import Random
+from zlib import compress, crc32, decompress
+from zlib import error as zlib_error
+
+from ..logs import get_log
+from .base import Urgency
+from .bucket import TRANSPORT_OVERHEAD
+from .currency import Currency
+from .membership import Membership
+from .prober import reply, to
+from .sender import BASE_SIZE, Sender
+from .wire import Kind, Message, Piece
+
+log = get_log("fleet")
+
+PIECE_SIZE = 1_000
+"""Bytes of the document in one message."""
+ASK_AGAIN = 0.6
+"""Seconds after which a piece is asked for again; its sender may be short of bytes."""
+GIVE_UP = 5.0
+"""Seconds without a piece after which another VM is asked, from the start."""
+MAX_SIZE = 16_000_000
+"""Bytes of the largest document that is put together, compressed."""
+
+Provider = Callable[[], tuple[int, bytes]]
+Consumer = Callable[[int, bytes], None]
+
+
+class SnapshotExchange:
+    """Gives and takes whole documents.
+
+    Attributes:
+        provider: Returns the version in force and its encoding; set by the configuration's part.
+        consumer: Called with the version and the encoding that a peer sent.
+    """
+
+    def __init__(self, membership: Membership, currency: Currency, sender: Sender, random: Random):
+        self.membership = membership
+        self.currency = currency
+        self.sender = sender
+        self.random = random
+        self.provider: Provider | None = None
+        self.consumer: Consumer | None = None
+        self.given: tuple[int, bytes] = (0, b"")
+        self.holder = ""
+        self.parts: list[Piece] = []
+        self.asked_at = self.heard_at = float("-inf")
+
+    def tick(self, now: float) -> None:
+        """Ask for the document, or for the piece that did not come."""
+        if self.consumer is None or not self.currency.wants_snapshot(now):
+            self._start_over()
+            return
+        if now - self.asked_at < ASK_AGAIN:
+            return
+        if self.holder and now - self.heard_at < GIVE_UP:
+            self._ask(now)
+            return
+        self._start_over()
+        first = self.currency.in_force + 1
+        holders = [m for m in self.membership.live() if m.version >= first]
+        if holders:
+            self.holder, self.heard_at = self.random.choice(holders).name, now
+            self._ask(now)
+
+    def received(self, message: Message, now: float) -> None:
+        """Answer a request, or take in a piece."""
+        if message.kind == Kind.SNAPSHOT_REQUEST:
+            self._give(message, now)
+        elif message.kind == Kind.SNAPSHOT and message.piece is not None:
+            self._take(message.sender, message.piece, now)
+
+    def _ask(self, now: float) -> None:
+        member = self.membership.roster.get(self.holder)
+        if member is None:
+            return
+        self.asked_at = now
+        offset = sum(len(piece.data) for piece in self.parts)
+        self.sender.send(to(member, Kind.SNAPSHOT_REQUEST, offset), now)
+
+    def _give(self, request: Message, now: float) -> None:
+        if self.provider is None:
+            return
+        room = self.sender.bucket.room(Urgency.CONFIGURATION)
+        if room < PIECE_SIZE + BASE_SIZE + TRANSPORT_OVERHEAD:
+            return  # It asks again.
+        if request.number == 0 or not self.given[1]:
+            version, document = self.provider()
+            if version != self.given[0]:
+                self.given = (version, compress(document))
+        version, data = self.given
+        part = data[request.number : request.number + PIECE_SIZE]
+        outgoing = reply(request, Kind.SNAPSHOT)
+        message = self.sender.message(outgoing)
+        message.piece = Piece(version, request.number, len(data), crc32(data), part)
+        self.sender.send(outgoing, now, message)
+
+    def _take(self, name: str, piece: Piece, now: float) -> None:
+        offset = sum(len(part.data) for part in self.parts)
+        if name != self.holder or piece.offset != offset or piece.total > MAX_SIZE:
+            return
+        if not piece.data or (self.parts and piece.checksum != self.parts[0].checksum):
+            self._start_over()
+            return
+        self.parts.append(piece)
+        self.heard_at = now
+        if offset + len(piece.data) < piece.total:
+            self._ask(now)
+            return
+        data = b"".join(part.data for part in self.parts)
+        self._start_over()
+        self._finish(name, piece, data)
+
+    def _finish(self, name: str, piece: Piece, data: bytes) -> None:
+        if crc32(data) != piece.checksum or piece.version <= self.currency.in_force:
+            return
+        try:
+            document = decompress(data)
+        except zlib_error:
+            log.warning("VM %s sent a configuration that can't be read; asking another.", name)
+            return
+        log.info("Got configuration %d from VM %s.", piece.version, name)
+        self.consumer(piece.version, document)
+
+    def _start_over(self) -> None:
+        self.holder, self.parts = "", []
+        self.asked_at = float("-inf")
--- a/sequoiabridge/fleet/wire.py
+++ b/sequoiabridge/fleet/wire.py
@@ -46,6 +46,10 @@
     """What differs; with a `digest`, the receiver sends its part back."""
     FETCH = 7
     """Send the configuration changes from version `number` up to and with `until`."""
+    SNAPSHOT_REQUEST = 8
+    """Send the whole configuration in force, from byte `number` on."""
+    SNAPSHOT = 9
+    """One `piece` of it."""
 
 
 class Bad(Enum):
@@ -80,6 +84,16 @@
     age_ms: int = 0
 
 
+class Piece(msgspec.Struct, array_like=True, frozen=True):
+    """A part of a compressed configuration; `checksum` is the CRC-32 of the whole."""
+
+    version: int
+    offset: int
+    total: int
+    checksum: int
+    data: bytes
+
+
 class Message(msgspec.Struct, array_like=True):
     """One message; `to_incarnation` is the receiver's as its sender knows it, 0 if it does not.
 
@@ -105,6 +119,7 @@
     updates: list[Update] = []
     parcels: list[Parcel] = []
     digest: list[int] = []
+    piece: Piece | None = None
 
 
 def parse_keys(text: str) -> list[bytes]:
--- a/sequoiabridge/tests/fleet/test_spreading.py
+++ b/sequoiabridge/tests/fleet/test_spreading.py
@@ -1,5 +1,8 @@
 """Items through the fleet: configuration, lost marks, late joiners, pauses."""
 
+from random import Random
+from zlib import compress
+
 import pytest
 
 from ...fleet.base import ConfigurationItem, CrashItem, DrainItem, LoadItem, Urgency
@@ -149,3 +152,42 @@
     assert pump.run_until(in_force(pump, 2), 20) is not None
     pump.run(10)
     assert all(n.currency.ready(pump.clock.now()) for n in nodes)
+
+
+def test_a_new_vm_gets_the_whole_document_from_a_peer_when_the_changes_are_gone():
+    pump = running(6)
+    nodes = pump.all()
+    document = Random(1).randbytes(5000)
+    for node in nodes:
+        node.applied(40)
+        node.exchange_documents(lambda: (40, document), lambda version, data: None)
+    new, got = pump.add(7), []
+    new.exchange_documents(
+        lambda: (0, b""), lambda v, data: (got.append((v, data)), new.applied(v))
+    )
+    pump.loss = 0.05
+    assert pump.run_until(lambda: got, 60) is not None
+    assert got == [(40, document)]
+    pump.loss = 0.0
+    assert pump.run_until(lambda: new.currency.ready(pump.clock.now()), 10) is not None
+    pump.run(10)
+    assert len(got) == 1
+
+
+def test_a_document_that_changes_while_it_is_fetched_is_never_mixed():
+    pump = running(2)
+    holder, late = pump.all()
+    documents = {40: Random(1).randbytes(5000), 41: Random(2).randbytes(5000)}
+    got = []
+    holder.exchange_documents(lambda: (holder.currency.in_force, documents[newest()]), print)
+    late.exchange_documents(lambda: (0, b""), lambda v, data: (got.append(v), late.applied(v)))
+
+    def newest():
+        return holder.currency.in_force
+
+    holder.applied(40)
+    assert pump.run_until(lambda: late.snapshots.parts, 10) is not None
+    holder.applied(41)
+    holder.snapshots.given = (41, compress(documents[41]))
+    assert pump.run_until(lambda: late.currency.in_force == 41, 30) is not None
+    assert got == [41]
