Show over real sockets that a silent connection is replaced

Cause: the pump stands in for nng, so nothing showed that nng opens a new connection in time. Change: a relay between two nodes forgets its present connections and serves new ones.

--- a/sequoiabridge/tests/fleet/test_channel.py
+++ b/sequoiabridge/tests/fleet/test_channel.py
@@ -6,7 +6,9 @@
 import curio
 
 from ...fleet.base import DrainItem, MemberState, Urgency
+from ...fleet.channel import NngChannel
 from ...fleet.fleet import FleetNode
+from ...fleet.members import EventKind
 from ...timers import SystemClock, Timers
 from .pump import KEY, state
 
@@ -49,3 +51,64 @@
         await second.leave()
 
     curio.run(main)
+
+
+class Relay:
+    """A TCP relay between two nodes; `forget` makes the connections of now silent for good."""
+
+    def __init__(self, target):
+        host, port = target.split(":")
+        self.target = host, int(port)
+        self.forgotten = self.accepted = 0
+
+    async def serve(self, client, address):
+        self.accepted += 1
+        number = self.accepted
+        upstream = await curio.open_connection(*self.target)
+        back = await curio.spawn(self.copy, upstream, client, number, daemon=True)
+        await self.copy(client, upstream, number)
+        await back.cancel()
+
+    async def copy(self, source, sink, number):
+        while data := await source.recv(65536):
+            if number > self.forgotten:
+                await sink.sendall(data)
+
+
+def test_a_silent_connection_is_replaced_by_a_new_one_before_the_peer_is_declared_dead():
+    async def main():
+        outer, inner, other = free_address(), free_address(), free_address()
+        relay, events, nodes = Relay(inner), [], []
+        host, port = outer.split(":")
+        await curio.spawn(curio.tcp_server, host, int(port), relay.serve, daemon=True)
+        for i, (address, channel) in enumerate(
+            [(outer, NngChannel(inner)), (other, NngChannel(other))]
+        ):
+            timers = Timers(SystemClock())
+            await curio.spawn(timers.run, daemon=True)
+            node = FleetNode(
+                f"vm{i}",
+                "dc",
+                address,
+                [outer, other],
+                [KEY],
+                timers,
+                timers.clock,
+                Random(i),
+                channel=channel,
+            )
+            node.on_event(lambda e: events.append(e.kind))
+            await node.start()
+            nodes.append(node)
+        first, second = nodes
+        await until(lambda: first.live_count() == second.live_count() == 2)
+        relay.forgotten = relay.accepted
+        await until(lambda: relay.accepted > relay.forgotten)
+        heard = first.counters.messages_received
+        await until(lambda: first.counters.messages_received > heard + 2)
+        assert EventKind.DIED not in events
+        assert second.channel.redials > 0
+        for node in nodes:
+            await node.leave()
+
+    curio.run(main)
