Call h11's readers and writers without its state machine

Parsing each body's head twice to keep the state machine for bodies only: two paths where one serves all. Change: codec.py is the one module that takes h11's readers and writers, whose names are not public (h11 is held to 0.16); fields.py holds header fields and heads. Links and callers' wires keep a Received buffer in place of a connection object.

--- a/sequoiabridge/callers/body.py
+++ b/sequoiabridge/callers/body.py
@@ -2,11 +2,12 @@
 
 import h11
 
+from ..codec import body_reader
 from ..exceptions import CallerGone
 from ..outcome import Outcome
 from ..pipeline.exchange import Body
 from .refusals import bad_request, body_too_large, too_slow
-from .wire import CallerWire, Phase
+from .wire import CONTINUE, CallerWire, Phase
 
 
 class CallerBody(Body):
@@ -16,15 +17,18 @@
 
     Attributes:
         max_body: Most bytes to take, set by the pipeline; `Refusal` 413 beyond it.
+        waits: True while the caller waits to be told to go on.
         received: Bytes handed out so far.
         ended: True after the clean end.
     """
 
-    __slots__ = ("wire", "length", "max_body", "received", "ended")
+    __slots__ = ("wire", "length", "max_body", "waits", "reader", "received", "ended")
 
-    def __init__(self, wire: CallerWire, length: int | None, max_body: int):
+    def __init__(self, wire: CallerWire, length: int | None, max_body: int, waits: bool):
         self.wire = wire
         self.length = length
+        self.waits = waits
+        self.reader = body_reader(length)
         self.max_body = max_body
         self.received = 0
         self.ended = False
@@ -41,23 +45,21 @@
             return b""
         if self.length is not None and self.length > self.max_body:
             raise body_too_large(self.max_body, self._outcome())
-        if self.received == 0:
-            await self.wire.ask_for_body()
-        while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                await self._receive()
-                continue
-            if type(event) is h11.Data:
-                return self._piece(event)
-            self.ended = True
-            return b""
+        if self.waits:
+            self.waits = False
+            await self.wire.send(CONTINUE)
+        while (event := self._next_event()) is None:
+            await self._receive()
+        if type(event) is h11.Data:
+            return self._piece(event)
+        self.ended = True
+        return b""
 
     def skip_buffered(self) -> bool:
         """Drop what has been received; return True if that was all of the body."""
         while not self.ended:
             event = self._next_event()
-            if event is h11.NEED_DATA:
+            if event is None:
                 return False
             self.ended = type(event) is h11.EndOfMessage
         return True
@@ -67,27 +69,24 @@
         if self.received + size > self.max_body:
             raise body_too_large(self.max_body, self._outcome())
         self.received += size
-        if self.received == self.length:
-            self._next_event()
-            self.ended = True
+        self.ended = self.received == self.length
         return bytes(event.data)
 
-    def _next_event(self) -> h11.Event | type:
+    def _next_event(self) -> h11.Data | h11.EndOfMessage | None:
         try:
-            return self.wire.http.next_event()
-        except h11.RemoteProtocolError as error:
-            if self.wire.http.trailing_data[1]:
-                raise CallerGone("It closed its connection within the request's body.") from error
+            return self.wire.received.body_event(self.reader)
+        except h11.LocalProtocolError as error:
             refusal = bad_request(f"The request's body is malformed: {error}. Correct it.")
             refusal.outcome = self._outcome()
             raise refusal from error
 
     async def _receive(self) -> None:
         wire = self.wire
-        data = await wire.receive(Phase.BODY, wire.limits.body_timeout)
-        if not data and wire.expired:
+        if await wire.receive(Phase.BODY, wire.limits.body_timeout):
+            return
+        if wire.expired:
             raise too_slow("body", self._outcome())
-        wire.http.receive_data(data)
+        raise CallerGone("It closed its connection within the request's body.")
 
     def _outcome(self) -> Outcome:
         return Outcome.UNKNOWN if self.received else Outcome.NOT_RUN
--- a/sequoiabridge/callers/connection.py
+++ b/sequoiabridge/callers/connection.py
@@ -8,13 +8,23 @@
 
 import h11
 
-from ..codec import CONNECTION, CONTENT_LENGTH, FRAMING, Fields, Head, response_head, serialized
+from ..codec import END, body_writer, response_bytes, written
 from ..exceptions import CallerGone, Refusal, SequoiaError, UpstreamFailed
+from ..fields import (
+    BODILESS,
+    CONNECTION,
+    CONTENT_LENGTH,
+    FRAMING,
+    HTTP_11,
+    TRANSFER_ENCODING,
+    Fields,
+    Head,
+)
 from ..headers import DRAIN, LOAD, NOT_RUN
 from ..logs import get_log
 from ..pipeline.exchange import Answer, Body, BytesBody, Request
 from .body import CallerBody
-from .framing import request_head
+from .framing import checked_head
 from .refusals import bad_request, internal_error, refusal_answer, too_slow, upstream_failed
 from .wire import CallerWire, Phase
 
@@ -25,17 +35,15 @@
 
 NOT_TO_CALLERS = FRAMING | {LOAD, DRAIN, NOT_RUN}
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
-BODILESS = frozenset({204, 304})
-END = h11.EndOfMessage()
 CLOSE = (CONNECTION, b"close")
+CHUNKED = (TRANSFER_ENCODING, b"chunked")
 
 
 def standalone(answer: Answer) -> bytes:
     """Return the bytes of an answer to a caller whose request is not read; it says close."""
-    http = h11.Connection(h11.SERVER)
-    headers = [*answer.headers, (CONTENT_LENGTH, b"%d" % answer.length), CLOSE]
-    response = h11.Response(status_code=answer.status, headers=headers)
-    return http.send(response) + http.send(h11.Data(answer.body.data)) + http.send(END)
+    fields = Fields([*answer.headers, (CONTENT_LENGTH, b"%d" % answer.length), CLOSE])
+    response = h11.Response(status_code=answer.status, headers=fields)
+    return response_bytes(response) + answer.body.data
 
 
 class CallerConnection:
@@ -43,15 +51,17 @@
 
     Attributes:
         keeps_alive: False once the answer under way is the last on the connection.
+        version: The caller's version of HTTP.
     """
 
-    __slots__ = ("server", "wire", "peer", "keeps_alive")
+    __slots__ = ("server", "wire", "peer", "keeps_alive", "version")
 
     def __init__(self, server: CallerServer, sock: socket.socket, peer: str):
         self.server = server
         self.wire = CallerWire(sock, server.limits, server.clock)
         self.peer = peer
         self.keeps_alive = True
+        self.version = HTTP_11
 
     async def run(self) -> None:
         """Serve requests until either side has had enough, then close."""
@@ -71,11 +81,10 @@
             event, raw = await self._read_head()
             if event is None:
                 return False
-            head = request_head(event, raw, self.server.limits.max_head)
-        except h11.RemoteProtocolError as error:
-            status = 431 if error.error_status_hint == 431 else 400
+            head = checked_head(event, raw)
+        except h11.LocalProtocolError as error:
             message = f"This is not a valid HTTP request: {error}. Correct it."
-            return await self._refuse_head(bad_request(message, status))
+            return await self._refuse_head(bad_request(message, error.error_status_hint))
         except Refusal as refusal:
             return await self._refuse_head(refusal)
         self.server.in_flight += 1
@@ -86,29 +95,30 @@
 
     async def _read_head(self) -> tuple[h11.Request | None, bytes]:
         """Return the next request and the bytes it was parsed from; None at the caller's end."""
-        wire, now = self.wire, self.server.clock.now
-        raw = wire.http.trailing_data[0]
-        timeout = self.server.limits.idle_timeout
-        head_end = None
+        wire, limits, now = self.wire, self.server.limits, self.server.clock.now
+        timeout, head_end = limits.idle_timeout, None
         while True:
-            if raw:
-                event = wire.http.next_event()
-                if event is not h11.NEED_DATA:
+            if wire.received:
+                event, raw = wire.received.request()
+                if max(len(raw), 0 if event else len(wire.received)) > limits.max_head:
+                    message = f"The head has more than {limits.max_head} bytes. Send less."
+                    raise bad_request(message, 431)
+                if event is not None:
                     return event, raw
-                head_end = head_end or now() + self.server.limits.head_timeout
+                head_end = head_end or now() + limits.head_timeout
                 timeout = head_end - now()
-            data = await wire.receive(Phase.HEAD if raw else Phase.IDLE, timeout)
-            if not data:
-                if raw and wire.expired:
+            phase = Phase.HEAD if wire.received else Phase.IDLE
+            if not await wire.receive(phase, timeout):
+                if wire.received and wire.expired:
                     raise too_slow("head")
-                return None, raw
-            wire.http.receive_data(data)
-            raw = raw + data if raw else data
+                return None, b""
 
     async def _exchange(self, event: h11.Request, head: Head) -> bool:
         """Have the handler answer a request; return True if another may follow."""
         request = self._request(event, head)
         self.keeps_alive = head.keeps_alive
+        self.version = event.http_version
+        self.wire.probeable = self.version == HTTP_11
         handler = self.server.handler
         self.wire.handling()
         try:
@@ -137,7 +147,8 @@
         length = None if head.chunked else head.length or 0
         body = None
         if length != 0:
-            body = CallerBody(self.wire, length, self.server.limits.max_body)
+            limit = self.server.limits.max_body
+            body = CallerBody(self.wire, length, limit, head.expects_continue)
         return Request(event.method, event.target, head.pairs, length, body, self.peer)
 
     def _refused(self, error: Exception) -> Answer:
@@ -164,48 +175,48 @@
             CallerGone: The caller left.
             SequoiaError: The answer could not be completed.
         """
-        http, wire = self.wire.http, self.wire
+        wire, source, status = self.wire, answer.body, answer.status
+        if isinstance(source, BytesBody):
+            size = len(source.data)
+            if answer.length not in (size, None):
+                raise UpstreamFailed("The answer's body is not as long as it says.", sent=True)
+            answer.length = size
         unread = body is not None and not body.ended and not body.skip_buffered()
         if unread or self.server.stopping:
             self.keeps_alive = False
-        fields = self._fields(answer)
-        status = answer.status
+        wire.probeable = False
+        bodiless = method == b"HEAD" or status in BODILESS
+        fields = self._fields(answer, bodiless)
         reason = REASON_PHRASES.get(status, b"")
-        response = h11.Response(status_code=status, headers=fields, reason=reason)
-        source = answer.body
+        head = response_bytes(h11.Response(status_code=status, headers=fields, reason=reason))
+        if bodiless or source is None:
+            await wire.send(head)
+        elif isinstance(source, BytesBody):
+            await wire.send(head + source.data)
+        else:
+            await wire.send(head)
+            await self._stream(source, answer.length)
+
+    async def _stream(self, body: Body, length: int | None) -> None:
+        writer = body_writer(length, chunked=self.version == HTTP_11)
         try:
-            if isinstance(source, BytesBody) and answer.length != len(source.data):
-                raise UpstreamFailed("The answer's body is not as long as it says.", sent=True)
-            if source is None or method == b"HEAD" or status in BODILESS:
-                await self._send_bodiless(response)
-            elif isinstance(source, BytesBody):
-                await wire.send(response_head(response) + source.data)
-            else:
-                await wire.send(serialized(http.send_with_data_passthrough(response)))
-                await self._stream(source)
+            while piece := await body.read():
+                await self.wire.send(written(writer, h11.Data(piece)))
+            if end := written(writer, END):
+                await self.wire.send(end)
         except h11.LocalProtocolError as error:
-            message = f"The answer does not fit its framing: {error}."
+            message = f"The answer's body is not as long as it says: {error}."
             raise UpstreamFailed(message, sent=True) from error
 
-    async def _send_bodiless(self, response: h11.Response) -> None:
-        await self.wire.send(serialized(self.wire.http.send_with_data_passthrough(response)))
-        await self._stream_end()
-
-    async def _stream(self, body: Body) -> None:
-        http, wire = self.wire.http, self.wire
-        while piece := await body.read():
-            parts = http.send_with_data_passthrough(h11.Data(piece))
-            await wire.send(parts[0] if len(parts) == 1 else b"".join(parts))
-        await self._stream_end()
-
-    async def _stream_end(self) -> None:
-        if end := self.wire.http.send(END):
-            await self.wire.send(end)
-
-    def _fields(self, answer: Answer) -> Fields:
+    def _fields(self, answer: Answer, bodiless: bool) -> Fields:
         pairs = [pair for pair in answer.headers if pair[0] not in NOT_TO_CALLERS]
-        if answer.length is not None and answer.status != 204:
-            pairs.append((CONTENT_LENGTH, b"%d" % answer.length))
+        length = answer.length
+        if answer.body is None and not bodiless:
+            length = 0
+        if length is not None and answer.status != 204:
+            pairs.append((CONTENT_LENGTH, b"%d" % length))
+        elif not bodiless and self.version == HTTP_11:
+            pairs.append(CHUNKED)
         if not self.keeps_alive:
             pairs.append(CLOSE)
         return Fields(pairs)
@@ -216,13 +227,12 @@
         A missing last chunk or missing bytes show it; a body that ends with the connection
         (HTTP/1.0) shows it only by a reset.
         """
-        if answer.length is None and self.wire.http.their_http_version != b"1.1":
+        if answer.length is None and self.version != HTTP_11:
             self.wire.abort_on_close()
 
     async def _next_cycle(self, body: CallerBody | None = None) -> bool:
         """Get ready for the next request; False if there can be none."""
         if self.keeps_alive and (body is None or body.ended):
-            self.wire.renew()
             return True
         await self.wire.drain()
         return False
--- a/sequoiabridge/callers/wire.py
+++ b/sequoiabridge/callers/wire.py
@@ -1,4 +1,4 @@
-"""One caller's socket and h11 state: what is waited for, until when, is the caller still there.
+"""One caller's socket and what came from it: what is waited for, until when, is it still there.
 
 No timeout object is made and no task is switched to for a call. Each wait sets `deadline` instead,
 and the server's sweep calls `check` now and then; see docs/design/hop-latency.md.
@@ -8,10 +8,9 @@
 from enum import Enum
 
 import curio
-import h11
 from curio.traps import _io_release, _read_wait, _write_wait
 
-from ..codec import READ_SIZE
+from ..codec import READ_SIZE, Received
 from ..exceptions import CallerGone
 from ..logs import get_log
 from ..selector import Descriptor
@@ -28,8 +27,9 @@
 ABORT = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 """SO_LINGER on with 0 seconds: closing resets the connection."""
 
-PROCESSING = h11.InformationalResponse(status_code=102, headers=[])
-CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+PROCESSING = b"HTTP/1.1 102 Processing\r\n\r\n"
+"""Interim answers; the second is sent only to find out whether a caller is still there."""
 
 
 class Phase(Enum):
@@ -51,6 +51,8 @@
         deadline: Time at which that wait is over, in seconds on the daemon's clock.
         expired: True once a wait was over.
         task: The task that serves the connection.
+        received: What came and has not been read yet.
+        probeable: True while an interim answer may be sent to see if the caller is there.
     """
 
     __slots__ = (
@@ -58,12 +60,12 @@
         "descriptor",
         "limits",
         "clock",
-        "http",
+        "received",
         "task",
         "phase",
         "deadline",
         "expired",
-        "probed",
+        "probeable",
     )
 
     def __init__(self, sock: socket.socket, limits: CallerLimits, clock: Clock):
@@ -71,15 +73,15 @@
         self.descriptor = Descriptor(sock.fileno())
         self.limits = limits
         self.clock = clock
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head)
+        self.received = Received()
         self.task: curio.Task | None = None
         self.phase = Phase.IDLE
         self.deadline = clock.now() + limits.idle_timeout
         self.expired = False
-        self.probed = False
+        self.probeable = False
 
-    async def receive(self, phase: Phase, timeout: float) -> bytes:
-        """Return what the caller sent next, b"" at its end or when the wait was over.
+    async def receive(self, phase: Phase, timeout: float) -> bool:
+        """Take what the caller sends next; False at its end or when the wait was over.
 
         Raises:
             CallerGone: The connection is broken.
@@ -95,7 +97,8 @@
             except OSError as error:
                 raise CallerGone(f"Its connection broke: {error}.") from error
             self.handling()
-            return data
+            self.received.feed(data)
+            return bool(data)
 
     def handling(self) -> None:
         """Nothing is expected from the caller now; the handler is at work."""
@@ -117,11 +120,6 @@
         if sent < len(data):
             await self._send_rest(memoryview(data)[sent:])
 
-    async def ask_for_body(self) -> None:
-        """Tell the caller to go on, if it waits for that (Expect: 100-continue)."""
-        if self.http.they_are_waiting_for_100_continue:
-            await self.send(self.http.send(CONTINUE))
-
     async def drain(self) -> None:
         """End the sending side, then read and drop a bounded rest of what the caller sends."""
         try:
@@ -131,20 +129,10 @@
         end = self.clock.now() + DRAIN_TIME
         size = 0
         while size < DRAIN_SIZE and not self.expired:
-            data = await self.receive(Phase.CLOSING, end - self.clock.now())
-            if not data:
+            if not await self.receive(Phase.CLOSING, end - self.clock.now()):
                 return
-            size += len(data)
-
-    def renew(self) -> None:
-        """Get ready for the next request, of which some bytes may be here.
-
-        A new h11 connection costs less than to tell the old one of all ends of the messages.
-        """
-        rest = self.http.trailing_data[0]
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.max_head)
-        if rest:
-            self.http.receive_data(rest)
+            size += len(self.received)
+            self.received = Received()
 
     def abort_on_close(self) -> None:
         """Make the close a reset, for an answer whose end is shown by nothing but the close."""
@@ -173,13 +161,11 @@
         The end of its stream proves nothing: it may have closed that side only. If it has gone,
         its system answers an interim answer with a reset, which the next sweep sees.
         """
-        if self.probed:
-            return
-        self.probed = True
-        if self.http.their_http_version != b"1.1" or self.http.our_state is not h11.SEND_RESPONSE:
+        if not self.probeable:
             return
+        self.probeable = False
         try:
-            self.sock.send(self.http.send(PROCESSING))
+            self.sock.send(PROCESSING)
         except OSError as error:
             log.debug("A caller cannot be reached: %s.", error)
 
--- a/sequoiabridge/codec.py
+++ b/sequoiabridge/codec.py
@@ -1,116 +1,137 @@
-"""What both sides of the daemon share of HTTP/1.1: the form of header fields that h11 takes.
+"""HTTP/1.1 by h11's readers and writers, without the state machine of `h11.Connection`.
 
-h11 checks each field of a plain list by regular expressions. Fields that a parser has passed
-already, or that the daemon wrote itself, need not be checked again: `Fields` hands them over in
-h11's own form. `serialized` still refuses a head in which a value has smuggled a line break.
+A relayed call passes h11 four times. `h11.Connection` spends a third of that on states that a
+relay keeps anyway (one request at a time, a connection reused only after a clean end); see
+docs/design/hop-latency.md. The names taken from h11's modules are not public: pyproject.toml
+holds h11 to 0.16, and this is the only module that imports them.
 """
 
-import re
-from collections.abc import Iterable
-
 import h11
-from h11._writers import write_any_response, write_request
+from h11._readers import (
+    ChunkedReader,
+    ContentLengthReader,
+    maybe_read_from_IDLE_client,
+    maybe_read_from_SEND_RESPONSE_server,
+)
+from h11._receivebuffer import ReceiveBuffer
+from h11._writers import (
+    ChunkedWriter,
+    ContentLengthWriter,
+    Http10Writer,
+    write_any_response,
+    write_request,
+)
 
 from .exceptions import SequoiaError
-from .headers import HOP_BY_HOP
 
 READ_SIZE = 64 * 1024
 """Most bytes taken from a socket at once; bounds the memory of a streamed body."""
+MAX_LINE = 16 * 1024
+"""Most bytes of a chunk's header or of the trailers."""
 
-CONTENT_LENGTH = b"content-length"
-TRANSFER_ENCODING = b"transfer-encoding"
-CONNECTION = b"connection"
-HTTP_11 = b"1.1"
+END = h11.EndOfMessage()
+BodyReader = ContentLengthReader | ChunkedReader
+BodyWriter = ContentLengthWriter | ChunkedWriter | Http10Writer
 
-FRAMING = HOP_BY_HOP | {CONTENT_LENGTH}
-"""Fields that each side writes anew for its own connection."""
 
-HEAD_END = re.compile(rb"\n\r?\n")
-ORDINARY_OPTIONS = frozenset({b"close", b"keep-alive", b""})
+class UnsafeHeader(SequoiaError):
+    """A header value holds a line break; remove it where the value is made."""
 
-Headers = type(h11.EndOfMessage().headers)
-"""h11's class of checked header fields; it has no public name."""
 
+class Received:
+    """What has been received on a connection and not been read yet.
 
-class UnsafeHeader(SequoiaError):
-    """A header value holds a line break; remove it where the value is made."""
+    `closed` is true once the other side has ended its stream.
+    """
+
+    __slots__ = ("buffer", "closed")
+
+    def __init__(self):
+        self.buffer = ReceiveBuffer()
+        self.closed = False
+
+    def __len__(self) -> int:
+        return len(self.buffer)
+
+    def feed(self, data: bytes) -> None:
+        """Take what a socket returned, b"" for the end of the stream."""
+        if data:
+            self.buffer += data
+        else:
+            self.closed = True
 
+    def take(self, size: int) -> bytes:
+        """Remove `size` bytes, all of which must be here, and return them."""
+        return bytes(self.buffer.maybe_extract_at_most(size) or b"")
 
-class Fields(Headers):
-    """Header fields known to be well formed, names in lower case, in the form that h11 takes."""
+    def request(self) -> tuple[h11.Request | None, bytes]:
+        """Return the next request and its head's bytes; None while its head is not whole.
 
-    __slots__ = ("pairs",)
+        Raises:
+            h11.LocalProtocolError: It is malformed.
+        """
+        return self._head(maybe_read_from_IDLE_client)
 
-    def __init__(self, pairs: list[tuple[bytes, bytes]]):
-        super().__init__([(name, name, value) for name, value in pairs])
-        self.pairs = pairs
+    def response(self) -> tuple[h11.Response | h11.InformationalResponse | None, bytes]:
+        """Return the next answer and its head's bytes; as `request`."""
+        return self._head(maybe_read_from_SEND_RESPONSE_server)
 
-    def __iter__(self):
-        return iter(self.pairs)
+    def _head(self, reader) -> tuple[h11.Event | None, bytes]:
+        held = bytes(self.buffer)
+        event = reader(self.buffer)
+        return event, held[: len(held) - len(self.buffer)]
 
+    def body_event(self, reader: BodyReader) -> h11.Data | h11.EndOfMessage | None:
+        """Return the next part of a body, None while none is here.
 
-class Head:
-    """The fields of a received head that go on, and its framing.
+        Raises:
+            h11.LocalProtocolError: The body is malformed.
+        """
+        event = reader(self.buffer)
+        if event is None and len(self.buffer) > MAX_LINE:
+            raise h11.LocalProtocolError("a chunk's header or the trailers are too long")
+        return event
 
-    `length` is the Content-Length or None; `chunked` and `length` are as sent, not yet judged.
-    `keeps_alive` tells if the sender takes or sends another message on the connection.
+
+def body_reader(length: int | None) -> BodyReader:
+    """Return h11's reader of a body of `length` bytes, of a chunked one for None."""
+    return ChunkedReader() if length is None else ContentLengthReader(length)
+
+
+def body_writer(length: int | None, chunked: bool = True) -> BodyWriter:
+    """Return h11's writer of a body of `length` bytes; for None, chunked or up to the close."""
+    if length is not None:
+        return ContentLengthWriter(length)
+    return ChunkedWriter() if chunked else Http10Writer()
+
+
+def written(writer: BodyWriter, event: h11.Data | h11.EndOfMessage) -> bytes:
+    """Return the bytes of a part of a body; b"" for an end that has none.
+
+    Raises:
+        h11.LocalProtocolError: The body is longer or shorter than its length says.
     """
+    parts: list[bytes] = []
+    writer(event, parts.append)
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
 
-    __slots__ = ("pairs", "length", "chunked", "keeps_alive")
-
-    def __init__(self, event: h11.Request | h11.Response, drop: frozenset[bytes]):
-        self.pairs: list[tuple[bytes, bytes]] = []
-        self.length: int | None = None
-        self.chunked = False
-        self.keeps_alive = event.http_version == HTTP_11
-        options: list[bytes] = []
-        for name, value in event.headers.raw_items():
-            name = name.lower()
-            if name not in drop:
-                self.pairs.append((name, value))
-            elif name == CONTENT_LENGTH:
-                self.length = int(value)
-            elif name == TRANSFER_ENCODING:
-                self.chunked = True
-            elif name == CONNECTION:
-                options.append(value)
-        if options:
-            self._obey(options)
-
-    def _obey(self, options: Iterable[bytes]) -> None:
-        named = {option.strip().lower() for value in options for option in value.split(b",")}
-        if b"close" in named:
-            self.keeps_alive = False
-        named -= ORDINARY_OPTIONS
-        if named:
-            self.pairs = [pair for pair in self.pairs if pair[0] not in named]
-
-
-def head_size(data: bytes) -> int:
-    """Return the size in bytes of the head at the start of `data`, all of it if it has no end."""
-    match = HEAD_END.search(data)
-    return match.end() if match else len(data)
-
-
-def request_head(event: h11.Request) -> bytes:
-    """Return the head of a request as h11 writes it, without its state machine."""
+def request_bytes(event: h11.Request) -> bytes:
+    """Return the head of a request; its fields must say how its body is framed."""
     parts: list[bytes] = []
     write_request(event, parts.append)
-    return serialized(parts)
+    return _joined(parts)
 
 
-def response_head(event: h11.Response) -> bytes:
-    """Return the head of an answer as h11 writes it, without its state machine.
-
-    The fields must say how the answer is framed and whether the connection goes on.
-    """
+def response_bytes(event: h11.Response | h11.InformationalResponse) -> bytes:
+    """Return the head of an answer; its fields must say how its body is framed."""
     parts: list[bytes] = []
     write_any_response(event, parts.append)
-    return serialized(parts)
+    return _joined(parts)
 
 
-def serialized(parts: list[bytes]) -> bytes:
-    """Join the lines of a head that h11 wrote; raise `UnsafeHeader` if it has a line too many."""
+def _joined(parts: list[bytes]) -> bytes:
+    """Join the lines of a head; raise `UnsafeHeader` if a value has brought one of its own."""
     head = b"".join(parts)
     if head.count(b"\n") != len(parts) or head.count(b"\r") != len(parts):
         raise UnsafeHeader("A header value holds a line break. Remove it where it is made.")
--- /dev/null
+++ b/sequoiabridge/fields.py
@@ -0,0 +1,83 @@
+"""Header fields on their way through the daemon, and what they say of the connection."""
+
+import h11
+
+from .headers import HOP_BY_HOP
+
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+CONNECTION = b"connection"
+EXPECT = b"expect"
+HTTP_11 = b"1.1"
+
+FRAMING = HOP_BY_HOP | {CONTENT_LENGTH}
+"""Fields that each side writes anew for its own connection."""
+
+BODILESS = frozenset({204, 304})
+"""Statuses of answers that never have a body, whatever their fields say."""
+
+ORDINARY_OPTIONS = frozenset({b"close", b"keep-alive", b""})
+
+Headers = type(h11.EndOfMessage().headers)
+"""h11's class of checked header fields; it has no public name."""
+
+
+class Fields(Headers):
+    """Header fields known to be well formed, names in lower case, in the form that h11 takes.
+
+    h11 checks each field of a plain list by regular expressions. Fields that a parser has passed
+    already, or that the daemon wrote itself, need not be checked again.
+    """
+
+    __slots__ = ("pairs",)
+
+    def __init__(self, pairs: list[tuple[bytes, bytes]]):
+        super().__init__([(name, name, value) for name, value in pairs])
+        self.pairs = pairs
+
+    def __iter__(self):
+        return iter(self.pairs)
+
+
+class Head:
+    """The fields of a received head that go on, and its framing.
+
+    Attributes:
+        pairs: The fields that go on, names in lower case.
+        length: The Content-Length as sent, or None.
+        chunked: True if the body is chunked; with a length too, the framing is ambiguous.
+        keeps_alive: True if the sender means to go on with the connection.
+        expects_continue: True if the sender waits for 100 (Continue) before its body.
+    """
+
+    __slots__ = ("pairs", "length", "chunked", "keeps_alive", "expects_continue")
+
+    def __init__(self, event: h11.Request | h11.Response, drop: frozenset[bytes]):
+        self.pairs: list[tuple[bytes, bytes]] = []
+        self.length: int | None = None
+        self.chunked = False
+        self.keeps_alive = event.http_version == HTTP_11
+        self.expects_continue = False
+        options: list[bytes] = []
+        for name, value in event.headers.raw_items():
+            name = name.lower()
+            if name not in drop:
+                self.pairs.append((name, value))
+            elif name == CONTENT_LENGTH:
+                self.length = int(value)
+            elif name == TRANSFER_ENCODING:
+                self.chunked = True
+            elif name == CONNECTION:
+                options.append(value)
+            elif name == EXPECT:
+                self.expects_continue = value.lower() == b"100-continue" and self.keeps_alive
+        if options:
+            self._obey(options)
+
+    def _obey(self, options: list[bytes]) -> None:
+        named = {option.strip().lower() for value in options for option in value.split(b",")}
+        if b"close" in named:
+            self.keeps_alive = False
+        named -= ORDINARY_OPTIONS
+        if named:
+            self.pairs = [pair for pair in self.pairs if pair[0] not in named]
--- a/sequoiabridge/upstreams/connections.py
+++ b/sequoiabridge/upstreams/connections.py
@@ -139,7 +139,7 @@
         pool.count += 1
         link = None
         try:
-            link = await open_link(address, self.clock, self.limits.max_head, timeout)
+            link = await open_link(address, self.clock, timeout)
         finally:
             if link is None:
                 pool.count -= 1
--- a/sequoiabridge/upstreams/exchange.py
+++ b/sequoiabridge/upstreams/exchange.py
@@ -6,17 +6,9 @@
 
 import h11
 
-from ..codec import (
-    CONTENT_LENGTH,
-    FRAMING,
-    TRANSFER_ENCODING,
-    Fields,
-    Head,
-    head_size,
-    request_head,
-    serialized,
-)
+from ..codec import END, BodyWriter, body_reader, body_writer, request_bytes, written
 from ..exceptions import UpstreamFailed
+from ..fields import BODILESS, CONTENT_LENGTH, FRAMING, TRANSFER_ENCODING, Fields, Head
 from ..headers import OUTCOME, REASON, REPLAYED, REQUEST_ID
 from ..pipeline.exchange import Answer, Body, BytesBody
 from .base import UpstreamConnection, UpstreamRequest
@@ -29,9 +21,7 @@
 """What the daemon says to callers itself is not taken from an upstream."""
 WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 """Methods whose requests say so when they have no body (RFC 9110, 8.6)."""
-BODILESS = frozenset({204, 304})
 CHUNKED = (TRANSFER_ENCODING, b"chunked")
-END = h11.EndOfMessage()
 
 
 class HttpConnection(UpstreamConnection):
@@ -92,87 +82,55 @@
         link.requests += 1
         self.method = request.method
         try:
-            event = _event(request, link.address)
+            head = request_bytes(_event(request, link.address))
             if request.body is None:
-                await self._send(request_head(event))
-                # The upstream is at work by now; h11 learns of the request meanwhile.
-                link.http.send_with_data_passthrough(event)
+                await self._send(head)
             else:
-                await self._send_with_body(event, request.body)
-            link.request_ended = not link.refused
+                await self._send_with_body(head, request.body, body_writer(request.length))
         except h11.LocalProtocolError as error:
             message = f"The request does not fit HTTP: {error}. Correct the request."
             raise link.failed(message) from error
+        link.request_ended = not link.refused
 
-    async def _send_with_body(self, event: h11.Request, body: Body) -> None:
+    async def _send_with_body(self, head: bytes, body: Body, writer: BodyWriter) -> None:
+        """Send a request with a body until its end, or until the upstream has refused it."""
         link = self.link
         piece = await body.read()
-        data = serialized(link.http.send_with_data_passthrough(event))
-        if piece:
-            data += link.http.send(h11.Data(piece))
-        await self._send(data)
+        await self._send(head + written(writer, h11.Data(piece)))
         while piece and not link.refused:
             piece = await body.read()
-            if piece:
-                await self._send_piece(piece)
-        if not link.refused:
-            await self._send(link.http.send(END))
+            self._look_for_answer()
+            if piece and not link.refused:
+                await self._send(written(writer, h11.Data(piece)))
+        if not link.refused and (end := written(writer, END)):
+            await self._send(end)
 
     async def read_head(self) -> Answer:
-        """Wait for the answer's head; see the base class. A small body is read with it."""
+        """Wait for the answer's head; see the base class. A small body comes with it."""
         link = self.link
         event = link.early
         while event is None:
-            if not link.fed:
-                await link.receive()
-            event = self._response()
+            await link.receive()
+            event = link.response(self.connector.limits.max_head)
         head = Head(event, NOT_FROM_UPSTREAMS)
         link.keeps_alive = head.keeps_alive
-        if self.method == b"HEAD" or event.status_code in BODILESS:
-            link.answer_ended = not link.http.trailing_data[0]
-            await self.give_back()
-            return Answer(event.status_code, head.pairs, head.length, None)
-        if head.chunked == (head.length is not None):
+        status, length = event.status_code, head.length
+        if self.method == b"HEAD" or status in BODILESS:
+            return await self._whole(Answer(status, head.pairs, length, None))
+        if head.chunked == (length is not None):
             message = "The answer's length is not known for sure. Send one of Content-Length or "
             raise link.failed(message + "Transfer-Encoding: chunked.")
-        return await self._with_body(event.status_code, head)
-
-    async def _with_body(self, status: int, head: Head) -> Answer:
-        """Return the answer, its body with it if all of that has come.
-
-        A sized body that is all there is taken as it is: h11 would only count its bytes.
-        """
-        link = self.link
-        rest = link.http.trailing_data[0]
-        if head.length is None or len(rest) < head.length:
-            return Answer(status, head.pairs, head.length, AnswerBody(self))
-        link.answer_ended = len(rest) == head.length
+        if length is None or len(link.received) < length:
+            return Answer(status, head.pairs, length, AnswerBody(self, length))
+        return await self._whole(
+            Answer(status, head.pairs, length, BytesBody(link.received.take(length)))
+        )
+
+    async def _whole(self, answer: Answer) -> Answer:
+        """Give the link back, since all of the answer is here."""
+        self.link.answer_ended = True
         await self.give_back()
-        return Answer(status, head.pairs, head.length, BytesBody(rest[: head.length]))
-
-    def _response(self) -> h11.Response | None:
-        """Return the answer's head if h11 has it; interim answers are passed over."""
-        link = self.link
-        limit = self.connector.limits.max_head
-        while True:
-            held = link.http.trailing_data[0]
-            if len(held) > limit and head_size(held) > limit:
-                raise link.failed(f"The answer's head has more than {limit} bytes.")
-            event = link.next_event()
-            if type(event) is h11.Response:
-                return event
-            if type(event) is not h11.InformationalResponse:
-                link.fed = False
-                return None
-
-    async def _send_piece(self, piece: bytes) -> None:
-        """Send a piece of the body unless the upstream has refused the request by now."""
-        link = self.link
-        self._look_for_answer()
-        if link.refused:
-            return
-        parts = link.http.send_with_data_passthrough(h11.Data(piece))
-        await self._send(parts[0] if len(parts) == 1 else b"".join(parts))
+        return answer
 
     async def _send(self, data: bytes) -> None:
         """Send all of `data` unless the upstream refuses the request meanwhile."""
@@ -195,16 +153,17 @@
     def _look_for_answer(self) -> None:
         link = self.link
         if link.early is None and link.receive_now():
-            link.early = self._response()
+            link.early = link.response(self.connector.limits.max_head)
 
 
 class AnswerBody(Body):
     """An answer's body that is still coming; gives the connection back at its end or close."""
 
-    __slots__ = ("connection",)
+    __slots__ = ("connection", "reader")
 
-    def __init__(self, connection: HttpConnection):
+    def __init__(self, connection: HttpConnection, length: int | None):
         self.connection = connection
+        self.reader = body_reader(length)
 
     async def read(self) -> bytes:
         """Return the next piece, b"" at the clean end.
@@ -216,14 +175,13 @@
             return b""
         link = self.connection.link
         try:
-            while (event := link.next_event()) is h11.NEED_DATA:
-                await link.receive()
+            event = await link.body_event(self.reader)
         except UpstreamFailed:
             await self.close()
             raise
         if type(event) is h11.Data:
             return bytes(event.data)
-        link.answer_ended = not link.http.trailing_data[0]
+        link.answer_ended = True
         await self.connection.give_back()
         return b""
 
--- a/sequoiabridge/upstreams/link.py
+++ b/sequoiabridge/upstreams/link.py
@@ -1,4 +1,4 @@
-"""One socket to an upstream with its h11 state, kept over many requests, lent to one at a time."""
+"""One socket to an upstream, kept over many requests, lent to one at a time."""
 
 import select
 import socket
@@ -8,11 +8,12 @@
 import h11
 from curio.traps import _io_release, _read_wait, _write_wait
 
-from ..codec import READ_SIZE
+from ..codec import READ_SIZE, BodyReader, Received
 from ..exceptions import UpstreamFailed
 from ..selector import Descriptor
 from ..timers import Clock
 
+SWITCHING = 101
 LEAST_REFUSAL = 400
 """An early answer with this status or above ends the sending of the request's body."""
 
@@ -26,9 +27,9 @@
         requests: How many requests it has carried.
         sent: True once a byte of the present request may have left.
         early: The head of an answer that came before the request's body was sent, or None.
-        fed: True if h11 holds bytes that have not been looked at.
+        received: What has come and has not been read.
         request_ended: True once the whole request was sent.
-        answer_ended: True once the whole answer has come, and nothing after it.
+        answer_ended: True once the whole answer has been read.
         keeps_alive: True if the upstream takes another request.
     """
 
@@ -36,33 +37,31 @@
         "address",
         "sock",
         "descriptor",
-        "http",
+        "received",
         "clock",
         "opened",
         "last_heard",
         "requests",
         "sent",
         "early",
-        "fed",
         "request_ended",
         "answer_ended",
         "keeps_alive",
-        "max_head",
         "waiting",
         "closed",
         "both",
     )
 
-    def __init__(self, address: str, sock: socket.socket, clock: Clock, max_head: int):
+    def __init__(self, address: str, sock: socket.socket, clock: Clock):
         self.address = address
         self.sock = sock
         self.descriptor = Descriptor(sock.fileno())
-        self.max_head = max_head
         self.clock = clock
         self.opened = clock.now()
         self.last_heard = self.opened
         self.requests = 0
         self.early: h11.Response | None = None
+        self.received = Received()
         self._renew()
         self.waiting = False
         self.closed = False
@@ -88,7 +87,7 @@
         return UpstreamFailed(f"{self.address}: {message}", sent=self.sent)
 
     async def receive(self) -> None:
-        """Wait for bytes from the upstream and feed them to h11."""
+        """Wait for bytes from the upstream and take them."""
         self.waiting = True
         try:
             while not self.receive_now():
@@ -97,7 +96,7 @@
             self.waiting = False
 
     def receive_now(self) -> bool:
-        """Feed h11 what has come; False if nothing has."""
+        """Take what has come; False if nothing has."""
         if self.closed:
             raise self.failed("The connection was closed to cancel the request.")
         try:
@@ -108,16 +107,38 @@
             raise self.failed(f"The connection broke: {error}.") from error
         if data:
             self.last_heard = self.clock.now()
-        self.http.receive_data(data)
-        self.fed = True
+        self.received.feed(data)
         return True
 
-    def next_event(self) -> h11.Event | type:
-        """Return h11's next event."""
+    def response(self, max_head: int) -> h11.Response | None:
+        """Return the answer's head, None while it has not come; interim answers are passed over."""
+        while True:
+            try:
+                event, raw = self.received.response()
+            except h11.LocalProtocolError as error:
+                raise self.failed(f"The answer is not valid HTTP: {error}.") from error
+            if max(len(raw), 0 if event else len(self.received)) > max_head:
+                raise self.failed(f"The answer's head has more than {max_head} bytes.")
+            if type(event) is h11.Response:
+                return event
+            if event is None:
+                break
+            if event.status_code == SWITCHING:
+                raise self.failed("It changed the protocol, which it was not asked to.")
+        if self.received.closed:
+            raise self.failed("It closed the connection before its answer was whole.")
+        return None
+
+    async def body_event(self, reader: BodyReader) -> h11.Data | h11.EndOfMessage:
+        """Wait for the next part of the answer's body."""
         try:
-            return self.http.next_event()
-        except h11.RemoteProtocolError as error:
-            raise self.failed(f"The answer is not whole or not valid: {error}.") from error
+            while (event := self.received.body_event(reader)) is None:
+                if self.received.closed:
+                    raise self.failed("It closed the connection within its answer.")
+                await self.receive()
+        except h11.LocalProtocolError as error:
+            raise self.failed(f"The answer's body is malformed: {error}.") from error
+        return event
 
     def send_now(self, data: bytes | memoryview) -> int:
         """Return how many bytes the socket took; 0 if it is full."""
@@ -153,16 +174,14 @@
     def finish(self) -> bool:
         """Get ready for another request; False if the connection cannot carry one."""
         whole = self.request_ended and self.answer_ended and self.keeps_alive
-        if not whole or self.closed or self.early:
+        if not whole or self.closed or self.early or self.received or self.received.closed:
             return False
         self._renew()
         return True
 
     def _renew(self) -> None:
-        """Forget the last request; a new h11 connection costs less than another cycle of it."""
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=self.max_head)
+        """Forget the last request."""
         self.sent = False
-        self.fed = False
         self.request_ended = False
         self.answer_ended = False
         self.keeps_alive = False
@@ -182,7 +201,7 @@
         self.sock.close()
 
 
-async def open_link(address: str, clock: Clock, max_head: int, timeout: float) -> Link:
+async def open_link(address: str, clock: Clock, timeout: float) -> Link:
     """Open a connection to `address` ("IP:port") within `timeout` seconds.
 
     Raises:
@@ -203,7 +222,7 @@
         if error:
             raise OSError(error, "connect failed")
         opened = True
-        return Link(address, sock, clock, max_head)
+        return Link(address, sock, clock)
     except curio.TaskTimeout as late:
         message = f"{address}: No connection within {timeout:.3f} s. Try another upstream."
         raise UpstreamFailed(message, sent=False, timed_out=True) from late
