Run whole VMs inside the matrix on the jumping clock

Cause: a cell has to drive the real parts; the real daemon is the surest way to have all of them. Ruled out: an assembly of the parts of the matrix's own, which would drift from the daemon's.

--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -1,12 +1,13 @@
 """The caller's side of a trial: one HTTP call over h11 on curio, and what the caller was told."""
 
 import hashlib
-import time
 
 import curio
 import h11
 import msgspec
 
+from sequoiabridge.timers import Clock, SystemClock
+
 from .oracle import Kind, Told
 
 READ_SIZE = 65536
@@ -84,10 +85,14 @@
 
 
 class Caller:
-    """Sends calls to entry VMs and keeps clean connections for the next call."""
+    """Sends calls to entry VMs and keeps clean connections for the next call.
+
+    `transmit` and `answering` are there to be overridden by callers that misbehave.
+    """
 
-    def __init__(self, patience: float = 30.0):
+    def __init__(self, patience: float = 30.0, clock: Clock | None = None):
         self.patience = patience
+        self.clock = clock or SystemClock()
         self.idle: dict[str, list[Line]] = {}
 
     async def call(self, entry: str, call: Call, window: float = 0.0) -> Told:
@@ -99,7 +104,7 @@
             caller=call.caller,
             key=call.key,
             digest=hashlib.sha256(call.body).hexdigest(),
-            began=time.time(),
+            began=self.clock.wall(),
             window=window,
         )
         line = None
@@ -111,7 +116,7 @@
             told.error = "patience"
         except (OSError, h11.ProtocolError) as error:
             told.error = f"{type(error).__name__}: {error}"
-        told.ended = time.time()
+        told.ended = self.clock.wall()
         await self.keep(entry, line, told)
         return told
 
@@ -121,7 +126,7 @@
         data = line.state.send(head)
         if call.body:
             data += line.state.send(h11.Data(data=call.body))
-        await line.sock.sendall(data + line.state.send(h11.EndOfMessage()))
+        await self.transmit(line, data + line.state.send(h11.EndOfMessage()))
         answer = await line.event()
         if not isinstance(answer, h11.Response):
             raise ConnectionError("closed before an answer")
@@ -130,12 +135,20 @@
         told.outcome = headers.get(b"sequoia-outcome", b"").decode()
         told.reason = headers.get(b"sequoia-reason", b"").decode()
         told.request = headers.get(b"sequoia-request-id", b"").decode()
+        await self.answering(told)
         body = bytearray()
         while isinstance(event := await line.event(), h11.Data):
             body += event.data
         told.whole = isinstance(event, h11.EndOfMessage)
         read_echo(told, bytes(body), headers.get(b"x-answer-digest", b"").decode())
 
+    async def transmit(self, line: Line, data: bytes) -> None:
+        """Send the bytes of a whole request."""
+        await line.sock.sendall(data)
+
+    async def answering(self, told: Told) -> None:
+        """The head of an answer has come; its body has not been read yet."""
+
     async def line(self, entry: str) -> Line:
         """Return an idle connection that is still open, or a new one."""
         idle = self.idle.setdefault(entry, [])
--- a/benchmarks/oracle.py
+++ b/benchmarks/oracle.py
@@ -65,10 +65,14 @@
 
 
 class Accepted(msgspec.Struct, kw_only=True):
-    """An operator was told at `at` that a version of the configuration is accepted."""
+    """An operator was told at `at` that a version of the configuration is accepted.
+
+    `mark` is something in its content that no other change sets.
+    """
 
     version: int
     at: float
+    mark: int = 0
 
 
 class InForce(msgspec.Struct, kw_only=True):
@@ -77,6 +81,7 @@
     vm: str
     version: int
     at: float
+    mark: int = 0
 
 
 class Measuring(msgspec.Struct, kw_only=True):
@@ -99,6 +104,7 @@
     LEAVING = "no new work to a leaving upstream after its limit"
     CONFIGURATION = "an accepted configuration is in force in time and never older"
     MEASURING = "measuring stays inside its budget"
+    RECOVERY = "once the fault is over, calls are answered well again"
 
 
 class Violation:
@@ -117,7 +123,8 @@
 class Evidence:
     """All that is known of one trial from the outside."""
 
-    __slots__ = ("runs", "told", "leaving", "accepted", "in_force", "measuring", "in_force_limit")
+    __slots__ = ("runs", "told", "leaving", "accepted", "in_force", "measuring")
+    __slots__ += ("after", "in_force_limit")
 
     def __init__(
         self,
@@ -127,6 +134,7 @@
         accepted: Iterable[Accepted] = (),
         in_force: Iterable[InForce] = (),
         measuring: Iterable[Measuring] = (),
+        after: Iterable[Told] = (),
         in_force_limit: float = 4.0,
     ):
         self.runs = runs
@@ -135,12 +143,14 @@
         self.accepted = list(accepted)
         self.in_force = list(in_force)
         self.measuring = list(measuring)
+        self.after = list(after)
         self.in_force_limit = in_force_limit
 
 
 def judge(evidence: Evidence) -> list[Violation]:
     """Return everything that breaks a promise; an empty list means that all hold."""
     checks = (at_most_once, not_run, own_answers, uploads, leaving, configuration, measuring)
+    checks += (recovery,)
     return [violation for check in checks for violation in check(evidence)]
 
 
@@ -210,6 +220,10 @@
         if due and seen.version < max(due):
             detail = f"{seen.vm} is ready with {seen.version}, {max(due)} was due"
             yield Violation(Promise.CONFIGURATION, detail)
+        for accepted in evidence.accepted:
+            if accepted.version == seen.version and accepted.mark != seen.mark:
+                detail = f"{seen.vm} has {seen.mark} in version {seen.version}, not {accepted.mark}"
+                yield Violation(Promise.CONFIGURATION, detail)
 
 
 def measuring(evidence: Evidence) -> Iterable[Violation]:
@@ -221,6 +235,14 @@
             yield Violation(Promise.MEASURING, detail)
 
 
+def recovery(evidence: Evidence) -> Iterable[Violation]:
+    """Calls that were sent after the faults were over are answered well."""
+    for told in evidence.after:
+        if not told.good:
+            detail = f"{told.attempt}: {told.status} {told.outcome} {told.reason} {told.error}"
+            yield Violation(Promise.RECOVERY, detail)
+
+
 WorkName = tuple[str, str, str]
 """Caller, key and nonce of one piece of work; of an upload, its digest alone."""
 
--- a/sequoiabridge/tests/matrix/fakes.py
+++ b/sequoiabridge/tests/matrix/fakes.py
@@ -133,7 +133,7 @@
 class StepTables(MemoryTables):
     """The table service in memory; says which step a write belongs to.
 
-    `step_of` maps the writes of a transaction to a step, or to None.
+    `step_of` maps a transaction to the steps that it is before and after its effect, or None.
     """
 
     def __init__(self, steps: Steps, step_of, faults=None):
@@ -142,12 +142,12 @@
         self.step_of = step_of
 
     async def transact(self, conditions, writes, timeout):
-        step = self.step_of(self, conditions, writes)
-        if step is not None:
-            await self.steps.reached(step, Moment.BEFORE)
+        before, after = self.step_of(self, conditions, writes)
+        if before is not None:
+            await self.steps.reached(before, Moment.BEFORE)
         result = await super().transact(conditions, writes, timeout)
-        if step is not None:
-            await self.steps.reached(step, Moment.AFTER)
+        if after is not None:
+            await self.steps.reached(after, Moment.AFTER)
         return result
 
 
@@ -194,14 +194,18 @@
 class FakeChannel(Channel):
     """A daemon's channel over `Network`."""
 
-    def __init__(self, network: Network, address: str):
-        self.network = network
+    network: Network
+
+    def __init__(self, address: str):
         self.address = address
         self.inbox: deque[bytes] = deque(maxlen=INBOX)
         self.near, self.far = socket.socketpair()
         self.near.setblocking(False)
         self.far.setblocking(False)
-        network.channels[address] = self
+        self.network.channels[address] = self
+
+    def listen(self) -> None:
+        """There is nothing to bind."""
 
     def send(self, address: str, frame: bytes) -> bool:
         target = self.network.channels.get(address)
--- a/sequoiabridge/tests/matrix/steps.py
+++ b/sequoiabridge/tests/matrix/steps.py
@@ -101,6 +101,8 @@
         self.armed: list[Armed] = []
         self.seen: Counter[tuple[Step, Moment]] = Counter()
         self.open = False
+        self.soon: list[tuple[Step, str]] = []
+        self.wake = curio.UniversalEvent()
 
     def arm(self, step: Step, moment: Moment, action: Action) -> Armed:
         """Do `action` when `step` is next reached."""
@@ -127,3 +129,18 @@
             task = await adopt(None, armed.action, subject)
             await task.join()
             await curio.sleep(0)
+
+    def reached_soon(self, step: Step, vm: str = "") -> None:
+        """As `reached`, from a plain function: what is armed happens as soon as that returns."""
+        if self.open:
+            self.soon.append((step, vm))
+            self.wake.set()
+
+    async def serve_soon(self) -> None:
+        """Do what `reached_soon` left; run as a task of the test's own."""
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.soon:
+                step, vm = self.soon.pop(0)
+                await self.reached(step, vm=vm)
--- /dev/null
+++ b/sequoiabridge/tests/matrix/vm.py
@@ -0,0 +1,134 @@
+"""One VM of the matrix: the real daemon, with fakes in place of everything outside of it."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import curio
+from curio.io import Socket
+
+from ...callers.connection import CallerConnection
+from ...config.settings import Settings
+from ...daemon import Daemon
+from .fakes import INBOX
+from .steps import Step
+from .virtual import Owner, adopt
+
+if TYPE_CHECKING:
+    from .world import World
+
+SETTINGS = """
+[vm]
+name = {name}
+data_centre = dc-1
+[callers]
+address = 127.0.0.1:0
+balancer_lag = 500ms
+[admin]
+address = 127.0.0.1:0
+token = an-operators-token-for-tests
+[fleet]
+address = {fleet}
+seeds = {seeds}
+key = a-key-of-the-fleet-that-is-long-enough
+[platform]
+tables = 127.0.0.1:1
+objects = 127.0.0.1:1
+list = 127.0.0.1:1
+"""
+
+CHUNK = 1000
+"""Bytes of an upload's chunk here."""
+
+
+class MatrixDaemon(Daemon):
+    """The daemon without signals, which tells `Steps` what no fake can see."""
+
+    def __init__(self, settings: Settings, world: World):
+        self.world = world
+        super().__init__(settings, world.clock)
+        self.uploads.chunk_size = CHUNK
+        self.uploads.commit_every = 2
+
+    def _catch_signals(self) -> None:
+        """Signals concern the test's own process."""
+
+    def _apply(self, document) -> None:
+        self.world.steps.reached_soon(Step.APPLIED, self.vm)
+        super()._apply(document)
+
+    async def _stop(self) -> None:
+        leave = self.fleet.leave
+
+        async def step_and_leave() -> None:
+            await self.world.steps.reached(Step.LAST_ENDS)
+            await self.world.steps.reached(Step.LEAVE)
+            await leave()
+
+        self.fleet.leave = step_and_leave
+        await self.world.steps.reached(Step.DRAIN)
+        await super()._stop()
+
+
+class Vm:
+    """A VM that can be started, paused, killed, stopped and replaced under its name."""
+
+    def __init__(self, world: World, name: str, number: int):
+        self.world = world
+        self.name = name
+        self.fleet = f"127.0.0.1:{7000 + number}"
+        self.owner = Owner(name)
+        self.daemon: MatrixDaemon | None = None
+        self.task: curio.Task | None = None
+        self.ends: list[socket.socket] = []
+
+    @property
+    def up(self) -> bool:
+        """True while its process lives, paused or not."""
+        return self.task is not None and not self.task.terminated
+
+    @property
+    def ready(self) -> bool:
+        """True if the balancer sends it callers."""
+        return self.up and not self.owner.frozen and self.daemon.readiness.check()[0]
+
+    async def start(self) -> None:
+        """Start a daemon with nothing left of an earlier one."""
+        seeds = [vm.fleet for vm in self.world.vms.values() if vm is not self][:2]
+        text = SETTINGS.format(name=self.name, fleet=self.fleet, seeds=", ".join(seeds))
+        self.owner = Owner(self.name)
+        self.daemon = MatrixDaemon(Settings.parse(text).ok, self.world)
+        self.task = await adopt(self.owner, self.daemon.run)
+
+    async def kill(self) -> None:
+        """End it at once: nothing runs on, and all its connections break."""
+        self.owner.freeze()
+        self.task = None
+        self.world.network.channels.pop(self.fleet, None)
+        self.world.dialer.cut(self.owner)
+        for end in self.ends:
+            if end.fileno() >= 0:
+                end.shutdown(socket.SHUT_RDWR)
+        self.ends.clear()
+
+    async def stop(self) -> None:
+        """Stop it as planned, as SIGTERM does."""
+        if not self.up or self.daemon.readiness.stopping:
+            return
+        self.daemon.readiness.stopping = True
+        self.daemon.stop_asked.set()
+
+    async def connect(self) -> Socket:
+        """Return a new connection of a caller."""
+        if not self.up or self.daemon.callers.stopping:
+            raise ConnectionRefusedError("connection refused")
+        near, far = socket.socketpair()
+        far.setblocking(False)
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, INBOX * 64)
+        self.ends.append(far)
+        server = self.daemon.callers
+        connection = CallerConnection(server, far, "127.0.0.1:9999")
+        server.open.add(connection)
+        connection.wire.task = await adopt(self.owner, server._run, connection)
+        return Socket(near)
