Measure an idle daemon against its bounds

18 real daemons over loopback with the stand-in platform and no calls, watched from outside for 20 s after 15 s of settling: CPU from the scheduler's own count, resident memory, bytes sent by the fleet's own counters and, where ss is installed, by the kernel's. Two configurations: 6 services with 14 upstreams, and 170 with 5,600.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,7 @@
 .PHONY: bench-hop
 bench-hop: $(VENV)/ready
 	$(BIN)/python -m benchmarks.hop
+
+.PHONY: bench-daemon
+bench-daemon: $(VENV)/ready
+	$(BIN)/python -m benchmarks.daemon
