--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,7 @@
 .PHONY: bench-upload
 bench-upload: $(VENV)/ready
 	$(BIN)/python -m benchmarks.upload
+
+.PHONY: bench-daemon
+bench-daemon: $(VENV)/ready
+	$(BIN)/python -m benchmarks.daemon
