Decide by the real admission queue, retry budget and crash ledgers

Change: one crash ledger a service (causes near in time must not mix services); hedging by latency quantiles; connection shares by the most VMs seen lately; a call refused for reasons of the daemon's own no longer lowers the concurrency limit; displaced calls are answered at once. Drain marks with a wall time in ms were passed over as too long a number; test added. Upload headers of callers are not passed on by other rules. Ruled out: one ledger for all services; blame would be shared with unrelated crashes.

--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -40,7 +40,6 @@
 from .pipeline.stopping import CrashStop
 from .pipeline.upload_sender import UploadSender
 from .pipeline.uploads import UploadHandler
-from .policy.crashes import CrashLedger
 from .readiness import DaemonReadiness
 from .store.claim_admin import ClaimAdmin
 from .store.claims import Claims
@@ -85,7 +84,6 @@
         self.random = Random()
         self.metrics = Metrics()
         self.journal = Journal(self.clock, self.vm)
-        self.ledger = CrashLedger()
         self.fleet = self._fleet()
         self._build_store()
         self.uploads = Uploads(self.store, self.store.objects, self.clock, self.vm)
@@ -162,9 +160,7 @@
         self.services = Services(
             self.clock, self.random, self.connector.set_share, self.fleet.live_count
         )
-        self.sharing = Sharing(
-            self.vm, self.services, self.ledger, self.fleet, self.metrics, self.clock
-        )
+        self.sharing = Sharing(self.vm, self.services, self.fleet, self.metrics, self.clock)
         prober = Prober(self.connector, self.clock)
         self.probing = Probing(self.services, prober, self.metrics, self.sharing, self.clock)
         self.admit = Admit(self.services, self.clock)
@@ -173,7 +169,7 @@
             Identify(),
             Match(self.configuration.document, self.readiness.why_not_serving),
             Buffering(),
-            CrashStop(self.ledger, self.clock),
+            CrashStop(self.services, self.clock),
             Spool(UploadHandler(self.uploads)),
             self.admit,
             Claiming(self.claims),
@@ -200,10 +196,9 @@
             self.versions,
             self.claim_admin,
             self.uploads,
-            self.ledger,
             self.journal,
         )
-        releases = DaemonReleases(self.ledger, self.claim_admin, self.fleet, self.clock)
+        releases = DaemonReleases(self.services, self.claim_admin, self.fleet, self.clock)
         gatherer = Gatherer(self._peers, admin.token)
         executor = Executor(
             self.vm, self.clock, state, self.configuration, releases, self.journal, gatherer
@@ -239,6 +234,7 @@
         timers = self.timers
         for part in (self.store, self.claims, self.claim_admin, self.configuration):
             part.subscribe(timers)
+        self.services.subscribe(timers)
         self.sharing.subscribe(timers)
         self.probing.subscribe(timers)
         self.fleet.on_event(lambda event: self.services.share_connections())
--- a/sequoiabridge/operators/releases.py
+++ b/sequoiabridge/operators/releases.py
@@ -6,7 +6,7 @@
 
 from ..exceptions import SequoiaError
 from ..fleet.base import CrashItem, Fleet, Urgency
-from ..policy.crashes import CrashLedger
+from ..pipeline.services import Services
 from ..store.claim_admin import ClaimAdmin
 from ..timers import Clock
 from .bases import Releases
@@ -24,8 +24,8 @@
 class DaemonReleases(Releases):
     """Releases crash stops in the whole fleet, and claims in the table."""
 
-    def __init__(self, ledger: CrashLedger, claims: ClaimAdmin, fleet: Fleet, clock: Clock):
-        self.ledger = ledger
+    def __init__(self, services: Services, claims: ClaimAdmin, fleet: Fleet, clock: Clock):
+        self.services = services
         self.claims = claims
         self.fleet = fleet
         self.clock = clock
@@ -44,10 +44,12 @@
         return Ok(f"Claim {name} is released; its key may be used again.")
 
     def _held_crash(self, name: str) -> Result[str, SequoiaError]:
-        for entry in self.ledger.listed(self.clock.now()):
-            if entry.fingerprint == name:
-                upstreams = ", ".join(sorted(entry.upstreams))
-                return Ok(f"Request {name} was with {upstreams} when they crashed.")
+        now = self.clock.now()
+        for state in self.services.states():
+            for entry in state.ledger.listed(now):
+                if entry.fingerprint == name:
+                    upstreams = ", ".join(entry.upstreams)
+                    return Ok(f"Request {name} was with {upstreams} when they crashed.")
         return Error(NotFound(f"No request {name} is listed; see show crashes."))
 
     def _release_crash(self, name: str) -> Result[str, SequoiaError]:
@@ -55,7 +57,8 @@
         if found.is_error():
             return found
         wall = self.clock.wall()
-        self.ledger.release(name, wall)
+        for state in self.services.states():
+            state.ledger.release(name, wall)
         self.fleet.publish(CrashItem(name, "", wall, released=True), Urgency.CRASH)
         return Ok(f"Request {name} may run again, on all VMs within seconds.")
 
--- a/sequoiabridge/operators/state.py
+++ b/sequoiabridge/operators/state.py
@@ -12,7 +12,6 @@
 from ..exceptions import SequoiaError, StoreUnavailable
 from ..fleet.fleet import FleetNode
 from ..pipeline.services import Services, ServiceState
-from ..policy.crashes import CrashLedger
 from ..policy.evidence import UpstreamEvidence
 from ..store.claim_admin import ClaimAdmin
 from ..store.upload_index import UploadEntry
@@ -59,7 +58,6 @@
         versions: Versions,
         claims: ClaimAdmin,
         uploads: Uploads,
-        ledger: CrashLedger,
         journal: Journal,
     ):
         self.vm = vm
@@ -71,7 +69,6 @@
         self.versions = versions
         self.claims = claims
         self.uploads = uploads
-        self.ledger = ledger
         self.journal = journal
 
     async def rows(self, subject: Subject, of: str | None) -> Rows:
@@ -104,8 +101,8 @@
             hosts=", ".join(service.hosts),
             path_prefix=service.path_prefix,
             upstreams=len(state.upstreams),
-            queued=state.queue.queued,
-            in_flight=state.queue.in_flight,
+            queued=state.queue.waiting,
+            in_flight=state.queue.running,
             tail_weight=service.tail_weight,
             probes_per_1000=service.probes_per_1000,
         )
@@ -197,16 +194,18 @@
         return rows
 
     def _crashes(self) -> list[ShowRow]:
-        now = self.clock.now()
+        now, wall = self.clock.now(), self.clock.wall()
         return [
             CrashRow(
                 fingerprint=entry.fingerprint,
+                service=state.service.name,
                 count=len(entry.upstreams),
-                upstreams=", ".join(sorted(entry.upstreams)),
-                stopped=entry.stopped,
-                age=round(entry.age, 1),
+                upstreams=", ".join(entry.upstreams),
+                stopped=entry.blocked,
+                age=round(wall - entry.last_at, 1),
             )
-            for entry in self.ledger.listed(now)
+            for state in self.services.states()
+            for entry in state.ledger.listed(now)
         ]
 
     async def _claims(self) -> Rows:
--- a/sequoiabridge/pipeline/accounting.py
+++ b/sequoiabridge/pipeline/accounting.py
@@ -31,6 +31,10 @@
     def failed(self, exchange: Exchange, upstream: str, failure: Failure) -> None:
         """An attempt ended without a usable answer."""
 
+    @abstractmethod
+    def survived(self, exchange: Exchange) -> None:
+        """A call was answered whole, while some requests are suspected of crashing upstreams."""
+
     @abstractmethod
     def retried(self, service: str, hedge: bool) -> None:
         """A call was sent once more."""
@@ -108,6 +112,8 @@
         state.pool.answered(attempt.evidence, now, status, elapsed, attempt.signals.load)
         state.retries.succeeded(now)
         state.hedging.answered(elapsed)
+        if state.ledger.by_fingerprint:
+            self.observer.survived(attempt.exchange)
 
     async def failed(self, state: ServiceState, attempt: Attempt, error: UpstreamFailed) -> None:
         """An attempt broke or stayed silent."""
--- a/sequoiabridge/pipeline/admit.py
+++ b/sequoiabridge/pipeline/admit.py
@@ -21,6 +21,9 @@
 EXPIRE_EVERY = 0.02
 """Seconds between two looks for queued calls that can no longer be answered in time."""
 
+UPSTREAM_REASONS = frozenset({Reason.TIMEOUT, Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SHED})
+"""Refusals that say that the upstreams have too much to do, or are in trouble."""
+
 COME_BACK_SOON = 1.0
 """Seconds after which a caller may come back when nothing better is known."""
 
@@ -59,6 +62,8 @@
         now = self.clock.now()
         ticket = Ticket(exchange.caller, exchange.deadline, now, exchange.rule.weight)
         decision = state.queue.offer(ticket, now)
+        if state.queue.displaced:
+            await self._wake(state.queue.expire(now), refused=True)
         if decision.verdict is Verdict.REFUSED:
             raise _refusal(decision.reason, decision.retry_after)
         if decision.verdict is Verdict.QUEUED:
@@ -70,9 +75,16 @@
         state = self.services.by_name.get(exchange.service.name)
         if state is None:
             return
+        await self._wake(self._released(state, ticket, exchange), refused=False)
+
+    def _released(self, state: ServiceState, ticket: Ticket, exchange: Exchange) -> list[Ticket]:
         now = self.clock.now()
-        admitted = state.queue.release(ticket, now, now - exchange.arrived, clean)
-        await self._wake(admitted, refused=False)
+        refusal = exchange.refusal
+        if ticket.admitted_at is None or exchange.answer is None:
+            return state.queue.withdraw(ticket, now)
+        if refusal is not None and refusal.reason not in UPSTREAM_REASONS:
+            return state.queue.withdraw(ticket, now)
+        return state.queue.release(ticket, now, now - ticket.admitted_at, refusal is None)
 
     async def expire(self) -> None:
         """Refuse the queued calls that can no longer be answered in time; a timer calls this."""
--- a/sequoiabridge/pipeline/attempt.py
+++ b/sequoiabridge/pipeline/attempt.py
@@ -22,6 +22,11 @@
 MIN_DEADLINE_MS = 1
 """Least deadline passed on, in milliseconds; 0 would mean none to some servers."""
 
+REPLACED = frozenset(
+    {headers.DEADLINE, headers.UPLOAD_ID, headers.UPLOAD_OFFSET, headers.UPLOAD_DIGEST}
+)
+"""Request headers that are not passed on as the caller sent them: uploads are named by daemons."""
+
 NOT_RUN_VALUE = b"1"
 
 
@@ -144,7 +149,7 @@
         if isinstance(request.body, ReplayableBody):
             request.body.rewind()
         left_ms = int((exchange.deadline - self.clock.now()) * 1000)
-        fields = [field for field in request.headers if field[0] != headers.DEADLINE]
+        fields = [field for field in request.headers if field[0] not in REPLACED]
         fields.append((headers.REQUEST_ID, exchange.id.encode()))
         fields.append((headers.DEADLINE, b"%d" % max(MIN_DEADLINE_MS, left_ms)))
         outgoing = UpstreamRequest(
--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -143,7 +143,7 @@
     def _hedge_at(self, exchange: Exchange, state: ServiceState, attempt: Attempt) -> float:
         if not (exchange.rule.hedge and exchange.rule.idempotent and _replayable(exchange)):
             return float("inf")
-        return attempt.started + state.hedging.delay(self.clock.now())
+        return attempt.started + state.hedging.delay
 
     def _pay(self, state: ServiceState) -> bool:
         return state.retries.take(self.clock.now())
@@ -162,7 +162,7 @@
             return False
         left = exchange.deadline - self.clock.now()
         sent = exchange.unproven > 0
-        if not may_retry(exchange.rule.idempotent, sent, exchange.attempts, left):
+        if not may_retry(exchange.rule, sent, not sent, exchange.attempts, left):
             exchange.note(Repeated("retry", False, "not allowed, or no attempt or time left"))
             return False
         if not self._pay(state):
--- a/sequoiabridge/pipeline/services.py
+++ b/sequoiabridge/pipeline/services.py
@@ -11,22 +11,57 @@
 from ..parts import Part
 from ..policy.admission import AdmissionQueue
 from ..policy.choosers import chooser_named
+from ..policy.concurrency import ConcurrencyLimit
+from ..policy.crashes import CrashLedger
 from ..policy.evidence import UpstreamSpec
 from ..policy.pool import PoolOptions, PoolState
 from ..policy.probing import ProbeBudget
-from ..policy.retries import HedgeDelay, RetryBudget
-from ..policy.shares import connection_share
-from ..timers import Clock
+from ..policy.quantiles import LatencyHistogram
+from ..policy.retries import RetryBudget, hedge_delay
+from ..policy.shares import LiveCount, connection_share
+from ..timers import Clock, Timers
 
 QUIET = 15.0
 """Seconds after the last call from which a service counts as quiet; evidence has faded then."""
 
 
+FIRST_LIMIT = 64
+"""Calls of a service that may run at the start, before the adaptive limit has learned anything."""
+
+LEAST_LIMIT = 4
+"""Calls of a service that may always run."""
+
+SHARE_EVERY = 10.0
+"""Seconds between two looks whether connections are to be shared out anew."""
+
+REFRESHED_AFTER = 64
+"""Answers after which the hedging delay is worked out anew."""
+
+
+class Hedging:
+    """When a silent call of one service is hedged."""
+
+    __slots__ = ("latencies", "tail_weight", "delay", "answers")
+
+    def __init__(self, tail_weight: float):
+        self.latencies = LatencyHistogram()
+        self.tail_weight = tail_weight
+        self.delay = hedge_delay(self.latencies, tail_weight)
+        self.answers = 0
+
+    def answered(self, elapsed: float) -> None:
+        """Take in the latency of one good answer, in seconds."""
+        self.latencies.add(elapsed)
+        self.answers += 1
+        if self.answers % REFRESHED_AFTER == 0:
+            self.delay = hedge_delay(self.latencies, self.tail_weight)
+
+
 class ServiceState:
     """One service as this daemon sees it: policy objects that outlive configuration changes."""
 
     __slots__ = ("service", "upstreams", "pool", "queue", "retries", "hedging", "probing")
-    __slots__ += ("called_at",)
+    __slots__ += ("ledger", "called_at")
 
     def __init__(self, service: Service, random: Random):
         self.service = service
@@ -34,10 +69,12 @@
         self.pool = PoolState(
             service.name, pool_options(service), chooser_named(service.chooser), random
         )
-        self.queue = AdmissionQueue(service.queue_limit, service.caller_share)
+        limit = ConcurrencyLimit(FIRST_LIMIT, LEAST_LIMIT)
+        self.queue = AdmissionQueue(limit, service.queue_limit, service.caller_share)
         self.retries = RetryBudget(service.retry_ratio)
-        self.hedging = HedgeDelay()
+        self.hedging = Hedging(service.tail_weight)
         self.probing = ProbeBudget(service.probes_per_1000, service.tail_weight)
+        self.ledger = CrashLedger()
         self.called_at = float("-inf")
 
     def configure(self, service: Service) -> None:
@@ -45,8 +82,10 @@
         self.service = service
         self.pool.options = pool_options(service)
         self.pool.chooser = chooser_named(service.chooser)
-        self.queue.configure(service.queue_limit, service.caller_share)
+        self.queue.queue_limit = service.queue_limit
+        self.queue.caller_share = service.caller_share
         self.retries.ratio = service.retry_ratio
+        self.hedging.tail_weight = service.tail_weight
         self.probing = ProbeBudget(service.probes_per_1000, service.tail_weight)
 
     def dump(self, now: float) -> dict:
@@ -56,6 +95,8 @@
             "queue": self.queue.dump(now),
             "retries": self.retries.dump(now),
             "probing": self.probing.dump(now),
+            "hedge_after_ms": round(self.hedging.delay * 1000, 1),
+            "crash_suspects": len(self.ledger.by_fingerprint),
         }
 
 
@@ -80,6 +121,8 @@
         self.random = random
         self.set_share = set_share
         self.live_count = live_count
+        self.live_lately = LiveCount()
+        self.shared_by = 0
         self.by_name: dict[str, ServiceState] = {}
         self.busy: dict[str, ServiceState] = {}
         self.woken: list[Callable[[], None]] = []
@@ -95,9 +138,16 @@
             self._update_one(document, name, service)
         self.document = document
 
+    def subscribe(self, timers: Timers) -> None:
+        """Look from time to time whether fewer VMs share the connections."""
+        timers.every(SHARE_EVERY, "connection shares", self.share_connections)
+
     def share_connections(self) -> None:
-        """Divide the connections of all upstreams anew, after VMs came or went."""
-        live = self.live_count()
+        """Divide the connections of all upstreams anew if VMs came, or went some time ago."""
+        live = self._sharing_vms()
+        if live == self.shared_by:
+            return
+        self.shared_by = live
         for state in self.by_name.values():
             for upstream in state.upstreams:
                 self._share(self.document, upstream, live)
@@ -144,11 +194,14 @@
         state.upstreams = upstreams
         specs = [spec_of(document, upstream) for upstream in upstreams]
         state.pool.set_upstreams(specs, self.clock.now())
-        live = self.live_count()
+        live = self._sharing_vms()
         for upstream in upstreams:
             self.service_of[upstream.name] = name
             self._share(document, upstream, live)
 
+    def _sharing_vms(self) -> int:
+        return self.live_lately.seen(self.live_count(), self.clock.now())
+
     def _share(self, document: Document, upstream: Upstream, live: int) -> None:
         share = connection_share(document.connections_of(upstream), live)
         self.set_share(upstream.address, share)
--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -9,7 +9,6 @@
 from ..metrics import Metrics
 from ..parts import Part
 from ..policy.base import Failure
-from ..policy.crashes import CrashLedger
 from ..timers import Clock, Timers
 from .accounting import Observer
 from .exchange import Exchange
@@ -21,7 +20,7 @@
 TELL_EVERY = 0.5
 """Seconds between two looks at what is worth telling."""
 
-RETRIES_EVERY = 5.0
+RETRIES_EVERY = 1.0
 """Seconds of one counting period of retries and successes."""
 
 MICROSECONDS = 1_000_000
@@ -36,14 +35,12 @@
         self,
         vm: str,
         services: Services,
-        ledger: CrashLedger,
         fleet: FleetNode,
         metrics: Metrics,
         clock: Clock,
     ):
         self.vm = vm
         self.services = services
-        self.ledger = ledger
         self.fleet = fleet
         self.metrics = metrics
         self.clock = clock
@@ -73,9 +70,14 @@
         now, wall = self.clock.now(), self.clock.wall()
         found = fingerprint(exchange)
         self.crashes += 1
-        self.ledger.seen(found, upstream, self.vm, wall, now)
+        ledger = self.services.by_name[exchange.service.name].ledger
+        ledger.seen(found, upstream, self.vm, wall, now)
         self.fleet.publish(CrashItem(found, upstream, wall), Urgency.CRASH)
 
+    def survived(self, exchange: Exchange) -> None:
+        ledger = self.services.by_name[exchange.service.name].ledger
+        ledger.survived(fingerprint(exchange), self.clock.wall())
+
     def retried(self, service: str, hedge: bool) -> None:
         self.metrics.retries.add(service, "hedge" if hedge else "retry")
 
@@ -94,11 +96,14 @@
 
     def heard_crash(self, item: CrashItem, origin: str) -> None:
         """Take in that a request was with an upstream that crashed, or that it is released."""
-        now = self.clock.now()
         if item.released:
-            self.ledger.release(item.fingerprint, item.at)
+            for state in self.services.states():
+                state.ledger.release(item.fingerprint, item.at)
             return
-        self.ledger.seen(item.fingerprint, item.upstream, origin, item.at, now)
+        state = self.services.by_name.get(self.services.service_of.get(item.upstream, ""))
+        if state is not None:
+            now = self.clock.now()
+            state.ledger.seen(item.fingerprint, item.upstream, origin, item.at, now)
 
     def heard_load(self, item: LoadItem, origin: str) -> None:
         """Take in another VM's evidence on an upstream."""
--- a/sequoiabridge/pipeline/stopping.py
+++ b/sequoiabridge/pipeline/stopping.py
@@ -6,11 +6,11 @@
 
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
-from ..policy.crashes import CrashLedger
 from ..timers import Clock
 from .base import Filter
 from .buffering import ReplayableBody
 from .exchange import Exchange
+from .services import Services
 
 FINGERPRINT_LENGTH = 24
 """Hexadecimal digits of a fingerprint: 96 bits, short enough to be typed."""
@@ -19,20 +19,21 @@
 class CrashStop(Filter):
     """Refuses calls whose fingerprint is listed as crashing upstreams."""
 
-    __slots__ = ("ledger", "clock")
+    __slots__ = ("services", "clock")
 
     name = "crash-stop"
 
-    def __init__(self, ledger: CrashLedger, clock: Clock):
-        self.ledger = ledger
+    def __init__(self, services: Services, clock: Clock):
+        self.services = services
         self.clock = clock
 
     async def enter(self, exchange: Exchange) -> None:
-        # Nothing listed is the usual case, and then nothing is computed.
-        if self.ledger.is_empty:
+        ledger = self.services.by_name[exchange.service.name].ledger
+        # Nothing stopped is the usual case, and then nothing is computed.
+        if not ledger.stopped:
             return
         found = fingerprint(exchange)
-        if not self.ledger.blocked(found, self.clock.now()):
+        if not ledger.blocked(found, self.clock.now()):
             return
         message = (
             f"Upstreams crashed on this request, so it is stopped; an operator can release {found}."
--- a/sequoiabridge/policy/admission.py
+++ b/sequoiabridge/policy/admission.py
@@ -122,13 +122,19 @@
 
     def release(self, ticket: Ticket, now: float, latency: float, ok: bool) -> list[Ticket]:
         """An admitted call ended after `latency` seconds; return the calls admitted now."""
+        if ticket.admitted_at is None:
+            return []
+        self._learn(now, latency, ok)
+        self.limit.ended(now, latency, ok, self.running, self.waiting)
+        return self.withdraw(ticket, now)
+
+    def withdraw(self, ticket: Ticket, now: float) -> list[Ticket]:
+        """An admitted call ended in a way that says nothing of the upstreams; as `release`."""
         if ticket.admitted_at is None:
             return []
         ticket.admitted_at = None
         self.running -= 1
         _less(self.running_by, ticket.caller)
-        self._learn(now, latency, ok)
-        self.limit.ended(now, latency, ok, self.running + 1, self.waiting)
         return self._admit_waiting(now)
 
     def abandon(self, ticket: Ticket, now: float) -> list[Ticket]:
@@ -138,7 +144,7 @@
             return []
         if ticket.admitted_at is None:
             return []
-        return self.release(ticket, now, now - ticket.admitted_at, False)
+        return self.withdraw(ticket, now)
 
     def expire(self, now: float) -> list[Ticket]:
         """Take out and return the waiting calls to refuse now; call it after `offer` too.
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -109,6 +109,9 @@
     def failed(self, exchange, upstream, failure):
         self.failures.append(failure)
 
+    def survived(self, exchange):
+        return None
+
     def retried(self, service, hedge):
         return None
 
--- a/sequoiabridge/tests/pipeline/test_idle.py
+++ b/sequoiabridge/tests/pipeline/test_idle.py
@@ -11,7 +11,6 @@
 from ...pipeline.services import QUIET
 from ...pipeline.sharing import Sharing
 from ...policy.admission import Decision, Verdict
-from ...policy.crashes import CrashLedger
 from ...timers import ManualClock, Timers
 from .fakes import Act, Bench
 
@@ -40,6 +39,8 @@
 class Starved:
     """A queue that lets every call wait until it is too late."""
 
+    displaced = ()
+
     def __init__(self):
         self.tickets = []
 
@@ -99,7 +100,7 @@
 def test_a_suspicion_is_told_and_taken_back_without_a_further_call():
     bench, fleet = Bench(Act.ANSWER, Act.ANSWER), FakeFleet()
     clock, _ = on_manual_clock(bench)
-    sharing = Sharing("vm", bench.services, CrashLedger(), fleet, Metrics(), clock)
+    sharing = Sharing("vm", bench.services, fleet, Metrics(), clock)
     state = bench.services.by_name["s"]
     straggler = state.pool.upstreams["u1"]
     bench.services.called(state, clock.now())
@@ -116,7 +117,7 @@
 def test_upstreams_without_calls_are_not_gone_through():
     bench, fleet = Bench(Act.ANSWER), FakeFleet()
     clock, _ = on_manual_clock(bench)
-    sharing = Sharing("vm", bench.services, CrashLedger(), fleet, Metrics(), clock)
+    sharing = Sharing("vm", bench.services, fleet, Metrics(), clock)
     bench.services.by_name["s"].pool.upstreams = None  # Whoever goes through them fails.
     sharing.tell_load()
     assert not fleet.items
--- a/sequoiabridge/tests/test_timers.py
+++ b/sequoiabridge/tests/test_timers.py
@@ -52,3 +52,19 @@
     clock.advance(1.0)
     timers.run_due()
     assert calls == [1, 2]
+
+
+def test_a_callback_that_fails_ends_neither_itself_nor_the_others():
+    clock, timers = make()
+    calls = []
+
+    def fail():
+        calls.append("failed")
+        raise ValueError
+
+    timers.every(1.0, "bad", fail)
+    timers.every(1.0, "good", lambda: calls.append("good"))
+    for _ in range(2):
+        clock.advance(1.0)
+        timers.run_due()
+    assert calls == ["failed", "good", "failed", "good"]
--- a/sequoiabridge/tests/upstreams/test_probes.py
+++ b/sequoiabridge/tests/upstreams/test_probes.py
@@ -49,3 +49,8 @@
         assert not probe.healthy and not probe.failure.sent and probe.size == 0
 
     play(silent, test)
+
+
+def test_an_incarnation_may_be_a_wall_time():
+    assert parse_drain(b"1796236935123") == 1796236935123
+    assert parse_drain(b"9" * 30) is None
--- a/sequoiabridge/timers.py
+++ b/sequoiabridge/timers.py
@@ -11,6 +11,10 @@
 
 import curio
 
+from .logs import get_log
+
+log = get_log("timers")
+
 Callback = Callable[[], Coroutine | None]
 
 IDLE_WAIT = 3600.0
@@ -144,10 +148,15 @@
             _, _, subscription = heapq.heappop(self.heap)
             if subscription.cancelled:
                 continue
-            result = subscription.callback()
+            self._repeat(subscription, now)
+            try:
+                result = subscription.callback()
+            except Exception:
+                # One part's fault must not end the timers of all others.
+                log.exception("%s failed; it is called again when due.", subscription.name)
+                continue
             if result is not None:
                 started.append(result)
-            self._repeat(subscription, now)
         return started
 
     def next_due(self) -> float:
--- a/sequoiabridge/upstreams/reports.py
+++ b/sequoiabridge/upstreams/reports.py
@@ -4,7 +4,8 @@
 
 MAX_VALUE = 64
 """Bytes of a header that are looked at; a report is shorter."""
-MAX_NUMBER = 1_000_000_000
+MAX_DIGITS = 19
+"""Digits of a number that is read; an incarnation may be a wall time in nanoseconds."""
 MILLISECONDS = 1000.0
 
 
@@ -34,6 +35,6 @@
 
 def _number(text: bytes) -> int | None:
     text = text.strip()
-    if not text.isdigit() or len(text) > len(str(MAX_NUMBER)):
+    if not text.isdigit() or len(text) > MAX_DIGITS:
         return None
     return int(text)
