Stop a request that crashed two upstreams before its own retry reaches a third

Cause: the crash ledger was asked only when a call comes in. A retry of the same call was not checked, so the first call of an idempotent crashing request took three upstreams with it. Seen on real daemons: 'show crashes' had katalog-1, katalog-2 and katalog-3 after one call. Ruled out: fewer attempts for all calls; that costs healthy retries. Change: the ledger is asked before each retry too. A new test failed with three requests received before, and passes with two.

--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -21,6 +21,7 @@
 from .exchange import Answer, BytesBody, Exchange
 from .hedge import Race
 from .services import Services, ServiceState
+from .stopping import is_stopped
 
 FIRST_SERVER_ERROR = 500
 
@@ -160,7 +161,11 @@
         untouched = failure is not None and not failure.sent
         if not untouched and not _replayable(exchange):
             return False
-        left = exchange.deadline - self.clock.now()
+        now = self.clock.now()
+        if is_stopped(state.ledger, exchange, now):
+            exchange.note(Repeated("retry", False, "upstreams crashed on this request"))
+            return False
+        left = exchange.deadline - now
         sent = exchange.unproven > 0
         if not may_retry(exchange.rule, sent, not sent, exchange.attempts, left):
             exchange.note(Repeated("retry", False, "not allowed, or no attempt or time left"))
--- a/sequoiabridge/pipeline/stopping.py
+++ b/sequoiabridge/pipeline/stopping.py
@@ -6,6 +6,7 @@
 
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
+from ..policy.crashes import CrashLedger
 from ..timers import Clock
 from .base import Filter
 from .buffering import ReplayableBody
@@ -29,18 +30,21 @@
 
     async def enter(self, exchange: Exchange) -> None:
         ledger = self.services.by_name[exchange.service.name].ledger
-        # Nothing stopped is the usual case, and then nothing is computed.
-        if not ledger.stopped:
+        if not is_stopped(ledger, exchange, self.clock.now()):
             return
         found = fingerprint(exchange)
-        if not ledger.blocked(found, self.clock.now()):
-            return
         message = (
             f"Upstreams crashed on this request, so it is stopped; an operator can release {found}."
         )
         raise Refusal(422, Outcome.NOT_RUN, Reason.CRASHES_UPSTREAMS, message)
 
 
+def is_stopped(ledger: CrashLedger, exchange: Exchange, now: float) -> bool:
+    """Return whether the request may reach no more upstreams because some crashed on it."""
+    # Nothing stopped is the usual case, and then nothing is computed.
+    return bool(ledger.stopped) and ledger.blocked(fingerprint(exchange), now)
+
+
 def fingerprint(exchange: Exchange) -> str:
     """Return by what the same request is known again, whoever sends it to whichever VM.
 
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -13,6 +13,7 @@
 from ...pipeline.dispatch import Dispatch
 from ...pipeline.exchange import Answer, Body, Exchange, Request
 from ...pipeline.services import Services
+from ...pipeline.stopping import fingerprint
 from ...timers import SystemClock
 from ...upstreams.base import Connector, UpstreamConnection
 
@@ -116,6 +117,17 @@
         return None
 
 
+class Blaming(Quiet):
+    """An observer that enters each crash in the service's ledger, as a daemon does."""
+
+    def __init__(self, ledger):
+        super().__init__()
+        self.ledger = ledger
+
+    def failed(self, exchange, upstream, failure):
+        self.ledger.seen(fingerprint(exchange), upstream, "vm-1", 1.0, 1.0)
+
+
 def document(upstreams: int, **rule) -> Document:
     """Return a configuration of one service with so many upstreams and one rule."""
     lines = ["[service s]", "[pool p]", "service = s", "[rule r]", "service = s"]
--- a/sequoiabridge/tests/pipeline/test_dispatch.py
+++ b/sequoiabridge/tests/pipeline/test_dispatch.py
@@ -5,8 +5,9 @@
 
 from ...exceptions import Refusal
 from ...outcome import Outcome, Reason
+from ...pipeline.dispatch import Dispatch
 from ...policy.base import Failure
-from .fakes import Act, Bench
+from .fakes import Act, Bench, Blaming
 
 ONCE = {"idempotent": "no"}
 AGAIN = {"idempotent": "yes"}
@@ -68,6 +69,14 @@
     assert len(bench.network.received) == 2
 
 
+def test_a_request_that_crashed_two_upstreams_does_not_reach_a_third():
+    bench = Bench(Act.RESET, Act.RESET, Act.RESET, **AGAIN)
+    bench.observer = Blaming(bench.services.by_name["s"].ledger)
+    bench.dispatch = Dispatch(bench.services, bench.network, bench.clock, bench.observer)
+    assert refused(bench, bench.exchange()).outcome is Outcome.UNKNOWN
+    assert len(bench.network.received) == 2
+
+
 def test_a_server_error_of_unrepeatable_work_is_not_sent_again():
     bench = Bench(Act.FAIL, Act.ANSWER, Act.ANSWER, **ONCE)
     for _ in range(8):
