Give an upstream work again when it says with a newer incarnation that it is back

Cause: PoolState.resume and a DrainItem with leaving=False existed, but nothing called the one or sent the other. An upstream that had drained once got no work any more from any VM, restarted or not; a rolling replacement of a service at the same addresses would have ended with no upstream. Seen on real daemons: state draining stayed after the upstream's drain had ended. Change: each VM asks /health of upstreams that left, every 2 s divided by the live VMs; a healthy answer with a newer Sequoia-Incarnation and without Sequoia-Drain resumes it and is told to the fleet. New header in headers.py, new method Observer.returned. The stand-in sends its start in ms, and drains with it whatever number its fault has.

--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -34,6 +34,7 @@
 from .pipeline.pipeline import Pipeline, RequestIds
 from .pipeline.probing import Probing
 from .pipeline.record import Record
+from .pipeline.returning import Returning
 from .pipeline.services import Services
 from .pipeline.sharing import Sharing
 from .pipeline.spool import Spool
@@ -163,6 +164,7 @@
         self.sharing = Sharing(self.vm, self.services, self.fleet, self.metrics, self.clock)
         prober = Prober(self.connector, self.clock)
         self.probing = Probing(self.services, prober, self.metrics, self.sharing, self.clock)
+        self.returning = Returning(self.services, prober, self.sharing, self.clock)
         self.admit = Admit(self.services, self.clock)
         filters = [
             Record(self.metrics, self.journal, self.clock),
@@ -237,6 +239,7 @@
         self.services.subscribe(timers)
         self.sharing.subscribe(timers)
         self.probing.subscribe(timers)
+        self.returning.subscribe(timers)
         self.fleet.on_event(lambda event: self.services.share_connections())
         self.admit.subscribe(timers)
         timers.every(IDLE_SWEEP, "idle connections", self.connector.sweep)
--- a/sequoiabridge/headers.py
+++ b/sequoiabridge/headers.py
@@ -30,6 +30,9 @@
 DRAIN = b"sequoia-drain"
 """From upstreams: their incarnation number, when they are leaving."""
 
+INCARNATION = b"sequoia-incarnation"
+"""From upstreams: their incarnation number; a newer one than that of a drain ends the drain."""
+
 NOT_RUN = b"sequoia-not-run"
 """From upstreams: `1` when the request was refused before it ran (load shedding)."""
 
@@ -42,7 +45,7 @@
 UPLOAD_DIGEST = b"sequoia-upload-digest"
 """To upstreams: SHA-256 of the whole upload, in hexadecimal."""
 
-OWN = frozenset({REQUEST_ID, OUTCOME, REASON, REPLAYED, LOAD, DRAIN, NOT_RUN})
+OWN = frozenset({REQUEST_ID, OUTCOME, REASON, REPLAYED, LOAD, DRAIN, INCARNATION, NOT_RUN})
 """Headers that a caller may not send; the daemon strips them."""
 
 HOP_BY_HOP = frozenset(
--- a/sequoiabridge/pipeline/accounting.py
+++ b/sequoiabridge/pipeline/accounting.py
@@ -27,6 +27,10 @@
     def draining(self, upstream: str, incarnation: int) -> None:
         """An upstream said for the first time that it is leaving."""
 
+    @abstractmethod
+    def returned(self, upstream: str, incarnation: int) -> None:
+        """An upstream that was leaving said with a newer incarnation that it is back."""
+
     @abstractmethod
     def failed(self, exchange: Exchange, upstream: str, failure: Failure) -> None:
         """An attempt ended without a usable answer."""
--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -64,6 +64,10 @@
         log.info("%s is leaving, by its own word.", upstream)
         self.fleet.publish(DrainItem(upstream, incarnation), Urgency.DRAIN)
 
+    def returned(self, upstream: str, incarnation: int) -> None:
+        log.info("%s is back, by its own word.", upstream)
+        self.fleet.publish(DrainItem(upstream, incarnation, leaving=False), Urgency.DRAIN)
+
     def failed(self, exchange: Exchange, upstream: str, failure: Failure) -> None:
         if failure is not Failure.RESET:
             return
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -103,10 +103,14 @@
 
     def __init__(self):
         self.failures = []
+        self.back = []
 
     def draining(self, upstream, incarnation):
         return None
 
+    def returned(self, upstream, incarnation):
+        self.back.append((upstream, incarnation))
+
     def failed(self, exchange, upstream, failure):
         self.failures.append(failure)
 
--- a/sequoiabridge/tests/standins/upstream.py
+++ b/sequoiabridge/tests/standins/upstream.py
@@ -19,6 +19,7 @@
     DEADLINE,
     DRAIN,
     IDEMPOTENCY_KEY,
+    INCARNATION,
     LOAD,
     NOT_RUN,
     REQUEST_ID,
@@ -47,6 +48,7 @@
         self.clock = record.clock
         self.faults = Faults()
         self.started = self.clock.now()
+        self.incarnation = int(self.clock.wall() * 1000)
         self.free = curio.Semaphore(slots)
         self.in_flight = 0
         self.open_time = 0.0
@@ -195,8 +197,9 @@
         """Return the headers that each answer carries."""
         fields = [(b"content-type", b"application/json")]
         fields.append((LOAD, load_header(self.history, self.clock.now(), self.slots, self.faults)))
+        fields.append((INCARNATION, b"%d" % self.incarnation))
         if self.faults.drain:
-            fields.append((DRAIN, b"%d" % self.faults.drain))
+            fields.append((DRAIN, b"%d" % self.incarnation))
         return fields
 
     def status(self) -> bytes:
--- a/sequoiabridge/tests/standins/upstream_faults.py
+++ b/sequoiabridge/tests/standins/upstream_faults.py
@@ -10,7 +10,7 @@
     """What is wrong with the stand-in now; shares are 0 to 1 of the requests."""
 
     drain: int = 0
-    """Incarnation that is leaving; 0 = not leaving."""
+    """Not 0: it is leaving, and says so with its own incarnation."""
     shed: float = 0.0
     """Share refused before it runs, and said to be so."""
     fail: float = 0.0
--- a/sequoiabridge/tests/upstreams/test_probes.py
+++ b/sequoiabridge/tests/upstreams/test_probes.py
@@ -22,13 +22,14 @@
 
 
 def test_probe_tells_load_and_drain_counts_bad_headers_and_bytes():
-    head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nSequoia-Drain: 7\r\nSequoia-Load: "
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nSequoia-Drain: 7\r\n"
+    head += b"Sequoia-Incarnation: 7\r\nSequoia-Load: "
     good, bad = head + b"in_flight=1;slots=2\r\n\r\n", head + b"none\r\n\r\n"
 
     async def test(connector, address, socks):
         prober = Prober(connector, connector.clock)
         probe = await prober.probe(address, 1)
-        assert probe.healthy and probe.load.in_flight == 1 and probe.drain == 7
+        assert probe.healthy and probe.load.in_flight == 1 and probe.drain == probe.incarnation == 7
         assert probe.size > 80
         probe = await prober.probe(address, 1)
         assert probe.healthy and probe.load is None and prober.bad_headers == 1
--- a/sequoiabridge/upstreams/probes.py
+++ b/sequoiabridge/upstreams/probes.py
@@ -3,7 +3,7 @@
 import curio
 
 from ..exceptions import UpstreamFailed
-from ..headers import DRAIN, LOAD
+from ..headers import DRAIN, INCARNATION, LOAD
 from ..pipeline.exchange import Answer, RawHeaders
 from ..policy.base import LoadReport
 from ..timers import Clock
@@ -27,18 +27,20 @@
         status: The answer's status, 0 without one.
         load: The load it reported, or None.
         drain: The upstream's incarnation if it says that it is leaving, or None.
+        incarnation: The upstream's incarnation if it says it, or None.
         latency: Seconds from the start to the answer's head.
         size: Bytes spent, both ways, as HTTP counts them.
         failure: Why there was no answer, or None.
     """
 
-    __slots__ = ("healthy", "status", "load", "drain", "latency", "size", "failure")
+    __slots__ = ("healthy", "status", "load", "drain", "incarnation", "latency", "size", "failure")
 
     def __init__(self, latency: float, size: int, failure: UpstreamFailed | None = None):
         self.healthy = False
         self.status = 0
         self.load: LoadReport | None = None
         self.drain: int | None = None
+        self.incarnation: int | None = None
         self.latency = latency
         self.size = size
         self.failure = failure
@@ -92,6 +94,8 @@
                 probe.load = self._counted(parse_load(value))
             elif name == DRAIN:
                 probe.drain = self._counted(parse_drain(value))
+            elif name == INCARNATION:
+                probe.incarnation = self._counted(parse_drain(value))
         return probe
 
     def _counted(self, parsed):
--- a/sequoiabridge/upstreams/reports.py
+++ b/sequoiabridge/upstreams/reports.py
@@ -29,7 +29,7 @@
 
 
 def parse_drain(value: bytes) -> int | None:
-    """Return the incarnation number of an upstream that is leaving, or None if it is not valid."""
+    """Return the incarnation number that an upstream gives, or None if it is not valid."""
     return _number(value)
 
 
