Show what the parts count on the metrics page

Cause: the counters of ejections, hedges, fleet bytes, store, claims and uploads were declared, and nothing ever added to them; no gauge was wired. On a real daemon /metrics showed calls, refusals, retries and probes only, while claims, an outage and an ejection had happened. Ruled out: adding to counters on the path; the parts count already, and are read at the scrape.

--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -42,6 +42,7 @@
 from .pipeline.upload_sender import UploadSender
 from .pipeline.uploads import UploadHandler
 from .readiness import DaemonReadiness
+from .readings import declare_fleet, declare_path, declare_store, declare_uploads
 from .store.claim_admin import ClaimAdmin
 from .store.claims import Claims
 from .store.client import StoreClient
@@ -91,6 +92,7 @@
         self._build_path()
         self._build_uploads()
         self._build_operators()
+        self._declare_metrics()
         self.stop_asked = curio.UniversalEvent()
 
     def parts(self) -> list[Part]:
@@ -210,6 +212,12 @@
         routes = Routes(admin.token, self.readiness, self.metrics, dump, executor)
         self.admin = AdminServer(admin.address, routes)
 
+    def _declare_metrics(self) -> None:
+        declare_path(self.metrics, self.services, self.callers)
+        declare_fleet(self.metrics, self.fleet, self.configuration, self.readiness)
+        declare_store(self.metrics, self.store, self.claims)
+        declare_uploads(self.metrics, self.uploads, self.deliveries)
+
     def _limits(self) -> CallerLimits:
         callers = self.settings.callers
         return CallerLimits(
--- a/sequoiabridge/metrics.py
+++ b/sequoiabridge/metrics.py
@@ -115,8 +115,7 @@
         self.calls: dict[tuple[str, str], CallSeries] = {}
         self.counts: list[Count] = []
         self.readings: list[Reading] = []
-        self._declare_path()
-        self._declare_rest()
+        self._declare()
         self.registry = CollectorRegistry(auto_describe=False)
         self.registry.register(self)
         ProcessCollector(registry=self.registry)
@@ -145,7 +144,7 @@
     def measured(self, service: str, source: str, sent_bytes: int, upstream_seconds: float) -> None:
         """Count one measurement of an upstream's load and what it cost.
 
-        `source` is `probe`, `answer` or `fleet`; `upstream_seconds` is the time that the
+        `source` says what measured, such as `probe`; `upstream_seconds` is the time that the
         upstream spent on it, as far as that can be seen from here.
         """
         self.measurements.add(service, source)
@@ -199,14 +198,12 @@
             for (service, kind), series in self.calls.items()
         }
 
-    def _declare_path(self) -> None:
+    def _declare(self) -> None:
         count = self._count
         self.retries = count("retries", "Attempts after the first.", "service", "why")
-        self.hedges = count("hedges", "Second copies sent, by who answered.", "service", "winner")
         self.refusals = count(
             "refusals", "Answers the daemon made itself.", "service", "reason", "outcome"
         )
-        self.ejections = count("ejections", "Upstreams taken out of use.", "service", "why")
         self.measurements = count(
             "measurements", "Load reports, by where from.", "service", "source"
         )
@@ -216,18 +213,6 @@
         self.measuring_seconds = count(
             "measuring_upstream_seconds", "Upstream time spent on measuring.", "service", "source"
         )
-
-    def _declare_rest(self) -> None:
-        count = self._count
-        self.fleet_bytes = count(
-            "fleet_bytes", "Bytes to and from other VMs.", "direction", "urgency"
-        )
-        self.store_operations = count(
-            "store_operations", "Calls to the platform.", "operation", "result"
-        )
-        self.store_outages = count("store_outages", "Outages of the platform noticed.", "service")
-        self.claims = count("claims", "Claims of work that runs at most once.", "service", "result")
-        self.uploads = count("uploads", "Uploads by how they ended.", "service", "result")
         self.failures = count("collect_failures", "Metrics that could not be read.", "metric")
 
     def _count(self, name: str, help_text: str, *labels: str) -> Count:
--- /dev/null
+++ b/sequoiabridge/readings.py
@@ -0,0 +1,118 @@
+"""Metrics that the daemon's parts count for themselves, read at the time of a scrape.
+
+Nothing is added on the request path for them. docs/operators/metrics.md has each with what to do.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .callers.server import CallerServer
+from .configuration import ConfigurationInForce
+from .exposition import Samples
+from .fleet.fleet import FleetNode
+from .metrics import Metrics
+from .pipeline.services import Services, ServiceState
+from .readiness import DaemonReadiness
+from .store.claims import Claims
+from .store.client import StoreClient
+from .store.upload_delivery import Deliveries
+from .store.uploads import Uploads
+
+SERVICE = ("service",)
+RESULT = ("result",)
+STORE_EVENTS = ("writes", "reads", "refused", "unanswered", "rejected", "settled", "unsettled")
+
+
+def declare_path(metrics: Metrics, services: Services, callers: CallerServer) -> None:
+    """Show queues, calls in flight, ejections and callers' connections."""
+
+    def each(read: Callable[[ServiceState], float]) -> Callable[[], Samples]:
+        return lambda: [((state.service.name,), read(state)) for state in services.states()]
+
+    metrics.counter(
+        "sequoia_ejections",
+        "Upstreams taken out of use.",
+        each(lambda state: state.pool.ejector.count),
+        SERVICE,
+    )
+    metrics.gauge(
+        "sequoia_queue_length", "Calls that wait.", each(lambda state: state.queue.waiting), SERVICE
+    )
+    metrics.gauge(
+        "sequoia_in_flight", "Calls that run.", each(lambda state: state.queue.running), SERVICE
+    )
+    metrics.gauge(
+        "sequoia_caller_connections", "Callers' open connections.", lambda: callers.connections
+    )
+
+
+def declare_fleet(
+    metrics: Metrics,
+    fleet: FleetNode,
+    configuration: ConfigurationInForce,
+    readiness: DaemonReadiness,
+) -> None:
+    """Show readiness, the version in force, the live VMs and the bytes between VMs."""
+    metrics.gauge("sequoia_ready", "1 if callers may be sent here.", lambda: readiness.check()[0])
+    metrics.gauge(
+        "sequoia_configuration_version",
+        "Version in force.",
+        lambda: configuration.document().version,
+    )
+    metrics.gauge("sequoia_live_vms", "VMs that are live, this one included.", fleet.live_count)
+    counters = fleet.counters
+    metrics.counter(
+        "sequoia_fleet_bytes",
+        "Bytes to and from other VMs.",
+        lambda: [(("sent",), counters.bytes_sent), (("received",), counters.bytes_received)],
+        ("direction",),
+    )
+    metrics.counter(
+        "sequoia_fleet_bad_messages",
+        "Messages of other VMs that were dropped.",
+        lambda: [((kind.value,), number) for kind, number in counters.bad.items()],
+        ("kind",),
+    )
+
+
+def declare_store(metrics: Metrics, store: StoreClient, claims: Claims) -> None:
+    """Show what became of calls to the platform, and of claims."""
+    metrics.gauge("sequoia_store_down", "1 while no call goes out.", lambda: store.is_down)
+    metrics.counter("sequoia_store_outages", "Outages noticed.", lambda: store.gate.breaker.opened)
+    metrics.counter(
+        "sequoia_store_events",
+        "Calls to the platform and what became of them.",
+        lambda: [((event,), getattr(store.counts, event)) for event in STORE_EVENTS],
+        ("event",),
+    )
+    metrics.counter(
+        "sequoia_claims",
+        "Claims of work that runs at most once.",
+        lambda: [((name,), getattr(claims.counts, name)) for name in claims.counts.__slots__],
+        RESULT,
+    )
+    metrics.gauge(
+        "sequoia_unproven_reports",
+        "Reports on claims that wait for the store.",
+        lambda: len(claims.reports.kept),
+    )
+
+
+def declare_uploads(metrics: Metrics, uploads: Uploads, deliveries: Deliveries) -> None:
+    """Show what became of requests to uploads, and of deliveries."""
+    metrics.counter(
+        "sequoia_uploads",
+        "Requests to uploads by how they ended.",
+        lambda: [((result,), number) for result, number in uploads.counts.items()],
+        RESULT,
+    )
+    metrics.counter(
+        "sequoia_deliveries",
+        "Attempts to deliver an upload.",
+        lambda: [
+            (("confirmed",), deliveries.confirmed),
+            (("postponed",), deliveries.postponed),
+        ],
+        RESULT,
+    )
