Let the tool say who its operator is

Cause: sequoiactl never sent Sequoia-Author, so that every change by the tool was by 'operator', and the loser of a race was told nothing about who came first. Ruled out: a flag of each verb; a name is the same for a whole session. Change: SEQUOIA_AUTHOR, else the login name. The new test failed with 'operator set version 2'.

--- a/sequoiabridge/commands/client.py
+++ b/sequoiabridge/commands/client.py
@@ -1,5 +1,6 @@
 """A daemon's admin port as the tool sees it: one HTTP request, one JSON answer, typed errors."""
 
+import getpass
 import http.client
 import json
 import os
@@ -18,6 +19,8 @@
 
 TOKEN_VARIABLE = "SEQUOIA_TOKEN"
 
+AUTHOR_VARIABLE = "SEQUOIA_AUTHOR"
+
 TIMEOUT = 30.0
 """Seconds that one answer may take."""
 
@@ -87,6 +90,7 @@
                 "check the address and that the daemon runs."
             ) from None
         headers = {"Authorization": f"Bearer {self.token}", "Content-Length": str(len(body))}
+        headers["Sequoia-Author"] = author()
         try:
             connection.request(method, where, body, headers)
             response = connection.getresponse()
@@ -147,6 +151,21 @@
     return token
 
 
+def author() -> str:
+    """Return the name under which the history shows this operator: the variable, or the login.
+
+    Header values are ASCII here; any other character becomes `?`.
+    """
+    name = os.environ.get(AUTHOR_VARIABLE, "").strip()
+    if not name:
+        try:
+            name = getpass.getuser()
+        except (KeyError, OSError):
+            return ""
+    printable = "".join(c for c in name if c.isprintable())
+    return printable.encode("ascii", "replace").decode()
+
+
 def target(path: tuple[str, ...], query: dict[str, str]) -> str:
     """Return a request target with all parts quoted."""
     where = "/" + "/".join(quote(part, safe="") for part in path)
--- a/sequoiabridge/tests/operators/test_tool_and_port.py
+++ b/sequoiabridge/tests/operators/test_tool_and_port.py
@@ -47,3 +47,14 @@
     assert ("column 6: expected services" in str(raised.value)) == ("serices" in str(body))
     with pytest.raises(AdminError, match="bearer token"):
         with_client(work, token="wrong")
+
+
+def test_the_tool_names_its_operator_to_the_history_and_to_the_loser_of_a_race(monkeypatch):
+    monkeypatch.setenv("SEQUOIA_AUTHOR", "aino")
+
+    def work(client):
+        client.post("ask", body="drain upstream a1")
+        return client.post("ask", body="resume upstream a1 expect version 1")
+
+    with pytest.raises(ConflictError, match="aino"):
+        with_client(work)
