Count reads and objects in the store's counters

Cause: Counts.reads was never added to, and puts and deletes of objects were in no counter; the dump of a daemon that polls the table every 2 s said reads: 0. Change: Gate.paid counts what it lets out. The new test failed with (0, 0), passes with (2, 1).

--- a/sequoiabridge/store/gate.py
+++ b/sequoiabridge/store/gate.py
@@ -25,8 +25,9 @@
 class Counts:
     """Plain counters for metrics and the dump.
 
-    `asked` transactions were wanted, `writes` calls carried them, `grouped` of them went in groups
-    of two or more, `splits` groups failed as a whole. `unanswered` calls ended in silence.
+    `asked` transactions were wanted, `grouped` of them went in groups of two or more, `splits`
+    groups failed as a whole. `writes` and `reads` are calls that were let out, objects included.
+    `unanswered` calls ended in silence.
     """
 
     __slots__ = ("asked", "writes", "grouped", "splits", "reads", "refused", "unanswered")
@@ -97,6 +98,10 @@
         if not await self.pay(share, priority, deadline):
             text = "no room in this VM's share of the rate; try again later"
             return store_error(StoreErrorKind.NOT_SENT, text)
+        if share is self.reads:
+            self.counts.reads += 1
+        else:
+            self.counts.writes += 1
         left = deadline - self.clock.now()
         result = await call(left)
         self.judge(result, share, left)
--- a/sequoiabridge/tests/store/test_client.py
+++ b/sequoiabridge/tests/store/test_client.py
@@ -34,6 +34,15 @@
     assert client.counts.splits >= 1 and client.counts.writes < 20
 
 
+def test_reads_and_objects_are_counted_like_transactions():
+    bench = real_time()
+    client = bench.client()
+    curio.run(client.read, "t", "k", 5.0)
+    curio.run(client.objects.put, "o", b"v", 5.0)
+    curio.run(client.objects.get, "o", 5.0)
+    assert (client.counts.reads, client.counts.writes) == (2, 1)
+
+
 def test_transactions_on_one_row_never_share_a_group():
     bench = real_time()
     client = bench.client(writes=50.0)
