--- a/sequoiabridge/tests/commands/test_tool.py
+++ b/sequoiabridge/tests/commands/test_tool.py
@@ -12,6 +12,7 @@
 from ...commands import daemon
 from ...commands.main import main
 from ...exceptions import StoreUnavailable
+from ...selector import KeptSelector
 
 TOKEN = "operators-token-0001"
 TABLE = {
@@ -170,3 +171,11 @@
     example = Path(__file__).parents[3] / "examples" / "vm.ini"
     assert daemon.main([str(example)]) == code
     assert ("sequoiabridged: The store is down.\n" in capsys.readouterr().err) == bool(error)
+
+
+def test_the_daemon_runs_on_the_selector_that_keeps_sockets_registered(monkeypatch):
+    ran = []
+    monkeypatch.setattr(daemon.curio, "run", lambda main, **options: ran.append(options))
+    settings = Path(__file__).parents[3] / "examples" / "vm.ini"
+    assert daemon.main([str(settings)]) == 0
+    assert isinstance(ran[0]["selector"], KeptSelector)
