--- /dev/null
+++ b/sequoiabridge/tests/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the documentation."""
