--- a/sequoiabridge/tests/callers/test_server.py
+++ b/sequoiabridge/tests/callers/test_server.py
@@ -52,6 +52,7 @@
         POST + b"Content-Length: 3, 3\r\n\r\n",
         GET[:-2] + b"X: a\r\n b\r\n\r\n",
         GET[:-2] + b"Transfer-Encoding: gzip\r\n\r\n",
+        b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
         GET[:-2] + b"X: %s\r\n\r\n" % (b"x" * 5000),
     ],
