Let the hop benchmark measure a running daemon

Cause: the relay under test was built into the benchmark; the direct way's CPU was read from the wrong process when a daemon was given.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -127,6 +127,22 @@
         row(relay.name, *cells)
 
 
+def measure(
+    relays: list[Relay], calls: int, turns: int, pause: float, callers: int, megabytes: int
+) -> None:
+    """Measure the direct way, the bare relay and ours, in this order in `relays`."""
+    direct, _, ours = relays
+    gc.freeze()
+    ratio = bench_one(relays, calls, turns, pause)
+    if callers:
+        bench_many(relays, callers, calls)
+    if megabytes:
+        bench_upload(relays, megabytes)
+    p50, p90, p99 = added(ours, direct)
+    figures = f"added p50 {p50:.3f} p90 {p90:.3f} p99 {p99:.3f} ms"
+    print(f"\n{figures}, {ratio:.2f} times the bare relay")
+
+
 def run(
     *,
     calls: int = 6000,
@@ -137,6 +153,7 @@
     daemon: str = "",
     pid: int = 0,
     upstream: str = "",
+    upstream_pid: int = 0,
 ) -> None:
     """Measure the hop.
 
@@ -148,27 +165,22 @@
     :param daemon: IP:port of a running daemon to measure in place of the forwarding relay
     :param pid: that daemon's process id
     :param upstream: IP:port of the running `benchmarks.hop_upstream` that it forwards to
+    :param upstream_pid: that upstream's process id
     """
     started: list[Process] = []
     try:
         if not daemon:
             started.append(Process("hop_upstream"))
-            upstream = started[0].address
+            upstream, upstream_pid = started[0].address, started[0].pid
             started.append(Process("hop_relay", upstream))
             daemon, pid = started[1].address, started[1].pid
         started.append(Process("hop_bare", upstream))
-        bare = Relay("bare", started[-1].address, started[-1].pid)
-        direct = Relay("direct", upstream, started[0].pid)
-        relays = [direct, bare, Relay("ours", daemon, pid)]
-        gc.freeze()
-        ratio = bench_one(relays, calls, turns, pause_us / 1e6)
-        if callers:
-            bench_many(relays, callers, calls)
-        if megabytes:
-            bench_upload(relays, megabytes)
-        p50, p90, p99 = added(relays[2], direct)
-        figures = f"added p50 {p50:.3f} p90 {p90:.3f} p99 {p99:.3f} ms"
-        print(f"\n{figures}, {ratio:.2f} times the bare relay")
+        relays = [
+            Relay("direct", upstream, upstream_pid),
+            Relay("bare", started[-1].address, started[-1].pid),
+            Relay("ours", daemon, pid),
+        ]
+        measure(relays, calls, turns, pause_us / 1e6, callers, megabytes)
     finally:
         for process in started:
             process.stop()
--- a/benchmarks/hop_upstream.py
+++ b/benchmarks/hop_upstream.py
@@ -2,6 +2,7 @@
 
 import re
 import socket
+import sys
 
 import curio
 
@@ -38,8 +39,9 @@
 
 
 def main() -> None:
-    """Listen on a free port of the loopback, print the address, serve until killed."""
-    listener = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=1024)
+    """Listen on the port given or a free one, print the address, serve until killed."""
+    port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
+    listener = curio.network.tcp_server_socket("127.0.0.1", port, backlog=1024)
     print(f"127.0.0.1:{listener.getsockname()[1]}", flush=True)
     curio.run(curio.network.run_server, listener, serve_caller)
 
