Say who gives an upstream connection back

Cause: the base class left open whether release is needed after read_head has returned. Conclusion: words only.

--- a/sequoiabridge/upstreams/base.py
+++ b/sequoiabridge/upstreams/base.py
@@ -45,8 +45,9 @@
     async def read_head(self) -> Answer:
         """Wait for the answer's head.
 
-        May be cancelled and called again. The answer's body reads from this connection.
-        Interim answers (1xx) are passed over.
+        May be cancelled and called again. The answer's body reads from this connection, and
+        gives it back when it has ended or is closed; `Connector.release` is then not needed, and
+        does no harm. Interim answers (1xx) are passed over.
         """
 
     @property
