Ask the best candidates right before a choice; eject by calls, not only by time

Change: ask_first picks the 3 to 5 best, paid from the same bucket; a first ejection lasts 200 calls; evidence of failures fades over 500 calls at least; drains and suspicions are modules.

--- a/benchmarks/policy_pool.py
+++ b/benchmarks/policy_pool.py
@@ -17,6 +17,9 @@
 SLOWED, QUIET_TIME, NOISY_TIME = 3.0, 0.06, 0.02
 """Neighbours slow an instance threefold for 20 ms after 60 ms of quiet; both exponential."""
 
+ASK_WORK = 0.0001
+"""Seconds that a VM and an instance spend on probes that a call waits for."""
+
 SLOTS = 2
 SPEED = (QUIET_TIME + NOISY_TIME / SLOWED) / (QUIET_TIME + NOISY_TIME)
 """Mean speed of an instance with its neighbours."""
@@ -127,11 +130,19 @@
         self.calls += now >= self.first
         player = self.random.choice(self.players)
         work = self.random.expovariate(1 / MEAN_WORK)
-        name, ticket = player.send(now)
-        if name is None:
-            self.record(now, CALLER_TIMEOUT)
+        if player.ask(now):
+            self.at(now + 2 * ONE_WAY + ASK_WORK, self.choose, player, work, now)
+        else:
+            self.choose(now, player, work, now)
+
+    def choose(self, now, player, work, start):
+        """The VM chooses, after the answers to its probes if it asked first."""
+        ticket = player.send(now)
+        if ticket is None:
+            self.record(start, CALLER_TIMEOUT)
             return
-        self.at(now + ONE_WAY, self.reach, self.instances[name], player, ticket, now, work)
+        instance = self.instances[ticket.name]
+        self.at(now + ONE_WAY, self.reach, instance, player, ticket, start, work)
 
     def reach(self, now, instance, player, ticket, start, work):
         """The call reaches its instance."""
@@ -163,12 +174,12 @@
     def answer(self, now, player, ticket, start, report, leaving):
         """The answer reaches the VM."""
         self.record(start, now - start)
-        player.answered(now, ticket, now - start, report, leaving)
+        player.answered(now, ticket, report, leaving)
 
     def fail(self, now, player, ticket, start):
         """An error reaches the VM."""
         self.record(start, CALLER_TIMEOUT)
-        player.failed(now, ticket, now - start)
+        player.failed(now, ticket)
 
     def record(self, start, latency):
         """Keep the latency of a call that started after the warm-up."""
--- a/sequoiabridge/policy/base.py
+++ b/sequoiabridge/policy/base.py
@@ -75,6 +75,16 @@
         `tried` names upstreams that have had this request already; they come last.
         """
 
+    def shortlist(
+        self,
+        candidates: Sequence[UpstreamEvidence],
+        now: float,
+        count: int,
+        tried: Collection[str] = (),
+    ) -> Sequence[UpstreamEvidence]:
+        """Return the `count` best candidates, best first; none from a chooser without a measure."""
+        return ()
+
     def explain(self, candidates: Sequence[UpstreamEvidence], now: float) -> list[Weighed]:
         """Return how each candidate weighs at `now`, best first."""
         return [Weighed(c.name, 0.0, "not weighed") for c in candidates]
--- a/sequoiabridge/policy/choosers.py
+++ b/sequoiabridge/policy/choosers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Sequence
+from heapq import nsmallest
 from random import Random
 
 from ..exceptions import ConfigurationError
@@ -18,16 +19,19 @@
 OVERDUE_COST = 0.5
 """Work per slot that one more multiple of lateness counts as."""
 
+MOST_OVERDUE = 20.0
+"""Multiples of lateness that count at most: an upload may take an hour."""
+
 FAILURE_COST = 6.0
 """Work per slot that failing on every call counts as, next to a pool that never fails."""
 
-FAILURE_FROM = 0.05
+FAILURE_FROM = 0.1
 """Share of failures over the pool's that is let pass, so that old failures are forgotten."""
 
 SHED_COST = 4.0
 """Work per slot that a fresh refusal counts as."""
 
-SUSPECT_COST = 3.0
+SUSPECT_COST = 1.0
 """Work per slot that other VMs' suspicion counts as, at most."""
 
 SLOW_FROM = 2.0
@@ -60,6 +64,15 @@
                 best, lowest = candidate, score
         return best
 
+    def shortlist(
+        self,
+        candidates: Sequence[UpstreamEvidence],
+        now: float,
+        count: int,
+        tried: Collection[str] = (),
+    ) -> Sequence[UpstreamEvidence]:
+        return nsmallest(count, untried(candidates, tried), key=lambda c: self.score(c, now))
+
     def score(self, upstream: UpstreamEvidence, now: float) -> float:
         """Return the upstream's cost for one more call; the least is chosen."""
         cost = upstream.load(now) + 1.0 / upstream.slots
@@ -68,7 +81,7 @@
         if upstream.starts:
             late = upstream.overdue(now) - OVERDUE_FROM
             if late > 0.0:
-                cost += OVERDUE_COST * late
+                cost += OVERDUE_COST * min(late, MOST_OVERDUE)
         if upstream.failures:
             more = upstream.failure_share(now) - upstream.averages.failures
             if more > FAILURE_FROM:
--- a/sequoiabridge/policy/ejection.py
+++ b/sequoiabridge/policy/ejection.py
@@ -12,9 +12,12 @@
 from .evidence import UpstreamEvidence
 
 FIRST_EJECTION = 0.25
-"""Seconds of a first ejection."""
+"""Seconds of a first ejection, at least."""
 
-LONGEST_EJECTION = 8.0
+FIRST_EJECTION_CALLS = 200
+"""Calls of this daemon that a first ejection lasts at least: trials spoil few of them."""
+
+LONGEST_EJECTION = 16.0
 """Seconds that an ejection lasts at most."""
 
 FAILURES_IN_ROW = 3
@@ -72,7 +75,8 @@
         """Eject it unless the cap forbids; `ejected` of `total` upstreams are out already."""
         if ejected >= self.allowed(total):
             return False
-        length = min(LONGEST_EJECTION, FIRST_EJECTION * 2**upstream.ejections)
+        first = max(FIRST_EJECTION, FIRST_EJECTION_CALLS * upstream.averages.interval)
+        length = min(LONGEST_EJECTION, first * 2**upstream.ejections)
         upstream.ejected_until = now + length * self.random.uniform(0.75, 1.25)
         upstream.ejections += 1
         upstream.on_trial = True
--- a/sequoiabridge/policy/evidence.py
+++ b/sequoiabridge/policy/evidence.py
@@ -19,10 +19,26 @@
 """
 
 LATENCY_FADE = 5.0
-"""Seconds in which the mean latency of an upstream loses 63% of its weight."""
+"""Seconds in which the mean latency of an upstream loses 63% of its weight, at least."""
 
 FAILURE_FADE = 2.0
-"""Seconds in which the share of failures loses 63% of its weight."""
+"""Seconds in which the share of failures loses 63% of its weight, at least."""
+
+LATENCY_FADE_CALLS = 500
+"""Calls of this daemon in which the same happens at least: a quiet daemon must not forget sooner
+than it can learn."""
+
+FAILURE_FADE_CALLS = 500
+"""The same for failures."""
+
+IDLE_FAILURES = 0.05
+"""Share of failures from which a report of little work is no reason to choose an upstream."""
+
+INTERVAL_GAIN = 0.02
+"""Weight of the newest gap between two calls in their mean."""
+
+LONGEST_GAP = 1.0
+"""Seconds that one gap between calls counts as at most."""
 
 LATENCY_GAIN = 0.2
 """Weight of the newest latency in an upstream's mean."""
@@ -72,9 +88,10 @@
         others: Mean work per slot that upstreams reported beside this daemon's own.
         failures: Mean share of calls that failed.
         known: Whether any latency was measured yet.
+        interval: Mean seconds between two calls of this daemon.
     """
 
-    __slots__ = ("latency", "others", "failures", "due", "known")
+    __slots__ = ("latency", "others", "failures", "due", "known", "interval", "called_at")
 
     def __init__(self):
         self.latency = FIRST_LATENCY
@@ -82,6 +99,15 @@
         self.failures = 0.0
         self.due = 0
         self.known = False
+        self.interval = 0.0
+        self.called_at: float | None = None
+
+    def called(self, now: float) -> None:
+        """Count a call of this daemon, for the mean gap between them."""
+        if self.called_at is not None:
+            gap = min(LONGEST_GAP, now - self.called_at)
+            self.interval += INTERVAL_GAIN * (gap - self.interval)
+        self.called_at = now
 
     def count(self, upstreams: Collection[UpstreamEvidence], now: float) -> None:
         """Count one more outcome; work the averages out anew once each upstream had about one."""
@@ -210,6 +236,8 @@
         """Return the estimated work at the upstream per slot, this daemon's calls included."""
         average = self.averages.others * self.slots
         weight = self.trust * exp((self.report_at - now) / (REPORT_FADE * self.averages.latency))
+        if self.others < average and self.failures and self.failure_share(now) > IDLE_FAILURES:
+            weight = 0.0
         others = average + (self.others - average) * weight
         return (others + len(self.starts)) / self.slots
 
@@ -217,14 +245,16 @@
         """Return its mean latency as a multiple of the pool's; fades to 1 with age."""
         if not self.samples:
             return 1.0
-        weight = exp((self.latency_at - now) / LATENCY_FADE)
+        fade = max(LATENCY_FADE, LATENCY_FADE_CALLS * self.averages.interval)
+        weight = exp((self.latency_at - now) / fade)
         return 1.0 + (self.latency / self.averages.latency - 1.0) * weight
 
     def failure_share(self, now: float) -> float:
         """Return the recent share of its calls that failed; fades to 0 with age."""
         if not self.failures:
             return 0.0
-        return self.failures * exp((self.failed_at - now) / FAILURE_FADE)
+        fade = max(FAILURE_FADE, FAILURE_FADE_CALLS * self.averages.interval)
+        return self.failures * exp((self.failed_at - now) / fade)
 
     def overdue(self, now: float) -> float:
         """Return the age of its oldest call in flight as a multiple of the pool's latency."""
@@ -256,3 +286,21 @@
         self.report = report
         self.report_at = at
         self.others = max(0.0, float(report.in_flight - len(self.starts)))
+
+    def dump(self, now: float) -> dict:
+        """Describe the evidence for operators."""
+        return {
+            "address": self.address,
+            "in flight": self.in_flight,
+            "load per slot": round(self.load(now), 2),
+            "report age ms": _age_ms(self.report_at, now),
+            "latency ms": round(self.latency * 1000, 2),
+            "latency age ms": _age_ms(self.latency_at, now),
+            "failures": round(self.failure_share(now), 3),
+            "trust": round(self.trust, 2),
+            "suspected by": sorted(self.suspected_by),
+        }
+
+
+def _age_ms(at: float, now: float) -> float | None:
+    return None if at == float("-inf") else round((now - at) * 1000, 1)
--- a/sequoiabridge/policy/pool.py
+++ b/sequoiabridge/policy/pool.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Collection, Sequence
 from random import Random
 
 from .base import Chooser, Failure, LoadReport, Weighed
+from .drains import DrainLedger
 from .ejection import TRIAL_LATENCY, Ejector
 from .evidence import PoolAverages, UpstreamEvidence, UpstreamSpec
+from .suspicions import suspect, weigh_suspicions
 
 SMALL_POOL = 64
 """Upstreams up to which every choice looks at all of them."""
@@ -15,6 +18,9 @@
 SAMPLE = 32
 """Upstreams that a choice looks at in a larger pool, so that its cost stays flat."""
 
+PROBED_KEPT = 5
+"""Upstreams probed last that a choice in a larger pool looks at too."""
+
 SLOW_START = 5.0
 """Seconds over which the share of a cold upstream grows to a full one."""
 
@@ -27,13 +33,7 @@
 LONGEST_SHED_PAUSE = 0.64
 """Seconds for which refusals keep work away at most."""
 
-SUSPICION_TIME = 2.0
-"""Seconds for which another VM's suspicion counts."""
-
-FEWEST_SUSPECTING = 2
-"""Other VMs that must suspect an upstream before it counts."""
-
-TRUST_LOSS = 0.9
+TRUST_LOSS = 0.8
 """Factor on trust for each answer that contradicts the upstream's reports."""
 
 TRUST_GAIN = 0.02
@@ -42,14 +42,8 @@
 LIE_LATENCY = 1.5
 """Latency, as a multiple of the pool's, with which a report under the average disagrees."""
 
-SUSPECT_OVERDUE = 4.0
-"""Age of a call in flight, as a multiple of the pool's latency, that makes a suspect."""
-
-SUSPECT_SLOWNESS = 2.0
-"""Latency, as a multiple of the pool's, that makes a suspect."""
-
-REMEMBERED_DRAINS = 256
-"""Incarnations kept for upstreams that the configuration does not name (yet)."""
+HEARD_DELAY = 0.05
+"""Seconds after which words of other VMs take effect at the latest, many at a time."""
 
 
 class PoolOptions:
@@ -82,9 +76,10 @@
         self.averages = PoolAverages()
         self.upstreams: dict[str, UpstreamEvidence] = {}
         self.ejector = Ejector(options.eject_cap, random)
-        self.incarnations: dict[str, tuple[int, bool]] = {}
+        self.drains = DrainLedger()
         self.usable: list[UpstreamEvidence] = []
         self.cold: list[UpstreamEvidence] = []
+        self.probed_lately: deque[UpstreamEvidence] = deque(maxlen=PROBED_KEPT)
         self.stale_at = float("-inf")
 
     def set_upstreams(self, specs: Sequence[UpstreamSpec], now: float) -> None:
@@ -92,8 +87,9 @@
         first = not self.upstreams
         old, self.upstreams = self.upstreams, {}
         for spec in specs:
-            evidence = old.pop(spec.name, None)
+            evidence = old.get(spec.name)
             if evidence is not None and evidence.address == spec.address:
+                del old[spec.name]
                 if evidence.drained and not spec.drained:
                     evidence.cold_since = now
                 evidence.configure(spec)
@@ -102,16 +98,18 @@
             self.upstreams[spec.name] = evidence
         for evidence in old.values():
             evidence.gone = True
+        self.drains.forget_strangers(self.upstreams)
         self._refresh(now)
 
     def choose(self, now: float, tried: Collection[str] = ()) -> UpstreamEvidence | None:
         """Return the upstream for the next attempt, or None if there is none to use."""
-        if now >= self.stale_at:
-            self._refresh(now)
-        candidates = self._warm_enough(now) if self.cold else self.usable
-        if len(candidates) > SMALL_POOL:
-            candidates = self._sample(candidates, tried)
-        return self.chooser.choose(candidates, now, self.random, tried)
+        return self.chooser.choose(self._candidates(now, tried), now, self.random, tried)
+
+    def shortlist(
+        self, now: float, count: int, tried: Collection[str] = ()
+    ) -> Sequence[UpstreamEvidence]:
+        """Return the `count` best upstreams for the next attempt, best first."""
+        return self.chooser.shortlist(self._candidates(now, tried), now, count, tried)
 
     def explain(self, now: float) -> list[Weighed]:
         """Return how each upstream weighs now, best first, then those that get no work."""
@@ -136,11 +134,14 @@
             return f"ejected for {upstream.ejected_until - now:.2f} s more"
         if upstream.on_trial and upstream.starts:
             return "on trial with one call in flight"
+        if upstream.on_trial and upstream.suspected:
+            return "on trial, and other VMs found it bad just now"
         return ""
 
     def sent(self, evidence: UpstreamEvidence, now: float) -> None:
         """A call goes to the upstream."""
         evidence.started(now)
+        self.averages.called(now)
         if evidence.on_trial:
             self._refresh(now)
 
@@ -174,11 +175,11 @@
     ) -> None:
         """An attempt ended without a usable answer."""
         evidence.ended(now, elapsed)
-        if failure is Failure.CANCELLED:
-            self._cancelled(evidence, now, elapsed)
-        elif failure is Failure.SHED:
+        if failure in (Failure.CANCELLED, Failure.TIMEOUT):
+            self._took_at_least(evidence, now, elapsed)
+        if failure is Failure.SHED:
             self._shed(evidence, now)
-        else:
+        elif failure is not Failure.CANCELLED:
             self._failed(evidence, now)
         if evidence.on_trial:
             self._refresh(now)
@@ -188,7 +189,7 @@
         name: str,
         in_flight: int,
         latency: float,
-        suspect: bool,
+        suspected: bool,
         age: float,
         sender: str,
         now: float,
@@ -198,44 +199,36 @@
         if upstream is None or age < 0.0:
             return
         upstream.learn_report(now, LoadReport(in_flight, upstream.slots, age))
-        if suspect and age < SUSPICION_TIME:
-            upstream.suspected_by[sender] = now + SUSPICION_TIME - age
-        else:
-            upstream.suspected_by.pop(sender, None)
-        self._refresh(now)
-
-    def suspect(self, upstream: UpstreamEvidence, now: float) -> bool:
-        """Return whether something speaks against the upstream, so that a probe pays best there."""
-        return (
-            upstream.on_trial
-            or upstream.suspected
-            or upstream.overdue(now) > SUSPECT_OVERDUE
-            or (upstream.samples > 0 and upstream.slowness(now) > SUSPECT_SLOWNESS)
-        )
+        if suspected:
+            suspect(upstream, sender, age, now)
+        elif upstream.suspected_by.pop(sender, None) is None:
+            return
+        self.stale_at = min(self.stale_at, now + HEARD_DELAY)
 
-    def probe_candidates(self) -> Sequence[UpstreamEvidence]:
-        """Return the upstreams that a probe may be spent on: all, or a sample of many."""
-        staying = [u for u in self.upstreams.values() if u.draining is None and not u.drained]
-        return staying if len(staying) <= SMALL_POOL else self.random.sample(staying, SAMPLE)
+    def staying(self) -> list[UpstreamEvidence]:
+        """Return the upstreams that neither leave nor are drained by the operator."""
+        return [u for u in self.upstreams.values() if u.draining is None and not u.drained]
 
     def probed(self, name: str, now: float, elapsed: float, report: LoadReport) -> None:
         """A probe was answered: a report like any other, but no proof that calls go well."""
         upstream = self.upstreams.get(name)
         if upstream is not None:
             upstream.learn_report(now, report)
+            self.probed_lately.append(upstream)
 
     def drain(self, name: str, incarnation: int, now: float) -> bool:
         """The upstream is leaving; return whether that is news."""
-        known, leaving = self.incarnations.get(name, (-1, False))
-        if incarnation < known or (incarnation == known and leaving):
-            return False
-        return self._set_leaving(name, incarnation, True, now)
+        news = self.drains.drain(name, incarnation)
+        if news:
+            self._apply_drain(name, now)
+        return news
 
     def resume(self, name: str, incarnation: int, now: float) -> bool:
         """The upstream is back; only a newer incarnation undoes a drain. Return if that is news."""
-        if incarnation <= self.incarnations.get(name, (-1, False))[0]:
-            return False
-        return self._set_leaving(name, incarnation, False, now)
+        news = self.drains.resume(name, incarnation)
+        if news:
+            self._apply_drain(name, now)
+        return news
 
     def dump(self, now: float) -> dict:
         """Describe the state of the pool for operators."""
@@ -244,54 +237,46 @@
             "mean latency ms": round(self.averages.latency * 1000, 2),
             "mean failures": round(self.averages.failures, 4),
             "ejections": self.ejector.count,
-            "upstreams": {u.name: self._describe(u, now) for u in self.upstreams.values()},
+            "upstreams": {
+                u.name: {"state": self.why_unusable(u, now) or "in use", **u.dump(now)}
+                for u in self.upstreams.values()
+            },
         }
 
-    def _describe(self, upstream: UpstreamEvidence, now: float) -> dict:
-        return {
-            "address": upstream.address,
-            "state": self.why_unusable(upstream, now) or "in use",
-            "in flight": upstream.in_flight,
-            "load per slot": round(upstream.load(now), 2),
-            "report age ms": _age_ms(upstream.report_at, now),
-            "latency ms": round(upstream.latency * 1000, 2),
-            "latency age ms": _age_ms(upstream.latency_at, now),
-            "failures": round(upstream.failure_share(now), 3),
-            "trust": round(upstream.trust, 2),
-            "suspected by": sorted(upstream.suspected_by),
-        }
+    def _candidates(self, now: float, tried: Collection[str]) -> Sequence[UpstreamEvidence]:
+        """Return whom to choose from: all of a small pool; of a large one some, and the probed."""
+        if now >= self.stale_at:
+            self._refresh(now)
+        candidates: Sequence[UpstreamEvidence] = self.usable
+        if len(candidates) > SMALL_POOL:
+            candidates = self.random.sample(candidates, SAMPLE + len(tried))
+            candidates += [u for u in self.probed_lately if not self.why_unusable(u, now)]
+        if self.cold:
+            candidates = self._warm_enough(candidates, now)
+        return candidates
 
     def _add(self, spec: UpstreamSpec, cold_since: float | None) -> UpstreamEvidence:
         evidence = UpstreamEvidence(spec, self.averages)
         evidence.cold_since = cold_since
-        incarnation, leaving = self.incarnations.get(spec.name, (-1, False))
-        if leaving:
-            evidence.draining = incarnation
+        evidence.draining = self.drains.draining(spec.name)
         return evidence
 
-    def _set_leaving(self, name: str, incarnation: int, leaving: bool, now: float) -> bool:
-        self.incarnations.pop(name, None)
-        self.incarnations[name] = (incarnation, leaving)
-        self._forget_strangers()
+    def _apply_drain(self, name: str, now: float) -> None:
         upstream = self.upstreams.get(name)
-        if upstream is not None:
-            if upstream.draining is not None and not leaving:
-                upstream.cold_since = now
-            upstream.draining = incarnation if leaving else None
-            self._refresh(now)
-        return True
-
-    def _forget_strangers(self) -> None:
-        strangers = [name for name in self.incarnations if name not in self.upstreams]
-        for name in strangers[:-REMEMBERED_DRAINS]:
-            del self.incarnations[name]
+        if upstream is None:
+            self.drains.forget_strangers(self.upstreams)
+            return
+        draining = self.drains.draining(name)
+        if upstream.draining is not None and draining is None:
+            upstream.cold_since = now
+        upstream.draining = draining
+        self._refresh(now)
 
     def _refresh(self, now: float) -> None:
         """Work out anew which upstreams may be used, and until when that holds."""
-        self.stale_at = float("inf")
-        staying = [u for u in self.upstreams.values() if u.draining is None and not u.drained]
+        staying = self.staying()
         self.usable = [u for u in staying if not self.why_unusable(u, now)]
-        self._weigh_suspicions(staying, now)
+        self.stale_at = weigh_suspicions(staying, self.ejector.allowed(len(staying)), now)
         for upstream in staying:
             if upstream.ejected_until > now:
                 self.stale_at = min(self.stale_at, upstream.ejected_until)
@@ -303,37 +288,18 @@
             end = min(u.cold_since for u in self.cold) + SLOW_START
             self.stale_at = min(self.stale_at, end)
 
-    def _weigh_suspicions(self, staying: list[UpstreamEvidence], now: float) -> None:
-        """Count an upstream as suspected if several VMs say so, and not of too many at once."""
-        suspected = []
-        for upstream in staying:
-            upstream.suspected = False
-            if not upstream.suspected_by:
-                continue
-            live = {vm: end for vm, end in upstream.suspected_by.items() if end > now}
-            upstream.suspected_by = live
-            if live:
-                self.stale_at = min(self.stale_at, *live.values())
-            if len(live) >= FEWEST_SUSPECTING:
-                suspected.append(upstream)
-        if len(suspected) <= self.ejector.allowed(len(staying)):
-            for upstream in suspected:
-                upstream.suspected = True
-
-    def _warm_enough(self, now: float) -> list[UpstreamEvidence]:
+    def _warm_enough(
+        self, candidates: Sequence[UpstreamEvidence], now: float
+    ) -> Sequence[UpstreamEvidence]:
         """Leave each cold upstream out of some choices, of fewer as it warms up."""
-        left_out = set()
-        for upstream in self.cold:
-            share = max(FIRST_SHARE, (now - upstream.cold_since) / SLOW_START)
-            if self.random.random() > share:
-                left_out.add(upstream.name)
-        return [u for u in self.usable if u.name not in left_out] or self.usable
-
-    def _sample(
-        self, candidates: list[UpstreamEvidence], tried: Collection[str]
-    ) -> list[UpstreamEvidence]:
-        """Return some of many candidates at random, among them one that is not tried."""
-        return self.random.sample(candidates, SAMPLE + len(tried))
+        kept = []
+        for upstream in candidates:
+            if upstream.cold_since is not None:
+                share = max(FIRST_SHARE, (now - upstream.cold_since) / SLOW_START)
+                if self.random.random() > share:
+                    continue
+            kept.append(upstream)
+        return kept or candidates
 
     def _weigh_trust(self, upstream: UpstreamEvidence, now: float, elapsed: float) -> None:
         """Lower the trust in reports of little load from an upstream that answers slowly."""
@@ -349,13 +315,13 @@
         self._refresh(now)
 
     def _eject(self, upstream: UpstreamEvidence, now: float) -> None:
-        staying = [u for u in self.upstreams.values() if u.draining is None and not u.drained]
+        staying = self.staying()
         ejected = sum(u.ejected_until > now or u.on_trial for u in staying if u is not upstream)
         if self.ejector.eject(upstream, now, ejected, len(staying)):
             self._refresh(now)
 
-    def _cancelled(self, upstream: UpstreamEvidence, now: float, elapsed: float) -> None:
-        """The answer would have taken at least `elapsed`: learn that if it is long."""
+    def _took_at_least(self, upstream: UpstreamEvidence, now: float, elapsed: float) -> None:
+        """No answer came in `elapsed` seconds: that counts as a latency if it is a long one."""
         if elapsed > self.averages.latency * max(1.0, upstream.slowness(now)):
             upstream.learn_latency(now, elapsed)
             if self.ejector.should_eject(upstream, now):
@@ -371,7 +337,3 @@
         self.averages.count(self.upstreams.values(), now)
         if upstream.on_trial or self.ejector.should_eject(upstream, now):
             self._eject(upstream, now)
-
-
-def _age_ms(at: float, now: float) -> float | None:
-    return None if at == float("-inf") else round((now - at) * 1000, 1)
--- a/sequoiabridge/policy/probing.py
+++ b/sequoiabridge/policy/probing.py
@@ -1,30 +1,66 @@
 """Which upstreams to probe, paid from a token bucket that the calls of a service fill.
 
-A probe that is not paid is not sent. Suspects come first (a probe costs less than a call that a
-straggler spoils), then, as far as the service's `tail_weight` says, the oldest evidence.
+A probe that is not paid is not sent. What pays best was measured (`docs/design/choosing.md`): to
+ask the few best candidates right before a choice. Probes in the background go to suspects, and to
+evidence that is very old.
 """
 
 from __future__ import annotations
 
+from collections.abc import Collection, Sequence
+
 from .evidence import UpstreamEvidence
-from .pool import PoolState
+from .pool import SAMPLE, SMALL_POOL, PoolState
 
 BURST = 8.0
 """Probes that may be saved up."""
 
-LEAST_GAP = 0.01
-"""Seconds between two probes of one upstream by this daemon, at least."""
+KEPT = 6
+"""Probes that background probes leave for asking before a choice."""
+
+FEWEST_ASKED, MOST_ASKED = 3, 5
+"""Upstreams that are asked before one choice."""
+
+YOUNGEST, OLDEST = 0.001, 2.0
+"""Seconds of age from which the evidence on the best candidates is worth asking anew, at
+`tail_weight` 1 and 0; the latter also for probes in the background."""
+
+LONGEST_WAIT = 0.3
+"""A round trip is waited for only if it takes at most this share of the pool's latency."""
+
+FIRST_ROUND_TRIP = 0.002
+"""Seconds assumed for a probe before one was answered."""
 
-SUSPECT_GAP = 0.1
-"""Seconds between two probes of an ejected upstream, at least."""
+ROUND_TRIP_GAIN = 0.1
+"""Weight of the newest round trip in the mean."""
 
-YOUNGEST, OLDEST = 0.005, 2.0
-"""Seconds of age from which evidence is worth a probe, at `tail_weight` 1 and 0."""
+PROBE_GAP = 0.1
+"""Seconds between two probes of one upstream in the background, at least."""
+
+SUSPECT_OVERDUE = 4.0
+"""Age of a call in flight, as a multiple of the pool's latency, that makes a suspect."""
+
+SUSPECT_SLOWNESS = 2.0
+"""Latency, as a multiple of the pool's, that makes a suspect."""
+
+
+def is_suspect(upstream: UpstreamEvidence, now: float) -> bool:
+    """Return whether something speaks against the upstream, so that a probe pays."""
+    return (
+        upstream.on_trial
+        or upstream.suspected
+        or upstream.overdue(now) > SUSPECT_OVERDUE
+        or (upstream.samples > 0 and upstream.slowness(now) > SUSPECT_SLOWNESS)
+    )
 
 
 class ProbeBudget:
     """Pays probes of one service and counts what they cost.
 
+    Args:
+        per_1000: Probes that 1,000 calls pay for.
+        tail_weight: 0 = the cost of measuring counts most, 1 = tail latency does.
+
     Attributes:
         calls, probes: Counted since the start.
         bytes: Bytes sent and received by probes.
@@ -33,7 +69,9 @@
 
     def __init__(self, per_1000: float, tail_weight: float):
         self.per_call = per_1000 / 1000.0
+        self.asked = min(MOST_ASKED, max(FEWEST_ASKED, round(self.per_call)))
         self.worth_age = OLDEST * (YOUNGEST / OLDEST) ** min(1.0, max(0.0, tail_weight))
+        self.round_trip = FIRST_ROUND_TRIP
         self.tokens = 0.0
         self.calls = 0
         self.probes = 0
@@ -45,19 +83,33 @@
         self.calls += calls
         self.tokens = min(BURST, self.tokens + calls * self.per_call)
 
+    def ask_first(self, pool: PoolState, now: float, tried: Collection[str] = ()) -> list[str]:
+        """Return whom to probe, and to wait for (`patience` at most), before the next choice."""
+        if self.tokens < self.asked or self.round_trip > LONGEST_WAIT * pool.averages.latency:
+            return []
+        best = pool.shortlist(now, self.asked, tried)
+        if len(best) < 2 or now - min(u.report_at for u in best) < self.worth_age:
+            return []
+        return self._take(best, now)
+
+    def patience(self) -> float:
+        """Return the seconds to wait for the answers to `ask_first` before choosing anyhow."""
+        return 2.0 * self.round_trip
+
     def next_targets(self, pool: PoolState, now: float) -> list[str]:
-        """Return the names of the upstreams to probe now, and take the tokens for them."""
-        if self.tokens < 1.0:
+        """Return whom to probe in the background: suspects first, then the oldest evidence."""
+        spare = int(self.tokens) - KEPT
+        if spare < 1:
             return []
-        chosen = self._worth_a_probe(pool, now)[: int(self.tokens)]
-        for upstream in chosen:
-            upstream.probed_at = now
-        self.tokens -= len(chosen)
-        self.probes += len(chosen)
-        return [upstream.name for upstream in chosen]
+        return self._take(self._worth_a_probe(pool, now)[:spare], now)
 
-    def spent(self, size: int, upstream_time: float) -> None:
-        """A probe's bytes (both ways) and the upstream's seconds for it are known."""
+    def answered(self, elapsed: float, size: int, upstream_time: float = 0.0) -> None:
+        """A probe came back: its round trip, its bytes both ways, the upstream's seconds for it."""
+        self.round_trip += ROUND_TRIP_GAIN * (elapsed - self.round_trip)
+        self.spent(size, upstream_time)
+
+    def spent(self, size: int, upstream_time: float = 0.0) -> None:
+        """Count the cost of a probe, answered or not."""
         self.bytes += size
         self.upstream_time += upstream_time
 
@@ -66,25 +118,38 @@
         per = 1000.0 / max(1, self.calls)
         return {
             "tokens": round(self.tokens, 2),
+            "round trip ms": round(self.round_trip * 1000, 2),
             "probes per 1000 calls": round(self.probes * per, 2),
             "bytes per 1000 calls": round(self.bytes * per, 1),
             "upstream ms per 1000 calls": round(self.upstream_time * 1000 * per, 3),
         }
 
+    def _take(self, upstreams: Sequence[UpstreamEvidence], now: float) -> list[str]:
+        for upstream in upstreams:
+            upstream.probed_at = now
+        self.tokens -= len(upstreams)
+        self.probes += len(upstreams)
+        return [upstream.name for upstream in upstreams]
+
     def _worth_a_probe(self, pool: PoolState, now: float) -> list[UpstreamEvidence]:
-        """Return suspects first, then the upstreams whose evidence is old, oldest first."""
         suspects, old = [], []
-        for upstream in pool.probe_candidates():
-            gap = now - upstream.probed_at
-            if pool.suspect(upstream, now):
-                if gap >= SUSPECT_GAP:
-                    suspects.append(upstream)
-            elif gap >= LEAST_GAP and now - upstream.report_at >= self.worth_age:
+        for upstream in _candidates(pool):
+            if now - upstream.probed_at < PROBE_GAP:
+                continue
+            if is_suspect(upstream, now):
+                suspects.append(upstream)
+            elif now - upstream.report_at >= OLDEST:
                 old.append(upstream)
-        suspects.sort(key=_age)
-        old.sort(key=_age)
+        suspects.sort(key=_known_at)
+        old.sort(key=_known_at)
         return suspects + old
 
 
-def _age(upstream: UpstreamEvidence) -> float:
+def _known_at(upstream: UpstreamEvidence) -> float:
     return max(upstream.report_at, upstream.probed_at)
+
+
+def _candidates(pool: PoolState) -> Sequence[UpstreamEvidence]:
+    """Return the upstreams that a probe may be spent on: all, or a sample of many."""
+    staying = pool.staying()
+    return staying if len(staying) <= SMALL_POOL else pool.random.sample(staying, SAMPLE)
--- /dev/null
+++ b/sequoiabridge/policy/suspicions.py
@@ -0,0 +1,45 @@
+"""What other VMs' suspicion of an upstream is worth: little alone, and nothing against many.
+
+A suspicion makes an upstream a worse choice; it never takes it out of the pool.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from .evidence import UpstreamEvidence
+
+SUSPICION_TIME = 2.0
+"""Seconds for which another VM's suspicion counts."""
+
+FEWEST_SUSPECTING = 2
+"""Other VMs that must suspect an upstream before it counts."""
+
+
+def suspect(upstream: UpstreamEvidence, sender: str, age: float, now: float) -> None:
+    """Note that another VM suspected the upstream `age` seconds ago."""
+    if age < SUSPICION_TIME:
+        upstream.suspected_by[sender] = now + SUSPICION_TIME - age
+
+
+def weigh_suspicions(upstreams: Sequence[UpstreamEvidence], most: int, now: float) -> float:
+    """Set `suspected` of each upstream, of none if more than `most` would be.
+
+    Returns:
+        The time at which the first suspicion ends.
+    """
+    ends = float("inf")
+    suspected = []
+    for upstream in upstreams:
+        upstream.suspected = False
+        if not upstream.suspected_by:
+            continue
+        live = {vm: end for vm, end in upstream.suspected_by.items() if end > now}
+        upstream.suspected_by = live
+        ends = min(ends, *live.values()) if live else ends
+        if len(live) >= FEWEST_SUSPECTING:
+            suspected.append(upstream)
+    if len(suspected) <= most:
+        for upstream in suspected:
+            upstream.suspected = True
+    return ends
