--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -158,6 +158,7 @@
 
 
 def load_bytes(pump):
+    """Return the bytes of load items that all nodes have sent."""
     return sum(n.counters.bytes_by_urgency[Urgency.LOAD] for n in pump.all())
 
 
@@ -207,6 +208,7 @@
 
 
 def until_known(seed, victims):
+    """Return the seconds until every node knows which VMs have died."""
     pump = Pump(FLEET, seed=seed)
     pump.run(30)
     for node in [pump.all()[i] for i in victims]:
@@ -215,6 +217,7 @@
 
 
 def until_unready(seed):
+    """Return the seconds until no node of a minority that was cut off is ready."""
     pump = Pump(FLEET, seed=seed)
     for node in pump.all():
         node.applied(1)
@@ -226,6 +229,7 @@
 
 
 def quantiles(values):
+    """Return median, 99th percentile and maximum as text."""
     ordered = sorted(values)
     p99 = ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))]
     return f"p50 {statistics.median(ordered):.2f} p99 {p99:.2f} max {ordered[-1]:.2f} s"
@@ -293,10 +297,12 @@
 
 
 def note(times, item):
+    """Note when a version came."""
     times[item.version] = time.time()
 
 
 async def publish_all(node, times):
+    """Publish a change every second."""
     for version in range(1, int(REAL_SECONDS) - 2):
         times[version] = time.time()
         node.applied(version)
@@ -305,6 +311,7 @@
 
 
 async def measure(node, seconds):
+    """Return the bytes/s and the CPU share of this process over some seconds."""
     cpu, sent = time.process_time(), node.counters.bytes_sent
     await curio.sleep(seconds)
     share = (time.process_time() - cpu) / seconds * 100
--- a/sequoiabridge/tests/fleet/test_wire.py
+++ b/sequoiabridge/tests/fleet/test_wire.py
@@ -3,9 +3,20 @@
 import msgspec
 import pytest
 
+from ...exceptions import ConfigurationError
 from ...fleet.base import CrashItem, DrainItem, MemberState, Urgency
 from ...fleet.replay import COUNT_BITS, WINDOW, Admission, ReplayGuard
-from ...fleet.wire import MAX_FRAME, WIRE_VERSION, Bad, Codec, Kind, Message, Update, sign
+from ...fleet.wire import (
+    MAX_FRAME,
+    WIRE_VERSION,
+    Bad,
+    Codec,
+    Kind,
+    Message,
+    Update,
+    parse_keys,
+    sign,
+)
 from .pump import KEY, Pump, incarnation, live_names, state
 
 ME, OTHER = "10.0.0.1:7000", "10.0.0.2:7000"
@@ -51,6 +62,13 @@
     assert during.decode(before.encode(message(), OTHER)).is_ok()
 
 
+def test_a_setting_holds_one_or_two_long_keys():
+    assert parse_keys(f"{'o' * 16} {'n' * 16}") == [b"o" * 16, b"n" * 16]
+    for text in ("", "short", " ".join(["k" * 16] * 3)):
+        with pytest.raises(ConfigurationError, match="key"):
+            parse_keys(text)
+
+
 def test_an_older_daemon_reads_what_it_knows_of_a_newer_ones_message():
     class NewItem(msgspec.Struct, tag="new", array_like=True):
         text: str
