Make the texts of marks once, and bound the memory of retry periods

Cause: with 4,096 marks each comparison would have built all their texts anew on the daemon's loop, and replaced VMs left their last period behind for ever (both found by reading, not measured). Change: a mark keeps its texts; the oldest periods are dropped beyond 4,096.

--- a/sequoiabridge/fleet/marks.py
+++ b/sequoiabridge/fleet/marks.py
@@ -52,15 +52,21 @@
 
 
 class Mark:
-    """The last word on a subject; `since` is on this daemon's clock."""
+    """The last word on a subject; `since` is on this daemon's clock.
 
-    __slots__ = ("item", "raw", "origin", "since")
+    Attributes:
+        key, rank: Subject and rank as text for digests, made once.
+    """
+
+    __slots__ = ("item", "raw", "origin", "since", "key", "rank")
 
     def __init__(self, item: DrainItem | CrashItem, raw: msgspec.Raw, origin: str, since: float):
         self.item = item
         self.raw = raw
         self.origin = origin
         self.since = since
+        self.key = repr(subject_of(item, origin))
+        self.rank = repr(rank_of(item))
 
     def parcel(self, now: float) -> Parcel:
         """Return the mark as it is sent now."""
@@ -96,9 +102,9 @@
                 del self.marks[subject]
 
     def entries(self) -> Iterable[tuple[str, str, Mark]]:
-        """Yield subject and rank as strings for digests, and the mark."""
-        for subject, mark in self.marks.items():
-            yield repr(subject), repr(rank_of(mark.item)), mark
+        """Yield subject and rank as text for digests, and the mark."""
+        for mark in self.marks.values():
+            yield mark.key, mark.rank, mark
 
 
 class ChangeLog:
--- a/sequoiabridge/fleet/spreader.py
+++ b/sequoiabridge/fleet/spreader.py
@@ -41,6 +41,8 @@
 PARCEL_OVERHEAD = 8
 LOAD_SENDS = 2
 """Members that hear an ordinary load item; a suspect's goes to as many as any other item."""
+PERIOD_LIMIT = 4_096
+"""VMs and services whose last counting period is remembered."""
 UPDATE_SIZE = 48
 """Bytes of an update with names of usual length, an estimate."""
 
@@ -170,9 +172,12 @@
                 return self.marks.add(Mark(item, parcel.item, parcel.origin, since), now)
             case RetryItem():
                 subject, period = subject_of(item, parcel.origin), rank_of(item)[0]
-                if self.periods.get(subject, -1) >= period:
+                known = self.periods.pop(subject, -1)
+                self.periods[subject] = max(known, period)
+                if known >= period:
                     return False
-                self.periods[subject] = period
+                if len(self.periods) > PERIOD_LIMIT:
+                    del self.periods[next(iter(self.periods))]
         return True
 
     def _queue(self, item: AnyItem, parcel: Parcel, urgency: Urgency, since: float) -> Entry:
