--- a/sequoiabridge/tests/fleet/test_spreading.py
+++ b/sequoiabridge/tests/fleet/test_spreading.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from ...fleet.base import ConfigurationItem, CrashItem, DrainItem, LoadItem, Urgency
+from ...fleet.base import (
+    ConfigurationItem,
+    CrashItem,
+    DrainItem,
+    LoadItem,
+    RetryItem,
+    Urgency,
+)
 from ...fleet.currency import CONFIRM_WITHIN
 from .pump import Pump, live_names
 
@@ -191,3 +198,14 @@
     holder.snapshots.given = (41, compress(documents[41]))
     assert pump.run_until(lambda: late.currency.in_force == 41, 30) is not None
     assert got == [41]
+
+
+def test_a_vms_retries_are_heard_once_a_period_and_never_of_an_older_one():
+    pump = running(2)
+    first, second = pump.all()
+    heard = []
+    second.subscribe(RetryItem, lambda item, sender: heard.append((item.period, sender)))
+    for period in (3, 4, 2, 4):
+        first.publish(RetryItem("vm1", "spendview", period, 1, 20), Urgency.RETRY)
+        pump.run(4)
+    assert heard == [(3, "vm1"), (4, "vm1")]
