--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,6 @@
 .PHONY: bench-daemon
 bench-daemon: $(VENV)/ready
 	$(BIN)/python -m benchmarks.daemon
+.PHONY: bench-fleet
+bench-fleet: $(VENV)/ready
+	$(BIN)/python -m benchmarks.fleet
