--- a/sequoiabridge/pipeline/admit.py
+++ b/sequoiabridge/pipeline/admit.py
@@ -7,7 +7,7 @@
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
 from ..policy.admission import Ticket, Verdict
-from ..timers import Clock
+from ..timers import Clock, OnDemand, Timers
 from .base import Filter
 from .exchange import Exchange
 from .services import Services, ServiceState
@@ -18,6 +18,12 @@
     Reason.CALLER_SHARE: "This caller has its share of the queue already; come back later.",
 }
 
+EXPIRE_EVERY = 0.02
+"""Seconds between two looks for queued calls that can no longer be answered in time."""
+
+UPSTREAM_REASONS = frozenset({Reason.TIMEOUT, Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SHED})
+"""Refusals that say that the upstreams have too much to do, or are in trouble."""
+
 COME_BACK_SOON = 1.0
 """Seconds after which a caller may come back when nothing better is known."""
 
@@ -35,7 +41,7 @@
 class Admit(Filter):
     """Edge of `policy.admission`: parks the task of a queued call until its ticket's turn."""
 
-    __slots__ = ("services", "clock", "tickets", "waiting")
+    __slots__ = ("services", "clock", "tickets", "waiting", "expiry")
 
     name = "admit"
 
@@ -44,12 +50,20 @@
         self.clock = clock
         self.tickets: dict[str, Ticket] = {}
         self.waiting: dict[Ticket, Waiting] = {}
+        self.expiry: OnDemand | None = None
+
+    def subscribe(self, timers: Timers) -> None:
+        """Look for calls that wait in vain, while any call waits."""
+        needed = self.waiting.__len__
+        self.expiry = OnDemand(timers, EXPIRE_EVERY, "admission", self.expire, needed)
 
     async def enter(self, exchange: Exchange) -> None:
         state = self.services.by_name[exchange.service.name]
         now = self.clock.now()
         ticket = Ticket(exchange.caller, exchange.deadline, now, exchange.rule.weight)
         decision = state.queue.offer(ticket, now)
+        if state.queue.displaced:
+            await self._wake(state.queue.expire(now), refused=True)
         if decision.verdict is Verdict.REFUSED:
             raise _refusal(decision.reason, decision.retry_after)
         if decision.verdict is Verdict.QUEUED:
@@ -61,9 +75,16 @@
         state = self.services.by_name.get(exchange.service.name)
         if state is None:
             return
+        await self._wake(self._released(state, ticket, exchange), refused=False)
+
+    def _released(self, state: ServiceState, ticket: Ticket, exchange: Exchange) -> list[Ticket]:
         now = self.clock.now()
-        admitted = state.queue.release(ticket, now, now - exchange.arrived, clean)
-        await self._wake(admitted, refused=False)
+        refusal = exchange.refusal
+        if ticket.admitted_at is None or exchange.answer is None:
+            return state.queue.withdraw(ticket, now)
+        if refusal is not None and refusal.reason not in UPSTREAM_REASONS:
+            return state.queue.withdraw(ticket, now)
+        return state.queue.release(ticket, now, now - ticket.admitted_at, refusal is None)
 
     async def expire(self) -> None:
         """Refuse the queued calls that can no longer be answered in time; a timer calls this."""
@@ -73,6 +94,8 @@
 
     async def _wait(self, state: ServiceState, ticket: Ticket) -> None:
         waiting = self.waiting[ticket] = Waiting()
+        if self.expiry is not None:
+            self.expiry.wake()
         try:
             await waiting.event.wait()
         except BaseException:
--- a/sequoiabridge/timers.py
+++ b/sequoiabridge/timers.py
@@ -11,6 +11,10 @@
 
 import curio
 
+from .logs import get_log
+
+log = get_log("timers")
+
 Callback = Callable[[], Coroutine | None]
 
 IDLE_WAIT = 3600.0
@@ -76,6 +80,43 @@
         self.cancelled = True
 
 
+class OnDemand:
+    """Calls a callback each `interval` seconds, but only while there is something to do.
+
+    Whoever makes work calls `wake`, which is cheap while awake. Once `needed` says that nothing
+    is left, the subscription ends, so that an idle process is not woken for nothing.
+    """
+
+    __slots__ = ("timers", "interval", "name", "callback", "needed", "subscription")
+
+    def __init__(
+        self,
+        timers: "Timers",
+        interval: float,
+        name: str,
+        callback: Callback,
+        needed: Callable[[], bool],
+    ):
+        self.timers = timers
+        self.interval = interval
+        self.name = name
+        self.callback = callback
+        self.needed = needed
+        self.subscription: Subscription | None = None
+
+    def wake(self) -> None:
+        """Call the callback from now on, unless that is so already."""
+        if self.subscription is None:
+            self.subscription = self.timers.every(self.interval, self.name, self._due)
+
+    def _due(self) -> Coroutine | None:
+        if self.needed():
+            return self.callback()
+        self.subscription.cancel()
+        self.subscription = None
+        return None
+
+
 class Timers:
     """The timer service.
 
@@ -107,10 +148,15 @@
             _, _, subscription = heapq.heappop(self.heap)
             if subscription.cancelled:
                 continue
-            result = subscription.callback()
+            self._repeat(subscription, now)
+            try:
+                result = subscription.callback()
+            except Exception:
+                # One part's fault must not end the timers of all others.
+                log.exception("%s failed; it is called again when due.", subscription.name)
+                continue
             if result is not None:
                 started.append(result)
-            self._repeat(subscription, now)
         return started
 
     def next_due(self) -> float:
