--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,16 @@
 .PHONY: bench-daemon
 bench-daemon: $(VENV)/ready
 	$(BIN)/python -m benchmarks.daemon
+
+.PHONY: matrix matrix-check soak roll
+matrix: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix
+
+matrix-check: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix.check
+
+soak: $(VENV)/ready
+	$(BIN)/python -m benchmarks.soak
+
+roll: $(VENV)/ready
+	$(BIN)/python -m benchmarks.roll
--- a/benchmarks/oracle.py
+++ b/benchmarks/oracle.py
@@ -26,6 +26,7 @@
     """One sending of one piece of work, and what its caller was told.
 
     `status` is 0 if no whole answer head came. `whole` is true if the answer ended cleanly.
+    `gone` says that the caller left before it was told anything.
     `outcome` is the outcome header of an answer that the system made itself, else empty.
     Times are on the clock of the upstreams' record, in seconds.
     """
@@ -48,6 +49,7 @@
     answer_digest: str = ""
     answer_intact: bool = False
     error: str = ""
+    gone: bool = False
 
     @property
     def good(self) -> bool:
@@ -106,6 +108,7 @@
     MEASURING = "measuring stays inside its budget"
     STOP = "a planned stop cuts off nothing and comes to its end"
     WHOLE = "without a fault that breaks connections, every call gets a whole answer"
+    CRASHES = "a request that crashes upstreams is stopped after two"
     NO_ERROR = "no call meets an error of the daemon's own"
     RECOVERY = "once the fault is over, calls are answered well again"
 
@@ -251,7 +254,7 @@
 def whole_answers(evidence: Evidence) -> Iterable[Violation]:
     """Every call got a whole answer, good or not; asked for by `Evidence.whole`."""
     for told in evidence.told if evidence.whole else ():
-        if not told.whole and "refused" not in told.error:
+        if not (told.whole or told.gone or "refused" in told.error):
             yield Violation(Promise.WHOLE, f"{told.attempt} was cut off: {told.error}")
 
 
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -225,6 +225,8 @@
     by_promise = Counter(violation.promise for violation in broken)
     for kind in Kind:
         print(f"{kind.value:9} {Summary([told for told in load.told if told.kind is kind])}")
+    reasons = Counter(f"{told.status} {told.outcome} {told.reason}" for told in load.told)
+    print(", ".join(f"{count} {reason.strip()}" for reason, count in reasons.most_common()))
     summary = Summary(load.told)
     print(summary)
     print(
