--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,16 @@
 .PHONY: bench-fleet
 bench-fleet: $(VENV)/ready
 	$(BIN)/python -m benchmarks.fleet
+
+.PHONY: matrix matrix-check soak roll
+matrix: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix
+
+matrix-check: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix.check
+
+soak: $(VENV)/ready
+	$(BIN)/python -m benchmarks.soak
+
+roll: $(VENV)/ready
+	$(BIN)/python -m benchmarks.roll
--- a/sequoiabridge/tests/matrix/fakes.py
+++ b/sequoiabridge/tests/matrix/fakes.py
@@ -4,8 +4,11 @@
 also run as processes.
 """
 
+from __future__ import annotations
+
 import socket
 from collections import deque
+from typing import TYPE_CHECKING
 
 import curio
 from curio.io import Socket
@@ -20,24 +23,42 @@
 from .steps import Moment, Step, Steps
 from .virtual import OwnedTask, Owner, adopt
 
+if TYPE_CHECKING:
+    from .world import World
+
 INBOX = 256
 """Frames that wait for a frozen VM; more are dropped, as the sockets of a stopped process do."""
 
 
+def break_all(ends: set[socket.socket]) -> None:
+    """Break all connections that are still open at this end."""
+    for end in ends:
+        if end.fileno() >= 0:
+            end.shutdown(socket.SHUT_RDWR)
+    ends.clear()
+
+
 class StepWire(Wire):
     """Says when a request's head and body have come."""
 
-    __slots__ = ("upstream",)
+    __slots__ = ("upstream", "probe")
 
     async def event(self) -> object:
         event = await super().event()
         kind = type(event).__name__
+        if kind == "Request":
+            self.probe = event.target == b"/health"
+        if self.probe:
+            return event
         step = {"Request": Step.SEND_HEAD, "Data": Step.SEND_BODY}.get(kind)
         if step is not None:
             await self.upstream.reached(step)
         return event
 
     async def _write(self, data: bytes) -> None:
+        if self.probe:
+            await super()._write(data)
+            return
         half = len(data) // 2
         await super()._write(data[:half])
         await self.upstream.reached(Step.RELAY)
@@ -47,20 +68,20 @@
 class FakeUpstream(Upstream):
     """A stand-in upstream inside the test's process."""
 
-    def __init__(self, name: str, address: str, steps: Steps, record, seed: int):
+    def __init__(self, name: str, address: str, world: World, record, seed: int):
         super().__init__(name, 2, 6.0, seed, record)
         self.address = address
-        self.steps = steps
+        self.world = world
         self.owner = Owner(name)
         self.ends: set[socket.socket] = set()
         self.up = True
 
     async def reached(self, step: Step) -> None:
-        await self.steps.reached(step, upstream=self.name)
+        await self.world.steps.reached(step, upstream=self.name)
 
     async def serve(self, client, peer) -> None:
         wire = StepWire(client)
-        wire.upstream = self
+        wire.upstream, wire.probe = self, False
         self.wires.add(wire)
         try:
             while (request := await wire.request()) and await self.handle(wire, request):
@@ -74,22 +95,22 @@
     async def run(self, wire: Wire, request: Incoming, watch: curio.Task) -> bool:
         if request.header(b"sequoia-upload-id"):
             await self.reached(Step.DELIVER)
+        else:
+            await self.reached(Step.WAIT)
+        if self.world.crashing and request.header(b"x-nonce") == self.world.crashing:
+            self.begin(request)
+            await adopt(None, self.world.crash, self)
+            await curio.sleep(0)
         return await super().run(wire, request, watch)
 
-    async def crash(self) -> None:
-        await adopt(None, self.end)
-        await curio.sleep(0)
-
     async def end(self) -> None:
         """Be killed: everything open breaks, and new connections are refused until `restart`."""
         self.up = False
         self.owner.freeze()
-        for end in self.ends:
-            end.shutdown(socket.SHUT_RDWR)
-        self.ends.clear()
+        break_all(self.ends)
         self.wires.clear()
 
-    def restart(self) -> None:
+    async def restart(self) -> None:
         """Be started again, with nothing left of before but the record of what ran."""
         self.owner = Owner(self.name)
         self.free = curio.Semaphore(self.slots)
@@ -106,7 +127,7 @@
         self.upstreams: dict[str, FakeUpstream] = {}
         self.ends: dict[Owner, set[socket.socket]] = {}
 
-    async def open(self, address: str, clock, max_head: int, timeout: float) -> Link:
+    async def open(self, address: str, clock, timeout: float) -> Link:
         await self.steps.reached(Step.OPEN, upstream=self.name(address))
         upstream = self.upstreams.get(address)
         if upstream is None or not upstream.up:
@@ -116,7 +137,7 @@
         upstream.ends.add(far)
         self.ends.setdefault(OwnedTask.running.owner, set()).add(near)
         await adopt(upstream.owner, upstream.serve, Socket(far), None)
-        return Link(address, near, clock, max_head)
+        return Link(address, near, clock)
 
     def name(self, address: str) -> str:
         """Return the name of the upstream at an address."""
@@ -125,9 +146,7 @@
 
     def cut(self, owner: Owner) -> None:
         """Break all connections of a VM that was killed."""
-        for end in self.ends.pop(owner, ()):
-            if end.fileno() >= 0:
-                end.shutdown(socket.SHUT_RDWR)
+        break_all(self.ends.pop(owner, set()))
 
 
 class StepTables(MemoryTables):
@@ -147,7 +166,7 @@
             await self.steps.reached(before, Moment.BEFORE)
         result = await super().transact(conditions, writes, timeout)
         if after is not None:
-            await self.steps.reached(after, Moment.AFTER)
+            await self.steps.reached(after, Moment.AFTER if after is before else Moment.BEFORE)
         return result
 
 
