Put an accepted change in force although the store is down right after

Cause: the VM that proposed a change read it back from the table before it put it in force and spread it. With the table down right after the commit nobody had the change until it was back. And a change too large to be spread waited for the next look at the table, up to two seconds.

Change: Accepted carries the change row, which is applied as it is; hearing of a change that was too large looks at the table at once. The stand-in platform can go down right after a commit (down_after).

--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,7 @@
 .PHONY: bench-daemon
 bench-daemon: $(VENV)/ready
 	$(BIN)/python -m benchmarks.daemon
+
+.PHONY: bench-config
+bench-config: $(VENV)/ready
+	$(BIN)/python -m benchmarks.inforce
--- a/sequoiabridge/configuration.py
+++ b/sequoiabridge/configuration.py
@@ -74,10 +74,12 @@
         self.in_force = Document.empty()
         self.applied_at = clock.now()
         self.polling = False
+        self.timers: Timers | None = None
         fleet.subscribe(ConfigurationItem, lambda item, origin: self.apply_held())
 
     def subscribe(self, timers: Timers) -> None:
         """Look at the table at once, then every `POLL_EVERY` seconds."""
+        self.timers = timers
         timers.after(0.0, "configuration load", self.poll)
         timers.every(POLL_EVERY, "configuration poll", self.poll)
 
@@ -120,6 +122,8 @@
         if not isinstance(outcome, Accepted):
             await self.poll()
             return Error(_not_accepted(outcome))
+        # What was proposed is at hand: the table may be down by now.
+        self._apply(outcome.row)
         await self._take_from_table(outcome.version)
         await self._wait_for_others(outcome.version)
         await curio.spawn(self.save_snapshot(outcome.version), daemon=True)
@@ -129,9 +133,15 @@
         """Apply the changes heard from other VMs that follow the version in force."""
         while (item := self.fleet.currency.take()) is not None:
             if not item.change:
+                self._look_soon()
                 return
             self._apply(CHANGE_DECODER.decode(item.change))
 
+    def _look_soon(self) -> None:
+        """Read the table now: a change was too large to be spread."""
+        if self.timers is not None:
+            self.timers.after(0.0, "configuration read", self.poll)
+
     def dump(self) -> dict:
         return {
             "version": self.in_force.version,
--- a/sequoiabridge/store/version_rows.py
+++ b/sequoiabridge/store/version_rows.py
@@ -85,12 +85,13 @@
 
 
 class Accepted(Proposal):
-    """Proven committed as `version`."""
+    """Proven committed as `version`; `row` is the change, so that it need not be read again."""
 
-    __slots__ = ("version",)
+    __slots__ = ("version", "row")
 
-    def __init__(self, version: int):
-        self.version = version
+    def __init__(self, row: ChangeRow):
+        self.version = row.version
+        self.row = row
 
 
 class Conflict(Proposal):
--- a/sequoiabridge/store/versions.py
+++ b/sequoiabridge/store/versions.py
@@ -78,7 +78,7 @@
                 return Conflict(head.version, head.author, head.at)
             result = await self._commit(row, found.ok, deadline)
             if result.is_ok():
-                return Accepted(row.version)
+                return Accepted(row)
             if result.error.kind is StoreErrorKind.UNKNOWN:
                 return Unproven(row.version, row.token, result.error.message)
             if result.error.kind is not StoreErrorKind.CONDITION_FAILED:
@@ -217,7 +217,7 @@
             return None
         row = CHANGE_DECODER.decode(found.ok.value)
         if row.token == unproven.token:
-            return Accepted(row.version)
+            return Accepted(row)
         return Conflict(row.version, row.author, row.at)
 
     async def _fence(self, deadline: float) -> Result[None, StoreError]:
--- a/sequoiabridge/tests/standins/memory.py
+++ b/sequoiabridge/tests/standins/memory.py
@@ -54,9 +54,11 @@
         late_after: Seconds after which the stand-in process lands a late write.
         lose_reads: Reads without an answer.
         list_lag: Seconds by which the VM list lags.
+        down_after: Writes that still take effect and are answered before `down` begins.
     """
 
     down: bool = False
+    down_after: int = 0
     slow: float = 0.0
     reject: int = 0
     lose_writes: int = 0
@@ -128,6 +130,8 @@
             return False
         for write in writes:
             self.put(write)
+        if self.faults.hits("down_after") and not self.faults.down_after:
+            self.faults.down = True
         return True
 
     def version(self, table: str, key: str) -> int:
