--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,13 @@
 .PHONY: bench-hop
 bench-hop: $(VENV)/ready
 	$(BIN)/python -m benchmarks.hop
+.PHONY: bench-claims
+bench-claims: $(VENV)/ready
+	$(BIN)/python -m benchmarks.claims
+
+.PHONY: bench-upload
+bench-upload: $(VENV)/ready
+	$(BIN)/python -m benchmarks.upload
 
 .PHONY: bench-daemon
 bench-daemon: $(VENV)/ready
--- a/sequoiabridge/policy/choosers.py
+++ b/sequoiabridge/policy/choosers.py
@@ -27,7 +27,7 @@
 SHED_COST = 4.0
 """Work per slot that a fresh refusal counts as."""
 
-SUSPECT_COST = 1.0
+SUSPECT_COST = 3.0
 """Work per slot that other VMs' suspicion counts as, at most."""
 
 SLOW_FROM = 2.0
--- a/sequoiabridge/store/claim_reports.py
+++ b/sequoiabridge/store/claim_reports.py
@@ -6,7 +6,7 @@
 
 from ..logs import get_log
 from .base import Condition, StoreErrorKind, Write
-from .claim_rows import CLAIM_DECODER, CLAIMS, ENCODER, ClaimRow, ClaimState, finished
+from .claim_rows import CLAIMS, ENCODER, ClaimRow, ClaimState, finished, read_claim
 from .client import CALL_TIMEOUT, StoreClient
 from .rates import Priority
 
@@ -62,8 +62,12 @@
             report.row = finished(report.row, report.row.state, report.row.status)
         self.kept[report.row.token] = report
 
-    async def write(self, report: Report, priority: Priority = Priority.NORMAL) -> bool:
-        """Try to write a report now; true if it is proven, else it is kept."""
+    async def write(self, report: Report, priority: Priority = Priority.CLAIM) -> bool:
+        """Try to write a report now; true if it is proven, else it is kept.
+
+        As urgent as new claims are: with less, claims at the limit of the rate would starve the
+        reports, and held rows would pile up.
+        """
         self.keep(report)
         for _ in range(REPORT_ROUNDS):
             settled = await self._step(report, priority)
@@ -108,7 +112,9 @@
     def _compare(self, report: Report, found) -> bool | None:
         if found is None:
             return self._without_row(report)
-        row = CLAIM_DECODER.decode(found.value)
+        row = read_claim(found.value)
+        if row is None:
+            return False
         if row.token != report.row.token or row.state is not ClaimState.HELD:
             return self._overtaken(report, row)
         report.version = found.version
--- a/sequoiabridge/upstreams/exchange.py
+++ b/sequoiabridge/upstreams/exchange.py
@@ -6,8 +6,9 @@
 
 import h11
 
-from ..codec import CONTENT_LENGTH, FRAMING, TRANSFER_ENCODING, Fields, Head, head_size, serialized
+from ..codec import END, BodyWriter, body_reader, body_writer, request_bytes, written
 from ..exceptions import UpstreamFailed
+from ..fields import BODILESS, CONTENT_LENGTH, FRAMING, TRANSFER_ENCODING, Fields, Head
 from ..headers import OUTCOME, REASON, REPLAYED, REQUEST_ID
 from ..pipeline.exchange import Answer, Body, BytesBody
 from .base import UpstreamConnection, UpstreamRequest
@@ -20,9 +21,7 @@
 """What the daemon says to callers itself is not taken from an upstream."""
 WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 """Methods whose requests say so when they have no body (RFC 9110, 8.6)."""
-BODILESS = frozenset({204, 304})
 CHUNKED = (TRANSFER_ENCODING, b"chunked")
-END = h11.EndOfMessage()
 
 
 class HttpConnection(UpstreamConnection):
@@ -82,77 +81,56 @@
         link = self.link
         link.requests += 1
         self.method = request.method
-        piece = await request.body.read() if request.body is not None else b""
         try:
-            data = serialized(link.http.send_with_data_passthrough(_event(request, link.address)))
-            if piece:
-                data += link.http.send(h11.Data(piece))
-            await self._send(data)
-            while piece and not link.refused:
-                piece = await request.body.read()
-                if piece:
-                    await self._send_piece(piece)
-            if not link.refused and (end := link.http.send(END)):
-                await self._send(end)
+            head = request_bytes(_event(request, link.address))
+            if request.body is None:
+                await self._send(head)
+            else:
+                await self._send_with_body(head, request.body, body_writer(request.length))
         except h11.LocalProtocolError as error:
             message = f"The request does not fit HTTP: {error}. Correct the request."
             raise link.failed(message) from error
+        link.request_ended = not link.refused
+
+    async def _send_with_body(self, head: bytes, body: Body, writer: BodyWriter) -> None:
+        """Send a request with a body until its end, or until the upstream has refused it."""
+        link = self.link
+        piece = await body.read()
+        await self._send(head + written(writer, h11.Data(piece)))
+        while piece and not link.refused:
+            piece = await body.read()
+            self._look_for_answer()
+            if piece and not link.refused:
+                await self._send(written(writer, h11.Data(piece)))
+        if not link.refused and (end := written(writer, END)):
+            await self._send(end)
 
     async def read_head(self) -> Answer:
-        """Wait for the answer's head; see the base class. A small body is read with it."""
+        """Wait for the answer's head; see the base class. A small body comes with it."""
         link = self.link
         event = link.early
         while event is None:
-            if not link.fed:
-                await link.wait_and_receive()
-            event = self._response()
-        head = Head(event.headers, NOT_FROM_UPSTREAMS)
-        if self.method == b"HEAD" or event.status_code in BODILESS:
-            link.next_event()
-            await self.give_back()
-            return Answer(event.status_code, head.pairs, head.length, None)
-        if head.chunked == (head.length is not None):
+            await link.receive()
+            event = link.response(self.connector.limits.max_head)
+        head = Head(event, NOT_FROM_UPSTREAMS)
+        link.keeps_alive = head.keeps_alive
+        status, length = event.status_code, head.length
+        if self.method == b"HEAD" or status in BODILESS:
+            return await self._whole(Answer(status, head.pairs, length, None))
+        if head.chunked == (length is not None):
             message = "The answer's length is not known for sure. Send one of Content-Length or "
             raise link.failed(message + "Transfer-Encoding: chunked.")
-        return await self._with_body(event.status_code, head)
-
-    async def _with_body(self, status: int, head: Head) -> Answer:
-        """Return the answer, its body with it if all of that has come."""
-        pieces = []
-        event = self.link.next_event()
-        while type(event) is h11.Data:
-            pieces.append(bytes(event.data))
-            event = self.link.next_event()
-        data = b"".join(pieces)
-        if event is h11.NEED_DATA:
-            body = AnswerBody(self, data)
-            return Answer(status, head.pairs, head.length, body)
+        if length is None or len(link.received) < length:
+            return Answer(status, head.pairs, length, AnswerBody(self, length))
+        return await self._whole(
+            Answer(status, head.pairs, length, BytesBody(link.received.take(length)))
+        )
+
+    async def _whole(self, answer: Answer) -> Answer:
+        """Give the link back, since all of the answer is here."""
+        self.link.answer_ended = True
         await self.give_back()
-        return Answer(status, head.pairs, len(data), BytesBody(data))
-
-    def _response(self) -> h11.Response | None:
-        """Return the answer's head if h11 has it; interim answers are passed over."""
-        link = self.link
-        limit = self.connector.limits.max_head
-        while True:
-            held = link.http.trailing_data[0]
-            if len(held) > limit and head_size(held) > limit:
-                raise link.failed(f"The answer's head has more than {limit} bytes.")
-            event = link.next_event()
-            if type(event) is h11.Response:
-                return event
-            if type(event) is not h11.InformationalResponse:
-                link.fed = False
-                return None
-
-    async def _send_piece(self, piece: bytes) -> None:
-        """Send a piece of the body unless the upstream has refused the request by now."""
-        link = self.link
-        self._look_for_answer()
-        if link.refused:
-            return
-        parts = link.http.send_with_data_passthrough(h11.Data(piece))
-        await self._send(parts[0] if len(parts) == 1 else b"".join(parts))
+        return answer
 
     async def _send(self, data: bytes) -> None:
         """Send all of `data` unless the upstream refuses the request meanwhile."""
@@ -175,17 +153,17 @@
     def _look_for_answer(self) -> None:
         link = self.link
         if link.early is None and link.receive_now():
-            link.early = self._response()
+            link.early = link.response(self.connector.limits.max_head)
 
 
 class AnswerBody(Body):
     """An answer's body that is still coming; gives the connection back at its end or close."""
 
-    __slots__ = ("connection", "held")
+    __slots__ = ("connection", "reader")
 
-    def __init__(self, connection: HttpConnection, held: bytes):
+    def __init__(self, connection: HttpConnection, length: int | None):
         self.connection = connection
-        self.held = held
+        self.reader = body_reader(length)
 
     async def read(self) -> bytes:
         """Return the next piece, b"" at the clean end.
@@ -193,20 +171,17 @@
         Raises:
             UpstreamFailed: The body was cut short; the connection is closed.
         """
-        if self.held:
-            data, self.held = self.held, b""
-            return data
         if self.connection.returned:
             return b""
         link = self.connection.link
         try:
-            while (event := link.next_event()) is h11.NEED_DATA:
-                await link.receive()
+            event = await link.body_event(self.reader)
         except UpstreamFailed:
             await self.close()
             raise
         if type(event) is h11.Data:
             return bytes(event.data)
+        link.answer_ended = True
         await self.connection.give_back()
         return b""
 
@@ -222,6 +197,10 @@
         pairs.append(CHUNKED)
     elif request.length or request.method in WITH_BODY:
         pairs.append((CONTENT_LENGTH, b"%d" % request.length))
-    if not any(name == b"host" for name, _ in pairs):
-        pairs.append((b"host", address.encode()))
+    try:
+        return h11.Request(method=request.method, target=request.target, headers=Fields(pairs))
+    except h11.LocalProtocolError:
+        if any(name == b"host" for name, _ in pairs):
+            raise
+    pairs.append((b"host", address.encode()))
     return h11.Request(method=request.method, target=request.target, headers=Fields(pairs))
