--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,7 @@
 .PHONY: bench-config
 bench-config: $(VENV)/ready
 	$(BIN)/python -m benchmarks.inforce
+
+.PHONY: slopes
+slopes: $(VENV)/ready
+	$(BIN)/python -m benchmarks.slopes
--- a/benchmarks/daemon.py
+++ b/benchmarks/daemon.py
@@ -23,7 +23,7 @@
 
 from .configuration import content
 from .processes import Trial, free_addresses
-from .scene import PLATFORM, Daemon, Scene
+from .scene import PLATFORM, Daemon, Scene, control
 
 CPU_BOUND = 1.8
 """Percent of a core that control may take."""
@@ -158,6 +158,12 @@
     return [Cost(*pair) for pair in zip(before, after, strict=True)]
 
 
+def asked_of_store(scene: Scene) -> int:
+    """Return how many reads and writes the platform has let pass for the whole fleet."""
+    counts = control(scene.platform.ready["address"], "/control")
+    return counts["reads"]["passed"] + counts["writes"]["passed"]
+
+
 def spread(values: list[float]) -> str:
     """Return mean and largest of a list."""
     return f"{sum(values) / len(values):9.2f} {max(values):9.2f}"
@@ -169,11 +175,13 @@
         scene = IdleScene(trial, daemons, services, upstreams)
         scene.start()
         time.sleep(SETTLE)
+        asked = asked_of_store(scene)
         costs = measure(scene, seconds)
+        per_second = (asked_of_store(scene) - asked) / seconds
     columns = [[getattr(c, name) for c in costs] for name in ("cpu", "memory", "sent", "kernel")]
     cells = "  ".join(spread(column) for column in columns)
     live = min(cost.live for cost in costs)
-    print(f"{services:8d} {upstreams:9d} {live:4d}  {cells}", flush=True)
+    print(f"{services:8d} {upstreams:9d} {live:4d}  {cells}  {per_second:9.1f}", flush=True)
     return costs
 
 
@@ -250,7 +258,9 @@
         profile(daemons, *sizes[-1], seconds)
         return
     print(f"{daemons} daemons over loopback, no calls, {seconds:g} s; mean and most of the fleet")
-    print("services upstreams live         CPU %               MB              bytes/s    kernel's")
+    print(
+        "services upstreams live         CPU %               MB              bytes/s    kernel's  store calls/s"
+    )
     for size in sizes:
         costs = run_size(daemons, *size, seconds)
     print(last_line(costs))
--- a/sequoiabridge/tests/test_configuration.py
+++ b/sequoiabridge/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""The configuration in force, over real versions and a real fleet node, with the platform failing."""
+"""The configuration in force, over real versions and a real fleet node; the platform fails."""
 
 import curio
 
