--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,11 @@
 
 roll: $(VENV)/ready
 	$(BIN)/python -m benchmarks.roll
+
+.PHONY: bench-config
+bench-config: $(VENV)/ready
+	$(BIN)/python -m benchmarks.inforce
+
+.PHONY: slopes
+slopes: $(VENV)/ready
+	$(BIN)/python -m benchmarks.slopes
