--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -34,6 +34,7 @@
 from .pipeline.pipeline import Pipeline, RequestIds
 from .pipeline.probing import Probing
 from .pipeline.record import Record
+from .pipeline.returning import Returning
 from .pipeline.services import Services
 from .pipeline.sharing import Sharing
 from .pipeline.spool import Spool
@@ -41,6 +42,7 @@
 from .pipeline.upload_sender import UploadSender
 from .pipeline.uploads import UploadHandler
 from .readiness import DaemonReadiness
+from .readings import declare_fleet, declare_path, declare_store, declare_uploads
 from .store.claim_admin import ClaimAdmin
 from .store.claims import Claims
 from .store.client import StoreClient
@@ -90,6 +92,7 @@
         self._build_path()
         self._build_uploads()
         self._build_operators()
+        self._declare_metrics()
         self.stop_asked = curio.UniversalEvent()
 
     def parts(self) -> list[Part]:
@@ -163,6 +166,7 @@
         self.sharing = Sharing(self.vm, self.services, self.fleet, self.metrics, self.clock)
         prober = Prober(self.connector, self.clock)
         self.probing = Probing(self.services, prober, self.metrics, self.sharing, self.clock)
+        self.returning = Returning(self.services, prober, self.sharing, self.clock)
         self.admit = Admit(self.services, self.clock)
         filters = [
             Record(self.metrics, self.journal, self.clock),
@@ -208,6 +212,12 @@
         routes = Routes(admin.token, self.readiness, self.metrics, dump, executor)
         self.admin = AdminServer(admin.address, routes)
 
+    def _declare_metrics(self) -> None:
+        declare_path(self.metrics, self.services, self.callers)
+        declare_fleet(self.metrics, self.fleet, self.configuration, self.readiness)
+        declare_store(self.metrics, self.store, self.claims)
+        declare_uploads(self.metrics, self.uploads, self.deliveries)
+
     def _limits(self) -> CallerLimits:
         callers = self.settings.callers
         return CallerLimits(
@@ -237,6 +247,7 @@
         self.services.subscribe(timers)
         self.sharing.subscribe(timers)
         self.probing.subscribe(timers)
+        self.returning.subscribe(timers)
         self.fleet.on_event(lambda event: self.services.share_connections())
         self.admit.subscribe(timers)
         timers.every(IDLE_SWEEP, "idle connections", self.connector.sweep)
