--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,27 @@
 .PHONY: bench-daemon
 bench-daemon: $(VENV)/ready
 	$(BIN)/python -m benchmarks.daemon
+.PHONY: bench-fleet
+bench-fleet: $(VENV)/ready
+	$(BIN)/python -m benchmarks.fleet
+
+.PHONY: matrix matrix-check soak roll
+matrix: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix
+
+matrix-check: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix.check
+
+soak: $(VENV)/ready
+	$(BIN)/python -m benchmarks.soak
+
+roll: $(VENV)/ready
+	$(BIN)/python -m benchmarks.roll
+
+.PHONY: bench-config
+bench-config: $(VENV)/ready
+	$(BIN)/python -m benchmarks.inforce
+
+.PHONY: slopes
+slopes: $(VENV)/ready
+	$(BIN)/python -m benchmarks.slopes
