--- a/sequoiabridge/tests/docs/test_pages.py
+++ b/sequoiabridge/tests/docs/test_pages.py
@@ -83,3 +83,11 @@
     guides = "".join(text(page) for page in (ROOT / "docs" / "callers").glob("*.md")).lower()
     names = [value.decode() for value in vars(headers).values() if isinstance(value, bytes)]
     assert [name for name in names if f"`{name}`" not in guides] == []
+
+
+@pytest.mark.parametrize("guide", ["callers", "operators"])
+def test_the_start_page_of_a_guide_links_each_of_its_pages(guide):
+    folder = ROOT / "docs" / guide
+    start = text(folder / "README.md")
+    pages = {page.name for page in folder.glob("*.md")} - {"README.md"}
+    assert {name for name in pages if f"({name})" not in start} == set()
