Tell a dead upstream from a lost connection; mend what the fault matrix found

(b) A hedged call that timed out blamed nobody. (c) With little traffic the retry budget granted nothing. Ruled out: clearing by a later success alone (the second death comes first); counting only resets without any byte (a crash in mid-answer would be missed). The best candidates are asked before a choice, as policy measured.

--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -178,7 +178,9 @@
             self.admit,
             Claiming(self.claims),
         ]
-        dispatch = Dispatch(self.services, self.connector, self.clock, self.sharing)
+        dispatch = Dispatch(
+            self.services, self.connector, self.clock, self.sharing, self.probing.ask_first
+        )
         ids = RequestIds(self.vm, self.fleet.membership.me.incarnation)
         self.pipeline = Pipeline(filters, dispatch, ids, self.clock)
         self.callers = CallerServer(self.pipeline, self._limits(), self.clock, ids.next)
--- a/sequoiabridge/pipeline/accounting.py
+++ b/sequoiabridge/pipeline/accounting.py
@@ -4,6 +4,8 @@
 
 from abc import ABC, abstractmethod
 
+import curio
+
 from ..exceptions import UpstreamFailed
 from ..operators.steps import AttemptEnded
 from ..policy.base import Failure
@@ -13,6 +15,9 @@
 from .exchange import Answer, Body, Exchange
 from .services import ServiceState
 
+ALIVE_TIMEOUT = 0.05
+"""Seconds in which an upstream that lives opens a connection; it takes about 1 ms."""
+
 SUSPECT_SILENCE = 1.0
 """Seconds of silence before a request after which an unanswering connection's mates are closed."""
 
@@ -35,6 +40,10 @@
     def failed(self, exchange: Exchange, upstream: str, failure: Failure) -> None:
         """An attempt ended without a usable answer."""
 
+    @abstractmethod
+    def crashed(self, exchange: Exchange, upstream: str) -> None:
+        """An upstream died while it had the call: it takes no new connection either."""
+
     @abstractmethod
     def survived(self, exchange: Exchange) -> None:
         """A call was answered whole, while some requests are suspected of crashing upstreams."""
@@ -128,6 +137,8 @@
         await self._ended(state, attempt, kind)
         if kind is Failure.TIMEOUT:
             await self.suspect_mates(attempt)
+        if kind is Failure.RESET:
+            await self._look_for_crash(attempt)
 
     async def cancelled(self, state: ServiceState, attempt: Attempt) -> None:
         """The daemon gave the attempt up; the upstream is not to blame."""
@@ -144,6 +155,21 @@
         if state.pool.drain(upstream, incarnation, self.clock.now()):
             self.observer.draining(upstream, incarnation)
 
+    async def _look_for_crash(self, attempt: Attempt) -> None:
+        """Tell a death from a lost connection: a dead upstream takes no new connection.
+
+        Only a call that may be sent again waits for this; any other has its answer at once.
+        """
+        if attempt.exchange.rule.idempotent:
+            await self._tell_crash(attempt)
+        else:
+            await curio.spawn(self._tell_crash(attempt), daemon=True)
+
+    async def _tell_crash(self, attempt: Attempt) -> None:
+        evidence = attempt.evidence
+        if not await self.connector.reachable(evidence.address, ALIVE_TIMEOUT):
+            self.observer.crashed(attempt.exchange, evidence.name)
+
     async def _shed(self, state: ServiceState, attempt: Attempt) -> None:
         await attempt.abandon()
         attempt.proven_not_run()
--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable, Collection
+
 import curio
 
 from ..exceptions import Refusal, UpstreamFailed
@@ -29,17 +31,33 @@
 """Seconds after which a caller may come back when nothing better is known."""
 
 
+AskFirst = Callable[[ServiceState, Collection[str]], Awaitable[None]]
+"""Refreshes the evidence on the best candidates before a choice, if that is worth it."""
+
+
 class Dispatch:
-    """The last step of the pipeline."""
+    """The last step of the pipeline.
 
-    __slots__ = ("services", "connector", "clock", "observer", "accounting")
+    Args:
+        ask_first: Called before each choice; None for never.
+    """
 
-    def __init__(self, services: Services, connector: Connector, clock: Clock, observer: Observer):
+    __slots__ = ("services", "connector", "clock", "observer", "accounting", "ask_first")
+
+    def __init__(
+        self,
+        services: Services,
+        connector: Connector,
+        clock: Clock,
+        observer: Observer,
+        ask_first: AskFirst | None = None,
+    ):
         self.services = services
         self.connector = connector
         self.clock = clock
         self.observer = observer
         self.accounting = Accounting(connector, clock, observer)
+        self.ask_first = ask_first
 
     async def run(self, exchange: Exchange) -> Answer:
         """Return an upstream's answer, or raise the `Refusal` that ends the call.
@@ -51,7 +69,7 @@
         tried: list[str] = []
         server_error: Answer | None = None
         failure: UpstreamFailed | None = None
-        while (evidence := self._choose(exchange, state, tried)) is not None:
+        while (evidence := await self._choose(exchange, state, tried)) is not None:
             attempt = self._begin(exchange, state, evidence, fresh=False)
             try:
                 answer = await self._first_answer(exchange, state, attempt, tried)
@@ -67,9 +85,11 @@
             return server_error
         raise _refusal(exchange, failure)
 
-    def _choose(
+    async def _choose(
         self, exchange: Exchange, state: ServiceState, tried: list[str]
     ) -> UpstreamEvidence | None:
+        if self.ask_first is not None:
+            await self.ask_first(state, tried)
         now = self.clock.now()
         evidence = state.pool.choose(now, tried)
         if evidence is not None and evidence.name in tried:
@@ -130,6 +150,7 @@
             async with curio.timeout_after(max(0.0, left)):
                 winner, answer = await race.run()
         except curio.TaskTimeout:
+            await race.timed_out()
             raise _timeout(first) from None
         if winner is not first:
             await self.accounting.suspect_mates(first)
--- a/sequoiabridge/pipeline/hedge.py
+++ b/sequoiabridge/pipeline/hedge.py
@@ -17,42 +17,60 @@
     The loser is cancelled by closing its connection. If both fail, the later failure is raised.
     """
 
-    __slots__ = ("accounting", "state", "attempts")
+    __slots__ = ("accounting", "state", "running")
 
     def __init__(self, accounting: Accounting, state: ServiceState, attempts: list[Attempt]):
         self.accounting = accounting
         self.state = state
-        self.attempts = attempts
+        self.running = attempts
 
     async def run(self) -> tuple[Attempt, Answer]:
-        """Return the winner and its answer; all others are settled.
+        """Return the winner and its answer; the losers are settled, unless time runs out.
 
         Raises:
             UpstreamFailed: Every attempt failed.
+            TaskTimeout: From the caller's own timeout; call `timed_out` then.
         """
-        running = dict.fromkeys(self.attempts)
         try:
             async with curio.TaskGroup() as group:
-                for attempt in self.attempts:
-                    running[attempt] = await group.spawn(attempt.run)
-                return await self._first_answer(group, running)
-        finally:
-            for attempt in running:
-                await self.accounting.cancelled(self.state, attempt)
-
-    async def _first_answer(
-        self, group: curio.TaskGroup, running: dict[Attempt, curio.Task]
-    ) -> tuple[Attempt, Answer]:
+                for attempt in self.running:
+                    await group.spawn(_outcome, attempt)
+                return await self._first_answer(group)
+        except (curio.TaskTimeout, curio.TimeoutCancellationError):
+            raise
+        except BaseException:
+            await self._cancel_rest()
+            raise
+
+    async def timed_out(self) -> None:
+        """Enter each attempt that is still silent as one that did not answer in time."""
+        for attempt in self.running:
+            error = UpstreamFailed("No answer in time.", sent=attempt.sent, timed_out=True)
+            await self.accounting.failed(self.state, attempt, error)
+        self.running = []
+
+    async def _first_answer(self, group: curio.TaskGroup) -> tuple[Attempt, Answer]:
         failure: UpstreamFailed | None = None
         while (task := await group.next_done()) is not None:
-            attempt = next(a for a, t in running.items() if t is task)
-            if task.exception is None:
-                del running[attempt]
+            attempt, answer, error = task.result
+            self.running = [other for other in self.running if other is not attempt]
+            if error is None:
                 await group.cancel_remaining()
-                return attempt, task.result
-            if not isinstance(task.exception, UpstreamFailed):
-                raise task.exception
-            del running[attempt]
-            failure = task.exception
-            await self.accounting.failed(self.state, attempt, failure)
+                await self._cancel_rest()
+                return attempt, answer
+            failure = error
+            await self.accounting.failed(self.state, attempt, error)
         raise failure
+
+    async def _cancel_rest(self) -> None:
+        for attempt in self.running:
+            await self.accounting.cancelled(self.state, attempt)
+        self.running = []
+
+
+async def _outcome(attempt: Attempt) -> tuple[Attempt, Answer | None, UpstreamFailed | None]:
+    """Run an attempt; a failure is returned, since a raised one would be logged as a crash."""
+    try:
+        return attempt, await attempt.run(), None
+    except UpstreamFailed as error:
+        return attempt, None, error
--- a/sequoiabridge/pipeline/probing.py
+++ b/sequoiabridge/pipeline/probing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import curio
 
 from ..metrics import Metrics
@@ -44,13 +46,27 @@
             for name in state.probing.next_targets(state.pool, now):
                 await curio.spawn(self.probe(state, name), daemon=True)
 
+    async def ask_first(self, state: ServiceState, tried: Collection[str]) -> None:
+        """Probe the best candidates before a choice, if that is paid, and wait a little."""
+        names = state.probing.ask_first(state.pool, self.clock.now(), tried)
+        if not names:
+            return
+        tasks = [await curio.spawn(self.probe(state, name), daemon=True) for name in names]
+        # What comes too late for this choice still serves the next ones.
+        async with curio.ignore_after(state.probing.patience()):
+            for task in tasks:
+                await task.wait()
+
     async def probe(self, state: ServiceState, name: str) -> None:
         """Send one probe and tell the pool's evidence."""
         evidence = state.pool.upstreams.get(name)
         if evidence is None:
             return
         probe = await self.prober.probe(evidence.address, PROBE_TIMEOUT)
-        state.probing.spent(probe.size, probe.latency)
+        if probe.healthy:
+            state.probing.answered(probe.latency, probe.size, probe.latency)
+        else:
+            state.probing.spent(probe.size, probe.latency)
         self.metrics.measured(state.service.name, SOURCE, probe.size, probe.latency)
         self._take_in(state, name, probe)
 
--- a/sequoiabridge/pipeline/returning.py
+++ b/sequoiabridge/pipeline/returning.py
@@ -15,6 +15,9 @@
 ASK_TIMEOUT = 0.5
 """Seconds that an answer may take."""
 
+UNPAID_EVERY = 60.0
+"""Seconds between two questions to one upstream that no budget pays for."""
+
 MOST_ASKED = 16
 """Upstreams that one VM asks in one look."""
 
@@ -23,8 +26,9 @@
     """Ends a drain when the upstream itself says that it is back.
 
     Only a healthy answer with a newer incarnation does so: an answer without one may be late, or
-    be made by a health endpoint that lags. The questions are about leaving and not about load, so
-    the budget of measuring does not pay for them; the VMs share them out by chance.
+    be made by a health endpoint that lags. The service's budget of measuring pays for the
+    questions; where it is spent (or 0), each upstream is asked once in `UNPAID_EVERY` seconds, or
+    it would never get work again. The VMs share the questions out by chance.
     """
 
     __slots__ = ("services", "prober", "observer", "clock")
@@ -49,7 +53,16 @@
             if evidence.draining is not None and self.services.random.random() < share
         ]
         for state, name in left[:MOST_ASKED]:
-            await curio.spawn(self.ask(state, name), daemon=True)
+            if self._may_ask(state, name):
+                await curio.spawn(self.ask(state, name), daemon=True)
+
+    def _may_ask(self, state: ServiceState, name: str) -> bool:
+        now = self.clock.now()
+        evidence = state.pool.upstreams[name]
+        if state.probing.pay() or now - evidence.probed_at >= UNPAID_EVERY:
+            evidence.probed_at = now
+            return True
+        return False
 
     async def ask(self, state: ServiceState, name: str) -> None:
         """Ask one upstream; give it work again, here and in the fleet, if it is back."""
@@ -57,6 +70,7 @@
         if evidence is None:
             return
         probe = await self.prober.probe(evidence.address, ASK_TIMEOUT)
+        state.probing.spent(probe.size, probe.latency)
         if not probe.healthy or probe.drain is not None or probe.incarnation is None:
             return
         if state.pool.resume(name, probe.incarnation, self.clock.now()):
--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -9,6 +9,8 @@
 from ..metrics import Metrics
 from ..parts import Part
 from ..policy.base import Failure
+from ..policy.evidence import UpstreamEvidence
+from ..policy.probing import is_suspect
 from ..timers import Clock, Timers
 from .accounting import Observer
 from .exchange import Exchange
@@ -69,8 +71,9 @@
         self.fleet.publish(DrainItem(upstream, incarnation, leaving=False), Urgency.DRAIN)
 
     def failed(self, exchange: Exchange, upstream: str, failure: Failure) -> None:
-        if failure is not Failure.RESET:
-            return
+        return
+
+    def crashed(self, exchange: Exchange, upstream: str) -> None:
         now, wall = self.clock.now(), self.clock.wall()
         found = fingerprint(exchange)
         self.crashes += 1
@@ -135,7 +138,7 @@
         for state in self.services.busy_states(now):
             for evidence in state.pool.upstreams.values():
                 if evidence.name in self.told or has_news(evidence, now):
-                    loads.append(local_load(state.pool, evidence, now))
+                    loads.append(local_load(evidence, now))
         room = self.fleet.bucket.room(Urgency.LOAD)
         for item in worth_sending(loads, self.told, room, now):
             self.fleet.publish(item, Urgency.LOAD)
@@ -158,7 +161,7 @@
         return {"drains_told": self.drains, "crashes_told": self.crashes, "told": len(self.told)}
 
 
-def has_news(evidence, now: float) -> bool:
+def has_news(evidence: UpstreamEvidence, now: float) -> bool:
     """Return whether calls since the last look, or before an ejection, said anything new."""
     since = now - 2 * TELL_EVERY
     if evidence.starts or evidence.on_trial or evidence.suspected:
@@ -166,8 +169,8 @@
     return max(evidence.latency_at, evidence.failed_at, evidence.ejected_until) > since
 
 
-def local_load(pool, evidence, now: float) -> LocalLoad:
+def local_load(evidence: UpstreamEvidence, now: float) -> LocalLoad:
     """Return this daemon's evidence on one upstream in the form that is shared."""
     latency_us = int(evidence.latency * MICROSECONDS)
-    suspect = pool.suspect(evidence, now)
+    suspect = is_suspect(evidence, now)
     return LocalLoad(evidence.name, evidence.in_flight, latency_us, suspect, now)
--- a/sequoiabridge/policy/probing.py
+++ b/sequoiabridge/policy/probing.py
@@ -103,6 +103,14 @@
             return []
         return self._take(self._worth_a_probe(pool, now)[:spare], now)
 
+    def pay(self) -> bool:
+        """Take one probe from the bucket for another purpose; return False if it is empty."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        self.probes += 1
+        return True
+
     def answered(self, elapsed: float, size: int, upstream_time: float = 0.0) -> None:
         """A probe came back: its round trip, its bytes both ways, the upstream's seconds for it."""
         self.round_trip += ROUND_TRIP_GAIN * (elapsed - self.round_trip)
--- a/sequoiabridge/policy/retries.py
+++ b/sequoiabridge/policy/retries.py
@@ -18,6 +18,10 @@
 FIRST_RETRIES = 10
 """Retries that the fleet may make in a window in which hardly any call came."""
 
+FLOOR = 1
+"""Retries that each VM may make in a period whatever the ratio says: a little traffic earns hardly
+anything, and one retry a second and VM is no storm."""
+
 SPENT_UNHEARD = 0.25
 """Share of the room that the VMs spend in a period.
 
@@ -88,7 +92,8 @@
         count = self._current(now)
         earned = self.grant + self.ratio * count.successes
         first = FIRST_RETRIES / (1 + len(self.others))
-        if count.retries + 1 > earned and sum(c.retries for c in self.own) >= first:
+        spent = count.retries >= FLOOR and count.retries + 1 > earned
+        if spent and sum(c.retries for c in self.own) >= first:
             self.refused += 1
             return False
         count.retries += 1
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -26,6 +26,7 @@
     SHED = "shed"
     REFUSE_CONNECTION = "refuse connection"
     RESET = "reset"
+    CRASH = "crash"
     CUT = "cut"
     STAY_SILENT = "stay silent"
 
@@ -47,7 +48,7 @@
     async def read_head(self):
         if self.act is Act.STAY_SILENT:
             await curio.sleep(3600)
-        if self.act is Act.RESET:
+        if self.act in (Act.RESET, Act.CRASH):
             raise UpstreamFailed("reset", sent=True)
         if self.act is Act.SHED:
             return Answer(503, [(NOT_RUN, b"1")], 0, None)
@@ -97,6 +98,9 @@
     async def suspect(self, address, opened_before):
         return None
 
+    async def reachable(self, address, timeout):
+        return self.acts[address] not in (Act.CRASH, Act.REFUSE_CONNECTION)
+
 
 class Quiet(Observer):
     """An observer that only counts."""
@@ -114,6 +118,9 @@
     def failed(self, exchange, upstream, failure):
         self.failures.append(failure)
 
+    def crashed(self, exchange, upstream):
+        return None
+
     def survived(self, exchange):
         return None
 
@@ -128,7 +135,7 @@
         super().__init__()
         self.ledger = ledger
 
-    def failed(self, exchange, upstream, failure):
+    def crashed(self, exchange, upstream):
         self.ledger.seen(fingerprint(exchange), upstream, "vm-1", 1.0, 1.0)
 
 
--- a/sequoiabridge/tests/pipeline/test_dispatch.py
+++ b/sequoiabridge/tests/pipeline/test_dispatch.py
@@ -14,6 +14,12 @@
 HEDGED = {"idempotent": "yes", "hedge": "yes"}
 
 
+def blame(bench):
+    """Have the bench's crashes entered in the service's ledger, as a daemon does."""
+    bench.observer = Blaming(bench.services.by_name["s"].ledger)
+    bench.dispatch = Dispatch(bench.services, bench.network, bench.clock, bench.observer)
+
+
 def refused(bench, exchange):
     """Dispatch a call that must be refused; return the refusal."""
     with pytest.raises(Refusal) as caught:
@@ -70,13 +76,20 @@
 
 
 def test_a_request_that_crashed_two_upstreams_does_not_reach_a_third():
-    bench = Bench(Act.RESET, Act.RESET, Act.RESET, **AGAIN)
-    bench.observer = Blaming(bench.services.by_name["s"].ledger)
-    bench.dispatch = Dispatch(bench.services, bench.network, bench.clock, bench.observer)
+    bench = Bench(Act.CRASH, Act.CRASH, Act.CRASH, **AGAIN)
+    blame(bench)
     assert refused(bench, bench.exchange()).outcome is Outcome.UNKNOWN
     assert len(bench.network.received) == 2
 
 
+def test_a_request_whose_connections_broke_at_living_upstreams_is_not_blamed():
+    bench = Bench(Act.RESET, Act.RESET, Act.RESET, **AGAIN)
+    blame(bench)
+    assert refused(bench, bench.exchange()).outcome is Outcome.UNKNOWN
+    assert len(bench.network.received) == 3
+    assert bench.services.by_name["s"].ledger.listed(bench.clock.now()) == []
+
+
 def test_a_server_error_of_unrepeatable_work_is_not_sent_again():
     bench = Bench(Act.FAIL, Act.ANSWER, Act.ANSWER, **ONCE)
     for _ in range(8):
--- a/sequoiabridge/upstreams/base.py
+++ b/sequoiabridge/upstreams/base.py
@@ -82,3 +82,10 @@
     @abstractmethod
     async def suspect(self, address: str, opened_before: float) -> None:
         """Close the idle connections to `address` that were opened before the given time."""
+
+    @abstractmethod
+    async def reachable(self, address: str, timeout: float) -> bool:
+        """Return whether `address` takes a new connection within `timeout` seconds.
+
+        The connection is closed at once and counts against no share.
+        """
--- a/sequoiabridge/upstreams/connections.py
+++ b/sequoiabridge/upstreams/connections.py
@@ -94,6 +94,14 @@
         pool.suspected = max(pool.suspected, opened_before)
         await self._close_where(pool, lambda link: link.opened < opened_before)
 
+    async def reachable(self, address: str, timeout: float) -> bool:
+        try:
+            link = await open_link(address, self.clock, timeout)
+        except UpstreamFailed:
+            return False
+        await link.close()
+        return True
+
     async def take_back(self, link: Link) -> None:
         """Keep a link whose last answer ended cleanly for reuse; close any other."""
         pool = self.pools[link.address]
