--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,11 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info
+
+.PHONY: bench-policy bench-limits
+
+bench-policy: $(VENV)/ready
+	$(BIN)/python -m benchmarks.policy
+
+bench-limits: $(VENV)/ready
+	$(BIN)/python -m benchmarks.policy_limits
--- a/sequoiabridge/policy/admission.py
+++ b/sequoiabridge/policy/admission.py
@@ -19,11 +19,14 @@
 INTERVAL_GAIN = 0.1
 """Weight of the newest gap between two ends of calls in its mean."""
 
-QUICK_SHARE = 0.25
-"""A window counts as lost when less is left than this share of calls needs: kinds differ much."""
+USUAL_SHARE = 0.75
+"""Share of the calls of a kind that are answered within its usual latency."""
+
+MOST_KINDS = 64
+"""Kinds of call whose latencies are told apart; all others count as one."""
 
 REFRESHED_AFTER = 32
-"""Answers after which the quick latency is read anew."""
+"""Answers after which the usual latency of a kind is read anew."""
 
 ESTIMATE_FADE = 2.0
 """Seconds without an end of a call in which the estimates lose 63%.
@@ -38,13 +41,16 @@
 class Ticket:
     """One call that asks to be admitted; times are seconds on the daemon's clock."""
 
-    __slots__ = ("caller", "deadline", "arrived", "weight", "admitted_at", "waiting")
+    __slots__ = ("caller", "deadline", "arrived", "weight", "kind", "admitted_at", "waiting")
 
-    def __init__(self, caller: str, deadline: float, arrived: float, weight: float = 1.0):
+    def __init__(
+        self, caller: str, deadline: float, arrived: float, weight: float = 1.0, kind: str = ""
+    ):
         self.caller = caller
         self.deadline = deadline
         self.arrived = arrived
         self.weight = weight
+        self.kind = kind
         self.admitted_at: float | None = None
         self.waiting = False
 
@@ -74,6 +80,30 @@
 QUEUED = Decision(Verdict.QUEUED)
 
 
+class UsualLatency:
+    """How long calls of one kind usually take once admitted; fades without answers."""
+
+    __slots__ = ("histogram", "answers", "value", "at")
+
+    def __init__(self):
+        self.histogram = LatencyHistogram()
+        self.answers = 0
+        self.value = 0.0
+        self.at = 0.0
+
+    def add(self, now: float, latency: float) -> None:
+        """Take in one latency."""
+        self.histogram.add(latency)
+        self.at = now
+        self.answers += 1
+        if self.answers % REFRESHED_AFTER == 1:
+            self.value = self.histogram.quantile(USUAL_SHARE) or 0.0
+
+    def read(self, now: float) -> float:
+        """Return the seconds that most calls of the kind take."""
+        return self.value * exp((self.at - now) / ESTIMATE_FADE) if self.value else 0.0
+
+
 class AdmissionQueue:
     """Admission of one service on one daemon.
 
@@ -88,10 +118,8 @@
         self.limit = limit
         self.queue_limit = queue_limit
         self.caller_share = caller_share
-        self.latencies = LatencyHistogram()
-        self.latency = 0.0
+        self.latencies: dict[str, UsualLatency] = {}
         self.learned_at = 0.0
-        self.answers = 0
         self.interval = 0.0
         self.last_end: float | None = None
         self.running = 0
@@ -105,15 +133,15 @@
 
     def offer(self, ticket: Ticket, now: float) -> Decision:
         """Decide on a new call; a queued one comes back from `release` or from `expire`."""
-        quick = self.quick_latency(now)
-        if now + quick >= ticket.deadline:
+        usual = self.usual_latency(ticket.kind, now)
+        if now + usual >= ticket.deadline:
             return self._refuse(Reason.CANNOT_MEET_WINDOW, now)
         if self.running < self.limit.allowed and not self.waiting:
             self._admit(ticket, now)
             return ADMITTED
         if self._over_queue_share(ticket.caller):
             return self._refuse(Reason.CALLER_SHARE, now)
-        if now + self._wait(self._ahead_of(ticket), now) + quick > ticket.deadline:
+        if now + self._wait(self._ahead_of(ticket), now) + usual > ticket.deadline:
             return self._refuse(Reason.CANNOT_MEET_WINDOW, now)
         if self.waiting >= self.queue_limit and not self._displace(ticket.weight):
             return self._refuse(Reason.QUEUE_FULL, now)
@@ -124,11 +152,14 @@
         """An admitted call ended after `latency` seconds; return the calls admitted now."""
         if ticket.admitted_at is None:
             return []
+        time_left = ticket.deadline - ticket.admitted_at
         ticket.admitted_at = None
+        self.limit.ended(now, latency, time_left, ok, self.running)
         self.running -= 1
         _less(self.running_by, ticket.caller)
-        self._learn(now, latency, ok)
-        self.limit.ended(now, latency, ok, self.running + 1, self.waiting)
+        if ok:
+            self._latency_of(ticket.kind).add(now, latency)
+        self._learn_interval(now)
         return self._admit_waiting(now)
 
     def abandon(self, ticket: Ticket, now: float) -> list[Ticket]:
@@ -148,7 +179,7 @@
         expired, self.displaced = self.displaced, []
         while self.heap:
             ticket = self.heap[0][2]
-            if ticket.waiting and now + self.quick_latency(now) <= ticket.deadline:
+            if ticket.waiting and self.can_meet(ticket, now):
                 break
             heappop(self.heap)
             if ticket.waiting:
@@ -163,11 +194,19 @@
             return float("-inf")
         while self.heap and not self.heap[0][2].waiting:
             heappop(self.heap)
-        return self.heap[0][2].deadline - self.quick_latency(now) if self.heap else None
+        if not self.heap:
+            return None
+        first = self.heap[0][2]
+        return first.deadline - self.usual_latency(first.kind, now)
 
-    def quick_latency(self, now: float) -> float:
-        """Return the seconds that a quick call needs; the estimate fades without answers."""
-        return self.latency * exp((self.learned_at - now) / ESTIMATE_FADE)
+    def usual_latency(self, kind: str, now: float) -> float:
+        """Return the seconds that a call of the kind needs once admitted."""
+        known = self.latencies.get(kind)
+        return known.read(now) if known is not None else 0.0
+
+    def can_meet(self, ticket: Ticket, now: float) -> bool:
+        """Return whether the call could still be answered in its window if admitted now."""
+        return now + self.usual_latency(ticket.kind, now) <= ticket.deadline
 
     def retry_after(self, now: float) -> float:
         """Return the seconds after which the queue of now should have drained."""
@@ -180,7 +219,9 @@
             "running": self.running,
             "waiting": self.waiting,
             "oldest wait ms": round(self._oldest_wait(now) * 1000, 1),
-            "quick latency ms": round(self.quick_latency(now) * 1000, 2),
+            "usual latency ms": {
+                kind: round(latency.read(now) * 1000, 2) for kind, latency in self.latencies.items()
+            },
             "refused": {reason.value: count for reason, count in self.refused.items()},
             "most by caller": dict((self.running_by + self.waiting_by).most_common(5)),
         }
@@ -219,13 +260,13 @@
         self.displaced.append(lightest)
         return True
 
-    def _learn(self, now: float, latency: float, ok: bool) -> None:
-        """Take in the end of a call: its latency, and the gap since the last end if any waited."""
-        if ok:
-            self.latencies.add(latency)
-            self.answers += 1
-            if self.answers % REFRESHED_AFTER == 1:
-                self.latency = self.latencies.quantile(QUICK_SHARE) or 0.0
+    def _latency_of(self, kind: str) -> UsualLatency:
+        if kind not in self.latencies and len(self.latencies) >= MOST_KINDS:
+            kind = ""
+        return self.latencies.setdefault(kind, UsualLatency())
+
+    def _learn_interval(self, now: float) -> None:
+        """Take in the gap since the last end of a call, if any waited then."""
         self.learned_at = now
         if self.last_end is not None:
             gap = now - self.last_end
@@ -235,7 +276,7 @@
     def _wait(self, ahead: int, now: float) -> float:
         """Return the expected seconds until `ahead` calls have found a place."""
         interval = self.interval * exp((self.learned_at - now) / ESTIMATE_FADE)
-        return ahead * max(interval, self.quick_latency(now) / self.limit.allowed)
+        return ahead * interval
 
     def _ahead_of(self, ticket: Ticket) -> int:
         """Return how many waiting calls have an earlier deadline, this one counted."""
@@ -257,12 +298,11 @@
         """Admit by deadline; callers that have their share come after all others."""
         admitted: list[Ticket] = []
         passed: list[Ticket] = []
-        quick = self.quick_latency(now)
         while self.heap and self.running < self.limit.allowed:
             ticket = heappop(self.heap)[2]
             if not ticket.waiting:
                 continue
-            if now + quick > ticket.deadline:
+            if not self.can_meet(ticket, now):
                 self._unqueue(ticket)
                 self.displaced.append(ticket)
             elif self._over_running_share(ticket.caller):
