--- a/Makefile
+++ b/Makefile
@@ -73,3 +73,10 @@
 .PHONY: slopes
 slopes: $(VENV)/ready
 	$(BIN)/python -m benchmarks.slopes
+.PHONY: bench-policy bench-limits
+
+bench-policy: $(VENV)/ready
+	$(BIN)/python -m benchmarks.policy
+
+bench-limits: $(VENV)/ready
+	$(BIN)/python -m benchmarks.policy_limits
--- a/sequoiabridge/pipeline/admit.py
+++ b/sequoiabridge/pipeline/admit.py
@@ -60,7 +60,8 @@
     async def enter(self, exchange: Exchange) -> None:
         state = self.services.by_name[exchange.service.name]
         now = self.clock.now()
-        ticket = Ticket(exchange.caller, exchange.deadline, now, exchange.rule.weight)
+        rule = exchange.rule
+        ticket = Ticket(exchange.caller, exchange.deadline, now, rule.weight, rule.kind)
         decision = state.queue.offer(ticket, now)
         if state.queue.displaced:
             await self._wake(state.queue.expire(now), refused=True)
