Take the ports of a trial from below those of outgoing connections

Cause: a port that was free when asked for was taken by somebody's outgoing connection before the daemon bound it; two of 18 daemons did not start. Before, two daemons were once given the same port, and one's admin port answered in another's protocol.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -3,6 +3,7 @@
 A process that serves prints its address, or a JSON line of them, once it is ready.
 """
 
+import random
 import signal
 import socket
 import subprocess
@@ -14,6 +15,9 @@
 
 import msgspec
 
+PORTS = (20_000, 32_000)
+"""Ports that a trial's processes listen on."""
+
 READY_TIMEOUT = 20.0
 """Seconds within which a process must have printed its line."""
 
@@ -147,11 +151,20 @@
 
 
 def free_addresses(count: int, kind: int = socket.SOCK_STREAM) -> list[str]:
-    """Return `count` loopback addresses that were free a moment ago."""
-    socks = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Return `count` loopback addresses that were free a moment ago.
+
+    Their ports are below those that the kernel gives to outgoing connections: one of those may
+    take a port between this look and the start of the process that wants it.
+    """
+    addresses: list[str] = []
+    while len(addresses) < count:
+        address = ("127.0.0.1", random.randrange(*PORTS))
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(address)
+            except OSError:
+                continue
+        text = f"{address[0]}:{address[1]}"
+        if text not in addresses:
+            addresses.append(text)
     return addresses
