Tell other VMs only of suspicions of one's own

Cause: an upstream that two other VMs suspected was told on as suspected here too, so a suspicion counted as a further VM's evidence wherever it went and outlived its cause.

Change: PoolState.suspects_itself has this VM's own evidence; sharing tells that. Probes still go first to whoever is suspected, also by others. The test failed before.

--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -170,5 +170,5 @@
 def local_load(pool, evidence, now: float) -> LocalLoad:
     """Return this daemon's evidence on one upstream in the form that is shared."""
     latency_us = int(evidence.latency * MICROSECONDS)
-    suspect = pool.suspect(evidence, now)
+    suspect = pool.suspects_itself(evidence, now)
     return LocalLoad(evidence.name, evidence.in_flight, latency_us, suspect, now)
--- a/sequoiabridge/policy/pool.py
+++ b/sequoiabridge/policy/pool.py
@@ -206,21 +206,23 @@
 
     def suspect(self, upstream: UpstreamEvidence, now: float) -> bool:
         """Return whether something speaks against the upstream, so that a probe pays best there."""
+        return upstream.suspected or self.suspects_itself(upstream, now)
+
+    def suspects_itself(self, upstream: UpstreamEvidence, now: float) -> bool:
+        """Return whether this VM's own calls speak against the upstream; only that is told on."""
         return (
             upstream.on_trial
-            or upstream.suspected
             or upstream.overdue(now) > SUSPECT_OVERDUE
             or (upstream.samples > 0 and upstream.slowness(now) > SUSPECT_SLOWNESS)
         )
 
     def noticeable(self) -> Iterator[UpstreamEvidence]:
-        """Yield the upstreams that are at work or may be suspect: a cheap test before `suspect`."""
+        """Yield the upstreams that are at work or perhaps slow: a cheap test before `suspects_itself`."""
         slow = self.averages.latency * SUSPECT_SLOWNESS
         for upstream in self.upstreams.values():
             if (
                 upstream.starts
                 or upstream.on_trial
-                or upstream.suspected
                 or (upstream.latency > slow and upstream.samples)
             ):
                 yield upstream
--- a/sequoiabridge/tests/pipeline/test_idle.py
+++ b/sequoiabridge/tests/pipeline/test_idle.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ...exceptions import Refusal
-from ...fleet.base import Urgency
+from ...fleet.base import LoadItem, Urgency
 from ...metrics import Metrics
 from ...pipeline.admit import Admit
 from ...pipeline.probing import LOOK_EVERY, Probing
@@ -142,3 +142,16 @@
             state.pool.answered(upstream, clock.now(), 200, elapsed)
     look_at_all(sharing)
     assert [(item.upstream, item.suspect) for item in fleet.items] == [("u1", True)]
+
+
+def test_what_other_vms_suspect_is_not_told_on_as_own_suspicion():
+    bench, fleet = Bench(*[Act.ANSWER] * 4), FakeFleet()
+    clock, _ = on_manual_clock(bench)
+    sharing = Sharing("vm", bench.services, fleet, Metrics(), clock)
+    state = bench.services.by_name["s"]
+    bench.services.called(state, clock.now())
+    for other in ("vm-2", "vm-3", "vm-4"):
+        sharing.heard_load(LoadItem("u1", 0, 6000, True, 0), other)
+    assert state.pool.upstreams["u1"].suspected
+    look_at_all(sharing)
+    assert not any(item.suspect for item in fleet.items)
