--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -10,7 +10,7 @@
 from ..parts import Part
 from ..policy.base import Failure
 from ..policy.evidence import UpstreamEvidence
-from ..timers import Clock, Timers
+from ..timers import Clock, OnDemand, Timers
 from .accounting import Observer
 from .exchange import Exchange
 from .services import Services, ServiceState
@@ -58,8 +58,9 @@
         fleet.subscribe(RetryItem, self.heard_retries)
 
     def subscribe(self, timers: Timers) -> None:
-        """Tell load and retries from time to time."""
-        timers.every(TELL_EVERY, "sharing load", self.tell_load)
+        """Tell load while there are calls, and retries from time to time."""
+        looks = OnDemand(timers, TELL_EVERY, "sharing load", self.tell_load, self._may_tell)
+        self.services.woken.append(looks.wake)
         timers.every(RETRIES_EVERY, "sharing retries", self.tell_retries)
 
     # What happens to calls here.
@@ -152,6 +153,9 @@
             item = RetryItem(self.vm, name, report.period, report.retries, report.successes)
             self.fleet.publish(item, Urgency.RETRY)
 
+    def _may_tell(self) -> bool:
+        return bool(self.services.busy or self.told)
+
     def _told_of(self, state: ServiceState) -> dict[str, UpstreamEvidence]:
         """Return the upstreams of a service whose last word may have to be taken back."""
         upstreams = state.pool.upstreams
--- a/sequoiabridge/policy/pool.py
+++ b/sequoiabridge/policy/pool.py
@@ -217,7 +217,7 @@
         )
 
     def noticeable(self) -> Iterator[UpstreamEvidence]:
-        """Yield the upstreams that are at work or perhaps slow: a cheap test before `suspects_itself`."""
+        """Yield upstreams at work or perhaps slow: a cheap test before `suspects_itself`."""
         slow = self.averages.latency * SUSPECT_SLOWNESS
         for upstream in self.upstreams.values():
             if (
--- a/sequoiabridge/tests/pipeline/test_idle.py
+++ b/sequoiabridge/tests/pipeline/test_idle.py
@@ -69,21 +69,27 @@
         sharing.tell_load()
 
 
-def test_probing_starts_with_the_first_call_and_ends_when_the_service_is_quiet():
+def awake(timers):
+    """Return the names of what is done often and that the timers will do."""
+    return {entry["name"] for entry in timers.dump()} & {"probing", "sharing load"}
+
+
+def test_looks_start_with_the_first_call_and_end_when_the_service_is_quiet():
     bench = Bench(Act.ANSWER)
     clock, timers = on_manual_clock(bench)
     Probing(bench.services, None, Metrics(), bench.observer, clock).subscribe(timers)
-    assert timers.next_due() > IDLE_GAP
+    Sharing("vm", bench.services, FakeFleet(), Metrics(), clock).subscribe(timers)
+    assert not awake(timers)
     bench.services.called(bench.services.by_name["s"], clock.now())
-    assert timers.next_due() <= LOOK_EVERY
+    assert timers.next_due() <= LOOK_EVERY and awake(timers) == {"probing", "sharing load"}
     clock.advance(QUIET + 1)
-    for _ in range(3):
+    for _ in range(20):
         for coroutine in timers.run_due():
             curio.run(coroutine)
         clock.advance(LOOK_EVERY)
-    assert timers.next_due() > IDLE_GAP
+    assert not awake(timers)
     bench.services.called(bench.services.by_name["s"], clock.now())
-    assert timers.next_due() <= LOOK_EVERY
+    assert awake(timers) == {"probing", "sharing load"}
 
 
 def test_a_queued_call_is_refused_in_time_though_nothing_looked_before_it_came():
