--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -10,18 +10,21 @@
 from ..parts import Part
 from ..policy.base import Failure
 from ..policy.evidence import UpstreamEvidence
-from ..policy.probing import is_suspect
-from ..timers import Clock, Timers
+from ..policy.suspicions import suspects_itself
+from ..timers import Clock, OnDemand, Timers
 from .accounting import Observer
 from .exchange import Exchange
-from .services import Services
+from .services import Services, ServiceState
 from .stopping import fingerprint
 
 log = get_log("sharing")
 
-TELL_EVERY = 0.5
+TELL_EVERY = 0.1
 """Seconds between two looks at what is worth telling."""
 
+SLICES = 5
+"""Looks that it takes to go through all services, so that none holds up calls for long."""
+
 RETRIES_EVERY = 1.0
 """Seconds of one counting period of retries and successes."""
 
@@ -47,6 +50,7 @@
         self.metrics = metrics
         self.clock = clock
         self.told: dict[str, Told] = {}
+        self.looks = 0
         self.drains = 0
         self.crashes = 0
         fleet.subscribe(DrainItem, self.heard_drain)
@@ -55,8 +59,9 @@
         fleet.subscribe(RetryItem, self.heard_retries)
 
     def subscribe(self, timers: Timers) -> None:
-        """Tell load and retries from time to time."""
-        timers.every(TELL_EVERY, "sharing load", self.tell_load)
+        """Tell load while there are calls, and retries from time to time."""
+        looks = OnDemand(timers, TELL_EVERY, "sharing load", self.tell_load, self._may_tell)
+        self.services.woken.append(looks.wake)
         timers.every(RETRIES_EVERY, "sharing retries", self.tell_retries)
 
     # What happens to calls here.
@@ -135,10 +140,11 @@
         now = self.clock.now()
         self._forget_old(now)
         loads = []
-        for state in self.services.busy_states(now):
-            for evidence in state.pool.upstreams.values():
-                if evidence.name in self.told or has_news(evidence, now):
-                    loads.append(local_load(evidence, now))
+        self.looks += 1
+        for state in self.services.busy_states(now)[self.looks % SLICES :: SLICES]:
+            noticed = {evidence.name: evidence for evidence in state.pool.noticeable()}
+            noticed |= self._told_of(state)
+            loads += [local_load(evidence, now) for evidence in noticed.values()]
         room = self.fleet.bucket.room(Urgency.LOAD)
         for item in worth_sending(loads, self.told, room, now):
             self.fleet.publish(item, Urgency.LOAD)
@@ -153,6 +159,16 @@
             item = RetryItem(self.vm, name, report.period, report.retries, report.successes)
             self.fleet.publish(item, Urgency.RETRY)
 
+    def _may_tell(self) -> bool:
+        return bool(self.services.busy or self.told)
+
+    def _told_of(self, state: ServiceState) -> dict[str, UpstreamEvidence]:
+        """Return the upstreams of a service whose last word may have to be taken back."""
+        upstreams = state.pool.upstreams
+        if len(self.told) > len(upstreams):
+            return {name: evidence for name, evidence in upstreams.items() if name in self.told}
+        return {name: upstreams[name] for name in self.told if name in upstreams}
+
     def _forget_old(self, now: float) -> None:
         for name in [n for n, told in self.told.items() if now - told.at >= EXPIRED]:
             del self.told[name]
@@ -161,16 +177,8 @@
         return {"drains_told": self.drains, "crashes_told": self.crashes, "told": len(self.told)}
 
 
-def has_news(evidence: UpstreamEvidence, now: float) -> bool:
-    """Return whether calls since the last look, or before an ejection, said anything new."""
-    since = now - 2 * TELL_EVERY
-    if evidence.starts or evidence.on_trial or evidence.suspected:
-        return True
-    return max(evidence.latency_at, evidence.failed_at, evidence.ejected_until) > since
-
-
 def local_load(evidence: UpstreamEvidence, now: float) -> LocalLoad:
     """Return this daemon's evidence on one upstream in the form that is shared."""
     latency_us = int(evidence.latency * MICROSECONDS)
-    suspect = is_suspect(evidence, now)
+    suspect = suspects_itself(evidence, now)
     return LocalLoad(evidence.name, evidence.in_flight, latency_us, suspect, now)
--- a/sequoiabridge/policy/pool.py
+++ b/sequoiabridge/policy/pool.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from random import Random
 
 from .base import Chooser, Failure, LoadReport, Weighed
 from .drains import DrainLedger
 from .ejection import TRIAL_LATENCY, Ejector
 from .evidence import PoolAverages, UpstreamEvidence, UpstreamSpec
-from .suspicions import suspect, weigh_suspicions
+from .suspicions import SUSPECT_SLOWNESS, suspect, weigh_suspicions
 
 SMALL_POOL = 64
 """Upstreams up to which every choice looks at all of them."""
@@ -209,6 +209,14 @@
         """Return the upstreams that neither leave nor are drained by the operator."""
         return [u for u in self.upstreams.values() if u.draining is None and not u.drained]
 
+    def noticeable(self) -> Iterator[UpstreamEvidence]:
+        """Yield upstreams at work or perhaps slow: a cheap test before `suspects_itself`."""
+        slow = self.averages.latency * SUSPECT_SLOWNESS
+        for upstream in self.upstreams.values():
+            maybe_slow = upstream.samples and upstream.latency > slow
+            if upstream.starts or upstream.on_trial or maybe_slow:
+                yield upstream
+
     def probed(self, name: str, now: float, elapsed: float, report: LoadReport) -> None:
         """A probe was answered: a report like any other, but no proof that calls go well."""
         upstream = self.upstreams.get(name)
--- a/sequoiabridge/policy/probing.py
+++ b/sequoiabridge/policy/probing.py
@@ -11,6 +11,7 @@
 
 from .evidence import UpstreamEvidence
 from .pool import SAMPLE, SMALL_POOL, PoolState
+from .suspicions import suspects_itself
 
 BURST = 8.0
 """Probes that may be saved up."""
@@ -37,22 +38,6 @@
 PROBE_GAP = 0.1
 """Seconds between two probes of one upstream in the background, at least."""
 
-SUSPECT_OVERDUE = 4.0
-"""Age of a call in flight, as a multiple of the pool's latency, that makes a suspect."""
-
-SUSPECT_SLOWNESS = 2.0
-"""Latency, as a multiple of the pool's, that makes a suspect."""
-
-
-def is_suspect(upstream: UpstreamEvidence, now: float) -> bool:
-    """Return whether something speaks against the upstream, so that a probe pays."""
-    return (
-        upstream.on_trial
-        or upstream.suspected
-        or upstream.overdue(now) > SUSPECT_OVERDUE
-        or (upstream.samples > 0 and upstream.slowness(now) > SUSPECT_SLOWNESS)
-    )
-
 
 class ProbeBudget:
     """Pays probes of one service and counts what they cost.
@@ -144,7 +129,7 @@
         for upstream in _candidates(pool):
             if now - upstream.probed_at < PROBE_GAP:
                 continue
-            if is_suspect(upstream, now):
+            if upstream.suspected or suspects_itself(upstream, now):
                 suspects.append(upstream)
             elif now - upstream.report_at >= OLDEST:
                 old.append(upstream)
--- a/sequoiabridge/policy/suspicions.py
+++ b/sequoiabridge/policy/suspicions.py
@@ -16,6 +16,22 @@
 """Other VMs that must suspect an upstream before it counts."""
 
 
+SUSPECT_OVERDUE = 4.0
+"""Age of a call in flight, as a multiple of the pool's latency, that makes a suspect."""
+
+SUSPECT_SLOWNESS = 2.0
+"""Latency, as a multiple of the pool's, that makes a suspect."""
+
+
+def suspects_itself(upstream: UpstreamEvidence, now: float) -> bool:
+    """Return whether this VM's own calls speak against the upstream; only that is told on."""
+    return (
+        upstream.on_trial
+        or upstream.overdue(now) > SUSPECT_OVERDUE
+        or (upstream.samples > 0 and upstream.slowness(now) > SUSPECT_SLOWNESS)
+    )
+
+
 def suspect(upstream: UpstreamEvidence, sender: str, age: float, now: float) -> None:
     """Note that another VM suspected the upstream `age` seconds ago."""
     if age < SUSPICION_TIME:
--- a/sequoiabridge/tests/pipeline/test_idle.py
+++ b/sequoiabridge/tests/pipeline/test_idle.py
@@ -4,12 +4,12 @@
 import pytest
 
 from ...exceptions import Refusal
-from ...fleet.base import Urgency
+from ...fleet.base import LoadItem, Urgency
 from ...metrics import Metrics
 from ...pipeline.admit import Admit
 from ...pipeline.probing import LOOK_EVERY, Probing
 from ...pipeline.services import QUIET
-from ...pipeline.sharing import Sharing
+from ...pipeline.sharing import SLICES, Sharing
 from ...policy.admission import Decision, Verdict
 from ...timers import ManualClock, Timers
 from .fakes import Act, Bench
@@ -63,21 +63,33 @@
     return clock, Timers(clock)
 
 
-def test_probing_starts_with_the_first_call_and_ends_when_the_service_is_quiet():
+def look_at_all(sharing):
+    """Go through all services once."""
+    for _ in range(SLICES):
+        sharing.tell_load()
+
+
+def awake(timers):
+    """Return the names of what is done often and that the timers will do."""
+    return {entry["name"] for entry in timers.dump()} & {"probing", "sharing load"}
+
+
+def test_looks_start_with_the_first_call_and_end_when_the_service_is_quiet():
     bench = Bench(Act.ANSWER)
     clock, timers = on_manual_clock(bench)
     Probing(bench.services, None, Metrics(), bench.observer, clock).subscribe(timers)
-    assert timers.next_due() > IDLE_GAP
+    Sharing("vm", bench.services, FakeFleet(), Metrics(), clock).subscribe(timers)
+    assert not awake(timers)
     bench.services.called(bench.services.by_name["s"], clock.now())
-    assert timers.next_due() <= LOOK_EVERY
+    assert timers.next_due() <= LOOK_EVERY and awake(timers) == {"probing", "sharing load"}
     clock.advance(QUIET + 1)
-    for _ in range(3):
+    for _ in range(20):
         for coroutine in timers.run_due():
             curio.run(coroutine)
         clock.advance(LOOK_EVERY)
-    assert timers.next_due() > IDLE_GAP
+    assert not awake(timers)
     bench.services.called(bench.services.by_name["s"], clock.now())
-    assert timers.next_due() <= LOOK_EVERY
+    assert awake(timers) == {"probing", "sharing load"}
 
 
 def test_a_queued_call_is_refused_in_time_though_nothing_looked_before_it_came():
@@ -106,11 +118,11 @@
     bench.services.called(state, clock.now())
     straggler.started(clock.now())
     clock.advance(2.0)
-    sharing.tell_load()
+    look_at_all(sharing)
     assert [(item.upstream, item.suspect) for item in fleet.items] == [("u1", True)]
     straggler.ended(clock.now(), 2.0)
     clock.advance(3.0)
-    sharing.tell_load()
+    look_at_all(sharing)
     assert [(item.upstream, item.suspect) for item in fleet.items[1:]] == [("u1", False)]
 
 
@@ -119,5 +131,35 @@
     clock, _ = on_manual_clock(bench)
     sharing = Sharing("vm", bench.services, fleet, Metrics(), clock)
     bench.services.by_name["s"].pool.upstreams = None  # Whoever goes through them fails.
-    sharing.tell_load()
+    look_at_all(sharing)
     assert not fleet.items
+
+
+def test_an_upstream_slower_than_its_pool_is_told_without_a_call_in_flight():
+    bench, fleet = Bench(Act.ANSWER, Act.ANSWER, Act.ANSWER), FakeFleet()
+    clock, _ = on_manual_clock(bench)
+    sharing = Sharing("vm", bench.services, fleet, Metrics(), clock)
+    state = bench.services.by_name["s"]
+    bench.services.called(state, clock.now())
+    for name, upstream in state.pool.upstreams.items():
+        for _ in range(10):
+            state.pool.sent(upstream, clock.now())
+            elapsed = 0.5 if name == "u1" else 0.005
+            state.pool.answered(upstream, clock.now(), 200, elapsed)
+    look_at_all(sharing)
+    assert [(item.upstream, item.suspect) for item in fleet.items] == [("u1", True)]
+
+
+def test_what_other_vms_suspect_is_not_told_on_as_own_suspicion():
+    bench, fleet = Bench(*[Act.ANSWER] * 4), FakeFleet()
+    clock, _ = on_manual_clock(bench)
+    sharing = Sharing("vm", bench.services, fleet, Metrics(), clock)
+    state = bench.services.by_name["s"]
+    bench.services.called(state, clock.now())
+    for other in ("vm-2", "vm-3", "vm-4"):
+        sharing.heard_load(LoadItem("u1", 0, 6000, True, 0), other)
+    clock.advance(0.1)  # Words of other VMs take effect together, with the next choice.
+    state.pool.choose(clock.now())
+    assert state.pool.upstreams["u1"].suspected
+    look_at_all(sharing)
+    assert not any(item.suspect for item in fleet.items)
