--- a/sequoiabridge/policy/admission.py
+++ b/sequoiabridge/policy/admission.py
@@ -8,102 +8,27 @@
 from __future__ import annotations
 
 from collections import Counter
-from enum import Enum
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import exp
 
 from ..outcome import Reason
 from .concurrency import ConcurrencyLimit
-from .quantiles import LatencyHistogram
+from .tickets import ADMITTED, QUEUED, Decision, Ticket, Verdict
+from .usual import ESTIMATE_FADE, UsualLatency
 
 INTERVAL_GAIN = 0.1
 """Weight of the newest gap between two ends of calls in its mean."""
 
-USUAL_SHARE = 0.75
-"""Share of the calls of a kind that are answered within its usual latency."""
-
 MOST_KINDS = 64
 """Kinds of call whose latencies are told apart; all others count as one."""
 
-REFRESHED_AFTER = 32
-"""Answers after which the usual latency of a kind is read anew."""
-
-ESTIMATE_FADE = 2.0
-"""Seconds without an end of a call in which the estimates lose 63%.
-
-Else estimates so bad that they refuse every call would never be corrected.
-"""
+SPARE_ENTRIES = 64
+"""Entries of calls that left which the queue may hold beside those that wait."""
 
 SHORTEST_RETRY, LONGEST_RETRY = 0.05, 10.0
 """Bounds in seconds of `retry_after`."""
 
 
-class Ticket:
-    """One call that asks to be admitted; times are seconds on the daemon's clock."""
-
-    __slots__ = ("caller", "deadline", "arrived", "weight", "kind", "admitted_at", "waiting")
-
-    def __init__(
-        self, caller: str, deadline: float, arrived: float, weight: float = 1.0, kind: str = ""
-    ):
-        self.caller = caller
-        self.deadline = deadline
-        self.arrived = arrived
-        self.weight = weight
-        self.kind = kind
-        self.admitted_at: float | None = None
-        self.waiting = False
-
-
-class Verdict(Enum):
-    """What becomes of a call that was offered."""
-
-    ADMITTED = "admitted"
-    QUEUED = "queued"
-    REFUSED = "refused"
-
-
-class Decision:
-    """The verdict on one call; `reason` and `retry_after` (seconds) go with a refusal."""
-
-    __slots__ = ("verdict", "reason", "retry_after")
-
-    def __init__(
-        self, verdict: Verdict, reason: Reason | None = None, retry_after: float | None = None
-    ):
-        self.verdict = verdict
-        self.reason = reason
-        self.retry_after = retry_after
-
-
-ADMITTED = Decision(Verdict.ADMITTED)
-QUEUED = Decision(Verdict.QUEUED)
-
-
-class UsualLatency:
-    """How long calls of one kind usually take once admitted; fades without answers."""
-
-    __slots__ = ("histogram", "answers", "value", "at")
-
-    def __init__(self):
-        self.histogram = LatencyHistogram()
-        self.answers = 0
-        self.value = 0.0
-        self.at = 0.0
-
-    def add(self, now: float, latency: float) -> None:
-        """Take in one latency."""
-        self.histogram.add(latency)
-        self.at = now
-        self.answers += 1
-        if self.answers % REFRESHED_AFTER == 1:
-            self.value = self.histogram.quantile(USUAL_SHARE) or 0.0
-
-    def read(self, now: float) -> float:
-        """Return the seconds that most calls of the kind take."""
-        return self.value * exp((self.at - now) / ESTIMATE_FADE) if self.value else 0.0
-
-
 class AdmissionQueue:
     """Admission of one service on one daemon.
 
@@ -246,6 +171,9 @@
         ticket.waiting = False
         self.waiting -= 1
         _less(self.waiting_by, ticket.caller)
+        if len(self.heap) > 2 * self.waiting + SPARE_ENTRIES:
+            self.heap = [entry for entry in self.heap if entry[2].waiting]
+            heapify(self.heap)
 
     def _displace(self, weight: float) -> bool:
         """Take the latest of the lightest waiting calls out if it is lighter than `weight`."""
--- a/sequoiabridge/policy/pool.py
+++ b/sequoiabridge/policy/pool.py
@@ -10,7 +10,9 @@
 from .drains import DrainLedger
 from .ejection import TRIAL_LATENCY, Ejector
 from .evidence import PoolAverages, UpstreamEvidence, UpstreamSpec
+from .options import PoolOptions
 from .suspicions import suspect, weigh_suspicions
+from .trust import weigh_trust
 
 SMALL_POOL = 64
 """Upstreams up to which every choice looks at all of them."""
@@ -33,38 +35,10 @@
 LONGEST_SHED_PAUSE = 0.64
 """Seconds for which refusals keep work away at most."""
 
-TRUST_LOSS = 0.8
-"""Factor on trust for each answer that contradicts the upstream's reports."""
-
-TRUST_GAIN = 0.02
-"""Trust that each answer in agreement with them gives back."""
-
-LIE_LATENCY = 1.5
-"""Latency, as a multiple of the pool's, with which a report under the average disagrees."""
-
 HEARD_DELAY = 0.05
 """Seconds after which words of other VMs take effect at the latest, many at a time."""
 
 
-class PoolOptions:
-    """A service's options that the choice depends on.
-
-    Attributes:
-        eject_cap: Share of the upstreams that may be ejected at a time.
-        tail_weight: 0 = the cost of measuring counts most, 1 = tail latency does.
-        probes_per_1000: Probes paid by 1,000 calls.
-    """
-
-    __slots__ = ("eject_cap", "tail_weight", "probes_per_1000")
-
-    def __init__(
-        self, eject_cap: float = 0.3, tail_weight: float = 0.5, probes_per_1000: float = 0.0
-    ):
-        self.eject_cap = eject_cap
-        self.tail_weight = tail_weight
-        self.probes_per_1000 = probes_per_1000
-
-
 class PoolState:
     """The candidates of one service; told of every call, answer, failure and word about them."""
 
@@ -82,6 +56,12 @@
         self.probed_lately: deque[UpstreamEvidence] = deque(maxlen=PROBED_KEPT)
         self.stale_at = float("-inf")
 
+    def configure(self, options: PoolOptions, chooser: Chooser) -> None:
+        """Take over changed options of the service; the evidence stays."""
+        self.options = options
+        self.ejector.cap = options.eject_cap
+        self.chooser = chooser
+
     def set_upstreams(self, specs: Sequence[UpstreamSpec], now: float) -> None:
         """Take over the configured upstreams; evidence of those that stay is kept."""
         first = not self.upstreams
@@ -164,7 +144,7 @@
         self.averages.count(self.upstreams.values(), now)
         if report is not None:
             evidence.learn_report(now, report)
-            self._weigh_trust(evidence, now, elapsed)
+            weigh_trust(evidence, now)
         if evidence.on_trial:
             self._judge_trial(evidence, now, elapsed > TRIAL_LATENCY * self.averages.latency)
         elif self.ejector.should_eject(evidence, now):
@@ -301,14 +281,6 @@
             kept.append(upstream)
         return kept or candidates
 
-    def _weigh_trust(self, upstream: UpstreamEvidence, now: float, elapsed: float) -> None:
-        """Lower the trust in reports of little load from an upstream that answers slowly."""
-        says_idle = upstream.others / upstream.slots < self.averages.others
-        if says_idle and upstream.slowness(now) > LIE_LATENCY:
-            upstream.trust *= TRUST_LOSS
-        else:
-            upstream.trust = min(1.0, upstream.trust + TRUST_GAIN)
-
     def _judge_trial(self, upstream: UpstreamEvidence, now: float, bad: bool) -> None:
         if self.ejector.judge_trial(upstream, now, bad):
             self._eject(upstream, now)
--- a/sequoiabridge/policy/probing.py
+++ b/sequoiabridge/policy/probing.py
@@ -68,9 +68,7 @@
     """
 
     def __init__(self, per_1000: float, tail_weight: float):
-        self.per_call = per_1000 / 1000.0
-        self.asked = min(MOST_ASKED, max(FEWEST_ASKED, round(self.per_call)))
-        self.worth_age = OLDEST * (YOUNGEST / OLDEST) ** min(1.0, max(0.0, tail_weight))
+        self.configure(per_1000, tail_weight)
         self.round_trip = FIRST_ROUND_TRIP
         self.tokens = 0.0
         self.calls = 0
@@ -78,6 +76,12 @@
         self.bytes = 0
         self.upstream_time = 0.0
 
+    def configure(self, per_1000: float, tail_weight: float) -> None:
+        """Take over changed options of the service; what was earned and spent stays."""
+        self.per_call = per_1000 / 1000.0
+        self.asked = min(MOST_ASKED, max(FEWEST_ASKED, round(self.per_call)))
+        self.worth_age = OLDEST * (YOUNGEST / OLDEST) ** min(1.0, max(0.0, tail_weight))
+
     def earned(self, calls: int, now: float) -> None:
         """Calls came in: they pay for probes."""
         self.calls += calls
--- /dev/null
+++ b/sequoiabridge/policy/trust.py
@@ -0,0 +1,23 @@
+"""How far an upstream's load reports are believed."""
+
+from __future__ import annotations
+
+from .evidence import UpstreamEvidence
+
+TRUST_LOSS = 0.8
+"""Factor on trust for each answer that contradicts the upstream's reports."""
+
+TRUST_GAIN = 0.02
+"""Trust that each answer in agreement with them gives back."""
+
+LIE_LATENCY = 1.5
+"""Latency, as a multiple of the pool's, with which a report under the average disagrees."""
+
+
+def weigh_trust(upstream: UpstreamEvidence, now: float) -> None:
+    """Lower the trust in reports of little work from an upstream that answers slowly."""
+    says_idle = upstream.others / upstream.slots < upstream.averages.others
+    if says_idle and upstream.slowness(now) > LIE_LATENCY:
+        upstream.trust *= TRUST_LOSS
+    else:
+        upstream.trust = min(1.0, upstream.trust + TRUST_GAIN)
