--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,22 @@
 .PHONY: bench-daemon
 bench-daemon: $(VENV)/ready
 	$(BIN)/python -m benchmarks.daemon
+.PHONY: bench-fleet
+bench-fleet: $(VENV)/ready
+	$(BIN)/python -m benchmarks.fleet
+
+.PHONY: matrix matrix-check soak roll
+matrix: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix
+
+matrix-check: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix.check
+
+soak: $(VENV)/ready
+	$(BIN)/python -m benchmarks.soak
+
+roll: $(VENV)/ready
+	$(BIN)/python -m benchmarks.roll
 
 .PHONY: bench-config
 bench-config: $(VENV)/ready
@@ -57,3 +73,10 @@
 .PHONY: slopes
 slopes: $(VENV)/ready
 	$(BIN)/python -m benchmarks.slopes
+.PHONY: bench-policy bench-limits
+
+bench-policy: $(VENV)/ready
+	$(BIN)/python -m benchmarks.policy
+
+bench-limits: $(VENV)/ready
+	$(BIN)/python -m benchmarks.policy_limits
--- a/benchmarks/policy_players.py
+++ b/benchmarks/policy_players.py
@@ -25,12 +25,11 @@
     mean latency, which our load reports do not.
     """
 
-    KEEP, MAX_AGE, USES, HOT, REMOVE = 16, 1.0, 2, 0.84, True
+    KEEP, MAX_AGE, USES, HOT = 16, 1.0, 2, 0.84
 
     def __init__(self):
         self.probes = deque(maxlen=self.KEEP)
         self.loads = deque(maxlen=64)
-        self.turn = False
 
     def probed(self, now, name, in_flight, latency):
         for old in [p for p in self.probes if p[0] == name]:
@@ -52,32 +51,62 @@
         return known[best[0]]
 
     def take(self, best):
-        """Count the use of a probe, and drop the oldest and the worst in turn."""
+        """Count the use of a probe; dropping the worst besides made it do worse in trials."""
         best[1] += 1
         best[4] -= 1
         if best[4] <= 0:
             self.probes.remove(best)
-        if self.REMOVE and len(self.probes) > 1:
-            self.turn = not self.turn
-            worst = self.probes[0] if self.turn else max(self.probes, key=lambda p: p[1])
-            self.probes.remove(worst)
+
+
+class ProbeLoadChooser(ProbePoolChooser):
+    """Baseline: the same pool of probes, by the least load alone."""
+
+    HOT = -1.0
+
+
+PROBE_POOLS = {"probe-pool": ProbePoolChooser, "probe-load": ProbeLoadChooser}
+
+
+class Entry:
+    """One way to play: a chooser, what it may spend, and whether upstreams are ejected."""
+
+    __slots__ = ("kind", "probes", "tail_weight", "share", "ejects")
+
+    def __init__(self, kind, probes=0.0, tail_weight=0.5, share=False, ejects=None):
+        self.kind, self.probes, self.tail_weight, self.share = kind, probes, tail_weight, share
+        self.ejects = kind == "evidence" if ejects is None else ejects
+
+    @property
+    def name(self):
+        """Name in the tables."""
+        return self.kind + ("+ejection" if self.ejects and self.kind != "evidence" else "")
+
+
+class Ticket:
+    """One attempt: the upstream's evidence and when the call was sent."""
+
+    __slots__ = ("evidence", "name", "sent")
+
+    def __init__(self, evidence, sent):
+        self.evidence, self.name, self.sent = evidence, evidence.name, sent
 
 
 class Player:
     """One VM: a pool state with a chooser, and what it spends on measuring."""
 
-    def __init__(self, kind, names, late, random, probes, tail_weight, share):
-        self.random, self.late, self.peers, self.share = random, late, [], share
-        self.probing = None
+    def __init__(self, entry, names, late, random):
+        self.random, self.late, self.peers, self.share = random, late, [], entry.share
         self.spent_probes = self.spent_bytes = 0
-        own = kind == "evidence"
-        chooser = ProbePoolChooser() if kind == "probe-pool" else chooser_named(kind)
-        options = PoolOptions(0.3 if own else 0.0, tail_weight, probes)
+        self.own = entry.kind == "evidence"
+        chooser = (
+            PROBE_POOLS[entry.kind]() if entry.kind in PROBE_POOLS else chooser_named(entry.kind)
+        )
+        options = PoolOptions(0.3 if entry.ejects else 0.0, entry.tail_weight, entry.probes)
         self.state = PoolState("katalog", options, chooser, random)
         self.specs = [UpstreamSpec(n, n, SLOTS, 260, "a") for n in names]
         self.state.set_upstreams([s for s in self.specs if s.name != late], 0.0)
-        self.budget = ProbeBudget(probes, tail_weight)
-        self.tokens, self.per_call, self.own = 0.0, probes / 1000, own
+        self.budget = ProbeBudget(entry.probes, entry.tail_weight)
+        self.tokens, self.per_call = 0.0, entry.probes / 1000
         self.fake = None
         self.told = {}
 
@@ -86,45 +115,51 @@
         if self.late:
             self.state.set_upstreams(self.specs, now)
 
-    def send(self, now):
-        """A call came in: choose for it, and probe what it pays for."""
-        evidence = self.state.choose(now)
-        self.probe(now)
-        if evidence is None:
-            return None, None
-        self.state.sent(evidence, now)
-        return evidence.name, evidence
-
-    def probe(self, now):
+    def ask(self, now):
+        """A call came in: probe what it pays for; return whether to wait for the answers."""
         if not self.per_call:
-            return
-        if self.own:
-            self.budget.earned(1, now)
-            targets = self.budget.next_targets(self.state, now)
-        else:
+            return False
+        if not self.own:
             self.tokens += self.per_call
             count, self.tokens = int(self.tokens), self.tokens % 1
-            targets = [self.random.choice(self.state.usable).name for _ in range(count)]
-        for name in targets:
+            self.probe(now, [self.random.choice(self.state.usable).name for _ in range(count)])
+            return False
+        self.budget.earned(1, now)
+        asked = self.budget.ask_first(self.state, now)
+        self.probe(now, asked + self.budget.next_targets(self.state, now))
+        return bool(asked)
+
+    def probe(self, now, names):
+        """Send probes."""
+        for name in names:
             self.spent_probes += 1
             self.spent_bytes += PROBE_BYTES
             self.fake.probe(now, name, self.probed)
 
+    def send(self, now):
+        """Choose and send; return the ticket of the attempt, or None."""
+        evidence = self.state.choose(now)
+        if evidence is None:
+            return None
+        self.state.sent(evidence, now)
+        return Ticket(evidence, now)
+
     def probed(self, now, name, in_flight, latency):
         if self.own:
             self.state.probed(name, now, 0.002, LoadReport(in_flight, SLOTS))
         else:
             self.state.chooser.probed(now, name, in_flight, latency)
 
-    def answered(self, now, evidence, elapsed, in_flight, leaving):
-        self.state.answered(evidence, now, 200, elapsed, LoadReport(in_flight, SLOTS))
+    def answered(self, now, ticket, in_flight, leaving):
+        evidence, report = ticket.evidence, LoadReport(in_flight, SLOTS)
+        self.state.answered(evidence, now, 200, now - ticket.sent, report)
         if leaving:
             self.state.drain(evidence.name, 1, now)
         self.tell(now, evidence)
 
-    def failed(self, now, evidence, elapsed):
-        self.state.failed(evidence, now, Failure.ERROR, elapsed)
-        self.tell(now, evidence)
+    def failed(self, now, ticket):
+        self.state.failed(ticket.evidence, now, Failure.ERROR, now - ticket.sent)
+        self.tell(now, ticket.evidence)
 
     def tell(self, now, evidence):
         """Tell the peers when an upstream becomes a suspect, if sharing is on."""
--- a/benchmarks/policy_pool.py
+++ b/benchmarks/policy_pool.py
@@ -11,12 +11,12 @@
 ONE_WAY = 0.001
 """Seconds between a VM and an instance."""
 
-MEAN_WORK = 0.006
-"""Seconds of work of a mean call on an undisturbed slot; exponential."""
-
 SLOWED, QUIET_TIME, NOISY_TIME = 3.0, 0.06, 0.02
 """Neighbours slow an instance threefold for 20 ms after 60 ms of quiet; both exponential."""
 
+ASK_WORK = 0.0001
+"""Seconds that a VM and an instance spend on probes that a call waits for."""
+
 SLOTS = 2
 SPEED = (QUIET_TIME + NOISY_TIME / SLOWED) / (QUIET_TIME + NOISY_TIME)
 """Mean speed of an instance with its neighbours."""
@@ -98,8 +98,8 @@
 class FakePool:
     """Runs calls of many choosers (`Player`s) against the instances and records them."""
 
-    def __init__(self, players, instances, rate, seconds, seed, first):
-        self.players, self.instances, self.rate = players, instances, rate
+    def __init__(self, players, instances, rate, work, seconds, seed, first):
+        self.players, self.instances, self.rate, self.work = players, instances, rate, work
         self.seconds, self.first = seconds, first
         self.random = Random(seed)
         self.heap, self.order, self.latencies, self.calls = [], 0, [], 0
@@ -124,14 +124,22 @@
         if now > self.seconds:
             return
         self.at(now + self.random.expovariate(self.rate), self.arrive)
-        self.calls += now >= self.first
+        self.calls += 1
         player = self.random.choice(self.players)
-        work = self.random.expovariate(1 / MEAN_WORK)
-        name, ticket = player.send(now)
-        if name is None:
-            self.record(now, CALLER_TIMEOUT)
+        work = self.random.expovariate(1 / self.work)
+        if player.ask(now):
+            self.at(now + 2 * ONE_WAY + ASK_WORK, self.choose, player, work, now)
+        else:
+            self.choose(now, player, work, now)
+
+    def choose(self, now, player, work, start):
+        """The VM chooses, after the answers to its probes if it asked first."""
+        ticket = player.send(now)
+        if ticket is None:
+            self.record(start, CALLER_TIMEOUT)
             return
-        self.at(now + ONE_WAY, self.reach, self.instances[name], player, ticket, now, work)
+        instance = self.instances[ticket.name]
+        self.at(now + ONE_WAY, self.reach, instance, player, ticket, start, work)
 
     def reach(self, now, instance, player, ticket, start, work):
         """The call reaches its instance."""
@@ -163,12 +171,12 @@
     def answer(self, now, player, ticket, start, report, leaving):
         """The answer reaches the VM."""
         self.record(start, now - start)
-        player.answered(now, ticket, now - start, report, leaving)
+        player.answered(now, ticket, report, leaving)
 
     def fail(self, now, player, ticket, start):
         """An error reaches the VM."""
         self.record(start, CALLER_TIMEOUT)
-        player.failed(now, ticket, now - start)
+        player.failed(now, ticket)
 
     def record(self, start, latency):
         """Keep the latency of a call that started after the warm-up."""
--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -10,6 +10,7 @@
 from ..parts import Part
 from ..policy.base import Failure
 from ..policy.evidence import UpstreamEvidence
+from ..policy.probing import noticeable, suspects_itself
 from ..timers import Clock, OnDemand, Timers
 from .accounting import Observer
 from .exchange import Exchange
@@ -70,9 +71,14 @@
         log.info("%s is leaving, by its own word.", upstream)
         self.fleet.publish(DrainItem(upstream, incarnation), Urgency.DRAIN)
 
+    def returned(self, upstream: str, incarnation: int) -> None:
+        log.info("%s is back, by its own word.", upstream)
+        self.fleet.publish(DrainItem(upstream, incarnation, leaving=False), Urgency.DRAIN)
+
     def failed(self, exchange: Exchange, upstream: str, failure: Failure) -> None:
-        if failure is not Failure.RESET:
-            return
+        return
+
+    def crashed(self, exchange: Exchange, upstream: str) -> None:
         now, wall = self.clock.now(), self.clock.wall()
         found = fingerprint(exchange)
         self.crashes += 1
@@ -136,9 +142,9 @@
         loads = []
         self.looks += 1
         for state in self.services.busy_states(now)[self.looks % SLICES :: SLICES]:
-            noticed = {evidence.name: evidence for evidence in state.pool.noticeable()}
+            noticed = {evidence.name: evidence for evidence in noticeable(state.pool)}
             noticed |= self._told_of(state)
-            loads += [local_load(state.pool, evidence, now) for evidence in noticed.values()]
+            loads += [local_load(evidence, now) for evidence in noticed.values()]
         room = self.fleet.bucket.room(Urgency.LOAD)
         for item in worth_sending(loads, self.told, room, now):
             self.fleet.publish(item, Urgency.LOAD)
@@ -171,8 +177,8 @@
         return {"drains_told": self.drains, "crashes_told": self.crashes, "told": len(self.told)}
 
 
-def local_load(pool, evidence, now: float) -> LocalLoad:
+def local_load(evidence: UpstreamEvidence, now: float) -> LocalLoad:
     """Return this daemon's evidence on one upstream in the form that is shared."""
     latency_us = int(evidence.latency * MICROSECONDS)
-    suspect = pool.suspects_itself(evidence, now)
+    suspect = suspects_itself(evidence, now)
     return LocalLoad(evidence.name, evidence.in_flight, latency_us, suspect, now)
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -13,6 +13,7 @@
 from ...pipeline.dispatch import Dispatch
 from ...pipeline.exchange import Answer, Body, Exchange, Request
 from ...pipeline.services import Services
+from ...pipeline.stopping import fingerprint
 from ...timers import SystemClock
 from ...upstreams.base import Connector, UpstreamConnection
 
@@ -25,6 +26,7 @@
     SHED = "shed"
     REFUSE_CONNECTION = "refuse connection"
     RESET = "reset"
+    CRASH = "crash"
     CUT = "cut"
     STAY_SILENT = "stay silent"
 
@@ -46,7 +48,7 @@
     async def read_head(self):
         if self.act is Act.STAY_SILENT:
             await curio.sleep(3600)
-        if self.act is Act.RESET:
+        if self.act in (Act.RESET, Act.CRASH):
             raise UpstreamFailed("reset", sent=True)
         if self.act is Act.SHED:
             return Answer(503, [(NOT_RUN, b"1")], 0, None)
@@ -96,19 +98,29 @@
     async def suspect(self, address, opened_before):
         return None
 
+    async def reachable(self, address, timeout):
+        return self.acts[address] not in (Act.CRASH, Act.REFUSE_CONNECTION)
+
 
 class Quiet(Observer):
     """An observer that only counts."""
 
     def __init__(self):
         self.failures = []
+        self.back = []
 
     def draining(self, upstream, incarnation):
         return None
 
+    def returned(self, upstream, incarnation):
+        self.back.append((upstream, incarnation))
+
     def failed(self, exchange, upstream, failure):
         self.failures.append(failure)
 
+    def crashed(self, exchange, upstream):
+        return None
+
     def survived(self, exchange):
         return None
 
@@ -116,6 +128,17 @@
         return None
 
 
+class Blaming(Quiet):
+    """An observer that enters each crash in the service's ledger, as a daemon does."""
+
+    def __init__(self, ledger):
+        super().__init__()
+        self.ledger = ledger
+
+    def crashed(self, exchange, upstream):
+        self.ledger.seen(fingerprint(exchange), upstream, "vm-1", 1.0, 1.0)
+
+
 def document(upstreams: int, **rule) -> Document:
     """Return a configuration of one service with so many upstreams and one rule."""
     lines = ["[service s]", "[pool p]", "service = s", "[rule r]", "service = s"]
--- a/sequoiabridge/tests/pipeline/test_idle.py
+++ b/sequoiabridge/tests/pipeline/test_idle.py
@@ -158,6 +158,8 @@
     bench.services.called(state, clock.now())
     for other in ("vm-2", "vm-3", "vm-4"):
         sharing.heard_load(LoadItem("u1", 0, 6000, True, 0), other)
+    clock.advance(0.5)
+    state.pool.choose(clock.now())  # Takes in what was heard.
     assert state.pool.upstreams["u1"].suspected
     look_at_all(sharing)
     assert not any(item.suspect for item in fleet.items)
