Hold an upload that has crashed two upstreams

Cause: a delivery's reset was always tried again, at any upstream.

Ruled out: the ledger of crashed calls. It is shared by hearsay, forgets, and shares blame; an upload has a row that all VMs read, and its delivery can wait for the operator.

Change: after a reset the sender asks whether the upstream takes a new connection (50 ms, as for calls). If not, its name goes into the manifest, by whichever VM learnt it and whoever holds the lease. The next attempt goes to another upstream; after two names the upload is `failed`, with its content and the reason. A release clears the names. `show uploads` has the new columns `crashed` and `error`.

--- a/sequoiabridge/operators/rows.py
+++ b/sequoiabridge/operators/rows.py
@@ -151,6 +151,8 @@
     upstream: str = ""
     vm: str = ""
     age: float = 0.0
+    crashed: str = ""
+    error: str = ""
 
     @classmethod
     def of_fields(cls) -> tuple[str, ...]:
--- a/sequoiabridge/operators/state.py
+++ b/sequoiabridge/operators/state.py
@@ -275,4 +275,6 @@
         size=entry.size,
         vm=entry.holder,
         age=round(now - entry.created, 1),
+        crashed=", ".join(entry.crashed),
+        error=entry.error,
     )
--- a/sequoiabridge/pipeline/upload_sender.py
+++ b/sequoiabridge/pipeline/upload_sender.py
@@ -11,6 +11,7 @@
 from ..store.upload_manifest import Manifest
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
+from .accounting import ALIVE_TIMEOUT
 from .exchange import Answer, Body
 from .services import Services, ServiceState
 from .uploads import delivery_request, delivery_result
@@ -42,7 +43,7 @@
         state = self.services.by_name.get(manifest.service)
         if state is None:
             return Sent(Delivery.RETRY, f"service {manifest.service} is not configured now")
-        evidence = state.pool.choose(self.clock.now())
+        evidence = state.pool.choose(self.clock.now(), manifest.crashed)
         if evidence is None:
             return Sent(Delivery.RETRY, "no upstream can take it now")
         request = delivery_request(manifest, body)
@@ -58,7 +59,7 @@
             return Sent(Delivery.RETRY, f"{evidence.name} did not answer in {limit:.0f} s")
         except UpstreamFailed as error:
             self._failed(state, evidence, started, Failure.RESET)
-            return Sent(Delivery.RETRY, str(error))
+            return await self._broken(evidence, error)
         except BaseException:
             self._failed(state, evidence, started, Failure.CANCELLED)
             raise
@@ -66,6 +67,13 @@
         self._failed(state, evidence, started, Failure.CANCELLED)
         return delivery_result(manifest, answer)
 
+    async def _broken(self, evidence: UpstreamEvidence, error: UpstreamFailed) -> Sent:
+        """Tell a death from a lost connection: a dead upstream takes no new connection."""
+        dead = error.sent and not await self.connector.reachable(evidence.address, ALIVE_TIMEOUT)
+        if not dead:
+            return Sent(Delivery.RETRY, str(error))
+        return Sent(Delivery.CRASHED, f"{evidence.name} died while it had it", evidence.name)
+
     async def _exchange(self, evidence: UpstreamEvidence, request: UpstreamRequest) -> Answer:
         connection = await self.connector.acquire(
             evidence.address, fresh=True, timeout=CONNECT_TIMEOUT
--- a/sequoiabridge/store/upload_delivery.py
+++ b/sequoiabridge/store/upload_delivery.py
@@ -19,12 +19,14 @@
 from .upload_chunks import UploadCut
 from .upload_index import WORK, UploadEntry, chunk_name
 from .upload_manifest import (
+    WAITING,
     Manifest,
     UploadConflict,
     UploadState,
     backoff,
     claimable,
     claimed,
+    crashed,
     delivered,
     failed,
     postponed,
@@ -47,7 +49,6 @@
 PAGE = 100
 """Index entries looked at in one step."""
 
-
 PIECE = 256 * 1024
 """Bytes of a chunk that are handed on at a time."""
 
@@ -61,18 +62,21 @@
     """The upstream says that it has this id with this digest; the body need not be read."""
     RETRY = "retry"
     """Not confirmed; try again later."""
+    CRASHED = "crashed"
+    """The upstream died while it had the upload; a second one that does stops it."""
     REFUSED = "refused"
     """The upstream will never take it; hold it for the operator."""
 
 
 class Sent:
-    """The result of one attempt; `error` says why it was not confirmed."""
+    """The result of one attempt: `error` says why it was not confirmed, `upstream` who died."""
 
-    __slots__ = ("delivery", "error")
+    __slots__ = ("delivery", "error", "upstream")
 
-    def __init__(self, delivery: Delivery, error: str = ""):
+    def __init__(self, delivery: Delivery, error: str = "", upstream: str = ""):
         self.delivery = delivery
         self.error = error
+        self.upstream = upstream
 
 
 Send = Callable[[Manifest, Body], Awaitable[Sent]]
@@ -272,6 +276,9 @@
         self.postponed += 1
         manifest, stamp = held.manifest, self.uploads.stamp()
         log.warning("Upload %s is not delivered: %s.", manifest.id, sent.error)
+        if sent.delivery is Delivery.CRASHED:
+            await self._record_crash(held, sent)
+            return
         if sent.delivery is Delivery.REFUSED:
             change = failed(manifest, sent.error, stamp)
         else:
@@ -279,5 +286,17 @@
             change = postponed(manifest, sent.error, delay, stamp)
         await self._advance(held, change)
 
+    async def _record_crash(self, held: Held, sent: Sent) -> None:
+        """Commit that an upstream died of it, also if another VM holds the lease by now."""
+        uploads, upload = self.uploads, held.manifest.id
+        while held is not None and held.manifest.state in WAITING:
+            stamp, delay = uploads.stamp(), backoff(held.manifest.attempts, self.random)
+            args = uploads.vm_name, sent.upstream, sent.error, delay, stamp
+            try:
+                await self._advance(held, crashed(held.manifest, *args))
+                return
+            except UploadConflict:
+                held = await uploads.table.read(upload, uploads.patience_seconds)
+
     async def _advance(self, held: Held, manifest: Manifest) -> Held:
         return await self.uploads.table.advance(held, manifest, self.uploads.patience_seconds)
--- a/sequoiabridge/store/upload_index.py
+++ b/sequoiabridge/store/upload_index.py
@@ -51,6 +51,7 @@
     attempts: int
     sent: int
     error: str
+    crashed: tuple[str, ...] = ()
 
 
 def entry_of(manifest: Manifest) -> UploadEntry:
@@ -68,6 +69,7 @@
         attempts=manifest.attempts,
         sent=manifest.sent,
         error=manifest.error,
+        crashed=manifest.crashed,
     )
 
 
--- a/sequoiabridge/store/upload_manifest.py
+++ b/sequoiabridge/store/upload_manifest.py
@@ -17,6 +17,9 @@
 
 from ..exceptions import SequoiaError
 
+MOST_CRASHED = 2
+"""Upstreams that may die while they have an upload; then it is held for the operator."""
+
 BACKOFF_BASE = 1.0
 """Seconds until the second attempt at a delivery; doubled for each one after it."""
 
@@ -51,6 +54,10 @@
     ABANDONED = "abandoned"
 
 
+WAITING = (UploadState.ACCEPTED, UploadState.DELIVERING)
+"""States of an upload that is to be delivered."""
+
+
 class Chunk(msgspec.Struct, frozen=True, array_like=True):
     """A stored piece of an upload; `digest` is its SHA-256, `nonce` makes its name unique."""
 
@@ -74,6 +81,7 @@
         due: When the lease of the holder lapses, or the next attempt or clean-up is due.
         sent: Bytes that the present delivery has sent, as last recorded.
         error: Why the last delivery failed.
+        crashed: Upstreams that died while they had it, since it was accepted or last released.
     """
 
     id: str
@@ -95,6 +103,7 @@
     attempts: int = 0
     sent: int = 0
     error: str = ""
+    crashed: tuple[str, ...] = ()
 
     @property
     def size(self) -> int:
@@ -182,6 +191,25 @@
     return _change(manifest, stamp, state=UploadState.ACCEPTED, due=due, sent=0, error=error)
 
 
+def crashed(
+    manifest: Manifest, vm: str, upstream: str, error: str, delay: float, stamp: Stamp
+) -> Manifest:
+    """Record that `upstream` died while `vm` delivered to it: true whoever holds the lease.
+
+    Held after `MOST_CRASHED` upstreams. Else given back as by `postponed`, if it is still `vm`'s.
+    """
+    _expect(manifest, *WAITING)
+    died = tuple(dict.fromkeys((*manifest.crashed, upstream)))
+    if len(died) >= MOST_CRASHED:
+        error = f"{' and '.join(died)} died while they had it; mend them, then release the upload"
+        change = _change(manifest, stamp, state=UploadState.FAILED, error=error, due=0.0)
+    elif manifest.state is UploadState.DELIVERING and manifest.holder == vm:
+        change = postponed(manifest, error, delay, stamp)
+    else:
+        change = _change(manifest, stamp, error=error)
+    return replace(change, crashed=died)
+
+
 def failed(manifest: Manifest, error: str, stamp: Stamp) -> Manifest:
     """Hold an upload that its upstream refuses for good; its content stays."""
     _expect(manifest, UploadState.DELIVERING)
@@ -191,7 +219,7 @@
 def released(manifest: Manifest, stamp: Stamp) -> Manifest:
     """Let a held upload be delivered again, by the operator's word."""
     _expect(manifest, UploadState.FAILED)
-    return _change(manifest, stamp, state=UploadState.ACCEPTED, due=stamp.now)
+    return _change(manifest, stamp, state=UploadState.ACCEPTED, due=stamp.now, crashed=())
 
 
 def delivered(manifest: Manifest, retention: float, stamp: Stamp) -> Manifest:
--- a/sequoiabridge/tests/pipeline/test_uploads.py
+++ b/sequoiabridge/tests/pipeline/test_uploads.py
@@ -3,16 +3,20 @@
 import hashlib
 from types import SimpleNamespace
 
+import curio
 import msgspec
 import pytest
 
 from ...exceptions import CallerGone, Refusal
+from ...operators.state import upload_row
 from ...outcome import Outcome, Reason
 from ...pipeline.exchange import Answer, Exchange, Request
+from ...pipeline.upload_sender import UploadSender
 from ...pipeline.uploads import UploadHandler, delivery_request, delivery_result
 from ...store.upload_delivery import Delivery
 from ...store.upload_manifest import UploadState
-from ..standins.uploads import Bytes, World, finish
+from ..standins.uploads import Bytes, World, finish, incoming
+from .fakes import Act, Bench
 
 DATA = b"image of the reader"
 
@@ -124,3 +128,39 @@
     manifest = SimpleNamespace(digest="d")
     headers = [] if echo is None else [(b"sequoia-upload-digest", echo)]
     assert delivery_result(manifest, Answer(status, headers, 0, None)).delivery is expected
+
+
+def delivered_by_turns(world, act):
+    """Have one VM after the other try to deliver one upload to three upstreams."""
+    bench = Bench(act, act, act)
+    request = incoming(DATA)
+    request.service = "s"
+    upload = finish(world.vm("a").receive(request)).id
+    for name in "abcd":
+        deliveries = world.deliveries(world.vm(name))
+        deliveries.send = UploadSender(bench.services, bench.network, bench.clock).send
+        world.clock.advance(1000.0)
+        curio.run(deliveries.deliver, upload)
+    return upload, [address for address, _ in bench.network.received]
+
+
+def test_an_upload_that_crashes_its_upstreams_is_held_after_two_in_the_whole_fleet():
+    world = World()
+    upload, reached = delivered_by_turns(world, Act.CRASH)
+    assert len(reached) == 2 == len(set(reached))
+    row = upload_row(finish(world.vm("e").listed(1))[0], 0.0)
+    assert (row.state, len(row.crashed.split(", "))) == ("failed", 2)
+    assert all(name in row.error for name in row.crashed.split(", "))
+    world.check({upload: DATA})
+    finish(world.vm("e").release(upload))
+    assert world.manifests()[0].crashed == ()
+    world.recover()
+    assert world.upstream.kept == {upload: DATA}
+
+
+def test_a_reset_by_an_upstream_that_lives_is_no_crash():
+    world = World()
+    _, reached = delivered_by_turns(world, Act.RESET)
+    manifest = world.manifests()[0]
+    assert (manifest.state, manifest.crashed) == (UploadState.ACCEPTED, ())
+    assert len(reached) > 2
--- /dev/null
+++ b/sequoiabridge/tests/store/test_upload_crashes.py
@@ -0,0 +1,33 @@
+"""Uploads whose delivery crashes upstreams, told from more than one VM."""
+
+from ...store.upload_delivery import Delivery, Sent
+from ...store.upload_manifest import UploadState, keyed_id
+from ..standins.uploads import World, finish, incoming
+
+DATA = b"ledger of the year 2026"
+ID = keyed_id("lataus", "uni", "k")
+
+
+def test_a_crash_that_is_told_late_counts_though_another_vm_holds_the_lease():
+    world = World()
+    vm = world.vm("a")
+    finish(vm.receive(incoming(DATA, key="k")))
+    late, second = world.deliveries(vm), world.deliveries(world.vm("b"))
+    late.send, second.send = crashing("u1"), crashing("u2")
+    paused = late.deliver(ID)
+    while world.manifests()[0].attempts == 0:
+        paused.send(None)
+    world.clock.advance(100.0)
+    finish(second.deliver(ID))
+    assert world.manifests()[0].state is UploadState.ACCEPTED
+    finish(paused)
+    assert world.manifests()[0].state is UploadState.FAILED
+    assert world.manifests()[0].crashed == ("u2", "u1")
+    world.check({ID: DATA})
+
+
+def crashing(name):
+    async def send(manifest, body):
+        return Sent(Delivery.CRASHED, f"{name} died", name)
+
+    return send
