Release a held upload by command

Cause: an upload that is held as failed could be released only by code (`Uploads.release`): an operator had no way to have it delivered.

Only a `failed` upload is released; another state, an unknown id, a release that came first and a store that is down are told apart. The log names who released it. `DaemonReleases` takes the daemon's uploads; daemon.py passes them.

Ruled out: a command of its own (`retry`): the language has "release" for all that is held.

Not run: against a daemon process.

--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -204,7 +204,9 @@
             self.uploads,
             self.journal,
         )
-        releases = DaemonReleases(self.services, self.claim_admin, self.fleet, self.clock)
+        releases = DaemonReleases(
+            self.services, self.claim_admin, self.fleet, self.clock, self.uploads
+        )
         gatherer = Gatherer(self._peers, admin.token)
         executor = Executor(
             self.vm, self.clock, state, self.configuration, releases, self.journal, gatherer
--- a/sequoiabridge/operators/commands.py
+++ b/sequoiabridge/operators/commands.py
@@ -35,6 +35,7 @@
 
     CRASH = "crash"
     CLAIM = "claim"
+    UPLOAD = "upload"
 
 
 class Command:
@@ -149,7 +150,7 @@
 
 
 class Release(ChangeCommand):
-    """Lets a request that crashed upstreams run again, or frees a claim that a dead VM left."""
+    """Lets a stopped request run or a held upload be delivered, or frees a dead VM's claim."""
 
     __slots__ = ("held", "name")
 
--- a/sequoiabridge/operators/releases.py
+++ b/sequoiabridge/operators/releases.py
@@ -1,18 +1,23 @@
-"""What an operator's word frees on this VM: stopped requests and open claims."""
+"""What an operator's word frees: stopped requests, open claims and held uploads."""
 
 from __future__ import annotations
 
 from expression import Error, Ok, Result
 
-from ..exceptions import SequoiaError
+from ..exceptions import ConflictError, SequoiaError, StoreUnavailable
 from ..fleet.base import CrashItem, Fleet, Urgency
+from ..logs import get_log
 from ..pipeline.services import Services
 from ..store.claim_admin import ClaimAdmin
+from ..store.upload_manifest import UploadConflict, UploadState, UploadUnknown
+from ..store.uploads import Uploads
 from ..timers import Clock
 from .bases import Releases
 from .commands import Held
 from .errors import NotFound
 
+log = get_log("releases")
+
 RELEASE_TIMEOUT = 5.0
 """Seconds in which the release of a claim is proven in the table."""
 
@@ -22,22 +27,34 @@
 
 
 class DaemonReleases(Releases):
-    """Releases crash stops in the whole fleet, and claims in the table."""
+    """Releases crash stops in the whole fleet, and claims and uploads in the table."""
 
-    def __init__(self, services: Services, claims: ClaimAdmin, fleet: Fleet, clock: Clock):
+    def __init__(
+        self,
+        services: Services,
+        claims: ClaimAdmin,
+        fleet: Fleet,
+        clock: Clock,
+        uploads: Uploads,
+    ):
         self.services = services
         self.claims = claims
         self.fleet = fleet
         self.clock = clock
+        self.uploads = uploads
 
     async def held(self, held: Held, name: str) -> Result[str, SequoiaError]:
         if held is Held.CRASH:
             return self._held_crash(name)
+        if held is Held.UPLOAD:
+            return await self._held_upload(name)
         return await self._held_claim(name)
 
     async def release(self, held: Held, name: str, author: str) -> Result[str, SequoiaError]:
         if held is Held.CRASH:
             return self._release_crash(name)
+        if held is Held.UPLOAD:
+            return await self._release_upload(name, author)
         released = await self.claims.release_by_operator(name, author, BY_OPERATOR, RELEASE_TIMEOUT)
         if released.is_error():
             return released
@@ -71,3 +88,31 @@
                 row = claim.row
                 return Ok(f"Claim {name} of {row.caller} for {row.service} is {row.state.value}.")
         return Error(NotFound(f"No claim {name} is open past its deadline; see show claims."))
+
+    async def _held_upload(self, name: str) -> Result[str, SequoiaError]:
+        try:
+            manifest = await self.uploads.found(name)
+        except StoreUnavailable as error:
+            return Error(error)
+        if manifest is None:
+            return Error(NotFound(f"There is no upload {name}; see show uploads."))
+        state = manifest.state
+        if state is not UploadState.FAILED:
+            return Error(NotFound(f"Upload {name} is {state.value} and not held; leave it."))
+        of = f"Upload {name} of {manifest.caller} for {manifest.service}"
+        return Ok(f"{of} is held: {manifest.error}.")
+
+    async def _release_upload(self, name: str, author: str) -> Result[str, SequoiaError]:
+        found = await self._held_upload(name)
+        if found.is_error():
+            return found
+        try:
+            await self.uploads.release(name)
+        except UploadConflict as error:
+            return Error(ConflictError(f"{error}. Look at it with show uploads."))
+        except UploadUnknown as error:
+            return Error(NotFound(str(error)))
+        except StoreUnavailable as error:
+            return Error(error)
+        log.info("Upload %s is released by %s.", name, author)
+        return Ok(f"Upload {name} is delivered again within seconds.")
