Log without absl's and curio's own warnings

Change: absl's flags are marked as parsed (defopt has the command line); curio.time logs errors only. Measured: a daemon's first line is now its own. Conclusion: the log has the project's lines only.

--- a/sequoiabridge/logs.py
+++ b/sequoiabridge/logs.py
@@ -2,7 +2,7 @@
 
 import logging as std_logging
 
-from absl import logging
+from absl import flags, logging
 
 
 class PrefixAdapter(std_logging.LoggerAdapter):
@@ -19,5 +19,8 @@
 
 def set_up(level: str) -> None:
     """Send logs of `level` ("debug", "info", "warning", "error") and above to standard error."""
+    flags.FLAGS.mark_as_parsed()  # The command line is defopt's; absl would warn that it is not.
     logging.use_absl_handler()
     logging.set_verbosity(level)
+    # Curio warns of each wait that ended just after its timeout; under load that is no news.
+    std_logging.getLogger("curio.time").setLevel(std_logging.ERROR)
