--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -10,7 +10,7 @@
 from ..parts import Part
 from ..policy.base import Failure
 from ..policy.evidence import UpstreamEvidence
-from ..policy.probing import noticeable, suspects_itself
+from ..policy.suspicions import suspects_itself
 from ..timers import Clock, OnDemand, Timers
 from .accounting import Observer
 from .exchange import Exchange
@@ -142,7 +142,7 @@
         loads = []
         self.looks += 1
         for state in self.services.busy_states(now)[self.looks % SLICES :: SLICES]:
-            noticed = {evidence.name: evidence for evidence in noticeable(state.pool)}
+            noticed = {evidence.name: evidence for evidence in state.pool.noticeable()}
             noticed |= self._told_of(state)
             loads += [local_load(evidence, now) for evidence in noticed.values()]
         room = self.fleet.bucket.room(Urgency.LOAD)
--- a/sequoiabridge/policy/probing.py
+++ b/sequoiabridge/policy/probing.py
@@ -11,6 +11,7 @@
 
 from .evidence import UpstreamEvidence
 from .pool import SAMPLE, SMALL_POOL, PoolState
+from .suspicions import suspects_itself
 
 BURST = 8.0
 """Probes that may be saved up."""
@@ -37,34 +38,6 @@
 PROBE_GAP = 0.1
 """Seconds between two probes of one upstream in the background, at least."""
 
-SUSPECT_OVERDUE = 4.0
-"""Age of a call in flight, as a multiple of the pool's latency, that makes a suspect."""
-
-SUSPECT_SLOWNESS = 2.0
-"""Latency, as a multiple of the pool's, that makes a suspect."""
-
-
-def is_suspect(upstream: UpstreamEvidence, now: float) -> bool:
-    """Return whether something speaks against the upstream, so that a probe pays."""
-    return upstream.suspected or suspects_itself(upstream, now)
-
-
-def suspects_itself(upstream: UpstreamEvidence, now: float) -> bool:
-    """Return whether this VM's own calls speak against the upstream; only that is told on."""
-    return (
-        upstream.on_trial
-        or upstream.overdue(now) > SUSPECT_OVERDUE
-        or (upstream.samples > 0 and upstream.slowness(now) > SUSPECT_SLOWNESS)
-    )
-
-
-def noticeable(pool: PoolState) -> Iterator[UpstreamEvidence]:
-    """Yield upstreams at work or perhaps slow: a cheap test before `suspects_itself`."""
-    slow = pool.averages.latency * SUSPECT_SLOWNESS
-    for upstream in pool.upstreams.values():
-        if upstream.starts or upstream.on_trial or (upstream.latency > slow and upstream.samples):
-            yield upstream
-
 
 class ProbeBudget:
     """Pays probes of one service and counts what they cost.
@@ -80,9 +53,7 @@
     """
 
     def __init__(self, per_1000: float, tail_weight: float):
-        self.per_call = per_1000 / 1000.0
-        self.asked = min(MOST_ASKED, max(FEWEST_ASKED, round(self.per_call)))
-        self.worth_age = OLDEST * (YOUNGEST / OLDEST) ** min(1.0, max(0.0, tail_weight))
+        self.configure(per_1000, tail_weight)
         self.round_trip = FIRST_ROUND_TRIP
         self.tokens = 0.0
         self.calls = 0
@@ -90,6 +61,12 @@
         self.bytes = 0
         self.upstream_time = 0.0
 
+    def configure(self, per_1000: float, tail_weight: float) -> None:
+        """Take over changed options of the service; what was earned and spent stays."""
+        self.per_call = per_1000 / 1000.0
+        self.asked = min(MOST_ASKED, max(FEWEST_ASKED, round(self.per_call)))
+        self.worth_age = OLDEST * (YOUNGEST / OLDEST) ** min(1.0, max(0.0, tail_weight))
+
     def earned(self, calls: int, now: float) -> None:
         """Calls came in: they pay for probes."""
         self.calls += calls
@@ -156,7 +133,7 @@
         for upstream in _candidates(pool):
             if now - upstream.probed_at < PROBE_GAP:
                 continue
-            if is_suspect(upstream, now):
+            if upstream.suspected or suspects_itself(upstream, now):
                 suspects.append(upstream)
             elif now - upstream.report_at >= OLDEST:
                 old.append(upstream)
