--- a/sequoiabridge/pipeline/admit.py
+++ b/sequoiabridge/pipeline/admit.py
@@ -6,7 +6,7 @@
 
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
-from ..policy.admission import Ticket, Verdict
+from ..policy.tickets import Ticket, Verdict
 from ..timers import Clock, OnDemand, Timers
 from .base import Filter
 from .exchange import Exchange
@@ -63,8 +63,7 @@
         rule = exchange.rule
         ticket = Ticket(exchange.caller, exchange.deadline, now, rule.weight, rule.kind)
         decision = state.queue.offer(ticket, now)
-        if state.queue.displaced:
-            await self._wake(state.queue.expire(now), refused=True)
+        await self._refuse_displaced(state)
         if decision.verdict is Verdict.REFUSED:
             raise _refusal(decision.reason, decision.retry_after)
         if decision.verdict is Verdict.QUEUED:
@@ -77,6 +76,7 @@
         if state is None:
             return
         await self._wake(self._released(state, ticket, exchange), refused=False)
+        await self._refuse_displaced(state)
 
     def _released(self, state: ServiceState, ticket: Ticket, exchange: Exchange) -> list[Ticket]:
         now = self.clock.now()
@@ -108,6 +108,11 @@
         if waiting.refused:
             raise _refusal(Reason.CANNOT_MEET_WINDOW, COME_BACK_SOON)
 
+    async def _refuse_displaced(self, state: ServiceState) -> None:
+        """Answer at once those whose place in the queue another call took."""
+        if state.queue.displaced:
+            await self._wake(state.queue.expire(self.clock.now()), refused=True)
+
     async def _wake(self, tickets: list[Ticket], refused: bool) -> None:
         for ticket in tickets:
             waiting = self.waiting.get(ticket)
