--- a/sequoiabridge/policy/probing.py
+++ b/sequoiabridge/policy/probing.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator, Sequence
+from collections.abc import Collection, Sequence
 
 from .evidence import UpstreamEvidence
 from .pool import SAMPLE, SMALL_POOL, PoolState
