Refuse to answer for another VM, and name refusals of a claim's release

Cause: each verb and subject of the tool was run against a scene of three daemons on loopback. `show upstreams`, `show vms` and `show refusals` showed each row of vm-1 three times and said "heard 3 VMs": a daemon asks the others at its own admin port number, and on a shared IP number it asked itself and took the answers for those of vm-2 and vm-3. `release claim` of a claim that is not there, or while the store was down, was status 500 `internal`; the wrong shape of `not_heard` in the tool's test hid that the tool printed a Python dictionary for it.

Change: the question carries the name of the VM it is for, and a daemon of another name answers 421; the asker names that VM as not heard, with the message and no JSON around it. A release that is refused is 404 `not-released`, one that is not proven 503, one that lost a race 409. The tool prints a line for each VM not heard, only the sentence where an answer has one instead of rows, and a dash for an empty value. `show claims` loses the column `known`, which nothing ever filled.

Ruled out: asking at the peer's own admin port; the fleet's messages do not carry it, and the convention of one port number is documented.

Conclusion: what was not heard is now said so.

--- a/sequoiabridge/commands/tables.py
+++ b/sequoiabridge/commands/tables.py
@@ -7,6 +7,9 @@
 INDENT = "  "
 GAP = "  "
 
+NOTHING = "-"
+"""Stands for a value that is empty."""
+
 
 def table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> Iterator[str]:
     """Yield the lines of a table; numbers stand to the right."""
@@ -37,7 +40,7 @@
                 yield f"{space}{key}:"
                 yield from tree(inner, depth + 1)
             else:
-                yield f"{space}{key}: {cell(inner)}"
+                yield f"{space}{key}: {cell(inner) or NOTHING}"
     elif is_table(value):
         columns = list(value[0])
         rows = [[row[name] for name in columns] for row in value]
@@ -67,7 +70,7 @@
 def cell(value: Any) -> str:
     """Return one value as text without line breaks or control characters."""
     if value is None or value == [] or value == {}:
-        return "-"
+        return NOTHING
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, list):
@@ -84,11 +87,14 @@
     if not isinstance(answer, dict) or "columns" not in answer:
         print("\n".join(tree(answer)))
         return
-    if answer["columns"]:
+    # Only a sentence, where there is one instead of rows.
+    if answer["columns"] and (answer.get("rows") or not answer.get("message")):
         print("\n".join(table(answer["columns"], answer.get("rows") or [])))
     if answer.get("message"):
         print(answer["message"])
     print(heard(answer))
+    for vm, why in not_heard(answer).items():
+        print(f"NOT heard {cell(vm)}: {cell(why)}")
 
 
 def all_heard(answer: Any) -> bool:
@@ -97,17 +103,16 @@
 
 
 def heard(answer: dict) -> str:
-    """Return the line that says whose word an answer is."""
+    """Return the line that says whose word an answer is, but for the VMs that were not heard."""
     parts = []
     if answer.get("version") is not None:
         parts.append(f"configuration version {answer['version']}")
     if "heard" in answer:
-        parts.append(f"heard {count(answer['heard'])} VMs")
-    if answer.get("not_heard"):
-        parts.append("NOT heard " + cell(answer["not_heard"]))
+        number = len(answer["heard"])
+        parts.append(f"heard {number} VM{'' if number == 1 else 's'}")
     return "; ".join(parts)
 
 
-def count(value: Any) -> int:
-    """Return a number that is given as such or as a list of names."""
-    return len(value) if isinstance(value, list) else int(value or 0)
+def not_heard(answer: dict) -> dict[str, str]:
+    """Return why each VM gave no answer, by the VM's name."""
+    return answer.get("not_heard") or {}
--- a/sequoiabridge/operators/changes.py
+++ b/sequoiabridge/operators/changes.py
@@ -86,7 +86,7 @@
     if isinstance(command, SetOptions) and command.new:
         if not there:
             return Ok(SetEntry(kind, command.name, options))
-        message = f"There is a {kind} {command.name} already; change it with set."
+        message = f"The {kind} {command.name} is there already; change it with set."
         return Error(InvalidChange(message, [message]))
     if not there:
         return Error(NotFound(f"There is no {kind} {command.name}; see show {kind}s."))
--- a/sequoiabridge/operators/fetch.py
+++ b/sequoiabridge/operators/fetch.py
@@ -4,6 +4,7 @@
 
 import curio
 import h11
+import msgspec
 
 from ..config.units import split_address
 from ..exceptions import AdminError
@@ -28,10 +29,18 @@
     except (OSError, h11.RemoteProtocolError, ValueError) as error:
         raise AdminError(f"{type(error).__name__}: {error}") from error
     if status != 200:
-        raise AdminError(f"it answered {status}: {body[:200].decode(errors='replace')}")
+        raise AdminError(f"it answered {status}: {reason(body)}")
     return bytes(body)
 
 
+def reason(body: bytes) -> str:
+    """Return the message of an error answer, or the beginning of what came in its place."""
+    try:
+        return str(msgspec.json.decode(body)["error"]["message"])
+    except (msgspec.DecodeError, LookupError, TypeError):
+        return body[:200].decode(errors="replace")
+
+
 async def _exchange(address: str, target: str, token: str) -> tuple[int, bytearray]:
     sock = await curio.open_connection(*split_address(address))
     async with sock:
--- a/sequoiabridge/operators/gather.py
+++ b/sequoiabridge/operators/gather.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from urllib.parse import quote
 
 from curio import TaskGroup
 
@@ -57,7 +58,10 @@
         self.get = get
 
     async def gather(self, target: str) -> Gathered:
-        """Send `GET target` to all peers and wait for each at most the timeout."""
+        """Send `GET target`, which has a query, to all peers; wait for each at most the timeout.
+
+        Each is asked by its name, so that another daemon at its address refuses to answer for it.
+        """
         gathered = Gathered()
         async with TaskGroup() as group:
             for peer in self.peers():
@@ -68,9 +72,10 @@
         if not peer.address:
             gathered.not_heard[peer.vm] = "its admin address is not known here"
             return
+        named = f"{target}&vm={quote(peer.vm, safe='')}"
         try:
             gathered.answers[peer.vm] = await self.get(
-                peer.address, target, self.token, self.timeout
+                peer.address, named, self.token, self.timeout
             )
         except AdminError as error:
             gathered.not_heard[peer.vm] = str(error)
--- a/sequoiabridge/operators/reply.py
+++ b/sequoiabridge/operators/reply.py
@@ -8,6 +8,7 @@
 
 from ..exceptions import ConflictError, SequoiaError, StoreUnavailable
 from ..logs import get_log
+from ..store.claim_admin import ClaimNotReleased
 from .errors import Behind, InvalidChange, LanguageError, NotFound, RequestRejected
 from .messages import AdminAnswer
 
@@ -20,6 +21,7 @@
     LanguageError: (400, "language"),
     InvalidChange: (400, "invalid"),
     NotFound: (404, "not-found"),
+    ClaimNotReleased: (404, "not-released"),
     ConflictError: (409, "conflict"),
     Behind: (503, "behind"),
     StoreUnavailable: (503, "store-unavailable"),
--- a/sequoiabridge/operators/routes.py
+++ b/sequoiabridge/operators/routes.py
@@ -80,9 +80,20 @@
         right = hmac.compare_digest(token.strip().encode(), self.token)
         if right and scheme.lower() == "bearer":
             return
-        message = "Send the operators' token of [admin] in the settings as a bearer token."
+        message = (
+            "The operators' token is missing or wrong; send the one under [admin] in this VM's "
+            "settings as a bearer token."
+        )
         raise RequestRejected(401, "unauthorized", message)
 
+    def _check_name(self, request: AdminRequest) -> None:
+        """Refuse to answer for another VM, whose address the asking daemon has wrong."""
+        asked, own = request.query.get("vm", self.executor.vm), self.executor.vm
+        if asked == own:
+            return
+        message = f"This is {own}, not {asked}; [admin] address needs the same port on every VM."
+        raise RequestRejected(421, "wrong-vm", message)
+
     async def _metrics(self, request: AdminRequest) -> AdminAnswer:
         return AdminAnswer(200, METRICS_TYPE, await self.metrics.text())
 
@@ -99,11 +110,13 @@
     async def _explain(self, request: AdminRequest) -> AdminAnswer:
         request_id = request.path.removeprefix(EXPLAIN)
         if "local" in request.query:
+            self._check_name(request)
             lines = self.executor.journal.explain(request_id)
             return json_answer(lines or [])
         return answer_of(await self.executor.explain(request_id))
 
     async def _rows(self, request: AdminRequest) -> AdminAnswer:
+        self._check_name(request)
         command = request.query.get("command", "")
         rows = await self.executor.local_rows(command)
         if rows.is_error():
--- a/sequoiabridge/operators/rows.py
+++ b/sequoiabridge/operators/rows.py
@@ -124,7 +124,7 @@
 
 
 class ClaimRow(ShowRow):
-    """One claim in the table service: who holds it and what is known of its request."""
+    """One claim in the table service whose outcome nobody reported in time, and who holds it."""
 
     id: str
     service: str = ""
@@ -133,7 +133,6 @@
     vm: str = ""
     state: str = ""
     age: float = 0.0
-    known: str = ""
 
     @classmethod
     def of_fields(cls) -> tuple[str, ...]:
--- a/sequoiabridge/operators/state.py
+++ b/sequoiabridge/operators/state.py
@@ -13,6 +13,7 @@
 from ..fleet.fleet import FleetNode
 from ..pipeline.services import Services, ServiceState
 from ..policy.evidence import UpstreamEvidence
+from ..store.base import StoreError
 from ..store.claim_admin import ClaimAdmin
 from ..store.upload_index import UploadEntry
 from ..store.uploads import Uploads
@@ -211,7 +212,7 @@
     async def _claims(self) -> Rows:
         found = await self.claims.listed(LISTED)
         if found.is_error():
-            return Error(StoreUnavailable(found.error.message))
+            return Error(unread("claims", found.error))
         return Ok(
             [
                 ClaimRow(
@@ -238,7 +239,7 @@
     async def _history(self) -> Rows:
         found = await self.versions.history(HISTORY)
         if found.is_error():
-            return Error(StoreUnavailable(found.error.message))
+            return Error(unread("history", found.error))
         return Ok(
             [
                 HistoryRow(row.version, row.author, iso(row.at), summary(row.change))
@@ -247,6 +248,11 @@
         )
 
 
+def unread(what: str, error: StoreError) -> StoreUnavailable:
+    """Return the error of a list that the platform did not give."""
+    return StoreUnavailable(f"The {what} cannot be read: {error.message}.")
+
+
 def iso(wall: float) -> str:
     """Return a wall time as people and scripts read it."""
     return datetime.fromtimestamp(wall, UTC).isoformat(timespec="seconds")
--- a/sequoiabridge/store/claim_admin.py
+++ b/sequoiabridge/store/claim_admin.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok, Result
 
-from ..exceptions import SequoiaError
+from ..exceptions import ConflictError, SequoiaError, StoreUnavailable
 from ..logs import get_log
 from ..timers import Clock, Timers
 from .base import Condition, Row, StoreError, StoreErrorKind, Write
@@ -50,7 +50,7 @@
 
 
 class ClaimNotReleased(SequoiaError):
-    """An operator's release was refused or is not proven; the message says why."""
+    """An operator's release was refused and nothing was changed; the message says why."""
 
 
 class ListedClaim:
@@ -113,12 +113,17 @@
 
         The release and its audit entry are one transaction. Refused within `RELEASE_GRACE` of the
         holder's deadline: until then a holder that was paused might still send.
+
+        Errors: `ClaimNotReleased`; `ConflictError` if the claim changed meanwhile;
+        `StoreUnavailable` if the store does not answer, the release is then not proven.
         """
         found = await self.store.read(CLAIMS, row_key, timeout)
         if found.is_error():
-            return Error(ClaimNotReleased(found.error.message))
+            return Error(
+                StoreUnavailable(f"Claim {row_key} cannot be read: {found.error.message}.")
+            )
         if found.ok is None:
-            return Error(ClaimNotReleased(f"no claim {row_key}; list the claims again"))
+            return Error(ClaimNotReleased(f"There is no claim {row_key}; see show claims."))
         row = read_claim(found.ok.value)
         problem = self._not_releasable(row)
         if problem:
@@ -174,12 +179,12 @@
 
     def _not_releasable(self, row: ClaimRow | None) -> str | None:
         if row is None:
-            return "the row is of a newer version; ask a VM of that version"
+            return "The claim's row is of a newer version; ask a VM of that version."
         if row.state not in OPEN_STATES:
-            return f"the claim is {row.state.value} already; there is nothing to release"
+            return f"The claim is {row.state.value} already; there is nothing to release."
         wait = row.until + RELEASE_GRACE - self.clock.wall()
         if wait > 0:
-            return f"its holder {row.vm} may still send; release it in {wait:.0f} s"
+            return f"Its holder {row.vm} may still send; release it in {wait:.0f} s."
         return None
 
     async def _release(
@@ -195,5 +200,10 @@
             log.info("Claim %s released by %s.", found.key, audit.author)
             return Ok(released)
         if result.error.kind is StoreErrorKind.CONDITION_FAILED:
-            return Error(ClaimNotReleased("the claim changed meanwhile; list the claims again"))
-        return Error(ClaimNotReleased(f"not proven: {result.error.message}"))
+            return Error(
+                ConflictError(
+                    "The claim changed meanwhile; see show claims, then release it again."
+                )
+            )
+        message = f"The release is not proven ({result.error.message}); see show claims first."
+        return Error(StoreUnavailable(message))
--- a/sequoiabridge/tests/commands/test_tool.py
+++ b/sequoiabridge/tests/commands/test_tool.py
@@ -19,7 +19,7 @@
     "columns": ["upstream", "in_flight"],
     "rows": [["katalog-1", 2], ["katalog-12", 11]],
     "heard": ["vm-1"],
-    "not_heard": ["vm-2"],
+    "not_heard": {"vm-2": "no answer within 1 s"},
     "version": 7,
     "message": "",
 }
@@ -68,11 +68,22 @@
         "----------  ---------",
         "katalog-1           2",
         "katalog-12         11",
-        "configuration version 7; heard 1 VMs; NOT heard vm-2",
+        "configuration version 7; heard 1 VM",
+        "NOT heard vm-2: no answer within 1 s",
     ]
     assert main(["ask", "show upstreams", admin.flag, "--strict"]) == 1
 
 
+def test_an_answer_without_rows_is_its_sentence_and_empty_values_are_dashes(admin, capsys):
+    admin.answer = 200, TABLE | {"rows": [], "not_heard": {}, "message": "Nothing to change."}
+    assert main(["ask", "drain upstream katalog-1", admin.flag]) == 0
+    said = capsys.readouterr().out.splitlines()
+    assert said == ["Nothing to change.", "configuration version 7; heard 1 VM"]
+    admin.answer = 200, {"vm": "vm-1", "why": "", "members": []}
+    assert main(["dump", admin.flag]) == 0
+    assert capsys.readouterr().out.splitlines() == ["vm: vm-1", "why: -", "members: -"]
+
+
 @pytest.mark.parametrize(
     ("status", "error", "code"),
     [
--- a/sequoiabridge/tests/operators/fakes.py
+++ b/sequoiabridge/tests/operators/fakes.py
@@ -16,6 +16,7 @@
 from ...operators.journal import Journal
 from ...operators.routes import Routes
 from ...operators.rows import UpstreamRow
+from ...store.claim_admin import ClaimNotReleased
 from ...timers import ManualClock
 
 TOKEN = "a-token-for-operators"
@@ -76,12 +77,14 @@
 
 
 class FakeReleases(Releases):
-    """Knows one claim."""
+    """Knows one claim that can be released, and one that cannot yet."""
 
     def __init__(self):
         self.released = []
 
     async def held(self, held, name):
+        if name == "claim-2":
+            return Error(ClaimNotReleased("Its holder may still send; release it in 9 s."))
         return Ok("Held.") if name == "claim-1" else Error(NotFound(f"There is no {name}."))
 
     async def release(self, held, name, author):
--- a/sequoiabridge/tests/operators/test_executor.py
+++ b/sequoiabridge/tests/operators/test_executor.py
@@ -26,7 +26,8 @@
 
 
 def gathered(command):
-    """Ask a daemon whose peers are: one alive, one silent, cut short, garbled, and unknown."""
+    """Ask a daemon whose peers are: alive, silent, cut short, garbled, unknown, and one whose
+    address has become that of another."""
 
     async def run():
         peers, tasks = [Peer("gone", "")], []
@@ -36,7 +37,7 @@
             tasks.append(await curio.spawn(accept_only(sock, answer)))
         async with FakeDaemon("vm0") as other:
             other.journal.record("r7", "spendview", "read", "a1", 200, 0.01, 0.0, attempts=2)
-            peers.append(Peer("vm0", other.server.address))
+            peers += [Peer("vm0", other.server.address), Peer("moved", other.server.address)]
 
             async def get(address, target, token, timeout):
                 # Only the silent one runs out of time, also on a busy machine.
@@ -56,8 +57,9 @@
     reply = gathered("show upstreams where in_flight >= 2")
     assert [row[:2] for row in reply.rows] == [["a1", "vm0"], ["a1", "vm1"]]
     assert reply.heard == ["vm1", "vm0"]
-    assert set(reply.not_heard) == {"silent", "cut", "garbled", "gone"}
+    assert set(reply.not_heard) == {"silent", "cut", "garbled", "gone", "moved"}
     assert "no answer within" in reply.not_heard["silent"]
+    assert reply.not_heard["moved"].startswith("it answered 421: This is vm0, not moved;")
     assert [row[:2] for row in gathered("show upstreams limit 1").rows] == [["a1", "vm0"]]
 
 
@@ -67,7 +69,7 @@
     assert "after 10.0 ms and 2 attempt(s)" in reply.rows[-1][1]
     missing = gathered("explain r8")
     assert isinstance(missing, NotFound)
-    assert "Not heard: cut, garbled, gone, silent" in str(missing)
+    assert "Not heard: cut, garbled, gone, moved, silent" in str(missing)
 
 
 @pytest.mark.parametrize(
--- a/sequoiabridge/tests/operators/test_tool_and_port.py
+++ b/sequoiabridge/tests/operators/test_tool_and_port.py
@@ -36,6 +36,7 @@
         (("ask",), "show serices", ConfigurationError),
         (("ask",), "drain upstream a1 expect version 0", ConflictError),
         (("explain", "a/b?c"), None, NothingFound),
+        (("ask",), "release claim claim-2", NothingFound),
     ],
 )
 def test_errors_keep_their_kind_on_the_way(path, body, error):
--- a/sequoiabridge/tests/store/test_claims.py
+++ b/sequoiabridge/tests/store/test_claims.py
@@ -5,8 +5,9 @@
 import curio
 import pytest
 
+from ...exceptions import StoreUnavailable
 from ...store.base import Write
-from ...store.claim_admin import RELEASE_GRACE, ClaimAdmin
+from ...store.claim_admin import RELEASE_GRACE, ClaimAdmin, ClaimNotReleased
 from ...store.claim_results import (
     ClaimBusy,
     ClaimGranted,
@@ -217,6 +218,12 @@
     bench.clock.advance(WINDOW + RELEASE_GRACE)
     listed = curio.run(operator.listed, 10).ok
     assert [(c.row.vm, c.row.key) for c in listed.claims] == [("vm1", "k")]
+    bench.faults.lose_reads = ALWAYS
+    unread = curio.run(operator.release_by_operator, claim.row_key, "anna", "checked", 5.0)
+    assert isinstance(unread.error, StoreUnavailable)
+    bench.faults.lose_reads = 0
+    missing = curio.run(operator.release_by_operator, "no-claim", "anna", "checked", 5.0)
+    assert isinstance(missing.error, ClaimNotReleased) and "show claims" in str(missing.error)
     bench.faults.lose_answers = 1
     assert curio.run(operator.release_by_operator, claim.row_key, "anna", "checked", 5.0).is_ok()
     assert [entry.author for entry in curio.run(operator.audit, 10).ok] == ["anna"]
