Give bounds of settings one class, and connect to an IPv6 platform

Cause: four kinds of field repeated how bounds are kept and checked; `Text` had no user; the HTTP adapters had no type hints; and the platform's client cut an address at its last colon and kept the brackets, so that `[fd00::5]:8080`, which the settings allow, could not be connected to.

Change: `Bounded` is the base of Integer, Number, Duration and Size; `Text` is gone; the client splits addresses as everything else does, with a test; hints where they were missing.

--- a/sequoiabridge/config/fields.py
+++ b/sequoiabridge/config/fields.py
@@ -11,9 +11,6 @@
 REQUIRED = object()
 """Default of a field that must be given."""
 
-MAX_TEXT = 1000
-"""Characters that a text may have."""
-
 MAX_LIST = 1000
 """Entries that a list may have."""
 
@@ -74,17 +71,6 @@
         return BadValue(f"{shorten(text)} is not valid", f"write {self.expected}")
 
 
-class Text(Field):
-    """One line of printable text, without spaces at its ends."""
-
-    expected = "one line of printable text"
-
-    def parse(self, text: str) -> str:
-        if not text or len(text) > MAX_TEXT or not text.isprintable() or text != text.strip():
-            raise self.bad(text)
-        return text
-
-
 class Name(Field):
     """A name: letters, digits, dots, dashes and underscores."""
 
@@ -150,34 +136,48 @@
         return "yes" if value else "no"
 
 
-class Integer(Field):
-    """A whole number between two bounds, both included."""
+class Bounded(Field):
+    """A quantity between two bounds, both included; a class gives the widest, a field its own."""
 
-    def __init__(self, help: str, default: Any = REQUIRED, *, least: int = 0, most: int = 10**9):
+    least: float = 0
+    most: float = 10**9
+
+    def __init__(
+        self,
+        help: str,
+        default: Any = REQUIRED,
+        *,
+        least: float | None = None,
+        most: float | None = None,
+    ):
         super().__init__(help, default)
-        self.least = least
-        self.most = most
+        self.least = self.least if least is None else least
+        self.most = self.most if most is None else most
+
+    def within(self, value: float, text: str) -> float:
+        """Return `value`, which `text` stands for, or raise `BadValue` if it is out of bounds."""
+        # Written so that "nan" fails as well.
+        if not self.least <= value <= self.most:
+            raise self.bad(text)
+        return value
+
+
+class Integer(Bounded):
+    """A whole number between two bounds, both included."""
 
     @property
     def expected(self) -> str:
         return f"a whole number from {self.least} to {self.most}"
 
     def parse(self, text: str) -> int:
-        if not re.fullmatch(r"-?[0-9]{1,15}", text) or not self.least <= int(text) <= self.most:
+        if not re.fullmatch(r"-?[0-9]{1,15}", text):
             raise self.bad(text)
-        return int(text)
+        return self.within(int(text), text)
 
 
-class Number(Field):
+class Number(Bounded):
     """A number between two bounds, both included."""
 
-    def __init__(
-        self, help: str, default: Any = REQUIRED, *, least: float = 0.0, most: float = 1e9
-    ):
-        super().__init__(help, default)
-        self.least = least
-        self.most = most
-
     @property
     def expected(self) -> str:
         return f"a number from {self.least:g} to {self.most:g}"
@@ -187,10 +187,7 @@
             value = float(text)
         except ValueError:
             raise self.bad(text) from None
-        # Written so that "nan" fails as well.
-        if not self.least <= value <= self.most:
-            raise self.bad(text)
-        return value
+        return self.within(value, text)
 
     def format(self, value: float) -> str:
         return str(int(value)) if value == int(value) else repr(value)
--- a/sequoiabridge/config/units.py
+++ b/sequoiabridge/config/units.py
@@ -4,7 +4,7 @@
 import re
 from typing import Any
 
-from .fields import REQUIRED, BadValue, Field
+from .fields import REQUIRED, BadValue, Bounded, Field
 
 DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)\s*(ms|s|m|h)")
 SIZE = re.compile(r"([0-9]{1,15})\s*(B|KB|MB|GB|TB)?", re.IGNORECASE)
@@ -23,15 +23,10 @@
 """Characters of the longest host name (RFC 1035)."""
 
 
-class Duration(Field):
+class Duration(Bounded):
     """A time such as `250ms`, `3s` or `5m`; seconds as a float at run time."""
 
-    def __init__(
-        self, help: str, default: Any = REQUIRED, *, least: float = 0.0, most: float = 86400.0
-    ):
-        super().__init__(help, default)
-        self.least = least
-        self.most = most
+    most = 86400.0
 
     @property
     def expected(self) -> str:
@@ -43,10 +38,8 @@
         if not match:
             raise self.bad(text)
         number, unit = float(match[1]), match[2]
-        value = round(number / 1000 if unit == "ms" else number * SECONDS[unit], DECIMALS)
-        if not self.least <= value <= self.most:
-            raise self.bad(text)
-        return value
+        seconds = number / 1000 if unit == "ms" else number * SECONDS[unit]
+        return self.within(round(seconds, DECIMALS), text)
 
     def format(self, value: float) -> str:
         if value and value % 3600 == 0:
@@ -61,13 +54,10 @@
         return f"{value:.{DECIMALS}f}".rstrip("0").rstrip(".") + "s"
 
 
-class Size(Field):
+class Size(Bounded):
     """A number of bytes such as `64KB` or `10MB` (1 KB = 1,000 bytes); an int at run time."""
 
-    def __init__(self, help: str, default: Any = REQUIRED, *, least: int = 0, most: int = 10**12):
-        super().__init__(help, default)
-        self.least = least
-        self.most = most
+    most = 10**12
 
     @property
     def expected(self) -> str:
@@ -78,10 +68,7 @@
         match = SIZE.fullmatch(text)
         if not match:
             raise self.bad(text)
-        value = int(match[1]) * BYTES[(match[2] or "B").upper()]
-        if not self.least <= value <= self.most:
-            raise self.bad(text)
-        return value
+        return self.within(int(match[1]) * BYTES[(match[2] or "B").upper()], text)
 
     def format(self, value: int) -> str:
         for unit, size in BYTES.items():
--- a/sequoiabridge/operators/admin.py
+++ b/sequoiabridge/operators/admin.py
@@ -57,7 +57,7 @@
 
     __slots__ = ("sock", "handler", "limits", "h11", "busy", "head_only")
 
-    def __init__(self, sock, handler: AdminHandler, limits: AdminLimits):
+    def __init__(self, sock: curio.io.Socket, handler: AdminHandler, limits: AdminLimits):
         self.sock = sock
         self.handler = handler
         self.limits = limits
@@ -123,7 +123,7 @@
         message = f"The body has over {self.limits.max_body} bytes; send less at a time."
         raise RequestRejected(413, "too-large", message)
 
-    async def _next_event(self):
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while (event := self.h11.next_event()) is h11.NEED_DATA:
             self.h11.receive_data(await self.sock.recv(READ_BYTES))
         return event
--- a/sequoiabridge/operators/fetch.py
+++ b/sequoiabridge/operators/fetch.py
@@ -56,7 +56,7 @@
         return await _read_answer(sock, connection)
 
 
-async def _read_answer(sock, connection: h11.Connection) -> tuple[int, bytearray]:
+async def _read_answer(sock: curio.io.Socket, connection: h11.Connection) -> tuple[int, bytearray]:
     status = 0
     body = bytearray()
     while True:
--- a/sequoiabridge/operators/routes.py
+++ b/sequoiabridge/operators/routes.py
@@ -9,7 +9,7 @@
 from .bases import Readiness
 from .dump import Dump
 from .errors import LanguageError, NotFound, RequestRejected
-from .executor import Executor
+from .executor import Executor, Replied
 from .messages import AdminAnswer, AdminHandler, AdminRequest
 from .reply import error_answer, json_answer, text_answer
 
@@ -135,7 +135,7 @@
         return answer_of(await self.executor.apply(text, author, expect, dry_run))
 
 
-def answer_of(result) -> AdminAnswer:
+def answer_of(result: Replied) -> AdminAnswer:
     """Return a reply as JSON, or its error."""
     return json_answer(result.ok) if result.is_ok() else error_answer(result.error)
 
--- a/sequoiabridge/store/claim_reports.py
+++ b/sequoiabridge/store/claim_reports.py
@@ -5,7 +5,7 @@
 import curio
 
 from ..logs import get_log
-from .base import Condition, StoreErrorKind, Write
+from .base import Condition, Row, StoreErrorKind, Write
 from .claim_rows import CLAIMS, ENCODER, ClaimRow, ClaimState, finished, read_claim
 from .client import CALL_TIMEOUT, StoreClient
 from .rates import Priority
@@ -109,7 +109,7 @@
             return False
         return self._compare(report, found.ok)
 
-    def _compare(self, report: Report, found) -> bool | None:
+    def _compare(self, report: Report, found: Row | None) -> bool | None:
         if found is None:
             return self._without_row(report)
         row = read_claim(found.value)
--- a/sequoiabridge/store/http.py
+++ b/sequoiabridge/store/http.py
@@ -92,17 +92,21 @@
     def __init__(self, address: str, clock: Clock):
         self.client = PlatformClient(address, clock)
 
-    async def transact(self, conditions, writes, timeout):
+    async def transact(
+        self, conditions: list[Condition], writes: list[Write], timeout: float
+    ) -> Result[None, StoreError]:
         body = ENCODER.encode(TransactBody(conditions, writes))
         reply = await self.client.call("POST", "/tables/transact", body, timeout)
         return reply.bind(lambda r: decoded(r, nothing))
 
-    async def read(self, table, key, timeout):
+    async def read(self, table: str, key: str, timeout: float) -> Result[Row | None, StoreError]:
         body = ENCODER.encode(ReadBody(table, key))
         reply = await self.client.call("POST", "/tables/read", body, timeout)
         return reply.bind(lambda r: decoded(r, ROW.decode))
 
-    async def scan(self, table, prefix, after, limit, timeout):
+    async def scan(
+        self, table: str, prefix: str, after: str, limit: int, timeout: float
+    ) -> Result[list[Row], StoreError]:
         body = ENCODER.encode(ScanBody(table, prefix, after, limit))
         reply = await self.client.call("POST", "/tables/scan", body, timeout)
         return reply.bind(lambda r: decoded(r, ROWS.decode))
@@ -114,19 +118,21 @@
     def __init__(self, address: str, clock: Clock):
         self.client = PlatformClient(address, clock)
 
-    async def put(self, name, data, timeout):
+    async def put(self, name: str, data: bytes, timeout: float) -> Result[None, StoreError]:
         reply = await self.client.call("PUT", self._target(name), data, timeout)
         return reply.bind(lambda r: decoded(r, nothing))
 
-    async def get(self, name, timeout):
+    async def get(self, name: str, timeout: float) -> Result[bytes | None, StoreError]:
         reply = await self.client.call("GET", self._target(name), b"", timeout)
         return reply.bind(self._found)
 
-    async def delete(self, name, timeout):
+    async def delete(self, name: str, timeout: float) -> Result[None, StoreError]:
         reply = await self.client.call("DELETE", self._target(name), b"", timeout)
         return reply.bind(lambda r: decoded(r, nothing))
 
-    async def names(self, prefix, after, limit, timeout):
+    async def names(
+        self, prefix: str, after: str, limit: int, timeout: float
+    ) -> Result[list[str], StoreError]:
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         reply = await self.client.call("GET", f"/objects?{query}", b"", timeout)
         return reply.bind(lambda r: decoded(r, NAMES.decode))
@@ -144,6 +150,6 @@
     def __init__(self, address: str, clock: Clock):
         self.client = PlatformClient(address, clock)
 
-    async def vms(self, timeout):
+    async def vms(self, timeout: float) -> Result[list[ListedVm], StoreError]:
         reply = await self.client.call("GET", "/vms", b"", timeout)
         return reply.bind(lambda r: decoded(r, VMS.decode))
--- a/sequoiabridge/store/http_connection.py
+++ b/sequoiabridge/store/http_connection.py
@@ -12,6 +12,7 @@
 import h11
 from expression import Error, Ok, Result
 
+from ..config.units import split_address
 from ..timers import Clock
 from .base import StoreError, StoreErrorKind
 
@@ -40,7 +41,7 @@
 
     __slots__ = ("sock", "codec", "idle_since")
 
-    def __init__(self, sock):
+    def __init__(self, sock: curio.io.Socket):
         self.sock = sock
         self.codec = h11.Connection(h11.CLIENT)
         self.idle_since = 0.0
@@ -92,8 +93,7 @@
     def __init__(self, address: str, clock: Clock):
         self.address = address
         self.clock = clock
-        self.host, _, port = address.rpartition(":")
-        self.port = int(port)
+        self.host, self.port = split_address(address)
         self.idle: deque[PlatformConnection] = deque(maxlen=MAX_IDLE)
         self.opened = 0
 
--- a/sequoiabridge/tests/store/test_http.py
+++ b/sequoiabridge/tests/store/test_http.py
@@ -102,6 +102,11 @@
     run(check)
 
 
+def test_an_ipv6_address_is_connected_to_without_its_brackets():
+    client = PlatformClient("[fd00::5]:8080", SystemClock())
+    assert (client.host, client.port) == ("fd00::5", 8080)
+
+
 def test_connection_closed_while_idle_is_not_used_for_a_write():
     async def check(address, platform):
         tables = HttpTables(address, SystemClock())
