--- a/sequoiabridge/commands/tables.py
+++ b/sequoiabridge/commands/tables.py
@@ -4,9 +4,14 @@
 from collections.abc import Iterator, Sequence
 from typing import Any
 
+from ..wording import counted
+
 INDENT = "  "
 GAP = "  "
 
+LONGEST_RULE = 80
+"""Dashes under the name of the last column at most, however long its values are."""
+
 NOTHING = "-"
 """Stands for a value that is empty."""
 
@@ -20,11 +25,16 @@
     right = [all(is_number(row[i]) for row in rows) for i in range(len(columns))]
     right = [aligned and bool(rows) for aligned in right]
     yield line(columns, widths, right)
-    yield GAP.join("-" * width for width in widths)
+    yield rule(widths)
     for row in texts:
         yield line(row, widths, right)
 
 
+def rule(widths: list[int]) -> str:
+    """Return the dashes under the names of the columns; only the last may be cut short."""
+    return GAP.join("-" * width for width in (*widths[:-1], min(widths[-1], LONGEST_RULE)))
+
+
 def line(texts: Sequence[str], widths: list[int], right: list[bool]) -> str:
     """Return one line of a table."""
     parts = zip(texts, widths, right, strict=False)
@@ -108,8 +118,7 @@
     if answer.get("version") is not None:
         parts.append(f"configuration version {answer['version']}")
     if "heard" in answer:
-        number = len(answer["heard"])
-        parts.append(f"heard {number} VM{'' if number == 1 else 's'}")
+        parts.append(f"heard {counted(len(answer['heard']), 'VM')}")
     return "; ".join(parts)
 
 
--- a/sequoiabridge/operators/journal.py
+++ b/sequoiabridge/operators/journal.py
@@ -15,6 +15,7 @@
 from ..exceptions import Refusal
 from ..parts import Part
 from ..timers import Clock
+from ..wording import counted
 from .rows import RefusalRow
 
 RECENT_CALLS = 2000
@@ -213,7 +214,7 @@
 
 def ending(entry: CallEntry) -> str:
     """Say how a call ended."""
-    took = f"after {entry.seconds * 1000:.1f} ms and {entry.attempts} attempt(s)"
+    took = f"after {entry.seconds * 1000:.1f} ms and {counted(entry.attempts, 'attempt')}"
     if entry.refusal is None:
         hedged = ", hedged" if entry.hedged else ""
         return f"answered {entry.status} by {entry.upstream or 'this daemon'} {took}{hedged}"
