--- a/sequoiabridge/metrics.py
+++ b/sequoiabridge/metrics.py
@@ -36,6 +36,8 @@
 
 STATUS_CLASSES = ("other", "1xx", "2xx", "3xx", "4xx", "5xx")
 
+CALL_LABELS = ("service", "kind")
+
 CALLS_PER_COST = 1000
 """The cost of measuring is given per so many calls."""
 
@@ -53,6 +55,10 @@
         self.late = 0
 
 
+Calls = list[tuple[tuple[str, str], CallSeries]]
+"""All series of calls, each with its service and kind."""
+
+
 class Count:
     """A counter with labels; `add` costs one dictionary update."""
 
@@ -232,35 +238,46 @@
             self.failures.add(reading.name)
 
     def _call_families(self) -> Iterator[Metric]:
-        labels = ("service", "kind")
         calls = list(self.calls.items())
+        yield from self._status_family(calls)
+        yield from self._window_family(calls)
+        for key, series in calls:
+            latency = HistogramMetricFamily(
+                "sequoia_call_seconds",
+                "Time from head to last byte of the answer.",
+                labels=CALL_LABELS,
+            )
+            latency.add_metric(key, cumulative(BUCKET_NAMES, series.buckets), series.seconds)
+            yield latency
+
+    def _status_family(self, calls: Calls) -> Iterator[Metric]:
         statuses = (
             ((*key, status), number)
             for key, series in calls
             for status, number in zip(STATUS_CLASSES, series.statuses, strict=True)
             if number
         )
+        yield from pieces(
+            CounterMetricFamily,
+            "sequoia_calls",
+            "Calls answered.",
+            (*CALL_LABELS, "status"),
+            statuses,
+        )
+
+    def _window_family(self, calls: Calls) -> Iterator[Metric]:
         windows = (
             ((*key, answer), number)
             for key, series in calls
             for answer, number in (("yes", series.in_window), ("no", series.late))
         )
-        yield from pieces(
-            CounterMetricFamily, "sequoia_calls", "Calls answered.", (*labels, "status"), statuses
-        )
         yield from pieces(
             CounterMetricFamily,
             "sequoia_calls_by_window",
             "Calls answered in their window or late.",
-            (*labels, "in_window"),
+            (*CALL_LABELS, "in_window"),
             windows,
         )
-        for key, series in calls:
-            latency = HistogramMetricFamily(
-                "sequoia_call_seconds", "Time from head to last byte of the answer.", labels=labels
-            )
-            latency.add_metric(key, cumulative(BUCKET_NAMES, series.buckets), series.seconds)
-            yield latency
 
     def _cost_families(self) -> Iterator[Metric]:
         calls: defaultdict[str, int] = defaultdict(int)
--- a/sequoiabridge/operators/fetch.py
+++ b/sequoiabridge/operators/fetch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+
 import curio
 import h11
 import msgspec
@@ -26,8 +28,11 @@
             status, body = await _exchange(address, target, token)
     except curio.TaskTimeout:
         raise AdminError(f"no answer within {timeout:g} s") from None
-    except (OSError, h11.RemoteProtocolError, ValueError) as error:
-        raise AdminError(f"{type(error).__name__}: {error}") from error
+    except OSError as error:
+        why = os.strerror(error.errno) if error.errno else str(error)
+        raise AdminError(f"the connection to {address} failed ({why})") from error
+    except (h11.RemoteProtocolError, ValueError) as error:
+        raise AdminError(f"its answer is not whole or not HTTP ({error})") from error
     if status != 200:
         raise AdminError(f"it answered {status}: {reason(body)}")
     return bytes(body)
--- a/sequoiabridge/policy/suspicions.py
+++ b/sequoiabridge/policy/suspicions.py
@@ -15,7 +15,6 @@
 FEWEST_SUSPECTING = 2
 """Other VMs that must suspect an upstream before it counts."""
 
-
 SUSPECT_OVERDUE = 4.0
 """Age of a call in flight, as a multiple of the pool's latency, that makes a suspect."""
 
--- a/sequoiabridge/tests/operators/test_executor.py
+++ b/sequoiabridge/tests/operators/test_executor.py
@@ -25,9 +25,16 @@
 GARBLED = b'HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n[{"name":1}]'
 
 
+async def closed_address():
+    """Return an address at which nobody listens."""
+    sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+    async with sock:
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
 def gathered(command):
-    """Ask a daemon whose peers are: alive, silent, cut short, garbled, unknown, and one whose
-    address has become that of another."""
+    """Ask a daemon whose peers are: alive, silent, cut short, garbled, unknown, refusing
+    connections, and one whose address has become that of another."""
 
     async def run():
         peers, tasks = [Peer("gone", "")], []
@@ -37,6 +44,7 @@
             tasks.append(await curio.spawn(accept_only(sock, answer)))
         async with FakeDaemon("vm0") as other:
             other.journal.record("r7", "spendview", "read", "a1", 200, 0.01, 0.0, attempts=2)
+            peers.append(Peer("refusing", await closed_address()))
             peers += [Peer("vm0", other.server.address), Peer("moved", other.server.address)]
 
             async def get(address, target, token, timeout):
@@ -57,8 +65,10 @@
     reply = gathered("show upstreams where in_flight >= 2")
     assert [row[:2] for row in reply.rows] == [["a1", "vm0"], ["a1", "vm1"]]
     assert reply.heard == ["vm1", "vm0"]
-    assert set(reply.not_heard) == {"silent", "cut", "garbled", "gone", "moved"}
+    assert set(reply.not_heard) == {"silent", "cut", "garbled", "gone", "moved", "refusing"}
     assert "no answer within" in reply.not_heard["silent"]
+    assert reply.not_heard["cut"].startswith("its answer is not whole")
+    assert reply.not_heard["refusing"].endswith("failed (Connection refused)")
     assert reply.not_heard["moved"].startswith("it answered 421: This is vm0, not moved;")
     assert [row[:2] for row in gathered("show upstreams limit 1").rows] == [["a1", "vm0"]]
 
@@ -69,7 +79,7 @@
     assert "after 10.0 ms and 2 attempts" in reply.rows[-1][1]
     missing = gathered("explain r8")
     assert isinstance(missing, NotFound)
-    assert "Not heard: cut, garbled, gone, moved, silent" in str(missing)
+    assert "Not heard: cut, garbled, gone, moved, refusing, silent" in str(missing)
 
 
 @pytest.mark.parametrize(
