Let the retry rule be what it is, and say each yes and no once

Cause: `RetryRule` had no user but its test, since callers pass the configuration's rule; the words for yes and no stood twice; three classes added to their own `__slots__`; five of the store's counters were not explained.

Change: `RetryRule` is a protocol, the words come from config.fields, slots are one tuple each, the counters are described. `show pools` counts with a Counter.

Conclusion: behaviour is the same; tests of policy, operators, claims and the store's client pass.

--- a/sequoiabridge/operators/filtering.py
+++ b/sequoiabridge/operators/filtering.py
@@ -9,6 +9,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from ..config.fields import FALSE_WORDS, TRUE_WORDS
 from .commands import Condition, Show
 from .errors import LanguageError
 from .rows import ROWS, ShowRow
@@ -18,9 +19,6 @@
 CHUNK_ROWS = 500
 """Rows that are tested before other tasks may run."""
 
-TRUE = frozenset({"yes", "true", "on", "1"})
-FALSE = frozenset({"no", "false", "off", "0"})
-
 COMPARE = {
     "=": operator.eq,
     "!=": operator.ne,
@@ -71,9 +69,9 @@
     if kind is not bool:
         return kind(value)
     word = value.lower()
-    if word not in TRUE | FALSE:
+    if word not in TRUE_WORDS | FALSE_WORDS:
         raise ValueError(word)
-    return word in TRUE
+    return word in TRUE_WORDS
 
 
 async def chosen(rows: list[ShowRow], tests: list[Test]) -> list[ShowRow]:
--- a/sequoiabridge/operators/state.py
+++ b/sequoiabridge/operators/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from datetime import UTC, datetime
 
@@ -110,11 +111,9 @@
 
     def _pools(self) -> list[ShowRow]:
         document = self.document()
-        counts: dict[str, int] = {}
-        for upstream in document.upstreams.values():
-            counts[upstream.pool] = counts.get(upstream.pool, 0) + 1
+        counts = Counter(upstream.pool for upstream in document.upstreams.values())
         return [
-            PoolRow(pool.name, pool.service, counts.get(pool.name, 0), pool.slots, pool.connections)
+            PoolRow(pool.name, pool.service, counts[pool.name], pool.slots, pool.connections)
             for pool in document.pools.values()
         ]
 
--- a/sequoiabridge/policy/retries.py
+++ b/sequoiabridge/policy/retries.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from .quantiles import LatencyHistogram
 
 PERIOD = 1.0
@@ -164,13 +166,10 @@
     return max(SHORTEST_HEDGE, latencies.quantile(share) or DEFAULT_HEDGE)
 
 
-class RetryRule:
-    """What the operator's rule says about repeating a call."""
-
-    __slots__ = ("idempotent",)
+class RetryRule(Protocol):
+    """What is asked of the operator's rule before a call is repeated."""
 
-    def __init__(self, idempotent: bool):
-        self.idempotent = idempotent
+    idempotent: bool
 
 
 def may_retry(
--- a/sequoiabridge/store/claims.py
+++ b/sequoiabridge/store/claims.py
@@ -48,8 +48,15 @@
 class ClaimCounts:
     """Plain counters of outcomes, for metrics and the dump."""
 
-    __slots__ = ("granted", "replayed", "busy", "unknown", "mismatched", "unavailable")
-    __slots__ += ("abandoned",)
+    __slots__ = (
+        "granted",
+        "replayed",
+        "busy",
+        "unknown",
+        "mismatched",
+        "unavailable",
+        "abandoned",
+    )
 
     def __init__(self):
         for name in self.__slots__:
--- a/sequoiabridge/store/gate.py
+++ b/sequoiabridge/store/gate.py
@@ -26,12 +26,24 @@
     """Plain counters for metrics and the dump.
 
     `asked` transactions were wanted, `grouped` of them went in groups of two or more, `splits`
-    groups failed as a whole. `writes` and `reads` are calls that were let out, objects included.
-    `unanswered` calls ended in silence.
+    groups failed as a whole. `writes` and `reads` are calls that were let out, objects included;
+    `refused` calls were not, since the store was down. `unanswered` calls ended in silence, and
+    the platform `rejected` others. Of transactions whose answer was lost, `settled` were proven
+    by a read, and `unsettled` were left open.
     """
 
-    __slots__ = ("asked", "writes", "grouped", "splits", "reads", "refused", "unanswered")
-    __slots__ += ("rejected", "settled", "unsettled")
+    __slots__ = (
+        "asked",
+        "writes",
+        "grouped",
+        "splits",
+        "reads",
+        "refused",
+        "unanswered",
+        "rejected",
+        "settled",
+        "unsettled",
+    )
 
     def __init__(self):
         for name in self.__slots__:
--- a/sequoiabridge/store/groups.py
+++ b/sequoiabridge/store/groups.py
@@ -16,8 +16,18 @@
 class Waiting:
     """One transaction that waits to be sent; `taken` once it is part of a group."""
 
-    __slots__ = ("conditions", "writes", "priority", "deadline", "keys", "size")
-    __slots__ += ("taken", "given_up", "result", "done")
+    __slots__ = (
+        "conditions",
+        "writes",
+        "priority",
+        "deadline",
+        "keys",
+        "size",
+        "taken",
+        "given_up",
+        "result",
+        "done",
+    )
 
     def __init__(
         self,
--- a/sequoiabridge/tests/policy/test_retries.py
+++ b/sequoiabridge/tests/policy/test_retries.py
@@ -1,9 +1,10 @@
 """Retries: the truth table, a fleet that keeps its ratio, hedge delays; connection shares too."""
 
 from itertools import product
+from types import SimpleNamespace
 
 from ...policy.quantiles import LatencyHistogram
-from ...policy.retries import FIRST_RETRIES, RetryBudget, RetryRule, hedge_delay, may_retry
+from ...policy.retries import FIRST_RETRIES, RetryBudget, hedge_delay, may_retry
 from ...policy.shares import LiveCount, connection_share
 
 
@@ -11,13 +12,13 @@
     allowed = {
         (idempotent, sent, proven)
         for idempotent, sent, proven in product((True, False), repeat=3)
-        if may_retry(RetryRule(idempotent), sent, proven, 1, 1.0)
+        if may_retry(SimpleNamespace(idempotent=idempotent), sent, proven, 1, 1.0)
     }
     assert (False, True, False) not in allowed
     assert len(allowed) == 7
     for idempotent, sent, proven in allowed:
-        assert not may_retry(RetryRule(idempotent), sent, proven, 3, 1.0)
-        assert not may_retry(RetryRule(idempotent), sent, proven, 1, 0.001)
+        assert not may_retry(SimpleNamespace(idempotent=idempotent), sent, proven, 3, 1.0)
+        assert not may_retry(SimpleNamespace(idempotent=idempotent), sent, proven, 1, 0.001)
 
 
 def play(vms, ratio, seconds, fails, told=True):
