Say what failed on the network in words, and that a question changed nothing

Cause: seen with a paused daemon and a killed platform. `show pools` without an answer said "what was asked for may have been done"; the store's errors ended in "(ConnectionRefusedError)" and began without a capital; an empty command reached the parser.

Conclusion: the tests have the question without an answer and the blank command.

--- a/sequoiabridge/commands/ask.py
+++ b/sequoiabridge/commands/ask.py
@@ -6,6 +6,9 @@
 from .client import NOT_ALL_HEARD, TIMEOUT, make_client
 from .tables import all_heard, show
 
+ASKING = frozenset({"show", "explain", "diff"})
+"""First words of the commands that change nothing."""
+
 
 def ask(
     *command: str,
@@ -25,9 +28,11 @@
         json: Print JSON.
         strict: Fail if a VM was not heard.
     """
-    if not command:
+    if not "".join(command).strip():
         raise ConfigurationError('There is nothing to ask: write a command, such as "show vms".')
     client = make_client(admin, token_file, timeout)
-    answer = client.post("ask", body=" ".join(command))
+    text = " ".join(command)
+    changes = text.split(None, 1)[0].lower() not in ASKING
+    answer = client.post("ask", body=text, changes=changes)
     show(answer, json)
     return 0 if all_heard(answer) or not strict else NOT_ALL_HEARD
--- a/sequoiabridge/commands/client.py
+++ b/sequoiabridge/commands/client.py
@@ -16,6 +16,7 @@
     SequoiaError,
     StoreUnavailable,
 )
+from ..wording import cause_of
 
 TOKEN_VARIABLE = "SEQUOIA_TOKEN"
 
@@ -73,20 +74,20 @@
 
     def get(self, *path: str, **query: str) -> Any:
         """Ask for something; changes nothing."""
-        return self.request("GET", target(path, query), b"")
+        return self.request("GET", target(path, query), b"", changes=False)
 
-    def post(self, *path: str, body: str, **query: str) -> Any:
-        """Send a command or a document."""
-        return self.request("POST", target(path, query), body.encode())
+    def post(self, *path: str, body: str, changes: bool = True, **query: str) -> Any:
+        """Send a command or a document; `changes` is False for a command that only asks."""
+        return self.request("POST", target(path, query), body.encode(), changes)
 
-    def request(self, method: str, where: str, body: bytes) -> Any:
+    def request(self, method: str, where: str, body: bytes, changes: bool) -> Any:
         """Make one request and return the JSON of its answer."""
         connection = http.client.HTTPConnection(self.ip, self.port, timeout=self.timeout)
         try:
             connection.connect()
         except OSError as error:
             raise DaemonUnavailable(
-                f"No daemon answers at {self.address} ({describe(error)}): "
+                f"No daemon answers at {self.address} ({cause_of(error)}): "
                 "check the address and that the daemon runs."
             ) from None
         headers = {"Authorization": f"Bearer {self.token}", "Content-Length": str(len(body))}
@@ -96,18 +97,18 @@
             response = connection.getresponse()
             data = response.read(MAX_ANSWER)
         except (OSError, http.client.HTTPException) as error:
-            raise self.no_answer(method, error) from None
+            raise self.no_answer(changes, error) from None
         finally:
             connection.close()
         return self.result(response.status, data)
 
-    def no_answer(self, method: str, error: Exception) -> DaemonUnavailable:
+    def no_answer(self, changes: bool, error: Exception) -> DaemonUnavailable:
         """Return the error of a request that was sent and not answered."""
         remedy = "Ask again, or ask another VM."
-        if method == "POST":
+        if changes:
             remedy = "What was asked for may have been done: look before asking again."
         return DaemonUnavailable(
-            f"The daemon at {self.address} gave no answer ({describe(error)}). {remedy}"
+            f"The daemon at {self.address} gave no answer ({cause_of(error)}). {remedy}"
         )
 
     def result(self, status: int, data: bytes) -> Any:
@@ -170,8 +171,3 @@
     """Return a request target with all parts quoted."""
     where = "/" + "/".join(quote(part, safe="") for part in path)
     return f"{where}?{urlencode(query)}" if query else where
-
-
-def describe(error: Exception) -> str:
-    """Return an error of the network in a few words."""
-    return getattr(error, "strerror", None) or str(error) or type(error).__name__
--- a/sequoiabridge/operators/fetch.py
+++ b/sequoiabridge/operators/fetch.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import os
-
 import curio
 import h11
 import msgspec
 
 from ..config.units import split_address
 from ..exceptions import AdminError
+from ..wording import cause_of
 
 READ_BYTES = 65536
 
@@ -29,8 +28,7 @@
     except curio.TaskTimeout:
         raise AdminError(f"no answer within {timeout:g} s") from None
     except OSError as error:
-        why = os.strerror(error.errno) if error.errno else str(error)
-        raise AdminError(f"the connection to {address} failed ({why})") from error
+        raise AdminError(f"the connection to {address} failed ({cause_of(error)})") from error
     except (h11.RemoteProtocolError, ValueError) as error:
         raise AdminError(f"its answer is not whole or not HTTP ({error})") from error
     if status != 200:
--- a/sequoiabridge/operators/state.py
+++ b/sequoiabridge/operators/state.py
@@ -14,7 +14,6 @@
 from ..fleet.fleet import FleetNode
 from ..pipeline.services import Services, ServiceState
 from ..policy.evidence import UpstreamEvidence
-from ..store.base import StoreError
 from ..store.claim_admin import ClaimAdmin
 from ..store.upload_index import UploadEntry
 from ..store.uploads import Uploads
@@ -211,7 +210,7 @@
     async def _claims(self) -> Rows:
         found = await self.claims.listed(LISTED)
         if found.is_error():
-            return Error(unread("claims", found.error))
+            return Error(unread("claims", found.error.message))
         return Ok(
             [
                 ClaimRow(
@@ -231,14 +230,14 @@
         try:
             entries = await self.uploads.listed(LISTED)
         except StoreUnavailable as error:
-            return Error(error)
+            return Error(unread("uploads", str(error)))
         now = self.clock.wall()
         return Ok([upload_row(entry, now) for entry in entries])
 
     async def _history(self) -> Rows:
         found = await self.versions.history(HISTORY)
         if found.is_error():
-            return Error(unread("history", found.error))
+            return Error(unread("history", found.error.message))
         return Ok(
             [
                 HistoryRow(row.version, row.author, iso(row.at), summary(row.change))
@@ -247,9 +246,9 @@
         )
 
 
-def unread(what: str, error: StoreError) -> StoreUnavailable:
+def unread(what: str, why: str) -> StoreUnavailable:
     """Return the error of a list that the platform did not give."""
-    return StoreUnavailable(f"The {what} cannot be read: {error.message}.")
+    return StoreUnavailable(f"The {what} cannot be read: {why}.")
 
 
 def iso(wall: float) -> str:
--- a/sequoiabridge/store/http_connection.py
+++ b/sequoiabridge/store/http_connection.py
@@ -14,6 +14,7 @@
 
 from ..config.units import split_address
 from ..timers import Clock
+from ..wording import cause_of
 from .base import StoreError, StoreErrorKind
 
 READ_SIZE = 65536
@@ -141,5 +142,6 @@
         await connection.sock.close()
 
     def _error(self, kind: StoreErrorKind, what: str, cause: Exception) -> Result:
-        text = f"platform at {self.address} {what} ({type(cause).__name__}); see [platform]"
+        why = "timed out" if isinstance(cause, curio.TaskTimeout) else cause_of(cause)
+        text = f"the platform at {self.address} {what} ({why}); see [platform]"
         return Error(StoreError(kind, text))
--- a/sequoiabridge/tests/commands/test_tool.py
+++ b/sequoiabridge/tests/commands/test_tool.py
@@ -111,6 +111,7 @@
     assert "may have been done" in said.err
     assert json.loads(said.out)["error"]["exit"] == 4
     assert main(["dump", "fleet", admin.flag]) == 4
+    assert main(["ask", "Show", "vms", admin.flag]) == 4
     assert "may have been done" not in capsys.readouterr().err
     assert admin.seen[1][1] == "/dump?part=fleet"
 
@@ -151,7 +152,15 @@
     assert main(["check", "--strict", str(tmp_path / "warn.ini")]) == 2
 
 
-@pytest.mark.parametrize("argv", [["check"], ["ask", "--admin=127.0.0.1:1"], ["dump", "--admin=x"]])
+@pytest.mark.parametrize(
+    "argv",
+    [
+        ["check"],
+        ["ask", "--admin=127.0.0.1:1"],
+        ["ask", " ", "--admin=127.0.0.1:1"],
+        ["dump", "--admin=x"],
+    ],
+)
 def test_wrong_use_ends_with_one_sentence(argv, capsys, monkeypatch):
     monkeypatch.setenv("SEQUOIA_TOKEN", TOKEN)
     assert main(argv) == 2
--- a/sequoiabridge/wording.py
+++ b/sequoiabridge/wording.py
@@ -1,6 +1,16 @@
 """Small helps for sentences that people read."""
 
+import os
+
 
 def counted(number: int, noun: str) -> str:
     """Return a number with its noun, such as `1 VM` or `2 VMs`."""
     return f"{number} {noun}" if number == 1 else f"{number} {noun}s"
+
+
+def cause_of(error: Exception) -> str:
+    """Return an error of the network in a few words, such as `Connection refused`."""
+    number = getattr(error, "errno", None)
+    if number is not None and number > 0:
+        return os.strerror(number)
+    return str(error) or type(error).__name__
