Read the answers of other daemons in one place

Cause: `explain` and `show` each decoded what the others had answered, and each counted who was heard and whose answer could not be read.

Change: `Gathered.decoded` does it for both.

--- a/sequoiabridge/operators/executor.py
+++ b/sequoiabridge/operators/executor.py
@@ -4,8 +4,6 @@
 
 from urllib.parse import quote
 
-import curio
-import msgspec
 from expression import Error, Ok, Result
 
 from ..config.document import Document
@@ -92,17 +90,11 @@
         if own is not None:
             return Ok(self._reply(["vm", "line"], [[self.vm, line] for line in own]))
         gathered = await self.gatherer.gather(f"/explain/{quote(request_id, safe='')}?local=1")
-        rows: list[list[str]] = []
-        for vm, body in sorted(gathered.answers.items()):
-            lines = decoded(body, list[str])
-            if lines is None:
-                gathered.not_heard[vm] = "its answer could not be read"
-                continue
-            rows += [[vm, line] for line in lines]
+        found = await gathered.decoded(list[str])
+        rows = [[vm, line] for vm, lines in found.items() for line in lines]
         if not rows:
             return Error(NotFound(not_explained(request_id, gathered.not_heard)))
-        heard = [self.vm, *sorted(gathered.answers.keys() - gathered.not_heard.keys())]
-        return Ok(self._reply(["vm", "line"], rows, heard, gathered.not_heard))
+        return Ok(self._reply(["vm", "line"], rows, [self.vm, *found], gathered.not_heard))
 
     async def _show(self, show: Show, text: str) -> Replied:
         tests = compile_tests(show)
@@ -134,16 +126,9 @@
         self, show: Show, text: str
     ) -> tuple[list[ShowRow], list[str], dict[str, str]]:
         gathered = await self.gatherer.gather(f"/rows?command={quote(text, safe='')}")
-        rows: list[ShowRow] = []
-        for vm, body in gathered.answers.items():
-            found = decoded(body, list[ROWS[show.subject]])
-            if found is None:
-                gathered.not_heard[vm] = "its answer could not be read"
-                continue
-            rows += found
-            await curio.sleep(0)
-        heard = [self.vm, *sorted(gathered.answers.keys() - gathered.not_heard.keys())]
-        return rows, heard, gathered.not_heard
+        found = await gathered.decoded(list[ROWS[show.subject]])
+        rows = [row for others in found.values() for row in others]
+        return rows, [self.vm, *found], gathered.not_heard
 
     async def _diff(self, command: Diff) -> Replied:
         documents: list[Document] = []
@@ -204,14 +189,6 @@
         return Reply(columns, rows, heard or [self.vm], not_heard or {}, version, message)
 
 
-def decoded(body: bytes, kind: type):
-    """Return another VM's answer, or None if it cannot be read."""
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError:
-        return None
-
-
 def limit_of(show: Show) -> int:
     """Return how many rows are shown at most."""
     return DEFAULT_LIMIT if show.limit is None else show.limit
--- a/sequoiabridge/operators/gather.py
+++ b/sequoiabridge/operators/gather.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 from urllib.parse import quote
 
-from curio import TaskGroup
+import curio
+import msgspec
 
 from ..exceptions import AdminError
 from .fetch import fetch
@@ -28,7 +30,7 @@
 
 
 class Gathered:
-    """Answers by VM, and why others gave none."""
+    """Answers as they came, by VM, and why others gave none."""
 
     __slots__ = ("answers", "not_heard")
 
@@ -36,6 +38,20 @@
         self.answers: dict[str, bytes] = {}
         self.not_heard: dict[str, str] = {}
 
+    async def decoded(self, kind: type) -> dict[str, Any]:
+        """Return the answers by VM, in the order of names; tasks run between two of them.
+
+        A VM whose answer is not of this kind counts as not heard.
+        """
+        found = {}
+        for vm, body in sorted(self.answers.items()):
+            try:
+                found[vm] = msgspec.json.decode(body, type=kind)
+            except msgspec.MsgspecError:
+                self.not_heard[vm] = "its answer could not be read"
+            await curio.sleep(0)
+        return found
+
 
 class Gatherer:
     """Asks all peers the same; the operator's token is the same on all of them.
@@ -63,7 +79,7 @@
         Each is asked by its name, so that another daemon at its address refuses to answer for it.
         """
         gathered = Gathered()
-        async with TaskGroup() as group:
+        async with curio.TaskGroup() as group:
             for peer in self.peers():
                 await group.spawn(self._ask, peer, target, gathered)
         return gathered
