--- a/sequoiabridge/tests/features/call.feature
+++ b/sequoiabridge/tests/features/call.feature
@@ -356,6 +356,19 @@
       | one-way partition | relay answer |
       | one-way partition | record outcome |
       | one-way partition | reply |
+      | another VM cut off from all | connect |
+      | another VM cut off from all | read head |
+      | another VM cut off from all | admit |
+      | another VM cut off from all | match rule |
+      | another VM cut off from all | claim |
+      | another VM cut off from all | choose |
+      | another VM cut off from all | open connection |
+      | another VM cut off from all | send head |
+      | another VM cut off from all | send body |
+      | another VM cut off from all | wait |
+      | another VM cut off from all | relay answer |
+      | another VM cut off from all | record outcome |
+      | another VM cut off from all | reply |
       | caller gone | connect |
       | caller gone | read head |
       | caller gone | admit |
--- a/sequoiabridge/tests/features/configuration.feature
+++ b/sequoiabridge/tests/features/configuration.feature
@@ -141,3 +141,8 @@
       | one-way partition | spread |
       | one-way partition | applied |
       | one-way partition | new VM joins |
+      | another VM cut off from all | proposed |
+      | another VM cut off from all | committed |
+      | another VM cut off from all | spread |
+      | another VM cut off from all | applied |
+      | another VM cut off from all | new VM joins |
--- a/sequoiabridge/tests/features/stop.feature
+++ b/sequoiabridge/tests/features/stop.feature
@@ -83,6 +83,9 @@
       | one-way partition | drain begins |
       | one-way partition | last request ends |
       | one-way partition | leave |
+      | another VM cut off from all | drain begins |
+      | another VM cut off from all | last request ends |
+      | another VM cut off from all | leave |
       | caller gone | drain begins |
       | caller gone | last request ends |
       | caller resends | drain begins |
--- a/sequoiabridge/tests/features/upload.feature
+++ b/sequoiabridge/tests/features/upload.feature
@@ -145,6 +145,11 @@
       | one-way partition | deliver |
       | one-way partition | resume |
       | one-way partition | clean up |
+      | another VM cut off from all | chunk |
+      | another VM cut off from all | commit |
+      | another VM cut off from all | deliver |
+      | another VM cut off from all | resume |
+      | another VM cut off from all | clean up |
       | caller gone | chunk |
       | caller gone | commit |
       | caller gone | resume |
--- a/sequoiabridge/tests/matrix/faults.py
+++ b/sequoiabridge/tests/matrix/faults.py
@@ -166,6 +166,10 @@
     world.network.partition(world.vm(subject).fleet, outward=False)
 
 
+async def isolate_other(world: World, subject: Subject) -> None:
+    world.isolate(next(vm for vm in world.vms.values() if vm is not world.vm(subject)))
+
+
 async def caller_gone(world: World, subject: Subject) -> None:
     await world.caller.vanish()
 
@@ -217,6 +221,7 @@
     Fault("VM list wrong", list_wrong),
     Fault("peers partitioned", partition),
     Fault("one-way partition", partition_inward),
+    Fault("another VM cut off from all", isolate_other),
     Fault("caller gone", caller_gone, no_caller, breaks=True),
     Fault("caller resends", caller_resends, no_caller),
     Fault("slow caller", caller_slow, no_caller),
