Hear a drain mark on an answer that is cut off

The head carries the word, whatever becomes of the body.

Ruled out: a new probe of the upstream; the word is there already.

Change: an attempt that failed or was given up after the answer's head takes in the mark too. The new test failed before (draining None instead of 7).

--- a/sequoiabridge/pipeline/accounting.py
+++ b/sequoiabridge/pipeline/accounting.py
@@ -105,10 +105,8 @@
         Raises:
             UpstreamFailed: The upstream said that it did not run the request.
         """
-        signals = attempt.signals
-        if signals.drain is not None:
-            self._drain(state, attempt.evidence.name, signals.drain)
-        if signals.not_run:
+        self._drain(state, attempt)
+        if attempt.signals.not_run:
             await self._shed(state, attempt)
         if attempt.connection is None or answer.body is None:
             self.succeeded(state, attempt)
@@ -131,6 +129,7 @@
     async def failed(self, state: ServiceState, attempt: Attempt, error: UpstreamFailed) -> None:
         """An attempt broke or stayed silent."""
         await attempt.abandon()
+        self._drain(state, attempt)
         if not error.sent:
             attempt.proven_not_run()
         kind = _kind(attempt, error)
@@ -143,6 +142,7 @@
     async def cancelled(self, state: ServiceState, attempt: Attempt) -> None:
         """The daemon gave the attempt up; the upstream is not to blame."""
         await attempt.abandon()
+        self._drain(state, attempt)
         await self._ended(state, attempt, Failure.CANCELLED)
 
     async def suspect_mates(self, attempt: Attempt) -> None:
@@ -151,8 +151,10 @@
             return
         await self.connector.suspect(attempt.evidence.address, attempt.started)
 
-    def _drain(self, state: ServiceState, upstream: str, incarnation: int) -> None:
-        if state.pool.drain(upstream, incarnation, self.clock.now()):
+    def _drain(self, state: ServiceState, attempt: Attempt) -> None:
+        """Take in that an upstream is leaving, also from an answer that did not come whole."""
+        upstream, incarnation = attempt.evidence.name, attempt.signals.drain
+        if incarnation is not None and state.pool.drain(upstream, incarnation, self.clock.now()):
             self.observer.draining(upstream, incarnation)
 
     async def _look_for_crash(self, attempt: Attempt) -> None:
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -8,7 +8,7 @@
 from ...config.document import Document
 from ...config.loading import parse_document
 from ...exceptions import UpstreamFailed
-from ...headers import NOT_RUN
+from ...headers import DRAIN, NOT_RUN
 from ...pipeline.accounting import Observer
 from ...pipeline.dispatch import Dispatch
 from ...pipeline.exchange import Answer, Body, Exchange, Request
@@ -28,6 +28,7 @@
     RESET = "reset"
     CRASH = "crash"
     CUT = "cut"
+    CUT_LEAVING = "cut, and leaving"
     STAY_SILENT = "stay silent"
 
 
@@ -53,7 +54,10 @@
         if self.act is Act.SHED:
             return Answer(503, [(NOT_RUN, b"1")], 0, None)
         status = 500 if self.act is Act.FAIL else 200
-        return Answer(status, [(b"x-from", self.address.encode())], 5, Streamed(self.act))
+        fields = [(b"x-from", self.address.encode())]
+        if self.act is Act.CUT_LEAVING:
+            fields.append((DRAIN, b"7"))
+        return Answer(status, fields, 5, Streamed(self.act))
 
     @property
     def clean(self):
@@ -71,7 +75,7 @@
         self.act = act
 
     async def read(self):
-        if self.act is Act.CUT and len(self.pieces) == 1:
+        if self.act in (Act.CUT, Act.CUT_LEAVING) and len(self.pieces) == 1:
             raise UpstreamFailed("cut off", sent=True)
         return self.pieces.pop(0) if self.pieces else b""
 
--- a/sequoiabridge/tests/pipeline/test_dispatch.py
+++ b/sequoiabridge/tests/pipeline/test_dispatch.py
@@ -146,3 +146,10 @@
     curio.run(leave)
     assert bench.network.connections[0].closed
     assert bench.in_flight == 0
+
+
+def test_an_upstream_whose_answer_is_cut_off_is_still_heard_to_be_leaving():
+    bench = Bench(Act.CUT_LEAVING)
+    with pytest.raises(Refusal):
+        bench.run(bench.exchange())
+    assert bench.services.by_name["s"].pool.upstreams["u1"].draining == 7
