Tell other VMs that a suspected request was answered whole

Ruled out: remembering each answered fingerprint on each VM, which costs a digest for every call.

Change: the VM that clears a suspect says so by the same word as an operator's release, which also outlives words of crashes that come late. Said once for each suspect, and not at all while nothing is suspected. The words of releases that a VM remembers are bounded by MOST_CRASHES. A request that crashes each upstream is never answered, so it is stopped as before.

--- a/sequoiabridge/fleet/base.py
+++ b/sequoiabridge/fleet/base.py
@@ -45,8 +45,8 @@
 class CrashItem(Item, frozen=True, tag="crash"):
     """A request with `fingerprint` was with `upstream` when that crashed, seen by one VM.
 
-    `released` marks an operator's word that the fingerprint may run again. `at` is the wall time
-    of the event.
+    `released` marks the word that the fingerprint may run again: an operator's, or that of a VM
+    which saw such a request answered whole. `at` is the wall time of the event.
     """
 
     fingerprint: str
--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -88,7 +88,10 @@
 
     def survived(self, exchange: Exchange) -> None:
         ledger = self.services.by_name[exchange.service.name].ledger
-        ledger.survived(fingerprint(exchange), self.clock.wall())
+        found, wall = fingerprint(exchange), self.clock.wall()
+        # VMs that heard of the crashes, or will hear of them late, may see no answer themselves.
+        if ledger.survived(found, wall):
+            self.fleet.publish(CrashItem(found, "", wall, released=True), Urgency.CRASH)
 
     def retried(self, service: str, hedge: bool) -> None:
         self.metrics.retries.add(service, "hedge" if hedge else "retry")
--- a/sequoiabridge/policy/crashes.py
+++ b/sequoiabridge/policy/crashes.py
@@ -84,15 +84,22 @@
         self._judge(self._touched_by(crash))
         return True
 
-    def survived(self, fingerprint: str, at: float) -> None:
-        """A request with the fingerprint was answered whole at the wall time `at`."""
-        if fingerprint in self.by_fingerprint:
-            self._clear(fingerprint, at)
+    def survived(self, fingerprint: str, at: float) -> bool:
+        """A request was answered whole at the wall time `at`; return whether it was a suspect."""
+        if fingerprint not in self.by_fingerprint:
+            return False
+        self._clear(fingerprint, at)
+        return True
 
     def release(self, fingerprint: str, at: float) -> bool:
-        """The operator lets it run again, whatever happened up to `at`; return if it was known."""
+        """It may run again, whatever happened up to `at`; return if it was known.
+
+        The operator says so, or another VM that saw it answered whole.
+        """
         known = fingerprint in self.by_fingerprint
-        self.released[fingerprint] = max(at, self.released.get(fingerprint, at))
+        self.released[fingerprint] = max(at, self.released.pop(fingerprint, at))
+        if len(self.released) > MOST_CRASHES:
+            del self.released[next(iter(self.released))]
         self._clear(fingerprint, at)
         return known
 
