Bound an upload's waits for the store by its call's deadline

Cause: an upload waited up to 30 s for a slow or dead store, and a single call to the object store up to 30 s, whatever its rule's window; the matrix's callers needed 60 s of patience for it. Found beside it: when the accepting commit's answer was lost, a deliverer had changed the row and the row could not be read back, the caller was told `not-run` for an accepted upload.

Ruled out: bounding the whole upload by the deadline. The default window is 30 s and a slow line takes longer; an upload goes on past its window while the store answers.

Change: the request's deadline goes along with each wait and each call's timeout: no more tries after it, and a call near or after it gets 1 s. The refusal is `not-run`, or `unknown` if the accepting commit itself is open, with Retry-After. The read-back that fails is `unknown` now.

Tests: seven new ones that failed before, and one that an upload longer than its window is accepted. The matrix's callers wait 25 s again, not 60 s.

--- a/sequoiabridge/pipeline/uploads.py
+++ b/sequoiabridge/pipeline/uploads.py
@@ -3,6 +3,8 @@
 The caller guide (docs/callers/uploads.md) documents the headers and answers.
 """
 
+from math import inf
+
 import msgspec
 
 from .. import headers as names
@@ -147,6 +149,7 @@
         offset=None if is_lookup or offset is None else _number(offset),
         digest=_digest(request),
         max_size=exchange.rule.max_body,
+        deadline=exchange.deadline or inf,
     )
 
 
--- a/sequoiabridge/store/upload_chunks.py
+++ b/sequoiabridge/store/upload_chunks.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Awaitable, Callable
+from math import inf
 
 import curio
 from expression import Result
@@ -92,17 +93,19 @@
 class ChunkStore:
     """Puts and reads chunks; a lost answer is settled by the name, which is written only once."""
 
-    def __init__(self, objects: ObjectStore, patience: Callable[[], Patience], sleep=curio.sleep):
+    def __init__(
+        self, objects: ObjectStore, patience: Callable[[float], Patience], sleep=curio.sleep
+    ):
         self.objects = objects
         self.patience = patience
         self.sleep = sleep
 
-    async def put(self, upload: str, chunk: Chunk, data: bytes) -> None:
+    async def put(self, upload: str, chunk: Chunk, data: bytes, deadline: float = inf) -> None:
         """Store a chunk. Raises `StoreUnavailable` if it is not known to be stored in time."""
         name = chunk_name(upload, chunk)
-        waiting = self.patience()
+        waiting = self.patience(deadline)
         while True:
-            match await self.objects.put(name, data, PUT_TIMEOUT):
+            match await self.objects.put(name, data, waiting.timeout(PUT_TIMEOUT)):
                 case Result(tag="ok"):
                     return
                 case Result(error=error):
@@ -112,12 +115,12 @@
                     if not await waiting.wait():
                         raise StoreUnavailable(f"{error.message}; resume the upload later")
 
-    async def get(self, upload: str, chunk: Chunk) -> bytes:
+    async def get(self, upload: str, chunk: Chunk, deadline: float = inf) -> bytes:
         """Return a chunk's bytes, checked. Raises `UploadCut` if it is missing or damaged."""
         name = chunk_name(upload, chunk)
-        waiting = self.patience()
+        waiting = self.patience(deadline)
         while True:
-            match await self.objects.get(name, PUT_TIMEOUT):
+            match await self.objects.get(name, waiting.timeout(PUT_TIMEOUT)):
                 case Result(tag="ok", ok=data):
                     await self._check(name, chunk, data)
                     return data
@@ -125,13 +128,15 @@
                     if not await waiting.wait():
                         raise StoreUnavailable(f"{error.message}; the delivery is tried again")
 
-    async def digest(self, manifest: Manifest, before_each: BeforeEach | None = None) -> str:
+    async def digest(
+        self, manifest: Manifest, before_each: BeforeEach | None = None, deadline: float = inf
+    ) -> str:
         """Return the SHA-256 of all committed chunks, in hexadecimal."""
         whole = hashlib.sha256()
         for chunk in manifest.chunks:
             if before_each is not None:
                 await before_each()
-            await self._hash(await self.get(manifest.id, chunk), whole)
+            await self._hash(await self.get(manifest.id, chunk, deadline), whole)
         return whole.hexdigest()
 
     async def _check(self, name: str, chunk: Chunk, data: bytes | None) -> None:
--- a/sequoiabridge/store/upload_table.py
+++ b/sequoiabridge/store/upload_table.py
@@ -1,6 +1,7 @@
 """Manifests in the table service: conditional commits, and lost answers settled by the token."""
 
 from collections.abc import Awaitable, Callable
+from math import inf
 
 import curio
 import msgspec
@@ -15,6 +16,9 @@
 CALL_TIMEOUT = 5.0
 """Seconds for one call to the table service."""
 
+LATE_CALL = 1.0
+"""Seconds for a call that is made close to a caller's deadline, or after it."""
+
 FIRST_PAUSE = 0.05
 """Seconds before a call is tried again; doubled each time."""
 
@@ -41,16 +45,27 @@
 
 
 class Patience:
-    """Pauses between tries until the time is up."""
+    """Pauses between tries until the time is up: `seconds` from now, or the caller's deadline.
+
+    After the deadline there are no more tries, but a call that answers in `LATE_CALL` is still
+    good: an upload may take longer than its window while the store answers.
+    """
 
-    __slots__ = ("clock", "sleep", "until", "pause")
+    __slots__ = ("clock", "sleep", "deadline", "until", "pause")
 
-    def __init__(self, clock: Clock, sleep: Callable[[float], Awaitable], seconds: float):
+    def __init__(
+        self, clock: Clock, sleep: Callable[[float], Awaitable], seconds: float, deadline: float
+    ):
         self.clock = clock
         self.sleep = sleep
-        self.until = clock.now() + seconds
+        self.deadline = deadline
+        self.until = min(clock.now() + seconds, deadline)
         self.pause = FIRST_PAUSE
 
+    def timeout(self, most: float) -> float:
+        """Return the seconds that the next call may take, at most `most`."""
+        return min(most, max(LATE_CALL, self.deadline - self.clock.now()))
+
     async def wait(self) -> bool:
         """Pause; return False, without a pause, if the time is up."""
         if self.clock.now() + self.pause > self.until:
@@ -66,6 +81,7 @@
     Raises `UploadConflict` when another change came first, `StoreUnavailable` when nothing was
     written, and `Unsettled` when that is not known. A commit without an answer is sent again with
     the same token and condition: at most one of the copies can take effect, whenever it lands.
+    `patience` is how long to try, in seconds, and `deadline` the time of the caller's own.
     """
 
     def __init__(self, tables: TableService, clock: Clock, sleep=curio.sleep):
@@ -73,24 +89,30 @@
         self.clock = clock
         self.sleep = sleep
 
-    async def read(self, upload: str, patience: float = 0.0) -> Held | None:
+    async def read(self, upload: str, patience: float = 0.0, deadline: float = inf) -> Held | None:
         """Return an upload's manifest, or None if there is none."""
-        waiting = Patience(self.clock, self.sleep, patience)
+        waiting = Patience(self.clock, self.sleep, patience, deadline)
         while True:
-            match await self.tables.read(MANIFESTS, upload, CALL_TIMEOUT):
+            match await self.tables.read(MANIFESTS, upload, waiting.timeout(CALL_TIMEOUT)):
                 case Result(tag="ok", ok=row):
                     return _held(row)
                 case Result(error=error):
                     if not await waiting.wait():
                         raise _unavailable(error)
 
-    async def insert(self, manifest: Manifest, patience: float = 0.0) -> Held:
+    async def insert(
+        self, manifest: Manifest, patience: float = 0.0, deadline: float = inf
+    ) -> Held:
         """Insert a new manifest."""
-        return await self._commit(None, 0, manifest, patience)
+        waiting = Patience(self.clock, self.sleep, patience, deadline)
+        return await self._commit(None, 0, manifest, waiting)
 
-    async def advance(self, held: Held, manifest: Manifest, patience: float = 0.0) -> Held:
+    async def advance(
+        self, held: Held, manifest: Manifest, patience: float = 0.0, deadline: float = inf
+    ) -> Held:
         """Replace the manifest that is held by the next one."""
-        return await self._commit(held.manifest, held.version, manifest, patience)
+        waiting = Patience(self.clock, self.sleep, patience, deadline)
+        return await self._commit(held.manifest, held.version, manifest, waiting)
 
     async def remove(self, held: Held) -> bool:
         """Remove a manifest if it is still as held; return whether it is known to be gone."""
@@ -107,13 +129,12 @@
                 raise _unavailable(error)
 
     async def _commit(
-        self, before: Manifest | None, version: int, after: Manifest, patience: float
+        self, before: Manifest | None, version: int, after: Manifest, waiting: Patience
     ) -> Held:
-        waiting = Patience(self.clock, self.sleep, patience)
         rows = writes(before, after)
         lost = False
         while True:
-            error = await self._try(version, after, rows)
+            error = await self._try(version, after, rows, waiting)
             if error is None:
                 return Held(after, version + 1)
             if error.kind is StoreErrorKind.CONDITION_FAILED:
@@ -129,20 +150,23 @@
                 continue
             if not lost:
                 raise _unavailable(error)
-            return await self._last_word(before, after)
+            return await self._last_word(before, after, waiting.deadline)
 
-    async def _last_word(self, before: Manifest | None, after: Manifest) -> Held:
+    async def _last_word(self, before: Manifest | None, after: Manifest, deadline: float) -> Held:
         """Settle by one more read when the time is up; it may be up after a pause of this VM."""
-        row = await self._settled(after, Patience(self.clock, self.sleep, 0.0), lost=True)
+        once = Patience(self.clock, self.sleep, 0.0, deadline)
+        row = await self._settled(after, once, lost=True)
         if _wrote(row, after):
             return row
         if _unchanged(row, before):
             raise Unsettled(f"upload {after.id}: a commit got no answer; look the upload up later")
         raise _conflict(after)
 
-    async def _try(self, version: int, after: Manifest, rows: list[Write]) -> StoreError | None:
+    async def _try(
+        self, version: int, after: Manifest, rows: list[Write], waiting: Patience
+    ) -> StoreError | None:
         conditions = [Condition(MANIFESTS, after.id, version)]
-        match await self.tables.transact(conditions, rows, CALL_TIMEOUT):
+        match await self.tables.transact(conditions, rows, waiting.timeout(CALL_TIMEOUT)):
             case Result(tag="ok"):
                 return None
             case Result(error=error):
@@ -150,7 +174,7 @@
 
     async def _settled(self, after: Manifest, waiting: Patience, lost: bool) -> Held | None:
         while True:
-            match await self.tables.read(MANIFESTS, after.id, CALL_TIMEOUT):
+            match await self.tables.read(MANIFESTS, after.id, waiting.timeout(CALL_TIMEOUT)):
                 case Result(tag="ok", ok=row):
                     return _held(row)
                 case Result(error=error):
--- a/sequoiabridge/store/upload_writer.py
+++ b/sequoiabridge/store/upload_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 import curio
@@ -38,6 +39,8 @@
         offset: Where this body begins; None on a start, or to look up the offset.
         digest: SHA-256 of the whole in hexadecimal if the caller gave it, or "".
         max_size: Bytes that the whole may have, 0 for no limit.
+        deadline: When its caller wants an answer, on the daemon's monotonic clock. It bounds waits
+            for a store that does not answer, not the upload.
     """
 
     __slots__ = (
@@ -53,6 +56,7 @@
         "offset",
         "digest",
         "max_size",
+        "deadline",
     )
 
     def __init__(
@@ -70,6 +74,7 @@
         offset: int | None = None,
         digest: str = "",
         max_size: int = 0,
+        deadline: float = inf,
     ):
         self.service = service
         self.caller = caller
@@ -83,6 +88,7 @@
         self.offset = offset
         self.digest = digest
         self.max_size = max_size
+        self.deadline = deadline
 
     @property
     def total(self) -> int | None:
@@ -163,7 +169,9 @@
             digest=piece.digest,
             nonce=self.uploads.token(),
         )
-        await self.uploads.chunks.put(self.held.manifest.id, chunk, piece.data)
+        await self.uploads.chunks.put(
+            self.held.manifest.id, chunk, piece.data, self.incoming.deadline
+        )
         self.pending.append(chunk)
         self.uploads.progress[self.held.manifest.id] = self.offset
         self.uploads.counts["chunks"] += 1
@@ -182,7 +190,9 @@
     async def _commit(self, patience: float) -> None:
         stamp = self.uploads.stamp()
         manifest = extended(self.held.manifest, self.pending, stamp)
-        self.held = await self.uploads.table.advance(self.held, manifest, patience)
+        self.held = await self.uploads.table.advance(
+            self.held, manifest, patience, self.incoming.deadline
+        )
         self.pending = []
         self.committed_at = self.uploads.clock.now()
 
@@ -207,7 +217,7 @@
         )
         try:
             self.held = await self.uploads.table.advance(
-                self.held, manifest, self.uploads.patience_seconds
+                self.held, manifest, self.uploads.patience_seconds, self.incoming.deadline
             )
         except UploadConflict:
             self.held = await self._accepted_before(manifest)
@@ -222,14 +232,20 @@
         if announced and not digest:
             if self.pending:
                 await self._commit(self.uploads.patience_seconds)
-            digest = await self.uploads.chunks.digest(self.held.manifest)
+            digest = await self.uploads.chunks.digest(
+                self.held.manifest, deadline=self.incoming.deadline
+            )
         if announced and announced != digest:
             raise UploadKeyReused(f"the content has digest {digest}, not {announced}; send it anew")
         return digest
 
     async def _accepted_before(self, manifest: Manifest) -> Held:
         """Settle a lost answer to the accepting commit after a deliverer's change on top of it."""
-        now = await self.uploads.table.read(manifest.id, self.uploads.patience_seconds)
+        patience, deadline = self.uploads.patience_seconds, self.incoming.deadline
+        try:
+            now = await self.uploads.table.read(manifest.id, patience, deadline)
+        except StoreUnavailable as error:
+            raise AcceptanceUnknown(str(error)) from error
         if (
             now is not None
             and now.manifest.epoch == manifest.epoch
--- a/sequoiabridge/store/uploads.py
+++ b/sequoiabridge/store/uploads.py
@@ -42,7 +42,10 @@
 """Seconds to settle the insert of a manifest; a store that is known to be down costs none."""
 
 PATIENCE = 30.0
-"""Seconds that a running upload waits for the store before it is refused, to be resumed."""
+"""Seconds that a running upload waits for the store before it is refused, to be resumed.
+
+Its caller's deadline ends the wait before that.
+"""
 
 HEAD_START = 5.0
 """Seconds during which only the accepting VM delivers."""
@@ -90,7 +93,7 @@
         self.head_start = head_start
         self.token = token
         self.table = ManifestTable(tables, clock, sleep)
-        self.chunks = ChunkStore(objects, lambda: Patience(clock, sleep, patience), sleep)
+        self.chunks = ChunkStore(objects, self._patience, sleep)
         self.receiving = 0
         self.progress: dict[str, int] = {}
         self.counts: Counter[str] = Counter()
@@ -104,6 +107,9 @@
         """Return the time and a fresh token for one change."""
         return Stamp(self.clock.wall(), self.token())
 
+    def _patience(self, deadline: float) -> Patience:
+        return Patience(self.clock, self.table.sleep, self.patience_seconds, deadline)
+
     async def receive(self, incoming: IncomingUpload) -> Received:
         """Start, resume or look up an upload.
 
@@ -169,9 +175,9 @@
     async def _started(self, incoming: IncomingUpload) -> Held:
         manifest = self._new_manifest(incoming)
         try:
-            return await self.table.insert(manifest, START_PATIENCE)
+            return await self.table.insert(manifest, START_PATIENCE, incoming.deadline)
         except UploadConflict:
-            held = await self.table.read(manifest.id, START_PATIENCE)
+            held = await self.table.read(manifest.id, START_PATIENCE, incoming.deadline)
         if held is None:
             raise UploadConflict("an upload of this key has just ended; send it again")
         return await self._own(held, incoming)
@@ -194,7 +200,7 @@
         )
 
     async def _named(self, incoming: IncomingUpload) -> Held:
-        held = await self.table.read(incoming.upload_id, START_PATIENCE)
+        held = await self.table.read(incoming.upload_id, START_PATIENCE, incoming.deadline)
         scope = (incoming.service, incoming.caller)
         if held is None or (held.manifest.service, held.manifest.caller) != scope:
             raise UploadUnknown(f"no upload {incoming.upload_id} of this caller; start a new one")
@@ -207,7 +213,8 @@
         check_same(manifest, incoming)
         if manifest.state not in (UploadState.OPEN, UploadState.ABANDONED):
             return held
-        return await self.table.advance(held, taken_over(manifest, self.stamp()), START_PATIENCE)
+        own = taken_over(manifest, self.stamp())
+        return await self.table.advance(held, own, START_PATIENCE, incoming.deadline)
 
     async def _replayed(self, manifest: Manifest, incoming: IncomingUpload) -> Received:
         """Answer for an upload that is accepted already, after comparing the content."""
--- a/sequoiabridge/tests/matrix/callers.py
+++ b/sequoiabridge/tests/matrix/callers.py
@@ -16,7 +16,7 @@
     from .vm import Vm
     from .world import World
 
-PATIENCE = 60.0
+PATIENCE = 25.0
 """Seconds after which a caller gives up."""
 SLOW_PIECES, SLOW_PAUSE = 8, 0.15
 """Pieces in which a slow caller sends, and seconds between two of them."""
--- a/sequoiabridge/tests/pipeline/test_uploads.py
+++ b/sequoiabridge/tests/pipeline/test_uploads.py
@@ -15,17 +15,22 @@
 from ...pipeline.uploads import UploadHandler, delivery_request, delivery_result
 from ...store.upload_delivery import Delivery
 from ...store.upload_manifest import UploadState
+from ...store.upload_table import LATE_CALL
 from ..standins.uploads import Bytes, World, finish, incoming
 from .fakes import Act, Bench
 
 DATA = b"image of the reader"
 
 
-def handled(vm, body, length, **headers):
+WINDOW = 20.0
+
+
+def handled(vm, body, length, deadline=0.0, **headers):
     fields = [(k.replace("_", "-").encode(), v) for k, v in headers.items()]
     request = Request(b"PUT", b"/image", fields, length, body)
     exchange = Exchange("r1", request, 0.0)
     exchange.caller = "vendor"
+    exchange.deadline = deadline
     exchange.service = SimpleNamespace(name="mottag")
     exchange.rule = SimpleNamespace(max_body=1000)
     return UploadHandler(vm).handle(exchange)
@@ -91,6 +96,61 @@
     assert (lost.outcome, lost.reason) == (Outcome.UNKNOWN, Reason.STORE_DOWN)
 
 
+@pytest.mark.parametrize("fault, value", [("down", True), ("slow", 100.0), ("lose_writes", 99)])
+@pytest.mark.parametrize("when", ["chunk", "accept"])
+def test_a_store_that_fails_in_between_is_told_by_the_deadline(fault, value, when):
+    world = World()
+    vm = world.vm("a", commit_every=99)
+    started = world.clock.now()
+    task = handled(vm, Bytes(DATA), len(DATA), deadline=started + WINDOW)
+    while len(world.objects.objects) < (2 if when == "chunk" else 5):
+        task.send(None)
+    setattr(world.tables.faults, fault, value)
+    setattr(world.objects.faults, fault, value)
+    with pytest.raises(Refusal) as caught:
+        finish(task)
+    open_end = when == "accept" and fault != "down"
+    assert caught.value.outcome is (Outcome.UNKNOWN if open_end else Outcome.NOT_RUN)
+    assert caught.value.retry_after > 0
+    assert world.clock.now() - started < WINDOW + 4 * LATE_CALL
+
+
+def test_an_acceptance_that_cannot_be_read_back_is_not_called_not_run():
+    world = World()
+    vm = world.vm("a", commit_every=99)
+    task = handled(vm, Bytes(DATA), len(DATA), deadline=world.clock.now() + WINDOW)
+    while len(world.objects.objects) < 5:
+        task.send(None)
+    world.tables.faults.lose_answers = 1
+    while world.manifests()[0].state is UploadState.OPEN:
+        task.send(None)
+    world.recover()
+    read, reads = vm.table.tables.read, []
+
+    async def once(*args):
+        reads.append(args)
+        world.tables.faults.lose_reads = 99 if len(reads) > 1 else 0
+        return await read(*args)
+
+    vm.table.tables.read = once
+    with pytest.raises(Refusal) as caught:
+        finish(task)
+    assert caught.value.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("pause", [0.0, 30.0])
+def test_an_upload_that_is_longer_than_its_window_is_accepted_while_the_store_answers(pause):
+    world = World()
+
+    class Slow(Bytes):
+        async def read(self):
+            world.clock.advance(pause)
+            return await super().read()
+
+    answer = finish(handled(world.vm("a"), Slow(DATA), 19, deadline=world.clock.now() + WINDOW))
+    assert answer.status == 202
+
+
 async def silent(world):
     world.tables.faults.late = 99
 
