Send and read large bodies to the platform in steps of 256 KB

Cause: the platform's HTTP client put a whole chunk of 4 MB together (two copies of it), sent it and read one without letting another task run, as long as the socket did not wait. Other calls felt that as lag.

Change: a body over 256 KB is sent in steps from a view of it, with a turn for other tasks after each; an answer's reading pauses as often. What is known after a failure is as before.

--- a/sequoiabridge/store/http_connection.py
+++ b/sequoiabridge/store/http_connection.py
@@ -15,6 +15,9 @@
 from ..timers import Clock
 from .base import StoreError, StoreErrorKind
 
+STEP = 256 * 1024
+"""Bytes of a body that are sent or read in one go; other tasks run in between."""
+
 READ_SIZE = 65536
 """Bytes asked of a socket at a time."""
 
@@ -48,14 +51,26 @@
     async def exchange(self, head: h11.Request, body: bytes) -> Reply:
         """Send one request and return its whole answer; raises on anything else."""
         data = self.codec.send(head)
-        if body:
+        if len(body) > STEP:
+            await self.sock.sendall(data)
+            await self._send_in_steps(body)
+            data = b""
+        elif body:
             data += self.codec.send(h11.Data(data=body))
         data += self.codec.send(h11.EndOfMessage())
-        await self.sock.sendall(data)
+        if data:
+            await self.sock.sendall(data)
         return await self._receive()
 
+    async def _send_in_steps(self, body: bytes) -> None:
+        """Send a large body, which a socket that never waits would take without a pause."""
+        view = memoryview(body)
+        for start in range(0, len(body), STEP):
+            await self.sock.sendall(self.codec.send(h11.Data(data=view[start : start + STEP])))
+            await curio.sleep(0)
+
     async def _receive(self) -> Reply:
-        status, parts = 0, []
+        status, parts, unpaused = 0, [], 0
         while True:
             event = self.codec.next_event()
             if event is h11.NEED_DATA:
@@ -64,6 +79,10 @@
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                unpaused += len(event.data)
+                if unpaused >= STEP:
+                    unpaused = 0
+                    await curio.sleep(0)
             elif isinstance(event, h11.EndOfMessage):
                 return Reply(status, b"".join(parts))
             elif isinstance(event, h11.ConnectionClosed):
