Remove an upload's chunks after all other writes

Cause: the removal of a delivered upload's chunks (24 of the 57 writes per 100 MB) took the fleet's write rate with the same right as puts and commits, and each try could hold a delivery's place for 30 s.

Change: removals of objects go at BACKGROUND priority and may wait 5 s; after the first that does not go through, the delivery is done and the clean-up takes the rest, as it does after a crash.

Ruled out: leaving all removals to the clean-up: it looks at 50 names in one step and reads a manifest for each upload, so content would stay longer in the object store.

--- a/sequoiabridge/store/metered_objects.py
+++ b/sequoiabridge/store/metered_objects.py
@@ -34,9 +34,9 @@
         )
 
     async def delete(
-        self, name: str, timeout: float, priority: Priority = Priority.NORMAL
+        self, name: str, timeout: float, priority: Priority = Priority.BACKGROUND
     ) -> Result[None, StoreError]:
-        """Remove the object; fine if there is none."""
+        """Remove the object; fine if there is none. Nobody waits for it, so it goes last."""
         return await self.gate.paid(
             self.gate.writes, priority, timeout, lambda left: self.objects.delete(name, left)
         )
--- a/sequoiabridge/store/upload_chunks.py
+++ b/sequoiabridge/store/upload_chunks.py
@@ -17,6 +17,9 @@
 PUT_TIMEOUT = 30.0
 """Seconds for one call to the object store."""
 
+DELETE_TIMEOUT = 5.0
+"""Seconds for one removal, which waits for all other writes; the clean-up tries again."""
+
 
 HASH_STEP = 256 * 1024
 """Bytes hashed in one go; other tasks run in between."""
@@ -165,4 +168,4 @@
 
     async def discard(self, name: str) -> bool:
         """Remove a chunk by its name; return whether it is known to be gone."""
-        return (await self.objects.delete(name, PUT_TIMEOUT)).is_ok()
+        return (await self.objects.delete(name, DELETE_TIMEOUT)).is_ok()
--- a/sequoiabridge/store/upload_delivery.py
+++ b/sequoiabridge/store/upload_delivery.py
@@ -256,7 +256,10 @@
         await self._give_back(body.held, sent)
 
     async def _confirm(self, upload: str) -> None:
-        """Commit that it is delivered, whoever holds the lease by now, and drop the chunks."""
+        """Commit that it is delivered, whoever holds the lease by now, and drop the chunks.
+
+        If one cannot be dropped now, the clean-up takes it and those after it.
+        """
         while True:
             held = await self.uploads.table.read(upload, self.uploads.patience_seconds)
             if held is None or held.manifest.state is UploadState.DELIVERED:
@@ -270,7 +273,8 @@
         self.confirmed += 1
         log.info("Upload %s is delivered.", upload)
         for chunk in held.manifest.chunks:
-            await self.uploads.chunks.discard(chunk_name(upload, chunk))
+            if not await self.uploads.chunks.discard(chunk_name(upload, chunk)):
+                return
 
     async def _give_back(self, held: Held, sent: Sent) -> None:
         self.postponed += 1
--- a/sequoiabridge/tests/store/test_client.py
+++ b/sequoiabridge/tests/store/test_client.py
@@ -43,6 +43,23 @@
     assert (client.counts.reads, client.counts.writes) == (2, 1)
 
 
+def test_removals_of_objects_leave_room_in_the_share_for_writes():
+    bench = Bench()
+    client = bench.client(writes=100.0)
+    bench.clock.advance(10.0)
+
+    def allowed(call):
+        """Use the share up by one kind of call; the clock stands, so none waits."""
+        count = 0
+        while call().is_ok():
+            count += 1
+        return count
+
+    removed = allowed(lambda: curio.run(client.objects.delete, "o", 0.001))
+    stored = allowed(lambda: curio.run(client.objects.put, f"p{client.counts.writes}", b"", 0.001))
+    assert removed > 10 and stored > 10
+
+
 def test_transactions_on_one_row_never_share_a_group():
     bench = real_time()
     client = bench.client(writes=50.0)
--- a/sequoiabridge/tests/store/test_upload_deliveries.py
+++ b/sequoiabridge/tests/store/test_upload_deliveries.py
@@ -1,5 +1,8 @@
-"""Uploads whose delivery crashes upstreams, told from more than one VM."""
+"""Deliveries that crash upstreams, or whose chunks cannot be removed afterwards."""
 
+from expression import Error
+
+from ...store.base import StoreError, StoreErrorKind
 from ...store.upload_delivery import Delivery, Sent
 from ...store.upload_manifest import UploadState, keyed_id
 from ..standins.uploads import World, finish, incoming
@@ -31,3 +34,23 @@
         return Sent(Delivery.CRASHED, f"{name} died", name)
 
     return send
+
+
+def test_chunks_that_cannot_be_removed_hold_up_no_delivery_and_go_later():
+    world = World()
+    vm = world.vm("a")
+    finish(vm.receive(incoming(DATA, key="k")))
+    stored, asked = len(world.objects.objects), []
+    delete = world.objects.delete
+
+    async def busy(name, timeout):
+        asked.append(timeout)
+        return Error(StoreError(StoreErrorKind.NOT_SENT, "no room in the share"))
+
+    world.objects.delete = busy
+    finish(world.deliveries(vm).deliver(ID))
+    assert world.manifests()[0].state is UploadState.DELIVERED
+    assert len(asked) == 1 and asked[0] <= 5.0 and len(world.objects.objects) == stored
+    world.objects.delete = delete
+    finish(world.orphans(vm).step(world.clock.wall()))
+    assert world.objects.objects == {}
