Read the usual form of a load report by one regular expression

Cause: a report was split, stripped and put into a dictionary on each answer; 20 us a call under the profiler, the largest single function of the pipeline.

Ruled out: a memory of reports by their bytes; their ages and counts differ.

Change: one expression for the documented form; any other form is taken apart as before. The tests read a report in both forms, and a report of 0 slots in the usual form is none.

--- a/sequoiabridge/tests/upstreams/test_probes.py
+++ b/sequoiabridge/tests/upstreams/test_probes.py
@@ -8,13 +8,22 @@
 from .scripted import answering, play
 
 
-def test_report_is_read_and_unknown_fields_are_passed_over():
-    report = parse_load(b"in_flight=3;slots=2;age_ms=40;later=x")
+@pytest.mark.parametrize("more", [b"", b";later=x"])
+def test_report_is_read_and_unknown_fields_are_passed_over(more):
+    report = parse_load(b"in_flight=3;slots=2;age_ms=40" + more)
     assert (report.in_flight, report.slots, report.age) == (3, 2, 0.04)
 
 
 @pytest.mark.parametrize(
-    "value", [b"", b"in_flight=3", b"in_flight=-1;slots=2", b"in_flight=1;slots=0", b"\xb2" * 90]
+    "value",
+    [
+        b"",
+        b"in_flight=3",
+        b"in_flight=-1;slots=2",
+        b"in_flight=1;slots=0",
+        b"in_flight=1;slots=0;age_ms=1",
+        b"\xb2" * 90,
+    ],
 )
 def test_bad_report_is_none(value):
     assert parse_load(value) is None
--- a/sequoiabridge/upstreams/reports.py
+++ b/sequoiabridge/upstreams/reports.py
@@ -1,5 +1,7 @@
 """What upstreams say of themselves in the headers of their answers."""
 
+import re
+
 from ..policy.base import LoadReport
 
 MAX_VALUE = 64
@@ -7,6 +9,8 @@
 MAX_DIGITS = 19
 """Digits of a number that is read; an incarnation may be a wall time in nanoseconds."""
 MILLISECONDS = 1000.0
+USUAL = re.compile(rb"in_flight=(\d{1,18});slots=(\d{1,18});age_ms=(\d{1,18})")
+"""The report as it is documented; any other spelling is taken apart."""
 
 
 def parse_load(value: bytes) -> LoadReport | None:
@@ -16,6 +20,10 @@
     """
     if len(value) > MAX_VALUE:
         return None
+    usual = USUAL.fullmatch(value)
+    if usual is not None:
+        in_flight, slots, age = map(int, usual.groups())
+        return LoadReport(in_flight, slots, age / MILLISECONDS) if slots else None
     found: dict[bytes, int] = {}
     for part in value.split(b";"):
         name, _, number = part.partition(b"=")
