Make no latency histogram for each call that ends

Cause: setdefault built a histogram of 180 bins for each answer and threw it away.

Change: look first.

--- a/sequoiabridge/policy/admission.py
+++ b/sequoiabridge/policy/admission.py
@@ -267,7 +267,10 @@
         return True
 
     def _latency_of(self, kind: str) -> UsualLatency:
-        if kind not in self.latencies and len(self.latencies) >= MOST_KINDS:
+        known = self.latencies.get(kind)
+        if known is not None:
+            return known
+        if len(self.latencies) >= MOST_KINDS:
             kind = ""
         return self.latencies.setdefault(kind, UsualLatency())
 
