Remember what h11 made of header lines

Cause: three quarters of what h11 costs a call is parsing, most of it expressions run on header lines that came before, byte for byte.

Ruled out: remembering whole heads, which one header that changes (a trace id) would undo; a parser in C, a dependency to be weighed by the lead.

Change: headlines.LineMemory looks a line up and gives only new ones to h11's expressions. Folded lines, and heads with two framing fields, go to h11 whole. Two generations of 2,048 lines of at most 256 bytes; lines with credentials or cookies are not kept. A test reads 16 right and wrong heads twice and compares each with h11's own reader. (Its messages are compared up to the quoted line, which is quoted as bytes now, not as a bytearray.)

--- a/sequoiabridge/codec.py
+++ b/sequoiabridge/codec.py
@@ -3,17 +3,18 @@
 A relayed call passes h11 four times. `h11.Connection` spends a third of that on states that a
 relay keeps anyway (one request at a time, a connection reused only after a clean end); see
 docs/design/hop-latency.md. The names taken from h11's modules are not public: pyproject.toml
-holds h11 to 0.16, and this is the only module that imports them.
+holds h11 to 0.16, and only this module and `headlines` import them.
 """
 
 import h11
 from h11._readers import (
     ChunkedReader,
     ContentLengthReader,
-    maybe_read_from_IDLE_client,
-    maybe_read_from_SEND_RESPONSE_server,
+    request_line_re,
+    status_line_re,
 )
 from h11._receivebuffer import ReceiveBuffer
+from h11._util import validate
 from h11._writers import (
     ChunkedWriter,
     ContentLengthWriter,
@@ -23,12 +24,19 @@
 )
 
 from .exceptions import SequoiaError
+from .fields import HTTP_11
+from .headlines import LineMemory
 
 READ_SIZE = 64 * 1024
 """Most bytes taken from a socket at once; bounds the memory of a streamed body."""
 MAX_LINE = 16 * 1024
 """Most bytes of a chunk's header or of the trailers."""
 
+FIRST_FINAL = 200
+"""Status from which an answer is not an interim one."""
+LINES = LineMemory()
+"""Remembered header lines of all connections."""
+
 END = h11.EndOfMessage()
 BodyReader = ContentLengthReader | ChunkedReader
 BodyWriter = ContentLengthWriter | ChunkedWriter | Http10Writer
@@ -70,16 +78,22 @@
         Raises:
             h11.LocalProtocolError: It is malformed.
         """
-        return self._head(maybe_read_from_IDLE_client)
+        return self._head(read_request)
 
     def response(self) -> tuple[h11.Response | h11.InformationalResponse | None, bytes]:
         """Return the next answer and its head's bytes; as `request`."""
-        return self._head(maybe_read_from_SEND_RESPONSE_server)
+        return self._head(read_response)
 
     def _head(self, reader) -> tuple[h11.Event | None, bytes]:
         held = bytes(self.buffer)
-        event = reader(self.buffer)
-        return event, held[: len(held) - len(self.buffer)]
+        lines = self.buffer.maybe_extract_lines()
+        if lines is None:
+            if self.buffer.is_next_line_obviously_invalid_request_line():
+                raise h11.LocalProtocolError("this is not HTTP")
+            return None, b""
+        if not lines:
+            raise h11.LocalProtocolError("the first line is missing")
+        return reader(lines), held[: len(held) - len(self.buffer)]
 
     def body_event(self, reader: BodyReader) -> h11.Data | h11.EndOfMessage | None:
         """Return the next part of a body, None while none is here.
@@ -93,6 +107,30 @@
         return event
 
 
+def read_request(lines: list[bytearray]) -> h11.Request:
+    """Return the request of a head's lines, as h11's own reader does.
+
+    Raises:
+        h11.LocalProtocolError: It is malformed.
+    """
+    first = validate(request_line_re, lines[0], "illegal request line: {!r}", lines[0])
+    return h11.Request(headers=LINES.headers(lines[1:]), _parsed=True, **first)
+
+
+def read_response(lines: list[bytearray]) -> h11.Response | h11.InformationalResponse:
+    """Return the answer of a head's lines, as h11's own reader does; as `read_request`."""
+    first = validate(status_line_re, lines[0], "illegal status line: {!r}", lines[0])
+    status = int(first["status_code"])
+    kind = h11.Response if status >= FIRST_FINAL else h11.InformationalResponse
+    return kind(
+        headers=LINES.headers(lines[1:]),
+        _parsed=True,
+        status_code=status,
+        reason=first["reason"] or b"",
+        http_version=first["http_version"] or HTTP_11,
+    )
+
+
 def body_reader(length: int | None) -> BodyReader:
     """Return h11's reader of a body of `length` bytes, of a chunked one for None."""
     return ChunkedReader() if length is None else ContentLengthReader(length)
--- a/sequoiabridge/fields.py
+++ b/sequoiabridge/fields.py
@@ -59,8 +59,7 @@
         self.keeps_alive = event.http_version == HTTP_11
         self.expects_continue = False
         options: list[bytes] = []
-        for name, value in event.headers.raw_items():
-            name = name.lower()
+        for name, value in event.headers:
             if name not in drop:
                 self.pairs.append((name, value))
             elif name == CONTENT_LENGTH:
--- /dev/null
+++ b/sequoiabridge/headlines.py
@@ -0,0 +1,79 @@
+"""Header lines as h11 reads them, remembered: most lines of a head have come before.
+
+What h11 says of one line depends on nothing but its bytes. So a line that it has read is looked up
+the next time, and only new ones are given to its expressions; see docs/design/hop-latency.md.
+"""
+
+from collections.abc import Iterator
+
+from h11._headers import normalize_and_validate
+from h11._readers import _decode_header_lines
+
+from .fields import CONTENT_LENGTH, TRANSFER_ENCODING, Headers
+
+LONGEST = 256
+"""Bytes of a line that is worth remembering."""
+MOST_LINES = 2048
+"""Lines of one generation; two are kept, so that lines that come once push nothing out for long."""
+FRAMED = frozenset({CONTENT_LENGTH, TRANSFER_ENCODING})
+"""Fields that h11 also judges together, so that two of them need a look of its own."""
+SECRET = frozenset({b"authorization", b"proxy-authorization", b"cookie", b"set-cookie"})
+"""Fields whose values are not kept longer than their call."""
+
+Item = tuple[bytes, bytes, bytes]
+"""Name as it came, name in lower case, value."""
+
+
+class ReadHeaders(Headers):
+    """Header fields that came from h11's parser; quicker to go through than h11's own class."""
+
+    __slots__ = ()
+
+    def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
+        return iter([(name, value) for _, name, value in self._full_items])
+
+
+class LineMemory:
+    """What h11 made of the header lines that came lately; bounded."""
+
+    __slots__ = ("young", "old")
+
+    def __init__(self):
+        self.young: dict[bytes, Item] = {}
+        self.old: dict[bytes, Item] = {}
+
+    def headers(self, lines: list[bytearray]) -> Headers:
+        """Return the header fields of a head's lines, without its first line.
+
+        Raises:
+            h11.LocalProtocolError: They are malformed.
+        """
+        items, framed, young = [], 0, self.young
+        for line in map(bytes, lines):
+            item = young.get(line)
+            if item is None:
+                if line[:1] in b" \t":
+                    return whole(lines)
+                item = self._read(line)
+            if item[1] in FRAMED:
+                framed += 1
+            items.append(item)
+        return whole(lines) if framed > 1 else ReadHeaders(items)
+
+    def _read(self, line: bytes) -> Item:
+        """Return a line that is not young: remembered from the last generation, or read anew."""
+        item = self.old.get(line)
+        if item is None:
+            item = whole([line])._full_items[0]
+        if len(line) > LONGEST or item[1] in SECRET:
+            return item
+        if len(self.young) >= MOST_LINES:
+            # `headers` holds on to the full one until its head is read, which does no harm.
+            self.young, self.old = {}, self.young
+        self.young[line] = item
+        return item
+
+
+def whole(lines: list[bytearray] | list[bytes]) -> Headers:
+    """Return the header fields as h11 reads them, folded lines joined."""
+    return normalize_and_validate(list(_decode_header_lines(lines)), _parsed=True)
--- /dev/null
+++ b/sequoiabridge/tests/test_headlines.py
@@ -0,0 +1,67 @@
+"""Remembered header lines: a head read again is what h11 makes of it, right or wrong."""
+
+import h11
+import pytest
+from h11._readers import maybe_read_from_IDLE_client
+from h11._receivebuffer import ReceiveBuffer
+
+from ..codec import Received
+from ..headlines import MOST_LINES, LineMemory
+
+HEADS = [
+    b"Host: a\r\nX-One: 1\r\nx-one:  2 \r\nContent-Length: 5",
+    b"Host: a\r\nContent-Length: 5\r\nContent-Length: 5",
+    b"Host: a\r\nContent-Length: 5\r\nContent-Length: 6",
+    b"Host: a\r\nContent-Length: 5, 5",
+    b"Host: a\r\nContent-Length: -5",
+    b"Host: a\r\nTransfer-Encoding: Chunked",
+    b"Host: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    b"Host: a\r\nTransfer-Encoding: gzip",
+    b"Host: a\r\nX-One: 1\r\n folded",
+    b" folded first\r\nHost: a",
+    b"Host: a\r\nHost: a",
+    b"X-One: 1",
+    b"Host: a\r\nX-One : 1",
+    b"Host: a\r\nno colon",
+    b"Host: a\r\nX-Zero: a\0b",
+    b"Host: a\nX-Bare: line end",
+]
+
+
+def outcome(read):
+    try:
+        event = read()
+    except h11.LocalProtocolError as error:
+        # Only the way in which the message quotes the line differs.
+        return str(error).partition(":")[0], error.error_status_hint
+    return event, list(event.headers), event.headers.raw_items()
+
+
+@pytest.mark.parametrize("lines", HEADS)
+def test_a_head_is_read_as_h11_reads_it_the_first_time_and_again(lines):
+    data = b"GET /x HTTP/1.1\r\n" + lines + b"\r\n\r\n"
+
+    def expected():
+        buffer = ReceiveBuffer()
+        buffer += data
+        return maybe_read_from_IDLE_client(buffer)
+
+    def found():
+        received = Received()
+        received.feed(data)
+        return received.request()[0]
+
+    assert outcome(found) == outcome(expected)
+    assert outcome(found) == outcome(expected)
+
+
+def test_memory_is_bounded_keeps_no_secrets_and_no_long_lines():
+    memory = LineMemory()
+    for number in range(3 * MOST_LINES):
+        memory.headers([b"host: a", b"x-request: %d" % number])
+        memory.headers([b"Cookie: %d" % number, b"AUTHORIZATION: b", b"x: " + b"l" * 300])
+    kept = memory.young | memory.old
+    assert len(kept) <= 2 * MOST_LINES and b"host: a" in kept
+    assert not [
+        line for line in kept if line[:6].lower() in (b"cookie", b"author") or len(line) > 256
+    ]
