Keep what the daemon made at its start out of the garbage collector's way

Cause: each full collection goes through all modules and parts again.

Change: gc.collect and gc.freeze once the daemon listens.

--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 from random import Random
 
@@ -241,6 +242,9 @@
         await curio.spawn(self.timers.run(), daemon=True)
         self.callers.bind(self.settings.callers.address)
         self.server = await curio.spawn(self.callers.serve(), daemon=True)
+        # What was made at the start stays; the collector need not go through it again and again.
+        gc.collect()
+        gc.freeze()
 
     def _subscribe(self) -> None:
         timers = self.timers
