Say on how many VMs an accepted change is in force

Cause: the answer was `Accepted as version N.` after at most a second of waiting for others, whether one VM had it or all; but only once more than half have it can no VM that serves miss it (see docs/design/currency.md).

Change: the configuration's gate says on how many live VMs a version is known to be in force, and the answer ends with `in force on n of m VMs`. `show vms` had each VM's version already.

Tests: the texts for all and for some; a virtual fleet of three, the author cut off: 1 of 3, then 3.

--- a/sequoiabridge/configuration.py
+++ b/sequoiabridge/configuration.py
@@ -132,6 +132,9 @@
         await curio.spawn(self.save_snapshot(outcome.version), daemon=True)
         return Ok(outcome.version)
 
+    def spread(self, version: int) -> tuple[int, int]:
+        return self.fleet.spread(version)
+
     def apply_held(self) -> None:
         """Apply the changes heard from other VMs that follow the version in force."""
         while (item := self.fleet.currency.take()) is not None:
@@ -227,7 +230,7 @@
         self.fleet.track(version)
         end = self.clock.now() + SPREAD_WAIT
         while self.clock.now() < end:
-            confirmed, live = self.fleet.spread(version)
+            confirmed, live = self.spread(version)
             if confirmed >= live:
                 return
             await curio.sleep(SPREAD_LOOK)
--- a/sequoiabridge/operators/bases.py
+++ b/sequoiabridge/operators/bases.py
@@ -51,6 +51,10 @@
         `expect` is not the newest; `StoreUnavailable` when nothing is known to be written.
         """
 
+    @abstractmethod
+    def spread(self, version: int) -> tuple[int, int]:
+        """Return (n, m): a version, or a newer one, is known to be in force on n of m live VMs."""
+
 
 class Releases(ABC):
     """What an operator's word can free."""
--- a/sequoiabridge/operators/executor.py
+++ b/sequoiabridge/operators/executor.py
@@ -175,7 +175,8 @@
         accepted = await self.gate.propose(change, author, old.version)
         if accepted.is_error():
             return Error(accepted.error)
-        reply = self._reply(columns, rows, message=f"Accepted as version {accepted.ok}.")
+        message = accepted_as(accepted.ok, *self.gate.spread(accepted.ok))
+        reply = self._reply(columns, rows, message=message)
         reply.version = accepted.ok
         return Ok(reply)
 
@@ -229,6 +230,16 @@
     return getattr(row, first), getattr(row, second)
 
 
+def accepted_as(version: int, confirmed: int, live: int) -> str:
+    """Say that a change is accepted, and on how many VMs it is known to be in force by now."""
+    if confirmed < live:
+        return (
+            f"Accepted as version {version}, in force on {confirmed} of {live} VMs yet; "
+            "see show vms."
+        )
+    return f"Accepted as version {version}, in force on {confirmed} of {live} VMs."
+
+
 def not_explained(request_id: str, not_heard: dict[str, str]) -> str:
     """Say that no journal has a request, and what else it may mean."""
     message = f"No journal knows {request_id}; journals keep the last calls only."
--- a/sequoiabridge/tests/operators/fakes.py
+++ b/sequoiabridge/tests/operators/fakes.py
@@ -55,6 +55,7 @@
         first = parse_document(CONFIGURATION).default_with(lambda problems: problems)
         self.documents = {1: first}
         self.lag = 0
+        self.in_force = (3, 3)
 
     def document(self):
         return self.documents[max(self.documents) - self.lag]
@@ -70,6 +71,9 @@
         made = newest.changed(change, newest.version + 1, author, 1_700_000_000.0)
         return made.map(self._keep)
 
+    def spread(self, version):
+        return self.in_force
+
     def _keep(self, document):
         self.documents[document.version] = document
         return document.version
--- a/sequoiabridge/tests/operators/test_executor.py
+++ b/sequoiabridge/tests/operators/test_executor.py
@@ -52,6 +52,20 @@
     return curio.run(run)
 
 
+@pytest.mark.parametrize(
+    ("spread", "said"),
+    [
+        ((3, 3), "Accepted as version 2, in force on 3 of 3 VMs."),
+        ((1, 3), "Accepted as version 2, in force on 1 of 3 VMs yet; see show vms."),
+    ],
+)
+def test_the_operator_is_told_on_how_many_vms_a_change_is_in_force(spread, said):
+    daemon = FakeDaemon("vm1")
+    daemon.gate.in_force = spread
+    reply = curio.run(daemon.executor.execute, "drain upstream a1", "anna")
+    assert reply.ok.message == said
+
+
 def test_rows_of_vms_that_fail_are_missing_by_name():
     reply = gathered("show upstreams where in_flight >= 2")
     assert [row[:2] for row in reply.rows] == [["a1", "vm0"], ["a1", "vm1"]]
--- a/sequoiabridge/tests/test_documents.py
+++ b/sequoiabridge/tests/test_documents.py
@@ -92,6 +92,17 @@
     assert fleet.everywhere(2, 120) is not None
 
 
+def test_the_operator_hears_on_how_many_vms_a_version_is_in_force():
+    fleet = VirtualFleet(3)
+    fleet.pump.cut(fleet.pump.all()[:1], fleet.pump.all()[1:])
+    fleet.accept(SERVICE)
+    assert fleet.gates[0].spread(1) == (1, 3)
+    fleet.pump.cuts.clear()
+    assert fleet.everywhere(1, 20) is not None
+    fleet.pump.run(5)
+    assert fleet.gates[0].spread(1) == (3, 3)
+
+
 def test_a_document_that_is_older_or_unreadable_changes_nothing():
     fleet = VirtualFleet(1)
     fleet.accept(SERVICE)
