Spread only the version of a large change; whoever can't read the table asks for it

A VM that has a configuration asks for the whole document after 15 s, one that has none after 3 s as before.

--- a/sequoiabridge/configuration.py
+++ b/sequoiabridge/configuration.py
@@ -180,6 +180,7 @@
         began = self.clock.now()
         head = await self.versions.latest()
         if head.is_error():
+            self.fleet.currency.table_failed()
             return
         version = head.ok.version
         if version > self.in_force.version:
@@ -199,6 +200,7 @@
         while self.in_force.version < version:
             rows = await self.versions.changes_since(self.in_force.version)
             if rows.is_error() or not rows.ok:
+                self.fleet.currency.table_failed()
                 log.warning("Cannot read the changes up to version %d yet.", version)
                 return
             for row in rows.ok:
--- a/sequoiabridge/fleet/base.py
+++ b/sequoiabridge/fleet/base.py
@@ -30,8 +30,8 @@
 class ConfigurationItem(Item, frozen=True, tag="configuration"):
     """Version `version` of the fleet's configuration is committed; `change` is its encoding.
 
-    A large change is empty here and `packed` has it compressed, see `fleet.packing`; if both are
-    empty, only the version is told.
+    A large change is not spread: `change` is empty then. A VM that can't read the table fetches it
+    as `packed`, compressed; see `fleet.packing`.
     """
 
     version: int
--- a/sequoiabridge/fleet/currency.py
+++ b/sequoiabridge/fleet/currency.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from .base import ConfigurationItem
+from .packing import has_change
 
 CONFIRM_WITHIN = 6.0
 """Seconds after which a confirmation no longer counts."""
@@ -15,7 +16,9 @@
 FETCH_AFTER = 0.3
 """Seconds to wait for a change that is on its way before asking for it."""
 SNAPSHOT_AFTER = 3.0
-"""Seconds behind the newest version after which the whole configuration is asked for."""
+"""Seconds after which a VM without any configuration asks another for all of it."""
+CHANGES_FOR = 15.0
+"""The same for one that is behind: changes cost less, and pieces would hold them up."""
 FETCH_EVERY = 0.5
 """Seconds between two requests for the same changes."""
 
@@ -36,6 +39,7 @@
         self.held: dict[int, ConfigurationItem] = {}
         self.heard_at: dict[str, float] = {}
         self.table_at: float | None = None
+        self.table_lost = False
         self.live = 1
         self.expected = 1
         self.asked_at = float("-inf")
@@ -45,8 +49,13 @@
     def table(self, version: int, now: float) -> None:
         """The table was read and names `version` as the newest; `now` is when the read began."""
         self.table_at = now
+        self.table_lost = False
         self._know(version, now)
 
+    def table_failed(self) -> None:
+        """The table could not be read: large changes have to come from other VMs."""
+        self.table_lost = True
+
     def seen(self, version: int, now: float) -> None:
         """Another VM says, in a message that is no replay, that `version` is in force there."""
         self._know(version, now)
@@ -71,7 +80,9 @@
     def offer(self, item: ConfigurationItem, now: float) -> bool:
         """Hold a change until its turn; return False if it is old or held already."""
         self._know(item.version, now)
-        if item.version <= self.in_force or item.version in self.held:
+        held = self.held.get(item.version)
+        known = held is not None and (has_change(held) or not has_change(item))
+        if item.version <= self.in_force or known:
             return False
         self.held[item.version] = item
         return True
@@ -79,7 +90,7 @@
     def take(self) -> ConfigurationItem | None:
         """Return the change that follows the version in force, if it is held.
 
-        An empty change means: too large to be spread, read the configuration from the table.
+        One with its version only is too large to be spread: read it from the table.
         """
         return self.held.get(self.in_force + 1)
 
@@ -97,7 +108,7 @@
     def missing(self, now: float) -> range | None:
         """Return the versions to ask another VM for now, or None; at most one answer in a while."""
         first = self.in_force + 1
-        while first in self.held:
+        while self._has(first):
             first += 1
         if first > self.newest or now - self.newest_at < FETCH_AFTER:
             return None
@@ -105,13 +116,14 @@
             return None
         self.asked_at = now
         last = first
-        while last < self.newest and last + 1 not in self.held:
+        while last < self.newest and not self._has(last + 1):
             last += 1
         return range(first, last + 1)
 
     def wants_snapshot(self, now: float) -> bool:
         """Return True if changes alone have not brought the newest version for some time."""
-        return self.in_force < self.newest and now - self.behind_since >= SNAPSHOT_AFTER
+        after = CHANGES_FOR if self.in_force else SNAPSHOT_AFTER
+        return self.in_force < self.newest and now - self.behind_since >= after
 
     def ready(self, now: float) -> bool:
         """Return True if the configuration in force is known to be the newest."""
@@ -152,6 +164,11 @@
             )
         return ""
 
+    def _has(self, version: int) -> bool:
+        """Return True if a change is held, or is to be read from the table."""
+        item = self.held.get(version)
+        return item is not None and (has_change(item) or not self.table_lost)
+
     def _know(self, version: int, now: float) -> None:
         if version <= self.newest:
             return
--- a/sequoiabridge/fleet/marks.py
+++ b/sequoiabridge/fleet/marks.py
@@ -108,22 +108,31 @@
 
 
 class ChangeLog:
-    """Recent configuration changes by version, for VMs that missed one."""
+    """Recent configuration changes by version, for VMs that missed one.
 
-    __slots__ = ("parcels", "bytes")
+    Attributes:
+        bare: Versions of which nothing else is known: their changes are large.
+    """
+
+    __slots__ = ("parcels", "bytes", "bare")
 
     def __init__(self):
         self.parcels: dict[int, Parcel] = {}
         self.bytes = 0
+        self.bare: set[int] = set()
 
-    def add(self, version: int, parcel: Parcel) -> bool:
-        """Keep a change; return False if it was known."""
-        if version in self.parcels:
+    def add(self, version: int, parcel: Parcel, whole: bool = True) -> bool:
+        """Keep a change, or its version if it is not `whole`; return False if that was known."""
+        if version in self.parcels and not (whole and version in self.bare):
             return False
+        self.bare.discard(version) if whole else self.bare.add(version)
+        self.bytes -= len(self.parcels[version].item) if version in self.parcels else 0
         self.parcels[version] = parcel
         self.bytes += len(parcel.item)
         while self.bytes > LOG_BYTES and len(self.parcels) > 1:
-            self.bytes -= len(self.parcels.pop(min(self.parcels)).item)
+            oldest = min(self.parcels)
+            self.bare.discard(oldest)
+            self.bytes -= len(self.parcels.pop(oldest).item)
         return True
 
     def origin(self, version: int) -> str:
--- a/sequoiabridge/fleet/repair.py
+++ b/sequoiabridge/fleet/repair.py
@@ -117,6 +117,7 @@
         outgoing = to(member, Kind.GOSSIP)
         message = self.sender.message(outgoing)
         message.parcels = parcels
+        self.spreader.push(request.number, request.sender, now)
         self.sender.send(outgoing, now, message)
 
     def _compare(self, now: float) -> None:
--- a/sequoiabridge/fleet/spreader.py
+++ b/sequoiabridge/fleet/spreader.py
@@ -34,7 +34,7 @@
 )
 from .members import update_of
 from .membership import Membership
-from .packing import packed
+from .packing import announced, has_change, packed
 from .wire import PACKET_SIZE, Codec, Kind, Message, Parcel, Update, urgency_of
 
 PARCEL_OVERHEAD = 8
@@ -59,18 +59,41 @@
         self.marks = Marks()
         self.changes = ChangeLog()
         self.periods: dict[tuple, int] = {}
+        self.pushed = 0
 
     # Own items.
 
     def publish(self, item: AnyItem, urgency: Urgency, now: float) -> None:
         """Queue an item of this VM."""
         if isinstance(item, ConfigurationItem):
-            item = packed(item)
+            self._publish_change(packed(item), urgency, now)
+            return
         me = self.membership.me.name
         raw = self.codec.pack(item)
         if self._keep(item, Parcel(raw, me), now, now):
             self._queue(item, Parcel(raw, me), urgency, now)
 
+    def _publish_change(self, item: ConfigurationItem, urgency: Urgency, now: float) -> None:
+        """Keep a change, and spread it, or its version if it is large, unless that was heard."""
+        me = self.membership.me.name
+        heard = item.version in self.changes.parcels
+        if self._keep(item, Parcel(self.codec.pack(item), me), now, now) and not heard:
+            told = announced(item)
+            self._queue(told, Parcel(self.codec.pack(told), me), urgency, now)
+
+    def push(self, version: int, asker: str, now: float) -> None:
+        """Spread a compressed change: a VM had to ask for it, so others can't read it either."""
+        parcel = self.changes.parcels.get(version)
+        if parcel is None or version <= self.pushed:
+            return
+        item = self.codec.unpack(parcel.item).ok
+        if not item.packed:
+            return
+        self.pushed = version
+        entry = self._queue(item, parcel, Urgency.CONFIGURATION, now)
+        entry.known.add(asker)
+        entry.known.update(m.name for m in self.membership.live() if m.version >= version)
+
     def queue_updates(self, updates: Iterable[Update], now: float) -> None:
         """Queue words about members; a newer one replaces an older on the same VM."""
         for update in updates:
@@ -166,7 +189,7 @@
         """Note an item; return False if it, or a newer one, was known."""
         match item:
             case ConfigurationItem():
-                return self.changes.add(item.version, parcel)
+                return self.changes.add(item.version, parcel, has_change(item))
             case DrainItem() | CrashItem():
                 return self.marks.add(Mark(item, parcel.item, parcel.origin, since), now)
             case RetryItem():
