Give each daemon of a trial its own loopback IP and all the same ports

Cause: a daemon asks the others' admin ports at its own port number, as every VM uses the same one. The trials' daemons shared 127.0.0.1 with different ports, so `show upstreams|vms|refusals` asked one daemon as many times as there were VMs.

Change: daemon N listens on 127.0.9.N, and the three ports of a scene are free on all addresses, below those of outgoing connections as before. Ports asked for together can't be given twice any more.

Test: 301 daemons of a scene have an IP each and the same ports (failed before).

--- a/benchmarks/daemon.py
+++ b/benchmarks/daemon.py
@@ -22,7 +22,7 @@
 from sequoiabridge.config.ini import write_sections
 
 from .configuration import content
-from .processes import Trial, free_addresses
+from .processes import Trial
 from .scene import PLATFORM, Daemon, Scene, control
 
 CPU_BOUND = 1.8
@@ -46,10 +46,6 @@
 
     def __init__(self, trial: Trial, daemons: int, services: int, upstreams: int, **platform):
         super().__init__(trial, daemons)
-        # All at once: asked for one after the other, the same port may be given twice.
-        free = iter(free_addresses(3 * daemons))
-        for daemon in self.daemons:
-            daemon.callers, daemon.admin, daemon.fleet = next(free), next(free), next(free)
         self.services = services
         self.upstream_count = upstreams
         self.platform_options = [f"--{name}={value}" for name, value in platform.items()]
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -150,21 +150,25 @@
     return {"address": line.decode().strip()}
 
 
-def free_addresses(count: int, kind: int = socket.SOCK_STREAM) -> list[str]:
-    """Return `count` loopback addresses that were free a moment ago.
+def free_ports(count: int) -> list[int]:
+    """Return `count` ports that were free a moment ago on all addresses of this computer.
 
-    Their ports are below those that the kernel gives to outgoing connections: one of those may
-    take a port between this look and the start of the process that wants it.
+    They are below those that the kernel gives to outgoing connections: one of those may take a
+    port between this look and the start of the process that wants it.
     """
-    addresses: list[str] = []
-    while len(addresses) < count:
-        address = ("127.0.0.1", random.randrange(*PORTS))
-        with socket.socket(socket.AF_INET, kind) as sock:
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
             try:
-                sock.bind(address)
+                sock.bind(("0.0.0.0", port))
             except OSError:
                 continue
-        text = f"{address[0]}:{address[1]}"
-        if text not in addresses:
-            addresses.append(text)
-    return addresses
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
+def loopback_ip(number: int) -> str:
+    """Return the IP of a trial's VM, counted from 0: each has its own on the loopback device."""
+    return f"127.0.{9 + number // 250}.{1 + number % 250}"
--- a/benchmarks/scene.py
+++ b/benchmarks/scene.py
@@ -17,7 +17,7 @@
 
 from .load import Work
 from .oracle import Kind
-from .processes import Process, Trial, free_addresses
+from .processes import Process, Trial, free_ports, loopback_ip
 
 PLATFORM = "sequoiabridge.tests.standins.platform"
 DAEMON = "sequoiabridge.commands.daemon"
@@ -109,6 +109,8 @@
         self.balancer_lag = balancer_lag
         self.platform: Process | None = None
         self.upstreams: dict[str, Process] = {}
+        self.ports = free_ports(3)
+        self.vms = 0
         self.daemons = [self.new_daemon(f"vm-{n + 1}") for n in range(daemons)]
         self.starts = 0
 
@@ -142,8 +144,10 @@
         return self.start_upstream(spec, name, self.starts, address=old.ready["address"])
 
     def new_daemon(self, name: str) -> Daemon:
-        """Return a daemon with fresh addresses."""
-        return Daemon(name, *free_addresses(3))
+        """Return a daemon on a fresh IP; the ports are those of all, as daemons expect it."""
+        ip = loopback_ip(self.vms)
+        self.vms += 1
+        return Daemon(name, *(f"{ip}:{port}" for port in self.ports))
 
     def start_daemon(self, daemon: Daemon) -> None:
         """Write the settings of a daemon and start it, or start it again."""
--- /dev/null
+++ b/sequoiabridge/tests/test_scene.py
@@ -0,0 +1,14 @@
+"""The addresses of the trials' daemons, by which they find each other's admin ports."""
+
+from benchmarks.scene import Scene
+
+
+def test_each_daemon_of_a_scene_has_its_own_ip_and_all_have_the_same_ports():
+    scene = Scene(None, 300)
+    daemons = [*scene.daemons, scene.new_daemon("vm-new")]
+    for kind in ("callers", "admin", "fleet"):
+        pairs = [getattr(daemon, kind).split(":") for daemon in daemons]
+        assert len({ip for ip, _ in pairs}) == 301
+        assert len({port for _, port in pairs}) == 1
+    first = daemons[0]
+    assert len({first.callers, first.admin, first.fleet}) == 3
