--- a/sequoiabridge/operators/fetch.py
+++ b/sequoiabridge/operators/fetch.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import os
+
 import curio
 import h11
+import msgspec
 
 from ..config.units import split_address
 from ..exceptions import AdminError
@@ -25,13 +28,24 @@
             status, body = await _exchange(address, target, token)
     except curio.TaskTimeout:
         raise AdminError(f"no answer within {timeout:g} s") from None
-    except (OSError, h11.RemoteProtocolError, ValueError) as error:
-        raise AdminError(f"{type(error).__name__}: {error}") from error
+    except OSError as error:
+        why = os.strerror(error.errno) if error.errno else str(error)
+        raise AdminError(f"the connection to {address} failed ({why})") from error
+    except (h11.RemoteProtocolError, ValueError) as error:
+        raise AdminError(f"its answer is not whole or not HTTP ({error})") from error
     if status != 200:
-        raise AdminError(f"it answered {status}: {body[:200].decode(errors='replace')}")
+        raise AdminError(f"it answered {status}: {reason(body)}")
     return bytes(body)
 
 
+def reason(body: bytes) -> str:
+    """Return the message of an error answer, or the beginning of what came in its place."""
+    try:
+        return str(msgspec.json.decode(body)["error"]["message"])
+    except (msgspec.DecodeError, LookupError, TypeError):
+        return body[:200].decode(errors="replace")
+
+
 async def _exchange(address: str, target: str, token: str) -> tuple[int, bytearray]:
     sock = await curio.open_connection(*split_address(address))
     async with sock:
@@ -47,7 +61,7 @@
         return await _read_answer(sock, connection)
 
 
-async def _read_answer(sock, connection: h11.Connection) -> tuple[int, bytearray]:
+async def _read_answer(sock: curio.io.Socket, connection: h11.Connection) -> tuple[int, bytearray]:
     status = 0
     body = bytearray()
     while True:
