--- a/sequoiabridge/fleet/base.py
+++ b/sequoiabridge/fleet/base.py
@@ -28,10 +28,15 @@
 
 
 class ConfigurationItem(Item, frozen=True, tag="configuration"):
-    """Version `version` of the fleet's configuration is committed; `change` is its encoding."""
+    """Version `version` of the fleet's configuration is committed; `change` is its encoding.
+
+    A large change is not spread: `change` is empty then. A VM that can't read the table fetches it
+    as `packed`, compressed; see `fleet.packing`.
+    """
 
     version: int
     change: bytes
+    packed: bytes = b""
 
 
 class DrainItem(Item, frozen=True, tag="drain"):
@@ -45,8 +50,8 @@
 class CrashItem(Item, frozen=True, tag="crash"):
     """A request with `fingerprint` was with `upstream` when that crashed, seen by one VM.
 
-    `released` marks an operator's word that the fingerprint may run again. `at` is the wall time
-    of the event.
+    `released` marks the word that the fingerprint may run again: an operator's, or that of a VM
+    which saw such a request answered whole. `at` is the wall time of the event.
     """
 
     fingerprint: str
