--- a/sequoiabridge/operators/state.py
+++ b/sequoiabridge/operators/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from datetime import UTC, datetime
 
@@ -13,7 +14,6 @@
 from ..fleet.fleet import FleetNode
 from ..pipeline.services import Services, ServiceState
 from ..policy.evidence import UpstreamEvidence
-from ..store.base import StoreError
 from ..store.claim_admin import ClaimAdmin
 from ..store.upload_index import UploadEntry
 from ..store.uploads import Uploads
@@ -110,11 +110,9 @@
 
     def _pools(self) -> list[ShowRow]:
         document = self.document()
-        counts: dict[str, int] = {}
-        for upstream in document.upstreams.values():
-            counts[upstream.pool] = counts.get(upstream.pool, 0) + 1
+        counts = Counter(upstream.pool for upstream in document.upstreams.values())
         return [
-            PoolRow(pool.name, pool.service, counts.get(pool.name, 0), pool.slots, pool.connections)
+            PoolRow(pool.name, pool.service, counts[pool.name], pool.slots, pool.connections)
             for pool in document.pools.values()
         ]
 
@@ -212,7 +210,7 @@
     async def _claims(self) -> Rows:
         found = await self.claims.listed(LISTED)
         if found.is_error():
-            return Error(unread("claims", found.error))
+            return Error(unread("claims", found.error.message))
         return Ok(
             [
                 ClaimRow(
@@ -232,14 +230,14 @@
         try:
             entries = await self.uploads.listed(LISTED)
         except StoreUnavailable as error:
-            return Error(error)
+            return Error(unread("uploads", str(error)))
         now = self.clock.wall()
         return Ok([upload_row(entry, now) for entry in entries])
 
     async def _history(self) -> Rows:
         found = await self.versions.history(HISTORY)
         if found.is_error():
-            return Error(unread("history", found.error))
+            return Error(unread("history", found.error.message))
         return Ok(
             [
                 HistoryRow(row.version, row.author, iso(row.at), summary(row.change))
@@ -248,9 +246,9 @@
         )
 
 
-def unread(what: str, error: StoreError) -> StoreUnavailable:
+def unread(what: str, why: str) -> StoreUnavailable:
     """Return the error of a list that the platform did not give."""
-    return StoreUnavailable(f"The {what} cannot be read: {error.message}.")
+    return StoreUnavailable(f"The {what} cannot be read: {why}.")
 
 
 def iso(wall: float) -> str:
