Ask upstreams that fail calls whether they leave; no unpaid question where calls pay

Ruled out: probes in the background of `policy.probing`, which leave six of eight tokens for asking before a choice and so hardly ever run beside it.

Change: an upstream is asked once after a failure of this VM's calls, paid, by a look each 0.5 s while calls come; it is told on like a mark on an answer. The unpaid question each 60 s is left for services whose budget is 0, where an upstream would else never come back. The tests of the words that end a drain now give the bench one paid probe; that zero budget still asks is a test of its own.

--- a/sequoiabridge/pipeline/returning.py
+++ b/sequoiabridge/pipeline/returning.py
@@ -1,10 +1,10 @@
-"""Asks upstreams that said they were leaving whether they are back."""
+"""Asks upstreams that left whether they are back, and those that fail calls whether they leave."""
 
 from __future__ import annotations
 
 import curio
 
-from ..timers import Clock, Timers
+from ..timers import Clock, OnDemand, Timers
 from ..upstreams.probes import Prober
 from .accounting import Observer
 from .services import Services, ServiceState
@@ -15,8 +15,11 @@
 ASK_TIMEOUT = 0.5
 """Seconds that an answer may take."""
 
+LOOK_AT_FAILED_EVERY = 0.5
+"""Seconds between two looks at which upstreams failed calls."""
+
 UNPAID_EVERY = 60.0
-"""Seconds between two questions to one upstream that no budget pays for."""
+"""Seconds between two questions to one upstream of a service whose budget is 0."""
 
 MOST_ASKED = 16
 """Upstreams that one VM asks in one look."""
@@ -27,8 +30,11 @@
 
     Only a healthy answer with a newer incarnation does so: an answer without one may be late, or
     be made by a health endpoint that lags. The service's budget of measuring pays for the
-    questions; where it is spent (or 0), each upstream is asked once in `UNPAID_EVERY` seconds, or
-    it would never get work again. The VMs share the questions out by chance.
+    questions; where that is 0, each upstream is asked once in `UNPAID_EVERY` seconds, or it would
+    never get work again. The VMs share the questions out by chance.
+
+    An upstream whose answers are lost cannot say that it leaves. It is asked once after a failure
+    of this VM's own calls, if that is paid; its word is taken in as from any answer.
     """
 
     __slots__ = ("services", "prober", "observer", "clock")
@@ -42,6 +48,11 @@
     def subscribe(self, timers: Timers) -> None:
         """Ask from time to time."""
         timers.every(LOOK_EVERY, "returning upstreams", self.look)
+        needed = self.services.busy.__len__
+        looks = OnDemand(
+            timers, LOOK_AT_FAILED_EVERY, "failed upstreams", self.look_at_failed, needed
+        )
+        self.services.woken.append(looks.wake)
 
     async def look(self) -> None:
         """Ask this VM's share of the upstreams that left."""
@@ -56,21 +67,35 @@
             if self._may_ask(state, name):
                 await curio.spawn(self.ask(state, name), daemon=True)
 
+    async def look_at_failed(self) -> None:
+        """Ask the upstreams that have failed a call since they were last asked."""
+        now = self.clock.now()
+        for state in self.services.busy_states(now):
+            failed = [u for u in state.pool.staying() if u.failed_in_row]
+            for evidence in failed[:MOST_ASKED]:
+                # `failed_at` is the time of the last outcome, which was a failure.
+                if evidence.failed_at > evidence.probed_at and state.probing.pay():
+                    evidence.probed_at = now
+                    await curio.spawn(self.ask, state, evidence.name, daemon=True)
+
     def _may_ask(self, state: ServiceState, name: str) -> bool:
         now = self.clock.now()
         evidence = state.pool.upstreams[name]
-        if state.probing.pay() or now - evidence.probed_at >= UNPAID_EVERY:
+        unpaid = not state.probing.per_call and now - evidence.probed_at >= UNPAID_EVERY
+        if unpaid or state.probing.pay():
             evidence.probed_at = now
             return True
         return False
 
     async def ask(self, state: ServiceState, name: str) -> None:
-        """Ask one upstream; give it work again, here and in the fleet, if it is back."""
+        """Ask one upstream; tell the fleet if it leaves or is back."""
         evidence = state.pool.upstreams.get(name)
         if evidence is None:
             return
         probe = await self.prober.probe(evidence.address, ASK_TIMEOUT)
         state.probing.spent(probe.size, probe.latency)
+        if probe.drain is not None and state.pool.drain(name, probe.drain, self.clock.now()):
+            self.observer.draining(name, probe.drain)
         if not probe.healthy or probe.drain is not None or probe.incarnation is None:
             return
         if state.pool.resume(name, probe.incarnation, self.clock.now()):
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -112,9 +112,10 @@
     def __init__(self):
         self.failures = []
         self.back = []
+        self.leaving = []
 
     def draining(self, upstream, incarnation):
-        return None
+        self.leaving.append((upstream, incarnation))
 
     def returned(self, upstream, incarnation):
         self.back.append((upstream, incarnation))
--- a/sequoiabridge/tests/pipeline/test_returning.py
+++ b/sequoiabridge/tests/pipeline/test_returning.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ...pipeline.returning import Returning
+from ...policy.base import Failure
 from ...upstreams.probes import Probe
 from .fakes import Act, Bench
 
@@ -25,7 +26,9 @@
 def after_a_look(prober):
     """Return whether u1, which drained as incarnation 7, is in use after one look."""
     bench = Bench(Act.ANSWER, Act.ANSWER)
-    pool = bench.services.by_name["s"].pool
+    state = bench.services.by_name["s"]
+    state.probing.tokens = 1.0
+    pool = state.pool
     pool.drain("u1", 7, bench.clock.now())
     returning = Returning(bench.services, prober, bench.observer, bench.clock)
 
@@ -51,3 +54,46 @@
 )
 def test_nothing_else_ends_a_drain(prober):
     assert not after_a_look(prober)
+
+
+def looked_at(prober, budget, tokens, leaving=True):
+    """Return the bench after a look; u1 left, or failed a call just before."""
+    bench = Bench(Act.ANSWER, Act.ANSWER)
+    state = bench.services.by_name["s"]
+    now = bench.clock.now()
+    bench.services.called(state, now)
+    state.probing.per_call, state.probing.tokens = budget, tokens
+    if leaving:
+        state.pool.drain("u1", 7, now)
+    else:
+        state.pool.sent(state.pool.upstreams["u1"], now)
+        state.pool.failed(state.pool.upstreams["u1"], now, Failure.RESET, 0.1)
+    returning = Returning(bench.services, prober, bench.observer, bench.clock)
+
+    async def look():
+        await (returning.look() if leaving else returning.look_at_failed())
+        await curio.sleep(0)
+
+    curio.run(look)
+    return bench
+
+
+@pytest.mark.parametrize("leaving", [True, False])
+def test_where_calls_pay_for_measuring_no_question_goes_unpaid(leaving):
+    prober = FakeProber(8)
+    looked_at(prober, 0.1, 0.9, leaving)
+    assert prober.asked == []
+
+
+def test_where_nothing_may_be_spent_an_upstream_that_left_is_asked_now_and_then():
+    prober = FakeProber(8)
+    looked_at(prober, 0.0, 0.0)
+    assert prober.asked == ["127.0.0.1:1"]
+
+
+def test_an_upstream_that_loses_its_answers_is_asked_whether_it_leaves():
+    prober = FakeProber(7, drain=7)
+    bench = looked_at(prober, 0.1, 1.0, leaving=False)
+    assert prober.asked == ["127.0.0.1:1"]
+    assert bench.services.by_name["s"].pool.upstreams["u1"].draining == 7
+    assert bench.observer.leaving == [("u1", 7)]
