--- a/sequoiabridge/commands/tables.py
+++ b/sequoiabridge/commands/tables.py
@@ -4,9 +4,17 @@
 from collections.abc import Iterator, Sequence
 from typing import Any
 
+from ..wording import counted
+
 INDENT = "  "
 GAP = "  "
 
+LONGEST_RULE = 80
+"""Dashes under the name of the last column at most, however long its values are."""
+
+NOTHING = "-"
+"""Stands for a value that is empty."""
+
 
 def table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> Iterator[str]:
     """Yield the lines of a table; numbers stand to the right."""
@@ -17,11 +25,16 @@
     right = [all(is_number(row[i]) for row in rows) for i in range(len(columns))]
     right = [aligned and bool(rows) for aligned in right]
     yield line(columns, widths, right)
-    yield GAP.join("-" * width for width in widths)
+    yield rule(widths)
     for row in texts:
         yield line(row, widths, right)
 
 
+def rule(widths: list[int]) -> str:
+    """Return the dashes under the names of the columns; only the last may be cut short."""
+    return GAP.join("-" * width for width in (*widths[:-1], min(widths[-1], LONGEST_RULE)))
+
+
 def line(texts: Sequence[str], widths: list[int], right: list[bool]) -> str:
     """Return one line of a table."""
     parts = zip(texts, widths, right, strict=False)
@@ -37,7 +50,7 @@
                 yield f"{space}{key}:"
                 yield from tree(inner, depth + 1)
             else:
-                yield f"{space}{key}: {cell(inner)}"
+                yield f"{space}{key}: {cell(inner) or NOTHING}"
     elif is_table(value):
         columns = list(value[0])
         rows = [[row[name] for name in columns] for row in value]
@@ -67,7 +80,7 @@
 def cell(value: Any) -> str:
     """Return one value as text without line breaks or control characters."""
     if value is None or value == [] or value == {}:
-        return "-"
+        return NOTHING
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, list):
@@ -84,11 +97,14 @@
     if not isinstance(answer, dict) or "columns" not in answer:
         print("\n".join(tree(answer)))
         return
-    if answer["columns"]:
+    # Only a sentence, where there is one instead of rows.
+    if answer["columns"] and (answer.get("rows") or not answer.get("message")):
         print("\n".join(table(answer["columns"], answer.get("rows") or [])))
     if answer.get("message"):
         print(answer["message"])
     print(heard(answer))
+    for vm, why in not_heard(answer).items():
+        print(f"NOT heard {cell(vm)}: {cell(why)}")
 
 
 def all_heard(answer: Any) -> bool:
@@ -97,17 +113,15 @@
 
 
 def heard(answer: dict) -> str:
-    """Return the line that says whose word an answer is."""
+    """Return the line that says whose word an answer is, but for the VMs that were not heard."""
     parts = []
     if answer.get("version") is not None:
         parts.append(f"configuration version {answer['version']}")
     if "heard" in answer:
-        parts.append(f"heard {count(answer['heard'])} VMs")
-    if answer.get("not_heard"):
-        parts.append("NOT heard " + cell(answer["not_heard"]))
+        parts.append(f"heard {counted(len(answer['heard']), 'VM')}")
     return "; ".join(parts)
 
 
-def count(value: Any) -> int:
-    """Return a number that is given as such or as a list of names."""
-    return len(value) if isinstance(value, list) else int(value or 0)
+def not_heard(answer: dict) -> dict[str, str]:
+    """Return why each VM gave no answer, by the VM's name."""
+    return answer.get("not_heard") or {}
--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 from random import Random
 
@@ -204,7 +205,9 @@
             self.uploads,
             self.journal,
         )
-        releases = DaemonReleases(self.services, self.claim_admin, self.fleet, self.clock)
+        releases = DaemonReleases(
+            self.services, self.claim_admin, self.fleet, self.clock, self.uploads
+        )
         gatherer = Gatherer(self._peers, admin.token)
         executor = Executor(
             self.vm, self.clock, state, self.configuration, releases, self.journal, gatherer
@@ -241,6 +244,9 @@
         await curio.spawn(self.timers.run(), daemon=True)
         self.callers.bind(self.settings.callers.address)
         self.server = await curio.spawn(self.callers.serve(), daemon=True)
+        # What was made at the start stays; the collector need not go through it again and again.
+        gc.collect()
+        gc.freeze()
 
     def _subscribe(self) -> None:
         timers = self.timers
--- a/sequoiabridge/fleet/base.py
+++ b/sequoiabridge/fleet/base.py
@@ -28,10 +28,15 @@
 
 
 class ConfigurationItem(Item, frozen=True, tag="configuration"):
-    """Version `version` of the fleet's configuration is committed; `change` is its encoding."""
+    """Version `version` of the fleet's configuration is committed; `change` is its encoding.
+
+    A large change is not spread: `change` is empty then. A VM that can't read the table fetches it
+    as `packed`, compressed; see `fleet.packing`.
+    """
 
     version: int
     change: bytes
+    packed: bytes = b""
 
 
 class DrainItem(Item, frozen=True, tag="drain"):
--- a/sequoiabridge/operators/executor.py
+++ b/sequoiabridge/operators/executor.py
@@ -11,6 +11,7 @@
 from ..config.document import Document
 from ..exceptions import SequoiaError
 from ..timers import Clock
+from ..wording import counted
 from .bases import ConfigurationGate, Releases, StateSource
 from .changes import Proposal, check_expected, propose_command, propose_document, row_table
 from .commands import ChangeCommand, Command, Diff, Explain, Release, Show, Subject
@@ -152,7 +153,7 @@
                 return Error(found.error)
             documents.append(found.ok)
         columns, rows = row_table(*documents)
-        message = f"{len(rows)} difference(s) from version {command.old} to {command.new}."
+        message = f"{counted(len(rows), 'difference')} from version {command.old} to {command.new}."
         return Ok(self._reply(columns, rows, message=message))
 
     async def _change(self, command: ChangeCommand, author: str) -> Replied:
@@ -175,7 +176,8 @@
         accepted = await self.gate.propose(change, author, old.version)
         if accepted.is_error():
             return Error(accepted.error)
-        reply = self._reply(columns, rows, message=f"Accepted as version {accepted.ok}.")
+        message = accepted_as(accepted.ok, *self.gate.spread(accepted.ok))
+        reply = self._reply(columns, rows, message=message)
         reply.version = accepted.ok
         return Ok(reply)
 
@@ -229,6 +231,16 @@
     return getattr(row, first), getattr(row, second)
 
 
+def accepted_as(version: int, confirmed: int, live: int) -> str:
+    """Say that a change is accepted, and on how many VMs it is known to be in force by now."""
+    if confirmed < live:
+        return (
+            f"Accepted as version {version}, in force on {confirmed} of {live} VMs yet; "
+            "see show vms."
+        )
+    return f"Accepted as version {version}, in force on {confirmed} of {live} VMs."
+
+
 def not_explained(request_id: str, not_heard: dict[str, str]) -> str:
     """Say that no journal has a request, and what else it may mean."""
     message = f"No journal knows {request_id}; journals keep the last calls only."
--- a/sequoiabridge/pipeline/services.py
+++ b/sequoiabridge/pipeline/services.py
@@ -14,7 +14,8 @@
 from ..policy.concurrency import ConcurrencyLimit
 from ..policy.crashes import CrashLedger
 from ..policy.evidence import UpstreamSpec
-from ..policy.pool import PoolOptions, PoolState
+from ..policy.options import PoolOptions
+from ..policy.pool import PoolState
 from ..policy.probing import ProbeBudget
 from ..policy.quantiles import LatencyHistogram
 from ..policy.retries import RetryBudget, hedge_delay
@@ -80,13 +81,12 @@
     def configure(self, service: Service) -> None:
         """Take over a service's new options; evidence, queue and budgets stay."""
         self.service = service
-        self.pool.options = pool_options(service)
-        self.pool.chooser = chooser_named(service.chooser)
+        self.pool.configure(pool_options(service), chooser_named(service.chooser))
         self.queue.queue_limit = service.queue_limit
         self.queue.caller_share = service.caller_share
         self.retries.ratio = service.retry_ratio
         self.hedging.tail_weight = service.tail_weight
-        self.probing = ProbeBudget(service.probes_per_1000, service.tail_weight)
+        self.probing.configure(service.probes_per_1000, service.tail_weight)
 
     def dump(self, now: float) -> dict:
         """Describe the service for the state dump."""
--- a/sequoiabridge/tests/operators/fakes.py
+++ b/sequoiabridge/tests/operators/fakes.py
@@ -16,6 +16,7 @@
 from ...operators.journal import Journal
 from ...operators.routes import Routes
 from ...operators.rows import UpstreamRow
+from ...store.claim_admin import ClaimNotReleased
 from ...timers import ManualClock
 
 TOKEN = "a-token-for-operators"
@@ -55,6 +56,7 @@
         first = parse_document(CONFIGURATION).default_with(lambda problems: problems)
         self.documents = {1: first}
         self.lag = 0
+        self.in_force = (3, 3)
 
     def document(self):
         return self.documents[max(self.documents) - self.lag]
@@ -70,18 +72,23 @@
         made = newest.changed(change, newest.version + 1, author, 1_700_000_000.0)
         return made.map(self._keep)
 
+    def spread(self, version):
+        return self.in_force
+
     def _keep(self, document):
         self.documents[document.version] = document
         return document.version
 
 
 class FakeReleases(Releases):
-    """Knows one claim."""
+    """Knows one claim that can be released, and one that cannot yet."""
 
     def __init__(self):
         self.released = []
 
     async def held(self, held, name):
+        if name == "claim-2":
+            return Error(ClaimNotReleased("Its holder may still send; release it in 9 s."))
         return Ok("Held.") if name == "claim-1" else Error(NotFound(f"There is no {name}."))
 
     async def release(self, held, name, author):
--- a/sequoiabridge/tests/operators/test_executor.py
+++ b/sequoiabridge/tests/operators/test_executor.py
@@ -25,8 +25,16 @@
 GARBLED = b'HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n[{"name":1}]'
 
 
+async def closed_address():
+    """Return an address at which nobody listens."""
+    sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+    async with sock:
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
 def gathered(command):
-    """Ask a daemon whose peers are: one alive, one silent, cut short, garbled, and unknown."""
+    """Ask a daemon whose peers are: alive, silent, cut short, garbled, unknown, refusing
+    connections, and one whose address has become that of another."""
 
     async def run():
         peers, tasks = [Peer("gone", "")], []
@@ -36,7 +44,8 @@
             tasks.append(await curio.spawn(accept_only(sock, answer)))
         async with FakeDaemon("vm0") as other:
             other.journal.record("r7", "spendview", "read", "a1", 200, 0.01, 0.0, attempts=2)
-            peers.append(Peer("vm0", other.server.address))
+            peers.append(Peer("refusing", await closed_address()))
+            peers += [Peer("vm0", other.server.address), Peer("moved", other.server.address)]
 
             async def get(address, target, token, timeout):
                 # Only the silent one runs out of time, also on a busy machine.
@@ -52,22 +61,39 @@
     return curio.run(run)
 
 
+@pytest.mark.parametrize(
+    ("spread", "said"),
+    [
+        ((3, 3), "Accepted as version 2, in force on 3 of 3 VMs."),
+        ((1, 3), "Accepted as version 2, in force on 1 of 3 VMs yet; see show vms."),
+    ],
+)
+def test_the_operator_is_told_on_how_many_vms_a_change_is_in_force(spread, said):
+    daemon = FakeDaemon("vm1")
+    daemon.gate.in_force = spread
+    reply = curio.run(daemon.executor.execute, "drain upstream a1", "anna")
+    assert reply.ok.message == said
+
+
 def test_rows_of_vms_that_fail_are_missing_by_name():
     reply = gathered("show upstreams where in_flight >= 2")
     assert [row[:2] for row in reply.rows] == [["a1", "vm0"], ["a1", "vm1"]]
     assert reply.heard == ["vm1", "vm0"]
-    assert set(reply.not_heard) == {"silent", "cut", "garbled", "gone"}
+    assert set(reply.not_heard) == {"silent", "cut", "garbled", "gone", "moved", "refusing"}
     assert "no answer within" in reply.not_heard["silent"]
+    assert reply.not_heard["cut"].startswith("its answer is not whole")
+    assert reply.not_heard["refusing"].endswith("failed (Connection refused)")
+    assert reply.not_heard["moved"].startswith("it answered 421: This is vm0, not moved;")
     assert [row[:2] for row in gathered("show upstreams limit 1").rows] == [["a1", "vm0"]]
 
 
 def test_explain_asks_the_vm_that_had_the_call():
     reply = gathered("explain r7")
     assert [row[0] for row in reply.rows] == ["vm0", "vm0"]
-    assert "after 10.0 ms and 2 attempt(s)" in reply.rows[-1][1]
+    assert "after 10.0 ms and 2 attempts" in reply.rows[-1][1]
     missing = gathered("explain r8")
     assert isinstance(missing, NotFound)
-    assert "Not heard: cut, garbled, gone, silent" in str(missing)
+    assert "Not heard: cut, garbled, gone, moved, refusing, silent" in str(missing)
 
 
 @pytest.mark.parametrize(
