--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -16,12 +16,14 @@
 from curio import run_in_thread
 
 from .load import Entries, Load, Summary
-from .oracle import Evidence, Kind, Leaving, Promise, judge
+from .oracle import Evidence, Kind, Leaving, Promise, Told, judge
 from .processes import Trial
 from .scene import SERVICES, Daemon, Scene, control
 
 DRAIN_LIMIT = 5.0
 """Seconds after which a leaving upstream must get no new work."""
+AFTERMATH = 2.5
+"""Seconds after a fault in which its refusals may still come: the breaker asks every 2 s."""
 SETTLE_TIMEOUT = 60.0
 """Seconds after the load in which accepted uploads must have reached an upstream."""
 
@@ -36,6 +38,7 @@
         self.busy: set[str] = set()
         self.counts: Counter[str] = Counter()
         self.leaving: list[Leaving] = []
+        self.spans: list[tuple[str, float, float]] = []
         self.incarnation = 1
         self.faults: dict[str, Callable[[], Awaitable[None]]] = {
             "upstream killed and started again": self.kill_upstream,
@@ -71,8 +74,10 @@
     async def make(self, name: str) -> None:
         """Make one fault happen and mend it; what cannot happen now is passed over."""
         self.counts[name] += 1
+        since = time.time()
         try:
             await self.faults[name]()
+            self.spans.append((name, since, time.time()))
         except (OSError, RuntimeError) as error:
             self.counts[f"not made: {name}: {str(error)[:200]}"] += 1
 
@@ -215,6 +220,33 @@
         await curio.sleep(0.5)
 
 
+def near(told: Told, spans: list[tuple[str, float, float]], part: str) -> str:
+    """Return the faults of one part that were on during a call, or shortly before it."""
+    names = {
+        name
+        for name, since, until in spans
+        if name.startswith(part) and since <= told.ended and told.began <= until + AFTERMATH
+    }
+    return " + ".join(sorted(names)) or f"NO FAULT of the {part}"
+
+
+def print_refusals(load: Load, trouble: Trouble) -> None:
+    """Print beside which faults callers were refused for the store, or for a VM not ready."""
+    for reason, part in (("store-down", "store"), ("not-ready", "daemon")):
+        refused = [told for told in load.told if told.reason == reason]
+        beside = Counter(near(told, trouble.spans, part) for told in refused)
+        for names, count in beside.most_common():
+            print(f"{count:4} {reason} beside {names}")
+        spans = [span for span in trouble.spans if span[0].startswith(part)]
+        after = sum(
+            all(told.began > until or told.ended < since for _, since, until in spans)
+            for told in refused
+        )
+        print(f"{after:4} {reason} with no such fault on at the time")
+        for told in [t for t in refused if near(t, trouble.spans, part).startswith("NO")][:5]:
+            print(f"     {told.attempt} at {told.began:.2f}, took {told.ended - told.began:.2f} s")
+
+
 def report(scene: Scene, load: Load, trouble: Trouble) -> int:
     """Print what was measured, and return how many promises were broken."""
     for name, count in sorted(trouble.counts.items()):
@@ -227,6 +259,7 @@
         print(f"{kind.value:9} {Summary([told for told in load.told if told.kind is kind])}")
     reasons = Counter(f"{told.status} {told.outcome} {told.reason}" for told in load.told)
     print(", ".join(f"{count} {reason.strip()}" for reason, count in reasons.most_common()))
+    print_refusals(load, trouble)
     summary = Summary(load.told)
     print(summary)
     print(
--- a/sequoiabridge/tests/matrix/scripts.py
+++ b/sequoiabridge/tests/matrix/scripts.py
@@ -141,6 +141,8 @@
     await finish_tasks(world)
     await curio.sleep(LATE_ANSWERS)
     living = [vm for vm in world.vms.values() if vm.up and not vm.daemon.readiness.stopping]
+    # Where all are gone, the operators start one; it must take up what was accepted.
+    living = living or [await world.add_vm(len(world.vms) + 1)]
     found = []
     for vm in living:
         if not await until(world, READY_TIMEOUT, lambda vm=vm: vm.ready):
@@ -156,7 +158,7 @@
                 await curio.sleep(PAUSE_BETWEEN)
                 told = await world.send(kind, vm, nonce, number)
             world.after_faults.append(told)
-    if living and not found:
+    if not found:
         found += await change_again(world, living[0])
     return found
 
