--- a/Makefile
+++ b/Makefile
@@ -35,8 +35,11 @@
 
 settings-reference: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.config.reference > docs/operators/settings.md
-.PHONY: bench-hop
+.PHONY: bench-hop bench-hop-edge
 bench-hop: $(VENV)/ready
+	$(BIN)/python -m benchmarks.hop_daemon
+
+bench-hop-edge: $(VENV)/ready
 	$(BIN)/python -m benchmarks.hop
 .PHONY: bench-claims
 bench-claims: $(VENV)/ready
--- a/sequoiabridge/pipeline/attempt.py
+++ b/sequoiabridge/pipeline/attempt.py
@@ -163,24 +163,23 @@
         self.answered_at = self.clock.now()
         kept = []
         for field in answer.headers:
-            if not self._signal(field):
+            if field[0] in headers.OWN:
+                self._take_signal(field)
+            else:
                 kept.append(field)
         kept.append((headers.REQUEST_ID, self.exchange.id.encode()))
         answer.headers = kept
         return answer
 
-    def _signal(self, field: tuple[bytes, bytes]) -> bool:
-        """Take in a header by which the upstream speaks to the daemon; False for any other."""
+    def _take_signal(self, field: tuple[bytes, bytes]) -> None:
+        """Take in a header by which the upstream speaks to the daemon."""
         name, value = field
-        if name not in headers.OWN:
-            return False
         if name == headers.LOAD:
             self.signals.load = parse_load(value)
         elif name == headers.DRAIN:
             self.signals.drain = parse_drain(value)
         elif name == headers.NOT_RUN:
             self.signals.not_run = value == NOT_RUN_VALUE
-        return True
 
     async def _read_small_body(self) -> None:
         body = self.answer.body
