Count calls in flight and waiting calls without going through all of them

Change: the starts are kept in order and searched by bisection. Waiting calls are counted only if the call would come too late behind all of them; else the answer is known.

Conclusion: kept, as the cost grew with the calls.

--- a/sequoiabridge/policy/admission.py
+++ b/sequoiabridge/policy/admission.py
@@ -141,7 +141,7 @@
             return ADMITTED
         if self._over_queue_share(ticket.caller):
             return self._refuse(Reason.CALLER_SHARE, now)
-        if now + self._wait(self._ahead_of(ticket), now) + usual > ticket.deadline:
+        if self._comes_too_late(ticket, usual, now):
             return self._refuse(Reason.CANNOT_MEET_WINDOW, now)
         if self.waiting >= self.queue_limit and not self._displace(ticket.weight):
             return self._refuse(Reason.QUEUE_FULL, now)
@@ -287,6 +287,13 @@
         interval = self.interval * exp((self.learned_at - now) / ESTIMATE_FADE)
         return ahead * interval
 
+    def _comes_too_late(self, ticket: Ticket, usual: float, now: float) -> bool:
+        """Return whether its turn in the queue comes too late for the call."""
+        latest = ticket.deadline - usual
+        if now + self._wait(self.waiting + 1, now) <= latest:
+            return False  # Even behind all that wait, so that none need be counted.
+        return now + self._wait(self._ahead_of(ticket), now) > latest
+
     def _ahead_of(self, ticket: Ticket) -> int:
         """Return how many waiting calls have an earlier deadline, this one counted."""
         return 1 + sum(t.waiting and t.deadline <= ticket.deadline for _, _, t in self.heap)
--- a/sequoiabridge/policy/evidence.py
+++ b/sequoiabridge/policy/evidence.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections.abc import Collection
 from math import exp
 from statistics import median
@@ -222,7 +223,7 @@
 
     def started(self, now: float) -> None:
         """Count one more call in flight."""
-        self.starts.append(now)
+        insort(self.starts, now)
 
     def ended(self, now: float, elapsed: float) -> None:
         """Count the call that started nearest to `now - elapsed` as ended."""
@@ -230,8 +231,12 @@
             self.starts.clear()
             return
         start = now - elapsed
-        nearest = min(range(len(self.starts)), key=lambda i: abs(self.starts[i] - start))
-        del self.starts[nearest]
+        later = bisect_left(self.starts, start)
+        if later == len(self.starts) or (
+            later and start - self.starts[later - 1] <= self.starts[later] - start
+        ):
+            later -= 1
+        del self.starts[later]
 
     def load(self, now: float) -> float:
         """Return the estimated work at the upstream per slot, this daemon's calls included."""
--- a/sequoiabridge/tests/policy/test_pool.py
+++ b/sequoiabridge/tests/policy/test_pool.py
@@ -149,3 +149,15 @@
             (pool.chooser.score(u, now) * (1 + 0.1 * pool.random.random()), u) for u in pool.usable
         ]
         assert found is min(costs, key=lambda cost: cost[0])[1]
+
+
+def test_the_call_that_ended_is_the_one_that_started_nearest():
+    pool, _ = make(1)
+    upstream = pool.choose(1.0)
+    for start in (1.0, 2.0, 3.0, 2.5):
+        upstream.started(start)
+    left = []
+    for elapsed in (7.9, 7.3, 0.0, 99.0):  # From the start at 2.0, 2.5, after the last, before 1.0.
+        upstream.ended(10.0, elapsed)
+        left.append(list(upstream.starts))
+    assert left == [[1.0, 2.5, 3.0], [1.0, 3.0], [1.0], []]
