Split the daemon into building, periodic work and stopping

Cause: daemon.py had 307 lines that built every part, subscribed them, and stopped them.

Change: `assembly.path` builds what calls go through, `assembly.operators` the admin port and the metrics, `assembly.schedule` has the periodic work, `assembly.stopping` the planned stop; `Daemon` (145 lines) names the parts in order and runs. `daemon.HttpTables`, `HttpObjects`, `HttpVmList` and `Random`, and the methods that the fault matrix overrides, are where they were. No behaviour changed.

--- /dev/null
+++ b/sequoiabridge/assembly/operators.py
@@ -0,0 +1,63 @@
+"""Builds what operators talk to: the admin port, and the way to the other VMs' admin ports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..operators.admin import AdminServer
+from ..operators.dump import Dump
+from ..operators.executor import Executor
+from ..operators.gather import Gatherer, Peer
+from ..operators.releases import DaemonReleases
+from ..operators.routes import Routes
+from ..operators.state import DaemonState
+from ..readings import declare_fleet, declare_path, declare_store, declare_uploads
+
+if TYPE_CHECKING:
+    from ..daemon import Daemon
+
+
+def build_admin(daemon: Daemon) -> AdminServer:
+    """Return the admin port of a daemon whose other parts are built."""
+    token = daemon.settings.admin.token
+    dump = Dump(daemon.vm, daemon.parts, [token, *daemon.settings.fleet.key.split()])
+    routes = Routes(token, daemon.readiness, daemon.metrics, dump, build_executor(daemon))
+    return AdminServer(daemon.settings.admin.address, routes)
+
+
+def build_executor(daemon: Daemon) -> Executor:
+    """Return what carries out the operators' commands."""
+    clock, services, fleet = daemon.clock, daemon.services, daemon.fleet
+    state = DaemonState(
+        daemon.vm,
+        clock,
+        daemon.configuration.document,
+        services,
+        fleet,
+        daemon.readiness,
+        daemon.versions,
+        daemon.claim_admin,
+        daemon.uploads,
+        daemon.journal,
+    )
+    releases = DaemonReleases(services, daemon.claim_admin, fleet, clock)
+    gatherer = Gatherer(lambda: peers(daemon), daemon.settings.admin.token)
+    return Executor(
+        daemon.vm, clock, state, daemon.configuration, releases, daemon.journal, gatherer
+    )
+
+
+def peers(daemon: Daemon) -> list[Peer]:
+    """Return the other VMs' admin ports: every VM uses the same port number for it."""
+    port = daemon.admin.address.rpartition(":")[2]
+    others = daemon.fleet.membership.live()
+    return [Peer(m.name, f"{m.address.rpartition(':')[0]}:{port}") for m in others]
+
+
+def declare_metrics(daemon: Daemon) -> None:
+    """Show the readings of all parts as metrics."""
+    metrics, path = daemon.metrics, daemon.path
+    declare_path(metrics, path.services, path.callers)
+    declare_fleet(metrics, daemon.fleet, daemon.configuration, daemon.readiness)
+    declare_store(metrics, daemon.store, daemon.claims)
+    declare_uploads(metrics, daemon.uploads, path.deliveries)
--- /dev/null
+++ b/sequoiabridge/assembly/path.py
@@ -0,0 +1,84 @@
+"""Builds the path of calls: from the callers' port through the filters to the upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..callers.limits import CallerLimits
+from ..callers.server import CallerServer
+from ..config.settings import Settings
+from ..pipeline.admit import Admit
+from ..pipeline.base import Filter
+from ..pipeline.buffering import Buffering
+from ..pipeline.claiming import Claiming
+from ..pipeline.dispatch import Dispatch
+from ..pipeline.identify import Identify
+from ..pipeline.match import Match
+from ..pipeline.pipeline import Pipeline, RequestIds
+from ..pipeline.probing import Probing
+from ..pipeline.record import Record
+from ..pipeline.returning import Returning
+from ..pipeline.services import Services
+from ..pipeline.sharing import Sharing
+from ..pipeline.spool import Spool
+from ..pipeline.stopping import CrashStop
+from ..pipeline.upload_sender import UploadSender
+from ..pipeline.uploads import UploadHandler
+from ..store.upload_delivery import Deliveries
+from ..store.upload_orphans import Orphans
+from ..upstreams.connections import ConnectorLimits, HttpConnector
+from ..upstreams.probes import Prober
+
+if TYPE_CHECKING:
+    from ..daemon import Daemon
+
+
+class CallPath:
+    """The parts that calls and uploads go through, over the store and the fleet of a daemon."""
+
+    def __init__(self, daemon: Daemon):
+        clock, fleet = daemon.clock, daemon.fleet
+        self.connector = HttpConnector(clock, ConnectorLimits())
+        self.services = Services(clock, daemon.random, self.connector.set_share, fleet.live_count)
+        self.sharing = Sharing(daemon.vm, self.services, fleet, daemon.metrics, clock)
+        prober = Prober(self.connector, clock)
+        self.probing = Probing(self.services, prober, daemon.metrics, self.sharing, clock)
+        self.returning = Returning(self.services, prober, self.sharing, clock)
+        self.admit = Admit(self.services, clock)
+        ids = RequestIds(daemon.vm, fleet.membership.me.incarnation)
+        self.pipeline = Pipeline(self._filters(daemon), self._dispatch(daemon), ids, clock)
+        limits = caller_limits(daemon.settings)
+        self.callers = CallerServer(self.pipeline, limits, clock, ids.next)
+        sender = UploadSender(self.services, self.connector, clock)
+        self.deliveries = Deliveries(daemon.uploads, sender.send, clock)
+        self.orphans = Orphans(daemon.uploads)
+
+    def _filters(self, daemon: Daemon) -> list[Filter]:
+        """Return what each call goes through, in this order."""
+        return [
+            Record(daemon.metrics, daemon.journal, daemon.clock),
+            Identify(),
+            Match(daemon.configuration.document, daemon.readiness.why_not_serving),
+            Buffering(),
+            CrashStop(self.services, daemon.clock),
+            Spool(UploadHandler(daemon.uploads)),
+            self.admit,
+            Claiming(daemon.claims),
+        ]
+
+    def _dispatch(self, daemon: Daemon) -> Dispatch:
+        return Dispatch(
+            self.services, self.connector, daemon.clock, self.sharing, self.probing.ask_first
+        )
+
+
+def caller_limits(settings: Settings) -> CallerLimits:
+    """Return what callers may take, as set."""
+    callers = settings.callers
+    return CallerLimits(
+        max_head=callers.max_head,
+        max_connections=callers.max_connections,
+        idle_timeout=callers.idle_timeout,
+        head_timeout=callers.head_timeout,
+        body_timeout=callers.body_timeout,
+    )
