Keep sharing, deliveries and orphans as names of the daemon

Cause: the split left them on the call path only; a test of the metrics page reads `daemon.deliveries` and failed.

Change: the daemon names them as it names the services. tests/test_readings.py passes again.

--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -52,6 +52,9 @@
         self._build_configuration()
         self.path = CallPath(self)
         self.services = self.path.services
+        self.sharing = self.path.sharing
+        self.deliveries = self.path.deliveries
+        self.orphans = self.path.orphans
         self.connector = self.path.connector
         self.pipeline = self.path.pipeline
         self.callers = self.path.callers
@@ -68,12 +71,12 @@
             self.connector,
             self.fleet,
             self.configuration,
-            self.path.sharing,
+            self.sharing,
             self.store,
             self.claims,
             self.uploads,
-            self.path.deliveries,
-            self.path.orphans,
+            self.deliveries,
+            self.orphans,
             self.admin,
             self.metrics,
             self.journal,
