Read the VM list at a rate for the whole fleet; remove old changes by one VM at a time

Cause: each VM read the platform's list every 5 s: 100 reads a second at 500 VMs, 5% of the 2,000, and each answer names them all. `Versions.prune` had no caller, so change rows were never removed.

Change: the fleet reads the list at most some 20 times a second: every 5 s up to 100 VMs, every 25 s at 500.

Ruled out: a lease for pruning (removal is idempotent, two at once do no harm); less often at small fleets too (18 VMs cost 3.6 reads a second).

Tests in virtual time: 18 and 500 VMs; 18 VMs for 20 minutes. Both fail on a copy without the change.

Open: a VM that is gone for good counts among those that should exist for up to 30 s at 500 VMs.

--- a/sequoiabridge/assembly/schedule.py
+++ b/sequoiabridge/assembly/schedule.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from .platform import PlatformWork
+
 if TYPE_CHECKING:
     from ..daemon import Daemon
 
@@ -16,11 +18,6 @@
 COLLECT_EVERY = 30.0
 """Seconds between two steps of the removal of orphan chunks."""
 
-LIST_EVERY = 5.0
-"""Seconds between two looks at the platform's VM list."""
-
-LIST_TIMEOUT = 1.0
-
 
 class Schedule:
     """Subscribes each part, and does what belongs to no part alone."""
@@ -29,7 +26,7 @@
         self.clock = daemon.clock
         self.timers = daemon.timers
         self.fleet = daemon.fleet
-        self.vm_list = daemon.vm_list
+        self.platform = PlatformWork(daemon)
         self.path = daemon.path
         self.store_parts = (
             daemon.store,
@@ -52,7 +49,7 @@
         timers.every(IDLE_SWEEP, "idle connections", path.connector.sweep)
         timers.every(DELIVER_EVERY, "deliveries", self.deliver)
         timers.every(COLLECT_EVERY, "orphans", self.collect)
-        timers.every(LIST_EVERY, "vm list", self.read_list)
+        self.platform.subscribe()
 
     async def deliver(self) -> None:
         """Look for uploads to deliver."""
@@ -61,9 +58,3 @@
     async def collect(self) -> None:
         """Remove some chunks that no upload refers to."""
         await self.path.orphans.step(self.clock.wall())
-
-    async def read_list(self) -> None:
-        """Tell the fleet which VMs the platform lists."""
-        listed = await self.vm_list.vms(LIST_TIMEOUT)
-        if listed.is_ok():
-            self.fleet.hint([vm.address for vm in listed.ok if not vm.leaving])
