Answer the calls of a service that is removed while they wait

A test of crashes rested on how long the computer had been up (the ledger forgets after an hour) and turned red on its own. Ruled out: refusing every waiting call at the removal; those whose place comes next are refused then anyway, and one way out is simpler than two. Conclusion: removal is an ordinary change now.

--- a/sequoiabridge/pipeline/admit.py
+++ b/sequoiabridge/pipeline/admit.py
@@ -31,9 +31,10 @@
 class Waiting:
     """A queued call: its task waits for `event`; `refused` says how it ended."""
 
-    __slots__ = ("event", "refused")
+    __slots__ = ("state", "event", "refused")
 
-    def __init__(self) -> None:
+    def __init__(self, state: ServiceState):
+        self.state = state
         self.event = curio.Event()
         self.refused = False
 
@@ -58,7 +59,7 @@
         self.expiry = OnDemand(timers, EXPIRE_EVERY, "admission", self.expire, needed)
 
     async def enter(self, exchange: Exchange) -> None:
-        state = self.services.by_name[exchange.service.name]
+        state = self.services.state_of(exchange)
         now = self.clock.now()
         rule = exchange.rule
         ticket = Ticket(exchange.caller, exchange.deadline, now, rule.weight, rule.kind)
@@ -72,9 +73,7 @@
 
     async def leave(self, exchange: Exchange, clean: bool) -> None:
         ticket = self.tickets.pop(exchange.id)
-        state = self.services.by_name.get(exchange.service.name)
-        if state is None:
-            return
+        state = self.services.state_of(exchange)
         await self._wake(self._released(state, ticket, exchange), refused=False)
         await self._refuse_displaced(state)
 
@@ -90,11 +89,11 @@
     async def expire(self) -> None:
         """Refuse the queued calls that can no longer be answered in time; a timer calls this."""
         now = self.clock.now()
-        for state in self.services.states():
+        for state in {waiting.state for waiting in self.waiting.values()}:
             await self._wake(state.queue.expire(now), refused=True)
 
     async def _wait(self, state: ServiceState, ticket: Ticket) -> None:
-        waiting = self.waiting[ticket] = Waiting()
+        waiting = self.waiting[ticket] = Waiting(state)
         if self.expiry is not None:
             self.expiry.wake()
         try:
--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -64,7 +64,7 @@
 
         A server error of an upstream is kept: it is the answer if no retry does better.
         """
-        state = self.services.by_name[exchange.service.name]
+        state = self.services.state_of(exchange)
         self.services.called(state, self.clock.now())
         tried: list[str] = []
         server_error: Answer | None = None
--- a/sequoiabridge/pipeline/exchange.py
+++ b/sequoiabridge/pipeline/exchange.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from ..config.document import Rule, Service
     from ..exceptions import Refusal
+    from .services import ServiceState
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 """Header fields in order; names in lower case."""
@@ -105,10 +106,11 @@
     """One call: what came in, what was decided, what goes out.
 
     Times are on the daemon's monotonic clock, in seconds. `deadline` is the time at which the
-    answer is of no more use to the caller. `unproven` counts the attempts that may have reached an
-    upstream that has not said that it did not run the request. `upstream` names the one that
-    answered; `entered` counts the filters to leave. `notes` are lines, or steps that `str` turns
-    into lines, for the journal of decisions.
+    answer is of no more use to the caller. `state` is the daemon's own of the service, kept even
+    if the service is removed meanwhile; ask `Services.state_of` for it. `unproven` counts the
+    attempts that may have reached an upstream that has not said that it did not run the request.
+    `upstream` names the one that answered; `entered` counts the filters to leave. `notes` are
+    lines, or steps that `str` turns into lines, for the journal of decisions.
     """
 
     __slots__ = (
@@ -119,6 +121,7 @@
         "caller",
         "key",
         "service",
+        "state",
         "rule",
         "claim",
         "fingerprint",
@@ -139,6 +142,7 @@
         self.caller = ""
         self.key: str | None = None
         self.service: Service | None = None
+        self.state: ServiceState | None = None
         self.rule: Rule | None = None
         self.claim: object | None = None
         self.fingerprint: str | None = None
--- a/sequoiabridge/pipeline/services.py
+++ b/sequoiabridge/pipeline/services.py
@@ -8,6 +8,8 @@
 from ..config.document import Document
 from ..config.service import Service
 from ..config.upstream import Upstream
+from ..exceptions import Refusal
+from ..outcome import Reason
 from ..parts import Part
 from ..policy.admission import AdmissionQueue
 from ..policy.choosers import chooser_named
@@ -21,6 +23,7 @@
 from ..policy.retries import RetryBudget, hedge_delay
 from ..policy.shares import LiveCount, connection_share
 from ..timers import Clock, Timers
+from .exchange import Exchange
 
 QUIET = 15.0
 """Seconds after the last call from which a service counts as quiet; evidence has faded then."""
@@ -132,12 +135,24 @@
     def update(self, document: Document) -> None:
         """Take over a configuration; a service that it does not change costs nothing."""
         for name in self.by_name.keys() - document.services.keys():
-            self.busy.pop(name, None)
-            self._forget(self.by_name.pop(name))
+            self._remove(name)
         for name, service in document.services.items():
             self._update_one(document, name, service)
         self.document = document
 
+    def state_of(self, exchange: Exchange) -> ServiceState:
+        """Return the state of a call's service, the same one as long as the call lasts.
+
+        Raises:
+            Refusal: The service was removed before anything was done for the call.
+        """
+        if exchange.state is None:
+            exchange.state = self.by_name.get(exchange.service.name)
+        if exchange.state is None:
+            message = "The service was removed just now; check the address."
+            raise Refusal(404, exchange.outcome, Reason.NO_SERVICE, message)
+        return exchange.state
+
     def subscribe(self, timers: Timers) -> None:
         """Look from time to time whether fewer VMs share the connections."""
         timers.every(SHARE_EVERY, "connection shares", self.share_connections)
@@ -181,6 +196,13 @@
         now = self.clock.now()
         return {name: state.dump(now) for name, state in self.by_name.items()}
 
+    def _remove(self, name: str) -> None:
+        """Forget a service; its calls that wait find no upstream any more and are refused."""
+        self.busy.pop(name, None)
+        state = self.by_name.pop(name)
+        self._forget(state)
+        state.pool.set_upstreams((), self.clock.now())
+
     def _update_one(self, document: Document, name: str, service: Service) -> None:
         state = self.by_name.get(name)
         if state is None:
--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -82,12 +82,12 @@
         now, wall = self.clock.now(), self.clock.wall()
         found = fingerprint(exchange)
         self.crashes += 1
-        ledger = self.services.by_name[exchange.service.name].ledger
+        ledger = self.services.state_of(exchange).ledger
         ledger.seen(found, upstream, self.vm, wall, now)
         self.fleet.publish(CrashItem(found, upstream, wall), Urgency.CRASH)
 
     def survived(self, exchange: Exchange) -> None:
-        ledger = self.services.by_name[exchange.service.name].ledger
+        ledger = self.services.state_of(exchange).ledger
         found, wall = fingerprint(exchange), self.clock.wall()
         # VMs that heard of the crashes, or will hear of them late, may see no answer themselves.
         if ledger.survived(found, wall):
--- a/sequoiabridge/pipeline/stopping.py
+++ b/sequoiabridge/pipeline/stopping.py
@@ -29,7 +29,7 @@
         self.clock = clock
 
     async def enter(self, exchange: Exchange) -> None:
-        ledger = self.services.by_name[exchange.service.name].ledger
+        ledger = self.services.state_of(exchange).ledger
         if not is_stopped(ledger, exchange, self.clock.now()):
             return
         found = fingerprint(exchange)
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -136,12 +136,15 @@
 class Blaming(Quiet):
     """An observer that enters each crash in the service's ledger, as a daemon does."""
 
-    def __init__(self, ledger):
+    def __init__(self, ledger, clock):
         super().__init__()
         self.ledger = ledger
+        self.clock = clock
 
     def crashed(self, exchange, upstream):
-        self.ledger.seen(fingerprint(exchange), upstream, "vm-1", 1.0, 1.0)
+        self.ledger.seen(
+            fingerprint(exchange), upstream, "vm-1", self.clock.wall(), self.clock.now()
+        )
 
 
 def document(upstreams: int, **rule) -> Document:
--- a/sequoiabridge/tests/pipeline/test_dispatch.py
+++ b/sequoiabridge/tests/pipeline/test_dispatch.py
@@ -16,7 +16,7 @@
 
 def blame(bench):
     """Have the bench's crashes entered in the service's ledger, as a daemon does."""
-    bench.observer = Blaming(bench.services.by_name["s"].ledger)
+    bench.observer = Blaming(bench.services.by_name["s"].ledger, bench.clock)
     bench.dispatch = Dispatch(bench.services, bench.network, bench.clock, bench.observer)
 
 
