--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -73,8 +73,11 @@
         return self.child is not None and self.child.poll() is None
 
     def wait(self, timeout: float) -> int:
-        """Wait for its end and return its exit status."""
-        return self.child.wait(timeout)
+        """Wait for its end and return its exit status; a failure's log is shown."""
+        status = self.child.wait(timeout)
+        if status > 0:
+            print(f"{self.name} exited {status}; its log ends:\n{self.log_tail()}", flush=True)
+        return status
 
     def kill(self) -> None:
         """End it at once."""
