--- a/benchmarks/roll.py
+++ b/benchmarks/roll.py
@@ -85,6 +85,8 @@
         print(f"BROKEN {violation}")
     for told in [told for told in load.told if not told.whole][:10]:
         print(f"cut off {told}")
+    for told in [told for told in load.told if told.whole and not told.good][:10]:
+        print(f"refused {told.kind.value} {told.status} {told.outcome} {told.reason}")
     doubled = sum(violation.promise is Promise.AT_MOST_ONCE for violation in broken)
     lost = sum(violation.promise is Promise.UPLOADS for violation in broken)
     cut_off = sum(not told.whole for told in load.told)
--- a/sequoiabridge/tests/matrix/breaks.py
+++ b/sequoiabridge/tests/matrix/breaks.py
@@ -8,7 +8,7 @@
 import msgspec
 from expression import Ok
 
-from ... import daemon as daemon_module
+from ...callers.server import CallerServer
 from ...configuration import ConfigurationInForce
 from ...exceptions import SequoiaError
 from ...outcome import Outcome as Told
@@ -279,7 +279,7 @@
         for connection in list(self.open):
             await connection.wire.task.cancel()
 
-    return [(daemon_module.CallerServer, "wait_idle", cut)]
+    return [(CallerServer, "wait_idle", cut)]
 
 
 def stop_without_end() -> list[Patch]:
