Hear of a leaving upstream from deliveries, and share the blame with uploads

Ruled out: a probe before each delivery; nothing pays for it. Change: the mark on a delivery's answer drains the upstream and is spread; an upload that was with a dying upstream is a suspect beside the calls, here and at the other VMs. Conclusion: an upload service without any contact still cannot know; that is listed as not proved.

--- a/sequoiabridge/assembly/path.py
+++ b/sequoiabridge/assembly/path.py
@@ -49,7 +49,7 @@
         self.pipeline = Pipeline(self._filters(daemon), self._dispatch(daemon), ids, clock)
         limits = caller_limits(daemon.settings)
         self.callers = CallerServer(self.pipeline, limits, clock, ids.next)
-        sender = UploadSender(self.services, self.connector, clock)
+        sender = UploadSender(self.services, self.connector, self.sharing, clock)
         self.deliveries = Deliveries(daemon.uploads, sender.send, clock)
         self.orphans = Orphans(daemon.uploads)
 
--- a/sequoiabridge/pipeline/accounting.py
+++ b/sequoiabridge/pipeline/accounting.py
@@ -44,6 +44,10 @@
     def crashed(self, exchange: Exchange, upstream: str) -> None:
         """An upstream died while it had the call: it takes no new connection either."""
 
+    @abstractmethod
+    def upload_crashed(self, service: str, upload: str, upstream: str) -> None:
+        """An upstream died while an accepted upload was being delivered to it."""
+
     @abstractmethod
     def survived(self, exchange: Exchange) -> None:
         """A call was answered whole, while some requests are suspected of crashing upstreams."""
--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -9,6 +9,7 @@
 from ..metrics import Metrics
 from ..parts import Part
 from ..policy.base import Failure
+from ..policy.crashes import CrashLedger
 from ..policy.evidence import UpstreamEvidence
 from ..policy.suspicions import suspects_itself
 from ..timers import Clock, OnDemand, Timers
@@ -79,10 +80,16 @@
         return
 
     def crashed(self, exchange: Exchange, upstream: str) -> None:
+        self._suspect(self.services.state_of(exchange).ledger, fingerprint(exchange), upstream)
+
+    def upload_crashed(self, service: str, upload: str, upstream: str) -> None:
+        state = self.services.by_name.get(service)
+        if state is not None:
+            self._suspect(state.ledger, upload, upstream)
+
+    def _suspect(self, ledger: CrashLedger, found: str, upstream: str) -> None:
         now, wall = self.clock.now(), self.clock.wall()
-        found = fingerprint(exchange)
         self.crashes += 1
-        ledger = self.services.state_of(exchange).ledger
         ledger.seen(found, upstream, self.vm, wall, now)
         self.fleet.publish(CrashItem(found, upstream, wall), Urgency.CRASH)
 
--- a/sequoiabridge/pipeline/upload_sender.py
+++ b/sequoiabridge/pipeline/upload_sender.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from .. import headers
 from ..exceptions import UpstreamFailed
 from ..policy.base import Failure
 from ..policy.evidence import UpstreamEvidence
@@ -11,7 +12,8 @@
 from ..store.upload_manifest import Manifest
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
-from .accounting import ALIVE_TIMEOUT
+from ..upstreams.reports import parse_drain
+from .accounting import ALIVE_TIMEOUT, Observer
 from .exchange import Answer, Body
 from .services import Services, ServiceState
 from .uploads import delivery_request, delivery_result
@@ -31,11 +33,12 @@
 class UploadSender:
     """The `send` of `store.upload_delivery.Deliveries`."""
 
-    __slots__ = ("services", "connector", "clock")
+    __slots__ = ("services", "connector", "observer", "clock")
 
-    def __init__(self, services: Services, connector: Connector, clock: Clock):
+    def __init__(self, services: Services, connector: Connector, observer: Observer, clock: Clock):
         self.services = services
         self.connector = connector
+        self.observer = observer
         self.clock = clock
 
     async def send(self, manifest: Manifest, body: Body) -> Sent:
@@ -59,19 +62,39 @@
             return Sent(Delivery.RETRY, f"{evidence.name} did not answer in {limit:.0f} s")
         except UpstreamFailed as error:
             self._failed(state, evidence, started, Failure.RESET)
-            return await self._broken(evidence, error)
+            return await self._broken(state, manifest, evidence, error)
         except BaseException:
             self._failed(state, evidence, started, Failure.CANCELLED)
             raise
         # How long an upload takes says nothing about the upstream's load.
         self._failed(state, evidence, started, Failure.CANCELLED)
+        self._hear_drain(state, evidence, answer)
         return delivery_result(manifest, answer)
 
-    async def _broken(self, evidence: UpstreamEvidence, error: UpstreamFailed) -> Sent:
+    def _hear_drain(self, state: ServiceState, evidence: UpstreamEvidence, answer: Answer) -> None:
+        """Take in that the upstream is leaving: a service may have no other calls that tell."""
+        for name, value in answer.headers:
+            if name != headers.DRAIN:
+                continue
+            incarnation = parse_drain(value)
+            if incarnation is None:
+                return
+            if state.pool.drain(evidence.name, incarnation, self.clock.now()):
+                self.observer.draining(evidence.name, incarnation)
+
+    async def _broken(
+        self,
+        state: ServiceState,
+        manifest: Manifest,
+        evidence: UpstreamEvidence,
+        error: UpstreamFailed,
+    ) -> Sent:
         """Tell a death from a lost connection: a dead upstream takes no new connection."""
         dead = error.sent and not await self.connector.reachable(evidence.address, ALIVE_TIMEOUT)
         if not dead:
             return Sent(Delivery.RETRY, str(error))
+        # A suspect beside the calls that were with the upstream: they share the blame.
+        self.observer.upload_crashed(state.service.name, manifest.id, evidence.name)
         return Sent(Delivery.CRASHED, f"{evidence.name} died while it had it", evidence.name)
 
     async def _exchange(self, evidence: UpstreamEvidence, request: UpstreamRequest) -> Answer:
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -30,6 +30,7 @@
     CUT = "cut"
     CUT_LEAVING = "cut, and leaving"
     STAY_SILENT = "stay silent"
+    LEAVE = "answer, and say that it is leaving"
 
 
 class FakeConnection(UpstreamConnection):
@@ -55,7 +56,7 @@
             return Answer(503, [(NOT_RUN, b"1")], 0, None)
         status = 500 if self.act is Act.FAIL else 200
         fields = [(b"x-from", self.address.encode())]
-        if self.act is Act.CUT_LEAVING:
+        if self.act in (Act.LEAVE, Act.CUT_LEAVING):
             fields.append((DRAIN, b"7"))
         return Answer(status, fields, 5, Streamed(self.act))
 
@@ -126,6 +127,9 @@
     def crashed(self, exchange, upstream):
         return None
 
+    def upload_crashed(self, service, upload, upstream):
+        return None
+
     def survived(self, exchange):
         return None
 
--- a/sequoiabridge/tests/pipeline/test_uploads.py
+++ b/sequoiabridge/tests/pipeline/test_uploads.py
@@ -198,7 +198,9 @@
     upload = finish(world.vm("a").receive(request)).id
     for name in "abcd":
         deliveries = world.deliveries(world.vm(name))
-        deliveries.send = UploadSender(bench.services, bench.network, bench.clock).send
+        deliveries.send = UploadSender(
+            bench.services, bench.network, bench.observer, bench.clock
+        ).send
         world.clock.advance(1000.0)
         curio.run(deliveries.deliver, upload)
     return upload, [address for address, _ in bench.network.received]
@@ -224,3 +226,16 @@
     manifest = world.manifests()[0]
     assert (manifest.state, manifest.crashed) == (UploadState.ACCEPTED, ())
     assert len(reached) > 2
+
+
+def test_an_upstream_that_leaves_says_so_on_the_answer_to_a_delivery_too():
+    world = World()
+    bench = Bench(Act.LEAVE)
+    request = incoming(DATA)
+    request.service = "s"
+    upload = finish(world.vm("a").receive(request)).id
+    deliveries = world.deliveries(world.vm("a"))
+    sender = UploadSender(bench.services, bench.network, bench.observer, bench.clock)
+    deliveries.send = sender.send
+    curio.run(deliveries.deliver, upload)
+    assert bench.services.by_name["s"].pool.upstreams["u1"].draining == 7
