--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	touch $@
 
 demo: $(VENV)/ready
-	$(BIN)/python -m benchmarks.demo
+	$(BIN)/python -m sequoiabridge.benchmarks.demo
 
 test: $(VENV)/ready
 	$(BIN)/python -m pytest
@@ -31,30 +31,30 @@
 .PHONY: bench-document settings-reference
 
 bench-document: $(VENV)/ready
-	$(BIN)/python -m benchmarks.configuration
+	$(BIN)/python -m sequoiabridge.benchmarks.configuration
 
 settings-reference: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.config.reference > docs/operators/settings.md
 .PHONY: bench-hop bench-hop-edge
 bench-hop: $(VENV)/ready
-	$(BIN)/python -m benchmarks.hop_daemon
+	$(BIN)/python -m sequoiabridge.benchmarks.hop_daemon
 
 bench-hop-edge: $(VENV)/ready
-	$(BIN)/python -m benchmarks.hop
+	$(BIN)/python -m sequoiabridge.benchmarks.hop
 .PHONY: bench-claims
 bench-claims: $(VENV)/ready
-	$(BIN)/python -m benchmarks.claims
+	$(BIN)/python -m sequoiabridge.benchmarks.claims
 
 .PHONY: bench-upload
 bench-upload: $(VENV)/ready
-	$(BIN)/python -m benchmarks.upload
+	$(BIN)/python -m sequoiabridge.benchmarks.upload
 
 .PHONY: bench-daemon
 bench-daemon: $(VENV)/ready
-	$(BIN)/python -m benchmarks.daemon
+	$(BIN)/python -m sequoiabridge.benchmarks.daemon
 .PHONY: bench-fleet
 bench-fleet: $(VENV)/ready
-	$(BIN)/python -m benchmarks.fleet
+	$(BIN)/python -m sequoiabridge.benchmarks.fleet
 
 .PHONY: matrix matrix-check soak roll
 matrix: $(VENV)/ready
@@ -64,22 +64,22 @@
 	$(BIN)/python -W ignore -m sequoiabridge.tests.matrix.check
 
 soak: $(VENV)/ready
-	$(BIN)/python -m benchmarks.soak
+	$(BIN)/python -m sequoiabridge.benchmarks.soak
 
 roll: $(VENV)/ready
-	$(BIN)/python -m benchmarks.roll
+	$(BIN)/python -m sequoiabridge.benchmarks.roll
 
 .PHONY: bench-config
 bench-config: $(VENV)/ready
-	$(BIN)/python -m benchmarks.inforce
+	$(BIN)/python -m sequoiabridge.benchmarks.inforce
 
 .PHONY: slopes
 slopes: $(VENV)/ready
-	$(BIN)/python -m benchmarks.slopes
+	$(BIN)/python -m sequoiabridge.benchmarks.slopes
 .PHONY: bench-policy bench-limits
 
 bench-policy: $(VENV)/ready
-	$(BIN)/python -m benchmarks.policy
+	$(BIN)/python -m sequoiabridge.benchmarks.policy
 
 bench-limits: $(VENV)/ready
-	$(BIN)/python -m benchmarks.policy_limits
+	$(BIN)/python -m sequoiabridge.benchmarks.policy_limits
--- a/benchmarks/calls.py
+++ b/sequoiabridge/benchmarks/calls.py
@@ -6,8 +6,7 @@
 import h11
 import msgspec
 
-from sequoiabridge.timers import Clock, SystemClock
-
+from ..timers import Clock, SystemClock
 from .oracle import Kind, Told
 
 READ_SIZE = 65536
--- a/benchmarks/claims.py
+++ b/sequoiabridge/benchmarks/claims.py
@@ -14,11 +14,11 @@
 import curio
 import defopt
 
-from sequoiabridge.store.claim_results import ClaimGranted
-from sequoiabridge.store.claims import Claims
-from sequoiabridge.store.client import StoreClient
-from sequoiabridge.store.http import HttpObjects, HttpTables
-from sequoiabridge.timers import SystemClock
+from ..store.claim_results import ClaimGranted
+from ..store.claims import Claims
+from ..store.client import StoreClient
+from ..store.http import HttpObjects, HttpTables
+from ..timers import SystemClock
 
 HEADING = (
     "load   counted by   grouped  approvals/s  calls/approval  claim p50 ms  p99 ms"
--- a/benchmarks/configuration.py
+++ b/sequoiabridge/benchmarks/configuration.py
@@ -9,8 +9,8 @@
 import tracemalloc
 from collections.abc import Callable
 
-from sequoiabridge.config.change import Change, SetEntry
-from sequoiabridge.config.document import Document
+from ..config.change import Change, SetEntry
+from ..config.document import Document
 
 SERVICES = 170
 UPSTREAMS = 5600
--- a/benchmarks/daemon.py
+++ b/sequoiabridge/benchmarks/daemon.py
@@ -19,8 +19,7 @@
 import curio
 import defopt
 
-from sequoiabridge.config.ini import write_sections
-
+from ..config.ini import write_sections
 from .configuration import content
 from .processes import Trial
 from .scene import PLATFORM, Daemon, Scene, control
@@ -201,7 +200,13 @@
         watched = scene.daemons[-1]
         watched.process.kill()
         time.sleep(SETTLE)
-        command = [sys.executable, "-m", "benchmarks.daemon", "--profiled", str(watched.settings)]
+        command = [
+            sys.executable,
+            "-m",
+            "sequoiabridge.benchmarks.daemon",
+            "--profiled",
+            str(watched.settings),
+        ]
         command.append(f"--seconds={seconds}")
         done = subprocess.run(command, capture_output=True, text=True, timeout=seconds + 120)
         print(done.stdout, done.stderr[-2000:])
@@ -209,8 +214,8 @@
 
 def run_profiled(settings: Path, seconds: float) -> None:
     """Run a daemon in this process and profile it for a while after it has settled."""
-    from sequoiabridge.config.settings import Settings
-    from sequoiabridge.daemon import Daemon as RealDaemon
+    from ..config.settings import Settings
+    from ..daemon import Daemon as RealDaemon
 
     logging.disable()
     profiler = cProfile.Profile()
--- a/benchmarks/fleet.py
+++ b/sequoiabridge/benchmarks/fleet.py
@@ -17,13 +17,13 @@
 
 import curio
 
-from sequoiabridge.fleet.base import ConfigurationItem, Urgency
-from sequoiabridge.fleet.fleet import FleetNode
-from sequoiabridge.fleet.loads import LocalLoad, worth_sending
-from sequoiabridge.fleet.members import update_of
-from sequoiabridge.fleet.repair import YOUNG
-from sequoiabridge.tests.fleet.pump import KEY, Pump, PumpChannel
-from sequoiabridge.timers import ManualClock, SystemClock, Timers
+from ..fleet.base import ConfigurationItem, Urgency
+from ..fleet.fleet import FleetNode
+from ..fleet.loads import LocalLoad, worth_sending
+from ..fleet.members import update_of
+from ..fleet.repair import YOUNG
+from ..tests.fleet.pump import KEY, Pump, PumpChannel
+from ..timers import ManualClock, SystemClock, Timers
 
 FLEET = 18
 SIZES = (18, 50, 100, 200, 500)
@@ -320,7 +320,7 @@
 
 def real_processes(count, port=17_300):
     """Run `count` processes over loopback and print what they measured."""
-    command = [sys.executable, "-m", "benchmarks.fleet", "node"]
+    command = [sys.executable, "-m", "sequoiabridge.benchmarks.fleet", "node"]
     started = [
         subprocess.Popen([*command, str(i), str(count), str(port)], stdout=subprocess.PIPE)
         for i in range(count)
--- a/benchmarks/hop.py
+++ b/sequoiabridge/benchmarks/hop.py
@@ -15,7 +15,7 @@
 
 from .hop_load import many_callers, one_caller, upload
 
-ROOT = Path(__file__).resolve().parent.parent
+ROOT = Path(__file__).resolve().parents[2]
 SHARES = (0.50, 0.90, 0.99)
 MILLI = 1e3
 
@@ -24,7 +24,7 @@
     """A process of the benchmark; its first line of output is its address."""
 
     def __init__(self, module: str, *arguments: str):
-        command = [sys.executable, "-m", f"benchmarks.{module}", *arguments]
+        command = [sys.executable, "-m", f"sequoiabridge.benchmarks.{module}", *arguments]
         self.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True, cwd=ROOT)
         self.pid = self.process.pid
         self.address = self.process.stdout.readline().strip()
@@ -164,7 +164,7 @@
     :param megabytes: size of the upload in the third part; 0 leaves it out
     :param daemon: IP:port of a running daemon to measure in place of the forwarding relay
     :param pid: that daemon's process id
-    :param upstream: IP:port of the running `benchmarks.hop_upstream` that it forwards to
+    :param upstream: IP:port of the running `hop_upstream` that it forwards to
     :param upstream_pid: that upstream's process id
     """
     started: list[Process] = []
--- a/benchmarks/hop_relay.py
+++ b/sequoiabridge/benchmarks/hop_relay.py
@@ -6,14 +6,14 @@
 
 import curio
 
-from sequoiabridge.callers.limits import CallerLimits
-from sequoiabridge.callers.server import CallerServer, Handler
-from sequoiabridge.headers import REQUEST_ID
-from sequoiabridge.pipeline.exchange import Answer, Request
-from sequoiabridge.selector import KeptSelector
-from sequoiabridge.timers import SystemClock
-from sequoiabridge.upstreams.base import UpstreamRequest
-from sequoiabridge.upstreams.connections import ConnectorLimits, HttpConnector
+from ..callers.limits import CallerLimits
+from ..callers.server import CallerServer, Handler
+from ..headers import REQUEST_ID
+from ..pipeline.exchange import Answer, Request
+from ..selector import KeptSelector
+from ..timers import SystemClock
+from ..upstreams.base import UpstreamRequest
+from ..upstreams.connections import ConnectorLimits, HttpConnector
 
 SHARE = 260
 CONNECT_TIMEOUT = 1.0
--- a/benchmarks/inforce.py
+++ b/sequoiabridge/benchmarks/inforce.py
@@ -15,9 +15,8 @@
 
 import defopt
 
-from sequoiabridge.commands.client import AdminClient
-from sequoiabridge.exceptions import SequoiaError
-
+from ..commands.client import AdminClient
+from ..exceptions import SequoiaError
 from .daemon import IdleScene, dump
 from .processes import Trial
 from .scene import Daemon, control, healthy
--- a/benchmarks/observation.py
+++ b/sequoiabridge/benchmarks/observation.py
@@ -1,6 +1,6 @@
 """What metrics and the journal cost a call, and how long a scrape holds up other tasks.
 
-Run by `python -m benchmarks.observation`; the last line has the figures.
+Run by `python -m sequoiabridge.benchmarks.observation`; the last line has the figures.
 """
 
 import time
@@ -9,9 +9,9 @@
 import curio
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 
-from sequoiabridge.metrics import LATENCY_BUCKETS, Metrics
-from sequoiabridge.operators.journal import Journal
-from sequoiabridge.timers import SystemClock
+from ..metrics import LATENCY_BUCKETS, Metrics
+from ..operators.journal import Journal
+from ..timers import SystemClock
 
 CALLS = 50_000
 ROUNDS = 7
--- a/benchmarks/oracle.py
+++ b/sequoiabridge/benchmarks/oracle.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from sequoiabridge.tests.standins.upstream_record import Run
+from ..tests.standins.upstream_record import Run
 
 
 class Kind(Enum):
--- a/benchmarks/policy_limits.py
+++ b/sequoiabridge/benchmarks/policy_limits.py
@@ -1,6 +1,6 @@
 """Admission under overload: how many calls are answered in their window, and whose.
 
-Run as `python -m benchmarks.policy_limits`. One daemon, seeded; the pool behind it is a number of
+Run as `make bench-limits`. One daemon, seeded; the pool behind it is a number of
 slots that is halved for the middle third of the run. One caller sends nine tenths of the calls.
 """
 
@@ -8,8 +8,8 @@
 from heapq import heappop, heappush
 from random import Random
 
-from sequoiabridge.policy.admission import AdmissionQueue, Ticket, Verdict
-from sequoiabridge.policy.concurrency import ConcurrencyLimit
+from ..policy.admission import AdmissionQueue, Ticket, Verdict
+from ..policy.concurrency import ConcurrencyLimit
 
 SLOTS, WORK, WINDOW, SECONDS = 8, 0.010, 0.15, 30.0
 """Slots behind the daemon, mean seconds of work (exponential), window and length in seconds."""
--- a/benchmarks/policy_players.py
+++ b/sequoiabridge/benchmarks/policy_players.py
@@ -2,12 +2,11 @@
 
 from collections import deque
 
-from sequoiabridge.policy.base import Chooser, Failure, LoadReport
-from sequoiabridge.policy.choosers import chooser_named, untried
-from sequoiabridge.policy.evidence import UpstreamSpec
-from sequoiabridge.policy.pool import PoolOptions, PoolState
-from sequoiabridge.policy.probing import ProbeBudget
-
+from ..policy.base import Chooser, Failure, LoadReport
+from ..policy.choosers import chooser_named, untried
+from ..policy.evidence import UpstreamSpec
+from ..policy.pool import PoolOptions, PoolState
+from ..policy.probing import ProbeBudget
 from .policy_pool import SLOTS
 
 PROBE_BYTES = 260
--- a/benchmarks/scene.py
+++ b/sequoiabridge/benchmarks/scene.py
@@ -13,8 +13,7 @@
 import urllib.request
 from pathlib import Path
 
-from sequoiabridge.tests.standins.upstream_record import Run, read_record
-
+from ..tests.standins.upstream_record import Run, read_record
 from .load import Work
 from .oracle import Kind
 from .processes import Process, Trial, free_ports, loopback_ip
--- a/benchmarks/slopes.py
+++ b/sequoiabridge/benchmarks/slopes.py
@@ -15,15 +15,14 @@
 
 import defopt
 
-from sequoiabridge.config.change import Change
-from sequoiabridge.config.document import Document
-from sequoiabridge.fleet.base import Urgency
-from sequoiabridge.metrics import Metrics
-from sequoiabridge.pipeline.services import Services
-from sequoiabridge.pipeline.sharing import TELL_EVERY, Sharing
-from sequoiabridge.policy.base import LoadReport
-from sequoiabridge.timers import ManualClock
-
+from ..config.change import Change
+from ..config.document import Document
+from ..fleet.base import Urgency
+from ..metrics import Metrics
+from ..pipeline.services import Services
+from ..pipeline.sharing import TELL_EVERY, Sharing
+from ..policy.base import LoadReport
+from ..timers import ManualClock
 from .configuration import content, upstream_entry
 
 SIZES = ((170, 170), (170, 1400), (170, 5600), (340, 5600))
@@ -158,7 +157,7 @@
 def outside(title: str, module: str, *arguments: str) -> str:
     """Run another benchmark; print and return its last line."""
     done = subprocess.run(
-        [sys.executable, "-m", f"benchmarks.{module}", *arguments],
+        [sys.executable, "-m", f"sequoiabridge.benchmarks.{module}", *arguments],
         capture_output=True,
         text=True,
         timeout=400,
@@ -177,7 +176,7 @@
         "\n    VMs complete_s  bytes/s     most    CPU_%  tick+msgs_us   KB/VM in_force_s known_s"
     )
     for size in sizes:
-        code = f"from benchmarks.fleet import slope; slope({size})"
+        code = f"from sequoiabridge.benchmarks.fleet import slope; slope({size})"
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
         print(done.stdout.rstrip() or done.stderr[-300:], flush=True)
 
--- a/benchmarks/upload.py
+++ b/sequoiabridge/benchmarks/upload.py
@@ -16,9 +16,8 @@
 
 import defopt
 
-from sequoiabridge.store.uploads import CHUNK_SIZE, COMMIT_EVERY
-from sequoiabridge.tests.standins.upstream_record import read_record
-
+from ..store.uploads import CHUNK_SIZE, COMMIT_EVERY
+from ..tests.standins.upstream_record import read_record
 from .processes import Process, Trial
 from .scene import PLATFORM
 
@@ -121,7 +120,9 @@
     def way(self, name: str) -> Way:
         """Start upstream and VM of one way."""
         arguments = (name, self.upstream(name), self.store, *self.options)
-        vm = self.trial.start(f"vm-{name}", "benchmarks.upload_vm", *arguments).wait_ready()
+        vm = self.trial.start(
+            f"vm-{name}", "sequoiabridge.benchmarks.upload_vm", *arguments
+        ).wait_ready()
         return Way(name, vm.ready["address"], vm)
 
     def measure_idle(self) -> None:
--- a/benchmarks/upload_vm.py
+++ b/sequoiabridge/benchmarks/upload_vm.py
@@ -12,17 +12,16 @@
 import curio
 import msgspec
 
-from sequoiabridge.callers.limits import CallerLimits
-from sequoiabridge.callers.server import CallerServer, Handler
-from sequoiabridge.pipeline.exchange import Answer, BytesBody, Exchange, Request
-from sequoiabridge.pipeline.uploads import UploadHandler, delivery_request, delivery_result
-from sequoiabridge.store.client import StoreClient
-from sequoiabridge.store.http import HttpObjects, HttpTables
-from sequoiabridge.store.upload_delivery import Deliveries, Sent
-from sequoiabridge.store.uploads import Uploads
-from sequoiabridge.timers import SystemClock, Timers
-from sequoiabridge.upstreams.connections import ConnectorLimits, HttpConnector
-
+from ..callers.limits import CallerLimits
+from ..callers.server import CallerServer, Handler
+from ..pipeline.exchange import Answer, BytesBody, Exchange, Request
+from ..pipeline.uploads import UploadHandler, delivery_request, delivery_result
+from ..store.client import StoreClient
+from ..store.http import HttpObjects, HttpTables
+from ..store.upload_delivery import Deliveries, Sent
+from ..store.uploads import Uploads
+from ..timers import SystemClock, Timers
+from ..upstreams.connections import ConnectorLimits, HttpConnector
 from .hop_relay import CONNECT_TIMEOUT, SHARE, Forward
 
 FLEET_WRITES = 300.0
--- a/sequoiabridge/tests/matrix/callers.py
+++ b/sequoiabridge/tests/matrix/callers.py
@@ -7,9 +7,8 @@
 
 import curio
 
-from benchmarks.calls import Call, Caller, Line
-from benchmarks.oracle import Told
-
+from ...benchmarks.calls import Call, Caller, Line
+from ...benchmarks.oracle import Told
 from .steps import Step
 
 if TYPE_CHECKING:
--- a/sequoiabridge/tests/matrix/cells.py
+++ b/sequoiabridge/tests/matrix/cells.py
@@ -4,8 +4,7 @@
 
 from enum import Enum
 
-from benchmarks.oracle import Kind, Violation, judge
-
+from ...benchmarks.oracle import Kind, Violation, judge
 from . import scripts
 from .faults import FAULTS, STORE_STEPS, Fault
 from .steps import Group, Moment, Step, Subject
--- a/sequoiabridge/tests/matrix/mutants.py
+++ b/sequoiabridge/tests/matrix/mutants.py
@@ -10,8 +10,7 @@
 from contextlib import contextmanager
 from unittest import mock
 
-from benchmarks.oracle import Promise
-
+from ...benchmarks.oracle import Promise
 from . import breaks
 from .breaks import Patch
 from .cells import State, fault_named, play_cell, step_named
--- a/sequoiabridge/tests/matrix/scripts.py
+++ b/sequoiabridge/tests/matrix/scripts.py
@@ -9,8 +9,7 @@
 import curio
 import msgspec
 
-from benchmarks.oracle import Kind, Promise, Told, Violation
-
+from ...benchmarks.oracle import Kind, Promise, Told, Violation
 from ...store.upload_index import MANIFESTS
 from ...store.upload_manifest import Manifest, UploadState
 from .faults import LEAVING_TRAFFIC
--- a/sequoiabridge/tests/matrix/sequences.py
+++ b/sequoiabridge/tests/matrix/sequences.py
@@ -2,8 +2,7 @@
 
 from random import Random
 
-from benchmarks.oracle import Kind
-
+from ...benchmarks.oracle import Kind
 from .cells import SEED, Strike, kinds_of, moments_of, play
 from .faults import FAULTS, Fault
 from .steps import Group, Step
--- a/sequoiabridge/tests/matrix/world.py
+++ b/sequoiabridge/tests/matrix/world.py
@@ -11,10 +11,9 @@
 import curio
 import msgspec
 
-from benchmarks.calls import Call
-from benchmarks.oracle import Accepted, Evidence, InForce, Kind, Leaving, Measuring, Told
-
 from ... import daemon as daemon_module
+from ...benchmarks.calls import Call
+from ...benchmarks.oracle import Accepted, Evidence, InForce, Kind, Leaving, Measuring, Told
 from ...config.change import Change, SetEntry
 from ...fleet import fleet as fleet_module
 from ...pipeline import probing
--- a/sequoiabridge/tests/test_scene.py
+++ b/sequoiabridge/tests/test_scene.py
@@ -1,6 +1,6 @@
 """The addresses of the trials' daemons, by which they find each other's admin ports."""
 
-from benchmarks.scene import Scene
+from ..benchmarks.scene import Scene
 
 
 def test_each_daemon_of_a_scene_has_its_own_ip_and_all_have_the_same_ports():
