--- a/sequoiabridge/callers/wire.py
+++ b/sequoiabridge/callers/wire.py
@@ -88,9 +88,6 @@
         """
         self.phase = phase
         self.deadline = self.clock.now() + timeout
-        if phase is Phase.IDLE:
-            # A caller has just got its answer: nothing has come yet.
-            await _read_wait(self.descriptor)
         while True:
             try:
                 data = self.sock.recv(READ_SIZE)
--- a/sequoiabridge/upstreams/exchange.py
+++ b/sequoiabridge/upstreams/exchange.py
@@ -110,7 +110,7 @@
         link = self.link
         event = link.early
         while event is None:
-            await link.receive(expected=False)
+            await link.receive()
             event = link.response(self.connector.limits.max_head)
         head = Head(event, NOT_FROM_UPSTREAMS)
         link.keeps_alive = head.keeps_alive
--- a/sequoiabridge/upstreams/link.py
+++ b/sequoiabridge/upstreams/link.py
@@ -86,15 +86,10 @@
         """Return the error for a failure on this connection."""
         return UpstreamFailed(f"{self.address}: {message}", sent=self.sent)
 
-    async def receive(self, expected: bool = True) -> None:
-        """Wait for bytes from the upstream and take them.
-
-        Without `expected` nothing can be here yet, so that the first look would be in vain.
-        """
+    async def receive(self) -> None:
+        """Wait for bytes from the upstream and take them."""
         self.waiting = True
         try:
-            if not (expected or self.closed):
-                await _read_wait(self.descriptor)
             while not self.receive_now():
                 await _read_wait(self.descriptor)
         finally:
