--- a/sequoiabridge/benchmarks/hop_daemon.py
+++ b/sequoiabridge/benchmarks/hop_daemon.py
@@ -1,6 +1,7 @@
 """The hop through the whole daemon: filters, policy, journal and metrics included.
 
-Starts a stand-in platform and one daemon beside the processes of `hop`, and has that measure the daemon in place of the forwarding relay.
+Starts a stand-in platform and one daemon beside the processes of `hop`, and has that measure the
+daemon in place of the forwarding relay.
 """
 
 import secrets
--- a/sequoiabridge/benchmarks/policy.py
+++ b/sequoiabridge/benchmarks/policy.py
@@ -1,6 +1,7 @@
 """The real policy code against a small fake pool: tail latency, calls in window, cost of measuring.
 
-Run as `make bench-policy`. Seeded; 13 and 18 choosers, 15 instances of 2 slots. Each baseline is compared with ours at the same paid probes per 1,000 calls.
+Run as `make bench-policy`. Seeded; 13 and 18 choosers, 15 instances of 2 slots. Each baseline is
+compared with ours at the same paid probes per 1,000 calls.
 """
 
 import sys
