--- a/sequoiabridge/commands/main.py
+++ b/sequoiabridge/commands/main.py
@@ -48,7 +48,7 @@
 
 
 def report(error: SequoiaError, as_json: bool) -> int:
-    """Print an error as one sentence, and as JSON for machines; return its exit code."""
+    """Print an error as one sentence, and as JSON for programs; return its exit code."""
     message = " ".join(str(error).split())
     if as_json:
         kind = type(error).__name__
--- a/sequoiabridge/commands/tables.py
+++ b/sequoiabridge/commands/tables.py
@@ -1,4 +1,4 @@
-"""Plain text for people: tables and nested values; JSON for machines."""
+"""Plain text for people: tables and nested values; JSON for programs."""
 
 import json
 from collections.abc import Iterator, Sequence
--- a/sequoiabridge/tests/operators/test_executor.py
+++ b/sequoiabridge/tests/operators/test_executor.py
@@ -48,7 +48,7 @@
             peers += [Peer("vm0", other.server.address), Peer("moved", other.server.address)]
 
             async def get(address, target, token, timeout):
-                # Only the silent one runs out of time, also on a busy machine.
+                # Only the silent one runs out of time, also on a busy VM.
                 silent = address == peers[1].address
                 return await fetch(address, target, token, 0.05 if silent else 60.0)
 
