Never send a streamed body again once an attempt has begun to read it

Cause: found in a newcomer's read of Dispatch. An upstream that shed a streamed request (or broke before a byte had left) proves that it did not run, and so the call went to another upstream; but the body's pieces were gone. A chunked upload then arrived there as an empty one, answered 200. Ruled out: keeping streamed bodies for a retry (whole uploads in memory); asking the caller again. Change: an attempt marks that it has begun to read the body; a call whose body is not in memory is not sent again after that, and is told not-run with when to come back. Conclusion: a sized body was never cut short silently (its framing breaks), a chunked one was.

--- a/sequoiabridge/pipeline/attempt.py
+++ b/sequoiabridge/pipeline/attempt.py
@@ -145,6 +145,7 @@
         self.sent = True
         exchange = self.exchange
         exchange.unproven += 1
+        exchange.body_begun = True
         request = exchange.request
         if isinstance(request.body, ReplayableBody):
             request.body.rewind()
--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -79,7 +79,7 @@
                 if answer.status < FIRST_SERVER_ERROR:
                     return answer
                 server_error = answer
-            if not self._may_retry(exchange, state, server_error, failure):
+            if not self._may_retry(exchange, state, server_error):
                 break
         if server_error is not None:
             return server_error
@@ -175,12 +175,11 @@
         exchange: Exchange,
         state: ServiceState,
         server_error: Answer | None,
-        failure: UpstreamFailed | None,
     ) -> bool:
         if server_error is not None and not isinstance(server_error.body, BytesBody | None):
             return False
-        untouched = failure is not None and not failure.sent
-        if not untouched and not _replayable(exchange):
+        if exchange.body_begun and not _replayable(exchange):
+            exchange.note(Repeated("retry", False, "its body was streamed and is gone"))
             return False
         now = self.clock.now()
         if is_stopped(state.ledger, exchange, now):
--- a/sequoiabridge/pipeline/exchange.py
+++ b/sequoiabridge/pipeline/exchange.py
@@ -109,6 +109,7 @@
     answer is of no more use to the caller. `state` is the daemon's own of the service, kept even
     if the service is removed meanwhile; ask `Services.state_of` for it. `unproven` counts the
     attempts that may have reached an upstream that has not said that it did not run the request.
+    `body_begun` is true once an attempt has begun to read the body: a streamed one is then gone.
     `upstream` names the one that answered; `entered` counts the filters to leave. `notes` are
     lines, or steps that `str` turns into lines, for the journal of decisions.
     """
@@ -127,6 +128,7 @@
         "fingerprint",
         "attempts",
         "unproven",
+        "body_begun",
         "answer",
         "refusal",
         "upstream",
@@ -148,6 +150,7 @@
         self.fingerprint: str | None = None
         self.attempts = 0
         self.unproven = 0
+        self.body_begun = False
         self.answer: Answer | None = None
         self.refusal: Refusal | None = None
         self.upstream = ""
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -29,6 +29,7 @@
     CRASH = "crash"
     CUT = "cut"
     CUT_LEAVING = "cut, and leaving"
+    LOSE_FIRST_PIECE = "break before a byte has left, but after the body was begun"
     STAY_SILENT = "stay silent"
     LEAVE = "answer, and say that it is leaving"
 
@@ -46,6 +47,13 @@
 
     async def send(self, request):
         self.network.received.append((self.address, request))
+        body = b""
+        while request.body is not None and (piece := await request.body.read()):
+            body += piece
+            if self.act is Act.LOSE_FIRST_PIECE:
+                self.network.bodies.append(body)
+                raise UpstreamFailed("broken", sent=False)
+        self.network.bodies.append(body)
 
     async def read_head(self):
         if self.act is Act.STAY_SILENT:
@@ -88,6 +96,7 @@
         self.clock = SystemClock()
         self.acts = acts
         self.received = []
+        self.bodies = []
         self.connections = []
 
     async def acquire(self, address, *, fresh, timeout):
--- a/sequoiabridge/tests/pipeline/test_dispatch.py
+++ b/sequoiabridge/tests/pipeline/test_dispatch.py
@@ -6,6 +6,7 @@
 from ...exceptions import Refusal
 from ...outcome import Outcome, Reason
 from ...pipeline.dispatch import Dispatch
+from ...pipeline.exchange import Body
 from ...policy.base import Failure
 from .fakes import Act, Bench, Blaming
 
@@ -153,3 +154,26 @@
     with pytest.raises(Refusal):
         bench.run(bench.exchange())
     assert bench.services.by_name["s"].pool.upstreams["u1"].draining == 7
+
+
+class Once(Body):
+    """A streamed body: what was read is gone."""
+
+    def __init__(self):
+        self.pieces = [b"first", b"second"]
+
+    async def read(self):
+        return self.pieces.pop(0) if self.pieces else b""
+
+
+@pytest.mark.parametrize("act", [Act.SHED, Act.LOSE_FIRST_PIECE])
+def test_a_streamed_body_that_was_begun_is_never_sent_again(act):
+    for seed in range(4):
+        bench = Bench(act, Act.ANSWER, act, seed=seed, **ONCE)
+        exchange = bench.exchange()
+        exchange.request.body, exchange.request.length = Once(), None
+        try:
+            assert bench.run(exchange).status == 200
+        except Refusal as refusal:
+            assert refusal.outcome is Outcome.NOT_RUN
+        assert len(bench.network.bodies) == 1
