--- a/sequoiabridge/pipeline/admit.py
+++ b/sequoiabridge/pipeline/admit.py
@@ -8,7 +8,7 @@
 from ..outcome import Outcome, Reason
 from ..policy.tickets import Ticket, Verdict
 from ..timers import Clock, OnDemand, Timers
-from .base import Filter
+from .base import COME_BACK_SOON, Filter
 from .exchange import Exchange
 from .services import Services, ServiceState
 
@@ -24,9 +24,6 @@
 UPSTREAM_REASONS = frozenset({Reason.TIMEOUT, Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SHED})
 """Refusals that say that the upstreams have too much to do, or are in trouble."""
 
-COME_BACK_SOON = 1.0
-"""Seconds after which a caller may come back when nothing better is known."""
-
 
 class Waiting:
     """A queued call: its task waits for `event`; `refused` says how it ended."""
--- a/sequoiabridge/pipeline/base.py
+++ b/sequoiabridge/pipeline/base.py
@@ -4,6 +4,9 @@
 
 from .exchange import Exchange
 
+COME_BACK_SOON = 1.0
+"""Seconds after which a caller may come back when nothing better is known."""
+
 
 class Filter(ABC):  # noqa: B024
     """One step of the pipeline with one job.
--- a/sequoiabridge/pipeline/claiming.py
+++ b/sequoiabridge/pipeline/claiming.py
@@ -18,15 +18,12 @@
     ClaimUnknown,
 )
 from ..store.claims import Claims
-from .base import Filter
+from .base import COME_BACK_SOON, Filter
 from .buffering import ReplayableBody
 from .exchange import Answer, BytesBody, Exchange
 
 log = get_log("claiming")
 
-COME_BACK_SOON = 1.0
-"""Seconds after which a caller may ask again about a request that runs elsewhere."""
-
 MAX_KEPT = 16 * 1024
 """Bytes up to which an answer is kept for replay."""
 
--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -19,6 +19,7 @@
 from ..upstreams.base import Connector
 from .accounting import Accounting, Observer
 from .attempt import Attempt
+from .base import COME_BACK_SOON
 from .buffering import ReplayableBody
 from .exchange import Answer, BytesBody, Exchange
 from .hedge import Race
@@ -27,9 +28,6 @@
 
 FIRST_SERVER_ERROR = 500
 
-COME_BACK_SOON = 1.0
-"""Seconds after which a caller may come back when nothing better is known."""
-
 
 AskFirst = Callable[[ServiceState, Collection[str]], Awaitable[None]]
 """Refreshes the evidence on the best candidates before a choice, if that is worth it."""
--- a/sequoiabridge/pipeline/pipeline.py
+++ b/sequoiabridge/pipeline/pipeline.py
@@ -5,21 +5,18 @@
 from collections.abc import Sequence
 from itertools import count
 
+from ..callers.refusals import refusal_answer
 from ..callers.server import Handler
 from ..exceptions import CallerGone, Refusal
 from ..logs import get_log
 from ..outcome import Reason
 from ..timers import Clock
-from .base import Filter
+from .base import COME_BACK_SOON, Filter
 from .dispatch import Dispatch
 from .exchange import Answer, Exchange, Request
-from .replies import reply
 
 log = get_log("pipeline")
 
-RETRY_AFTER_INTERNAL = 1.0
-"""Seconds after which a caller may come back after an error of the daemon's own."""
-
 
 class RequestIds:
     """Gives each call an id that no other call in the fleet has: VM, its start, a counter."""
@@ -91,14 +88,14 @@
             exchange.answer = await self.dispatch.run(exchange)
         except Refusal as refusal:
             exchange.refusal = refusal
-            exchange.answer = reply(refusal, exchange.id)
+            exchange.answer = refusal_answer(refusal, exchange.id)
         except CallerGone:
             await self._leave(exchange, False)
             raise
         except Exception:
             log.exception("Call %s hit an error of the daemon's own.", exchange.id)
             exchange.refusal = _internal(exchange)
-            exchange.answer = reply(exchange.refusal, exchange.id)
+            exchange.answer = refusal_answer(exchange.refusal, exchange.id)
         except BaseException:
             await self._leave(exchange, False)
             raise
@@ -126,4 +123,4 @@
 
 def _internal(exchange: Exchange) -> Refusal:
     message = "The daemon failed on this call; its log has the cause. Try again later."
-    return Refusal(500, exchange.outcome, Reason.INTERNAL, message, RETRY_AFTER_INTERNAL)
+    return Refusal(500, exchange.outcome, Reason.INTERNAL, message, COME_BACK_SOON)
