Read a store without rows as version 0

Cause: version 0 was taken for 'not read yet', so a daemon started before anything was written asked for all rows again and again (57 times in 9 s on one VM, in its log). Ruled out: dropped history.

--- a/sequoiabridge/relay/feeds.py
+++ b/sequoiabridge/relay/feeds.py
@@ -74,7 +74,7 @@
         on_lost, on_regained: Called when the store stops answering, and when it answers again.
 
     Attributes:
-        version: The store's version that is known here, 0 before the first reading.
+        version: The store's version that is known here, None before the first reading.
         lost: True while the store does not answer.
     """
 
@@ -98,7 +98,7 @@
         self.on_changes = on_changes
         self.on_lost = on_lost
         self.on_regained = on_regained
-        self.version = 0
+        self.version: int | None = None
         self.lost = False
         self.failures = 0
 
@@ -107,35 +107,41 @@
         while True:
             try:
                 pause = await self._step()
-            except HistoryLost as error:
-                self.decisions.belief("history-lost", feed=self.feed.name, why=str(error))
-                self.version = 0
-                pause = 0.0
+            except HistoryLost:
+                pause = self._history_lost()
             except StoreUnavailable as error:
                 pause = self._failed(error)
             await curio.sleep(pause)
 
     async def _step(self) -> float:
         """Read once; return the seconds until the next reading."""
-        if not self.version:
+        if self.version is None:
             update = await self.feed.snapshot()
-            self._answered()
+            self._answered(self.failures)
             self.on_snapshot(update)
             self._took_in(update)
             return 0.0
         # After a failure the store is asked for an answer at once: it tells that it is back.
         update = await self.feed.changes(self.version, 0.0 if self.lost else LONGEST_WAIT)
-        self._answered()
+        self._answered(0)
         if update.entries or update.removed:
             self.on_changes(update)
         self._took_in(update)
         return GATHER if update.entries or update.removed else 0.0
 
     def _took_in(self, update: Update[Entry]) -> None:
-        self.version = max(1, update.version)
+        self.version = update.version
         for problem in update.problems:
             self.decisions.belief("entry-unreadable", feed=self.feed.name, why=str(problem))
 
+    def _history_lost(self) -> float:
+        """Read everything next; return the seconds until then: 0, unless it happens in a row."""
+        self.decisions.belief("history-lost", feed=self.feed.name, version=self.version)
+        self.version = None
+        pause = 0.0 if not self.failures else FIRST_PAUSE * 2**self.failures
+        self.failures += 1
+        return min(LONGEST_PAUSE, pause)
+
     def _failed(self, error: StoreUnavailable) -> float:
         """Note a failure; return the seconds until the next try."""
         pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2**self.failures)
@@ -146,8 +152,8 @@
             self.on_lost()
         return pause * self.random.uniform(0.5, 1.0)
 
-    def _answered(self) -> None:
-        self.failures = 0
+    def _answered(self, failures: int) -> None:
+        self.failures = failures
         if self.lost:
             self.lost = False
             self.decisions.belief("store-regained", feed=self.feed.name, version=self.version)
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -36,7 +36,7 @@
         on_leave: Called with an upstream that gets no more work.
 
     Attributes:
-        version: The platform's version of the list, 0 before the first.
+        version: The platform's version of the list, None before the first.
         changes: Grows with each change of who may get work.
     """
 
@@ -53,7 +53,7 @@
         self.clock = clock
         self.decisions = decisions
         self.on_leave = on_leave
-        self.version = 0
+        self.version: int | None = None
         self.changes = 0
         self.by_id: dict[str, Upstream] = {}
         self.by_service: dict[str, list[Upstream]] = {}
@@ -63,7 +63,7 @@
     @property
     def known(self) -> bool:
         """Return whether the platform's list has been read at all."""
-        return self.version > 0
+        return self.version is not None
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get work."""
@@ -81,7 +81,7 @@
 
     def update(self, records: Iterable[UpstreamRecord], gone: Iterable[str], version: int) -> None:
         """Take in entries that are new or changed, and the ids of those that are gone."""
-        if version < self.version:
+        if self.known and version < self.version:
             log.warning("A list of version %d came after %d; not used.", version, self.version)
             return
         self.version = version
