Share loads inside a data centre, limit health checks, refuse when all upstreams are crowded

Change: place() refuses when even the best upstream is crowded; lapsed entries 2.0 s and only while health says well; allowance for checks; UDP datagrams between daemons of a data centre.

--- a/sequoiabridge/exceptions.py
+++ b/sequoiabridge/exceptions.py
@@ -69,6 +69,10 @@
         self.timed_out = timed_out
 
 
+class NoFreeConnection(UpstreamFailed):
+    """All connections that this VM may have to an upstream are in use; it is not at fault."""
+
+
 class Refusal(SequoiaError):
     """A final answer that the daemon makes itself.
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -23,6 +23,7 @@
 from .platform.client import PlatformClient
 from .platform.dialect import PlatformDialect
 from .platform.feeds import ConfigurationFeed, UpstreamFeed
+from .relay.allowance import ProbeAllowance
 from .relay.budget import RetryBudget
 from .relay.candidates import Candidates
 from .relay.chooser import Chooser
@@ -31,12 +32,15 @@
 from .relay.decisions import DecisionLog, LineWriter, SentenceHandler
 from .relay.feeds import Follower, Update
 from .relay.hedging import Hedging
+from .relay.members import Members
+from .relay.messages import Hello
 from .relay.operators import OperatorPort
 from .relay.probing import Probes
 from .relay.readiness import READY_LIMITS, Readiness, ReadyHandler
 from .relay.relay import Relay
 from .relay.routes import RouteTable
 from .relay.sender import Sender
+from .relay.sharing import Sharing
 from .relay.splitting import Splitter
 from .relay.tally import Tally
 from .relay.upstream import Upstream, UpstreamRecord
@@ -52,6 +56,9 @@
 EXPIRE_EVERY = 0.2
 """Seconds between two looks for lapsed upstreams, and for lines of the log that wait."""
 
+COUNT_EVERY = 2.0
+"""Seconds between two counts of the fleet's daemons."""
+
 LOOK_AT_SETTINGS = 1.0
 """Seconds between two looks whether the settings file has changed; it may do so without a signal."""
 
@@ -110,6 +117,7 @@
         self.upstreams = UpstreamList(
             settings.vm.data_centre, self.clock, self.decisions, self._upstream_leaves
         )
+        self._build_fleet()
         self.readiness = Readiness(self.configuration, self.upstreams)
         self.configuration_feed = Follower(
             ConfigurationFeed(self.store),
@@ -132,6 +140,15 @@
             self.upstreams.store_returned,
         )
 
+    def _build_fleet(self) -> None:
+        """Build what this daemon and the others tell each other."""
+        vm, listen = self.settings.vm, self.settings.listen
+        self.allowance = ProbeAllowance(self.settings.bounds.probes_per_second)
+        self.sharing = Sharing(self.upstreams, self.clock)
+        me = Hello(vm.name, f"{listen.fleet_ip}:{listen.fleet_ports[-1]}", vm.data_centre)
+        self.members = Members(me, self.store, self.decisions, self.random, self.sharing.greet)
+        self.sharing.members = self.members
+
     def _build_path(self) -> None:
         """Build what calls go through."""
         bounds, clock = self.settings.bounds, self.clock
@@ -141,8 +158,10 @@
             self.configuration,
             self.upstreams,
             self.decisions,
+            self.sharing,
             self.tally,
             clock,
+            self.allowance,
         )
         self.costs = Costs(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
@@ -154,6 +173,7 @@
             self.upstreams,
             self.connector,
             self.dialect,
+            self.sharing,
             self.tally,
             clock,
             lambda: RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
@@ -199,6 +219,9 @@
         await curio.spawn(self.configuration_feed.run(), daemon=True)
         await curio.spawn(self.upstream_feed.run(), daemon=True)
         await self.operators.start()
+        self.sharing.channel.bind(self.members.me.address)
+        await curio.spawn(self.sharing.channel.run(), daemon=True)
+        await curio.spawn(self.members.join(), daemon=True)
         self._subscribe()
         await curio.spawn(self.timers.run(), daemon=True)
         self.decisions.belief("start", pid=os.getpid(), callers=settings.listen.callers)
@@ -211,6 +234,7 @@
         self.timers.every(SWEEP_EVERY, "idle connections", self.connector.sweep)
         self.timers.every(EXPIRE_EVERY, "lapsed upstreams", self.upstreams.expire)
         self.timers.every(EXPIRE_EVERY, "waiting lines", self.lines.flush)
+        self.timers.every(COUNT_EVERY, "members", self._count_members)
         self.timers.every(LOOK_AT_SETTINGS, "settings", self._look_at_settings)
 
     async def _stop(self) -> None:
@@ -284,6 +308,11 @@
         """Close what is open to an upstream that gets no more calls, as soon as it is idle."""
         self.connector.retire(upstream.address)
 
+    def _count_members(self) -> None:
+        """Share the limit on health checks between the daemons that are known now."""
+        if self.members.others:
+            self.allowance.vms = self.members.count
+
     def _counted(self, failed: bool) -> None:
         self.tally.store_calls += 1
         self.tally.store_failures += failed
--- a/sequoiabridge/platform/client.py
+++ b/sequoiabridge/platform/client.py
@@ -20,6 +20,7 @@
 )
 from ..pipeline.exchange import BytesBody
 from ..store.rows import Changes, Condition, Rows, StoredRow, Write
+from ..store.tables import Tables
 from ..timers import Clock
 from ..upstreams.base import UpstreamRequest
 from ..upstreams.connections import ConnectorLimits, HttpConnector
@@ -27,6 +28,10 @@
 CALL_TIMEOUT = 1.5
 """Seconds for a call that answers at once; the store takes 4 ms, some 0.25 s when it is slow."""
 
+PROMPT_TIMEOUT = 0.6
+"""Seconds for a question for changes that need not wait: asked when the store has been away, so that
+its return is noticed soon."""
+
 LARGEST_PAGE = 500
 """Rows of one answer, as the platform fixes it."""
 
@@ -39,12 +44,8 @@
 """Told of each call, and whether it failed."""
 
 
-class PlatformClient:
-    """The platform's store at one address.
-
-    All calls raise `StoreUnavailable` when no good answer came, `StoreRefused` when the store
-    said that it did nothing.
-    """
+class PlatformClient(Tables):
+    """The platform's store at one address."""
 
     def __init__(self, address: str, clock: Clock, counted: Counter = lambda failed: None):
         self.address = address
@@ -52,7 +53,6 @@
         self.connector = HttpConnector(clock, ConnectorLimits(idle_timeout=IDLE_TIMEOUT))
 
     async def rows(self, table: str, part: str = "", start: str = "", end: str = "") -> Rows:
-        """Return all rows of a part of a table with keys from `start` up to, not with, `end`."""
         found, version, query = [], 0, {"table": table, "part": part, "limit": LARGEST_PAGE}
         if end:
             query["target"] = end
@@ -68,24 +68,13 @@
             start = page["rows"][-1]["key"] + "\0"
 
     async def changes(self, table: str, after: int, wait: float) -> Changes:
-        """Return the rows of a table that changed after a version; wait until there is one.
-
-        Args:
-            wait: Seconds after which an empty answer comes.
-
-        Raises:
-            HistoryLost: The store does not know what changed since; read all rows.
-        """
         query = {"table": table, "after": after, "wait_ms": int(wait * 1000)}
-        page = await self._get("/rows-feed", query, wait + CALL_TIMEOUT)
+        page = await self._get(
+            "/rows-feed", query, (wait + CALL_TIMEOUT) if wait else PROMPT_TIMEOUT
+        )
         return Changes([_row(row) for row in page["rows"]], page["ver"])
 
     async def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> int:
-        """Make all writes if all conditions hold, else none; return the store's new version.
-
-        Raises:
-            ConditionFailed: A condition did not hold.
-        """
         puts = [write for write in writes if write.value is not None]
         removed = [write for write in writes if write.value is None]
         body = {
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -13,6 +13,7 @@
 from .choice import Weighed
 from .dialect import Dialect
 from .evidence import OpenCall
+from .sharing import Sharing
 from .signals import AnswerSignals
 from .upstream import Upstream
 
@@ -48,6 +49,7 @@
         "connector",
         "dialect",
         "clock",
+        "sharing",
         "open_call",
         "connection",
         "sent",
@@ -68,7 +70,9 @@
         connector: Connector,
         dialect: Dialect,
         clock: Clock,
+        sharing: Sharing,
     ):
+        self.sharing = sharing
         self.call = call
         self.weighed = weighed
         self.connector = connector
@@ -104,6 +108,7 @@
     async def run(self) -> None:
         """Go through with the attempt and judge what comes of it."""
         self.upstream.evidence.began(self.open_call)
+        self.sharing.sent(self.upstream)
         try:
             answer = await self._exchange()
             await self._judge(answer)
--- /dev/null
+++ b/sequoiabridge/relay/channel.py
@@ -0,0 +1,78 @@
+"""Datagrams between daemons."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterable
+
+from curio.traps import _read_wait
+
+from ..logs import get_log
+from .messages import LARGEST, Message, decoded, encoded
+
+log = get_log("channel")
+
+MOST_AT_ONCE = 64
+"""Datagrams that are taken in before other tasks run."""
+
+
+class Channel:
+    """Sends and receives datagrams on one address.
+
+    Attributes:
+        sent, received, unreadable: Counts of datagrams.
+    """
+
+    def __init__(self, on_message: Callable[[Message], None]):
+        self.on_message = on_message
+        self.sock: socket.socket | None = None
+        self.sent = 0
+        self.received = 0
+        self.unreadable = 0
+
+    def bind(self, address: str) -> None:
+        """Listen on `address` ("IP:port"); without it, a daemon works alone."""
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        try:
+            sock.bind((host, int(port)))
+        except OSError as error:
+            log.warning("No datagrams on %s: %s. Free the port.", address, error)
+            sock.close()
+            return
+        self.sock = sock
+
+    def tell(self, message: Message, addresses: Iterable[str]) -> None:
+        """Send a message to each address; what cannot be sent at once is lost."""
+        if self.sock is None:
+            return
+        data = encoded(message)
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            try:
+                self.sock.sendto(data, (host, int(port)))
+                self.sent += 1
+            except OSError as error:
+                log.debug("A datagram to %s was lost: %s.", address, error)
+
+    async def run(self) -> None:
+        """Receive until cancelled."""
+        if self.sock is None:
+            return
+        while True:
+            await _read_wait(self.sock)
+            for _ in range(MOST_AT_ONCE):
+                try:
+                    data = self.sock.recv(LARGEST)
+                except OSError:
+                    break
+                self._take_in(data)
+
+    def _take_in(self, data: bytes) -> None:
+        self.received += 1
+        message = decoded(data)
+        if message is None:
+            self.unreadable += 1
+            return
+        self.on_message(message)
--- a/sequoiabridge/relay/choice.py
+++ b/sequoiabridge/relay/choice.py
@@ -33,10 +33,21 @@
 SILENT_COST = 0.5
 """Cost of an upstream that did not answer the last probe."""
 
+FULL_FACTOR = 1.5
+"""How many times longer work takes on an upstream of which all slots are taken: some slow down when
+they are nearly full (1.7 times at the users' site that shows it)."""
+
 UNKNOWN_SLOWDOWN = 2.5
 """Slowdown that is assumed of an upstream that has not told its load lately: the mean over time
 where neighbours slow it sevenfold for a quarter of it."""
 
+SURELY_LATE = 0.7
+"""Likelihood of being late from which a call is not sent into a queue."""
+
+MOST_WAITING = 2
+"""Requests for each slot that may wait at an upstream at most; the users' upstreams have room for 2
+to 4 and reset the connection of one more, which leaves open whether that ran."""
+
 STALE = 0.5
 """Seconds after which a reported slowdown says nothing any more: neighbours change twice a
 second."""
@@ -70,14 +81,25 @@
 
 
 class Weighed:
-    """One upstream as it was weighed: the seconds that it would take, and what that would cost."""
+    """One upstream as it was weighed.
+
+    Attributes:
+        expected: Seconds that the call would take there.
+        alone: Seconds that it would take there if it had to wait for no other.
+        late: How likely its answer is to come late.
+        cost: What sending it there is likely to cost.
+        queue: Requests that it would wait for; 0 if it gets the last free slot.
+        age: Seconds since the upstream told its load.
+    """
 
-    __slots__ = ("upstream", "expected", "cost", "slowdown", "queue", "age")
+    __slots__ = ("upstream", "expected", "alone", "late", "cost", "slowdown", "queue", "age")
 
     def __init__(
         self,
         upstream: Upstream,
         expected: float,
+        alone: float,
+        late: float,
         cost: float,
         slowdown: float,
         queue: int,
@@ -85,6 +107,8 @@
     ):
         self.upstream = upstream
         self.expected = expected
+        self.alone = alone
+        self.late = late
         self.cost = cost
         self.slowdown = slowdown
         self.queue = queue
@@ -110,7 +134,10 @@
     duration = call.work * slowdown * evidence.pace_now(now)
     if now < upstream.warm_at:
         duration *= COLD_FACTOR
-    expected = duration * (1.0 + WAIT_SHARE * queue / max(1, upstream.record.slots))
+    slots = max(1, upstream.record.slots)
+    if slots > 1 and queue >= 0:
+        duration *= FULL_FACTOR
+    expected = duration * (1.0 + WAIT_SHARE * max(0, queue) / slots)
     late = lateness(expected, call.time_left)
     failure = evidence.failure_share(now)
     cost = failure + (1.0 - failure) * LATE_COST * late
@@ -122,7 +149,7 @@
         cost += UNHEALTHY_COST
     if evidence.is_silent(now):
         cost += SILENT_COST
-    return Weighed(upstream, expected, cost, slowdown, queue, age)
+    return Weighed(upstream, expected, duration, late, cost, slowdown, queue, age)
 
 
 def lateness(expected: float, time_left: float) -> float:
@@ -136,12 +163,32 @@
 
 
 def _load(upstream: Upstream, age: float) -> tuple[float, int]:
-    """Return the slowdown and the number of requests that would run or wait before a new one."""
+    """Return the slowdown, and how many requests a new one would wait for.
+
+    0 means that it gets the last free slot, a negative number that some slots stay free.
+    """
     evidence, slots = upstream.evidence, max(1, upstream.record.slots)
     load = evidence.load
     if load is None:
-        return UNKNOWN_SLOWDOWN, max(0, len(evidence.open_calls) - slots + 1)
+        return UNKNOWN_SLOWDOWN, len(evidence.open_calls) - slots + 1
     busy = load.running + load.waiting
     if age <= STALE:
-        return load.slowdown, max(0, busy + evidence.sent_since - slots + 1)
-    return UNKNOWN_SLOWDOWN, max(0, max(busy, len(evidence.open_calls)) - slots + 1)
+        return load.slowdown, busy + evidence.sent_since - slots + 1
+    return UNKNOWN_SLOWDOWN, max(busy, len(evidence.open_calls)) - slots + 1
+
+
+def is_crowded(call: Call, best: Weighed) -> bool:
+    """Return whether even the best upstream has no place for a call now.
+
+    Only the calls before it would make it late: if it is sent all the same, those that come after
+    it are late as well, and soon all are. A call that would be late anywhere takes no place from
+    one that would not, so it may wait in a short queue.
+    """
+    if best.queue < 1:
+        return False
+    if best.queue > MOST_WAITING * max(1, best.upstream.record.slots):
+        return True
+    if call.time_left <= 0.0:
+        return True
+    slow_anyway = lateness(best.alone, call.time_left) > SURELY_LATE
+    return best.late > SURELY_LATE and not slow_anyway
--- a/sequoiabridge/relay/chooser.py
+++ b/sequoiabridge/relay/chooser.py
@@ -9,19 +9,32 @@
 from ..timers import Clock
 from .call import RelayedCall
 from .candidates import Candidates
-from .choice import Call, Weighed, weigh
+from .choice import Call, Weighed, is_crowded, weigh
 from .costs import Costs
 from .evidence import PROMPT
 from .probing import Probes
+from .refusals import crowded
 from .upstream import Upstream
 
 MOST_ASKED = 5
 """Upstreams that are asked before a call. In trials on the users' sites, asking 3 kept 0.978 of
 the worth of a quiet day, 5 kept 0.990 and 8 no more than 5."""
 
+FRESH = 0.02
+"""Seconds for which an upstream's word on its load is not asked for again; calls that were sent
+meanwhile are counted, and neighbours change only twice a second."""
+
 GAIN = 0.05
 """Worth that a far upstream must be able to save before far ones are asked."""
 
+HOLD_SHARE = 0.125
+"""Part of the target latency for which a call is held when all upstreams are crowded; longer
+waiting costs callers more than trying again later."""
+
+HOLD_LOOK = 0.01
+"""Seconds between two looks meanwhile; a slot becomes free every few milliseconds in a service of
+some dozen upstreams."""
+
 SHOWN = 3
 """Weighed upstreams that the log shows of a choice."""
 
@@ -42,6 +55,27 @@
         self.clock = clock
         self.random = random
 
+    async def place(self, call: RelayedCall) -> Weighed | None:
+        """Return an upstream with a place for a new call, None if there is none at all.
+
+        When all are crowded, it looks again for a little while.
+
+        Raises:
+            Refusal: All stay crowded.
+        """
+        until = call.arrived + call.body_seconds + HOLD_SHARE * call.route.target_latency
+        while True:
+            best = await self.choose(call)
+            if best is None or not self.is_crowded(call, best):
+                return best
+            if self.clock.now() >= until:
+                raise crowded(call)
+            await curio.sleep(HOLD_LOOK)
+
+    def is_crowded(self, call: RelayedCall, weighed: Weighed) -> bool:
+        """Return whether an upstream that was chosen has no place for the call."""
+        return is_crowded(self._terms(call), weighed)
+
     async def choose(self, call: RelayedCall) -> Weighed | None:
         """Return the best upstream that the call was not sent to yet, None if there is none."""
         neighbours = self.candidates.of_service(call.service)
@@ -63,20 +97,24 @@
             if upstream.evidence.may_be_asked(now):
                 await curio.spawn(self.probes.probe(upstream), daemon=True)
         answering = [u for u in upstreams if not u.evidence.is_silent(now)]
+        answering = [u for u in answering if now - u.evidence.load_at > FRESH]
         if len(answering) > MOST_ASKED:
             answering = self.random.sample(answering, MOST_ASKED)
         if answering:
             await self.probes.ask(answering, PROMPT)
 
-    def _best(self, call: RelayedCall, upstreams: list[Upstream]) -> Weighed | None:
-        now = self.clock.now()
-        terms = Call(
+    def _terms(self, call: RelayedCall) -> Call:
+        return Call(
             self.costs.work(call),
-            call.target_at - now,
+            call.target_at - self.clock.now(),
             call.route.target_latency,
             self.costs.far_cost(call),
             call.route.idempotent,
         )
+
+    def _best(self, call: RelayedCall, upstreams: list[Upstream]) -> Weighed | None:
+        now = self.clock.now()
+        terms = self._terms(call)
         weighed = [weigh(terms, upstream, now) for upstream in upstreams if upstream.takes_work]
         weighed.sort(key=lambda one: one.cost)
         call.considered = weighed[:SHOWN]
--- a/sequoiabridge/relay/evidence.py
+++ b/sequoiabridge/relay/evidence.py
@@ -75,7 +75,7 @@
 
     Attributes:
         load: The upstream's last word on its load, heard at `load_at`, or None.
-        sent_since: Calls that were sent to it since then, of which that word knows nothing.
+        sent_since: Calls that are known to have been sent to it since then.
         open_calls: Own calls that it has now.
         pace: How many times longer its calls take than its reports let expect.
         healthy: Its last answer to a health check; it may be mistaken.
@@ -124,6 +124,10 @@
         if self.asked_at is None:
             self.asked_at = now
 
+    def not_asked(self) -> None:
+        """The health check could not be sent, for a reason of this VM's own."""
+        self.asked_at = None
+
     def answered_probe(self, healthy: bool) -> None:
         """The upstream answered a health check."""
         self.asked_at = None
@@ -147,10 +151,13 @@
         """Return whether it is time to see if it answers health checks again."""
         return self.silent > 0 and self.asked_at is None and now >= self.retry_at
 
+    def sent(self) -> None:
+        """A call is on its way to it, from this VM or from another."""
+        self.sent_since += 1
+
     def began(self, call: OpenCall) -> None:
-        """A call was sent."""
+        """This VM has a call open there."""
         self.open_calls.append(call)
-        self.sent_since += 1
 
     def ended(self, call: OpenCall) -> None:
         """A call is over, however it ended."""
--- a/sequoiabridge/relay/feeds.py
+++ b/sequoiabridge/relay/feeds.py
@@ -22,9 +22,10 @@
 """Seconds between an answer and the next question. A burst of changes comes in one answer then; it
 is an eighth of the 2 seconds within which a change must be in force."""
 
-FIRST_PAUSE, LONGEST_PAUSE = 0.1, 0.8
-"""Seconds before a call that failed is made again; doubles up to the longest. A change must be in
-force 2 seconds after the store is back."""
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 0.4
+"""Seconds before a call that failed is made again; doubles up to the longest. A VM that was cut off
+must know of all that left meanwhile 3 seconds after it is back, 2 of which it may spend on
+waiting for lapsed entries."""
 
 Entry = TypeVar("Entry")
 
--- a/sequoiabridge/relay/hedging.py
+++ b/sequoiabridge/relay/hedging.py
@@ -22,7 +22,7 @@
 LEAST_LOOK = 0.2
 """Part of the target latency that passes before the first look at least."""
 
-LOOK_EVERY = 0.12
+LOOK_EVERY = 0.15
 """Part of the target latency between two looks."""
 
 ALIVE = 2.0
@@ -56,9 +56,13 @@
             return call.deadline
         return min((attempt.check_at for attempt in running), default=call.deadline)
 
+    def look_later(self, call: RelayedCall, attempt: Attempt) -> None:
+        """Set when an attempt is looked at again."""
+        attempt.check_at = self.clock.now() + LOOK_EVERY * call.route.target_latency
+
     async def better(self, call: RelayedCall, attempt: Attempt) -> Weighed | None:
         """Return an upstream that should try the call too, None if the first does well enough."""
-        attempt.check_at = self.clock.now() + LOOK_EVERY * call.route.target_latency
+        self.look_later(call, attempt)
         if not self._allowed(call):
             return None
         evidence = attempt.upstream.evidence
@@ -68,7 +72,7 @@
         if left <= 0.0:
             return None
         weighed = await self.chooser.choose(call)
-        if weighed is None or weighed.expected > WORTHWHILE * left:
+        if weighed is None or weighed.expected > WORTHWHILE * left or weighed.queue > 0:
             return None
         if weighed.expected > call.deadline - self.clock.now():
             return None
--- /dev/null
+++ b/sequoiabridge/relay/members.py
@@ -0,0 +1,110 @@
+"""The daemons of the fleet: each writes where it is into a table, and greets those it finds there.
+
+A row is never removed: VMs keep nothing, and one that is replaced is missed by nobody. Rows of VMs
+that are gone cost a few datagrams.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from random import Random
+
+import curio
+
+from ..exceptions import StoreUnavailable
+from ..parts import Part
+from ..store.rows import Write
+from ..store.tables import Tables
+from .decisions import DecisionLog
+from .messages import Hello
+
+TABLE = "daemons"
+
+FIRST_PAUSE, LONGEST_PAUSE = 0.5, 5.0
+"""Seconds before the store is asked again when it did not answer; doubles up to the longest. Calls
+are served without it."""
+
+MOST_PEERS = 40
+"""Daemons of the own data centre that are told of each call, at most: with more, the datagrams
+would cost more processor time than the calls."""
+
+
+class Members(Part):
+    """The other daemons that are known.
+
+    Args:
+        greet: Sends a hello to an address.
+    """
+
+    name = "members"
+
+    def __init__(
+        self,
+        me: Hello,
+        tables: Tables,
+        decisions: DecisionLog,
+        random: Random,
+        greet: Callable[[Hello, str], None],
+    ):
+        self.me = me
+        self.tables = tables
+        self.decisions = decisions
+        self.random = random
+        self.greet = greet
+        self.others: dict[str, Hello] = {}
+        self.near: list[str] = []
+        self.all: list[str] = []
+
+    @property
+    def count(self) -> int:
+        """Return how many daemons there are, this one included."""
+        return len(self.others) + 1
+
+    async def join(self) -> None:
+        """Write where this daemon is, learn where the others are, and greet them."""
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                await self._join()
+                return
+            except StoreUnavailable as error:
+                self.decisions.belief("join-failed", why=str(error))
+            await curio.sleep(pause * self.random.uniform(0.5, 1.0))
+            pause = min(LONGEST_PAUSE, 2 * pause)
+
+    async def _join(self) -> None:
+        where = {"address": self.me.address, "data_centre": self.me.data_centre}
+        row = Write(TABLE, "", self.me.vm, json.dumps(where).encode())
+        await self.tables.transact([], [row])
+        found = await self.tables.rows(TABLE)
+        for other in found.rows:
+            self._found(other.key, other.value)
+        for address in self.all:
+            self.greet(self.me, address)
+        self.decisions.belief("joined", members=self.count, near=len(self.near))
+
+    def _found(self, vm: str, value: bytes | None) -> None:
+        try:
+            where = json.loads(value or b"")
+            hello = Hello(vm, str(where["address"]), str(where["data_centre"]))
+        except (ValueError, KeyError, TypeError) as error:
+            self.decisions.belief("entry-unreadable", feed=TABLE, key=vm, why=repr(error))
+            return
+        self.heard(hello)
+
+    def heard(self, hello: Hello) -> None:
+        """A daemon is there, as its row or itself says."""
+        if hello.vm == self.me.vm:
+            return
+        known = self.others.get(hello.vm)
+        if known is not None and known.address == hello.address:
+            return
+        self.others[hello.vm] = hello
+        self.all = [other.address for other in self.others.values()]
+        near = [o for o in self.others.values() if o.data_centre == self.me.data_centre]
+        self.near = [other.address for other in near[:MOST_PEERS]]
+
+    def dump(self) -> dict:
+        """Describe the members for the state dump."""
+        return {vm: other.address for vm, other in self.others.items()}
--- /dev/null
+++ b/sequoiabridge/relay/messages.py
@@ -0,0 +1,97 @@
+"""What daemons tell each other: small datagrams, each of which may be lost without harm."""
+
+from __future__ import annotations
+
+import json
+
+from .signals import UpstreamLoad
+
+HELLO, SENT, LOAD, FAILED = "hello", "sent", "load", "failed"
+"""First element of a datagram, a JSON list."""
+
+LARGEST = 1200
+"""Bytes of a datagram at most, so that it travels in one packet."""
+
+ENCODER = json.JSONEncoder(separators=(",", ":"))
+
+
+class Hello:
+    """A daemon is there: its name, the address of its port for datagrams, its data centre."""
+
+    __slots__ = ("vm", "address", "data_centre")
+
+    def __init__(self, vm: str, address: str, data_centre: str):
+        self.vm = vm
+        self.address = address
+        self.data_centre = data_centre
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [HELLO, self.vm, self.address, self.data_centre]
+
+
+class Sent:
+    """A daemon has sent a call to an upstream just now."""
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, upstream: str):
+        self.upstream = upstream
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [SENT, self.upstream]
+
+
+class Reported:
+    """An upstream has told its load just now."""
+
+    __slots__ = ("upstream", "load")
+
+    def __init__(self, upstream: str, load: UpstreamLoad):
+        self.upstream = upstream
+        self.load = load
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        load = self.load
+        return [LOAD, self.upstream, load.running, load.waiting, load.slots, load.slowdown]
+
+
+class Failed:
+    """An upstream has failed a call just now."""
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, upstream: str):
+        self.upstream = upstream
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [FAILED, self.upstream]
+
+
+Message = Hello | Sent | Reported | Failed
+
+
+def encoded(message: Message) -> bytes:
+    """Return a message as a datagram."""
+    return ENCODER.encode(message.fields()).encode()
+
+
+def decoded(data: bytes) -> Message | None:
+    """Return the message of a datagram, None if it is none that this release knows."""
+    try:
+        kind, *rest = json.loads(data)
+        if kind == SENT:
+            return Sent(str(rest[0]))
+        if kind == LOAD:
+            load = UpstreamLoad(int(rest[1]), int(rest[2]), int(rest[3]), float(rest[4]))
+            return Reported(str(rest[0]), load)
+        if kind == FAILED:
+            return Failed(str(rest[0]))
+        if kind == HELLO:
+            return Hello(str(rest[0]), str(rest[1]), str(rest[2]))
+    except (ValueError, TypeError, IndexError):
+        return None
+    return None
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -77,6 +77,7 @@
             gateway.configuration,
             gateway.upstreams,
             gateway.connector,
+            gateway.members,
             gateway.configuration_feed,
             gateway.upstream_feed,
         )
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -6,13 +6,15 @@
 
 import curio
 
-from ..exceptions import UpstreamFailed
+from ..exceptions import NoFreeConnection, UpstreamFailed
 from ..pipeline.exchange import Answer, Body
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
+from .allowance import ProbeAllowance
 from .configuration import Configuration
 from .decisions import DecisionLog
 from .dialect import Dialect
+from .sharing import Sharing
 from .tally import Tally
 from .upstream import Upstream
 from .upstreams import UpstreamList
@@ -34,6 +36,7 @@
 
     Args:
         configuration: Says the path of each service's health check.
+        allowance: How many health checks may be sent.
     """
 
     def __init__(
@@ -43,22 +46,31 @@
         configuration: Configuration,
         upstreams: UpstreamList,
         decisions: DecisionLog,
+        sharing: Sharing,
         tally: Tally,
         clock: Clock,
+        allowance: ProbeAllowance,
     ):
+        self.allowance = allowance
         self.connector = connector
         self.dialect = dialect
         self.configuration = configuration
         self.upstreams = upstreams
         self.decisions = decisions
+        self.sharing = sharing
         self.tally = tally
         self.clock = clock
 
     async def ask(self, upstreams: Sequence[Upstream], patience: float) -> None:
         """Ask all of `upstreams` and return when they have answered, or after `patience` seconds.
 
-        What comes later is taken in all the same.
+        What comes later is taken in all the same. Fewer are asked, the first ones, when the fleet's
+        limit on health checks demands it.
         """
+        now, known = self.clock.now(), len(self.upstreams.by_id)
+        upstreams = upstreams[: self.allowance.take(len(upstreams), known, now)]
+        if not upstreams:
+            return
         round_ = ProbeRound(len(upstreams))
         for upstream in upstreams:
             await curio.spawn(self._ask_one(upstream, round_), daemon=True)
@@ -84,8 +96,12 @@
                     upstream.address, fresh=False, timeout=ANSWER_LIMIT
                 )
                 answer = await self._exchange(connection, upstream)
-        except (curio.TaskTimeout, UpstreamFailed) as error:
-            self._no_answer(upstream, error)
+        except NoFreeConnection:
+            upstream.evidence.not_asked()
+        except curio.TaskTimeout:
+            self._no_answer(upstream, f"no answer within {ANSWER_LIMIT} s")
+        except UpstreamFailed as error:
+            self._no_answer(upstream, str(error))
         else:
             self._take_in(upstream, answer)
         finally:
@@ -105,10 +121,10 @@
     def _belongs(self, headers) -> bool:
         return self.dialect.belongs(NO_CALL, headers)
 
-    def _no_answer(self, upstream: Upstream, error: Exception) -> None:
+    def _no_answer(self, upstream: Upstream, why: str) -> None:
         evidence = upstream.evidence
         if not evidence.silent:
-            self.decisions.belief("upstream-silent", upstream=upstream.id, why=str(error))
+            self.decisions.belief("upstream-silent", upstream=upstream.id, why=why)
         evidence.ignored_probe(self.clock.now())
         self.tally.probes_unanswered += 1
 
@@ -117,14 +133,16 @@
         if signals.upstream and signals.upstream != upstream.id:
             self.upstreams.was_replaced(upstream)
             return
-        evidence, now = upstream.evidence, self.clock.now()
+        evidence = upstream.evidence
         if evidence.silent:
             self.decisions.belief("upstream-answers", upstream=upstream.id, after=evidence.silent)
         if signals.healthy != evidence.healthy:
             self.decisions.belief("upstream-health", upstream=upstream.id, healthy=signals.healthy)
         evidence.answered_probe(signals.healthy)
+        if not signals.healthy:
+            self.upstreams.said_unwell(upstream)
         if signals.load is not None:
-            evidence.reported(signals.load, now)
+            self.sharing.reported(upstream, signals.load)
 
 
 class ProbeRound:
--- /dev/null
+++ b/sequoiabridge/relay/refusals.py
@@ -0,0 +1,49 @@
+"""The final answers that the relay makes itself, each true about whether the call ran."""
+
+from __future__ import annotations
+
+from ..exceptions import Refusal
+from ..outcome import Outcome, Reason
+from .call import RelayedCall
+
+COME_BACK = 0.15
+"""Seconds after which a caller may try again: a place becomes free within the time of one piece of
+work, and callers wait at most a third of the time they have left."""
+
+
+def no_upstream(call: RelayedCall) -> Refusal:
+    """Return the refusal of a call whose service has no upstream that takes work."""
+    message = "No upstream of the service takes work now. Come back later."
+    return Refusal(503, Outcome.NOT_RUN, Reason.NO_UPSTREAM, message, COME_BACK)
+
+
+def timed_out(call: RelayedCall) -> Refusal:
+    """Return the refusal of a call whose time is up."""
+    if call.may_have_run:
+        message = "No upstream answered in time. Whether the request ran is not known."
+        return Refusal(504, Outcome.UNKNOWN, Reason.TIMEOUT, message)
+    message = "No upstream took the request in time; it did not run. Come back later."
+    return Refusal(503, Outcome.NOT_RUN, Reason.TIMEOUT, message, COME_BACK)
+
+
+def gave_up(call: RelayedCall, why: str) -> Refusal:
+    """Return the refusal of a call that cannot be sent again."""
+    if call.may_have_run:
+        message = f"The upstream gave no usable answer ({why}). The request may have run."
+        return Refusal(502, Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, message)
+    message = "No upstream took the request; it did not run. Come back later."
+    return Refusal(503, Outcome.NOT_RUN, Reason.UPSTREAM_SHED, message, COME_BACK)
+
+
+def crowded(call: RelayedCall) -> Refusal:
+    """Return the refusal of a call for which all upstreams are too busy."""
+    message = "All upstreams of the service are too busy to answer in time. Come back later."
+    return Refusal(503, Outcome.NOT_RUN, Reason.QUEUE_FULL, message, COME_BACK)
+
+
+def internal(call: RelayedCall) -> Refusal:
+    """Return the refusal that stands for a fault of the daemon's own."""
+    message = "The daemon failed at this request. Tell its operator the request's id."
+    if call.may_have_run:
+        return Refusal(500, Outcome.UNKNOWN, Reason.INTERNAL, message)
+    return Refusal(503, Outcome.NOT_RUN, Reason.INTERNAL, message, COME_BACK)
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -16,8 +16,9 @@
 from .configuration import Configuration
 from .decisions import DecisionLog
 from .dialect import Dialect
+from .refusals import internal
 from .routes import Route
-from .sender import COME_BACK, Sender
+from .sender import Sender
 from .splitting import Splitter
 from .tally import Tally
 
@@ -159,11 +160,3 @@
         row["attempts"] = [attempt.row() for attempt in call.attempts]
         row["considered"] = [weighed.row() for weighed in call.considered]
         return row
-
-
-def internal(call: RelayedCall) -> Refusal:
-    """Return the refusal that stands for a fault of the daemon's own."""
-    message = "The daemon failed at this request. Tell its operator the request's id."
-    if call.may_have_run:
-        return Refusal(500, Outcome.UNKNOWN, Reason.INTERNAL, message)
-    return Refusal(503, Outcome.NOT_RUN, Reason.INTERNAL, message, COME_BACK)
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from ..exceptions import Refusal
-from ..outcome import Outcome, Reason
 from ..pipeline.exchange import Answer, BytesBody
 from ..timers import Clock
 from ..upstreams.base import Connector
@@ -20,6 +18,8 @@
 from .dialect import Dialect
 from .hedging import Hedging
 from .race import Race
+from .refusals import gave_up, no_upstream, timed_out
+from .sharing import Sharing
 from .tally import Tally
 from .upstreams import UpstreamList
 
@@ -29,10 +29,6 @@
 """Upstreams that a call is offered to at most, those that refused it included: when four have no
 room, the service has none, and a later try of the caller does better."""
 
-COME_BACK = 0.15
-"""Seconds after which a caller may try again: a place becomes free within the time of one piece of
-work, and callers wait at most a third of the time they have left."""
-
 LEAST_TIME = 0.02
 """Seconds that must be left for another attempt; a round trip and a probe take a few."""
 
@@ -52,6 +48,7 @@
         upstreams: UpstreamList,
         connector: Connector,
         dialect: Dialect,
+        sharing: Sharing,
         tally: Tally,
         clock: Clock,
         new_budget,
@@ -62,6 +59,7 @@
         self.upstreams = upstreams
         self.connector = connector
         self.dialect = dialect
+        self.sharing = sharing
         self.tally = tally
         self.clock = clock
         self.new_budget = new_budget
@@ -105,16 +103,16 @@
                 continue
             if call.fallback is not None:
                 return call.fallback
-            raise gave_up(call, attempt)
+            raise gave_up(call, attempt.why)
 
     async def _first(self, call: RelayedCall, race: Race) -> None:
-        weighed = await self.chooser.choose(call)
+        weighed = await self.chooser.place(call)
         if weighed is None:
             raise no_upstream(call)
         await self._start(call, race, weighed)
 
     async def _start(self, call: RelayedCall, race: Race, weighed: Weighed) -> None:
-        attempt = Attempt(call, weighed, self.connector, self.dialect, self.clock)
+        attempt = Attempt(call, weighed, self.connector, self.dialect, self.clock, self.sharing)
         self.hedging.begin(call, attempt)
         call.attempts.append(attempt)
         await race.start(attempt)
@@ -124,8 +122,8 @@
         if not self._may_repeat(call):
             return False
         weighed = await self.chooser.choose(call)
-        if weighed is None:
-            call.note = "no other upstream"
+        if weighed is None or self.chooser.is_crowded(call, weighed):
+            call.note = "no other upstream has a place"
             return False
         if call.reached and not self._budget(call).take(self.clock.now()):
             call.note = "the budget of repeats is spent"
@@ -156,6 +154,10 @@
         for attempt in list(race.running):
             if attempt.check_at > now:
                 continue
+            if not self._budget(call).has(now):
+                self.hedging.look_later(call, attempt)
+                call.note = "the budget of repeats is spent"
+                continue
             weighed = await self.hedging.better(call, attempt)
             if weighed is None or attempt not in race.running:
                 continue
@@ -181,7 +183,7 @@
         # What was expected without regard to the upstream's own slowness.
         usual = weighed.expected / pace
         if attempt.signals is not None and attempt.signals.load is not None:
-            evidence.reported(attempt.signals.load, now)
+            self.sharing.reported(upstream, attempt.signals.load)
         if ending is Ending.ANSWERED and attempt.answer.status < FIRST_FAILURE:
             evidence.succeeded(now)
             evidence.measured(attempt.seconds / usual, now)
@@ -194,7 +196,7 @@
         elif attempt.signals is not None and attempt.signals.other_upstream:
             self.upstreams.was_replaced(upstream)
         elif attempt.error is None:
-            evidence.failed(now)
+            self.sharing.failed(upstream)
 
 
 def is_final(call: RelayedCall, attempt: Attempt) -> bool:
@@ -204,32 +206,3 @@
     failed = attempt.answer.status >= FIRST_FAILURE
     # A long answer has begun to come; it cannot be held back for a better one.
     return not failed or not isinstance(attempt.answer.body, BytesBody | None)
-
-
-def outcome(call: RelayedCall) -> Outcome:
-    """Return what may truthfully be said about whether the call ran."""
-    return Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
-
-
-def no_upstream(call: RelayedCall) -> Refusal:
-    """Return the refusal of a call whose service has no upstream that takes work."""
-    message = "No upstream of the service takes work now. Come back later."
-    return Refusal(503, Outcome.NOT_RUN, Reason.NO_UPSTREAM, message, COME_BACK)
-
-
-def timed_out(call: RelayedCall) -> Refusal:
-    """Return the refusal of a call whose time is up."""
-    if call.may_have_run:
-        message = "No upstream answered in time. Whether the request ran is not known."
-        return Refusal(504, Outcome.UNKNOWN, Reason.TIMEOUT, message)
-    message = "No upstream took the request in time; it did not run. Come back later."
-    return Refusal(503, Outcome.NOT_RUN, Reason.TIMEOUT, message, COME_BACK)
-
-
-def gave_up(call: RelayedCall, attempt: Attempt) -> Refusal:
-    """Return the refusal of a call that cannot be sent again."""
-    if call.may_have_run:
-        message = f"The upstream gave no usable answer ({attempt.why}). The request may have run."
-        return Refusal(502, Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, message)
-    message = "No upstream took the request; it did not run. Come back later."
-    return Refusal(503, Outcome.NOT_RUN, Reason.UPSTREAM_SHED, message, COME_BACK)
--- /dev/null
+++ b/sequoiabridge/relay/sharing.py
@@ -0,0 +1,71 @@
+"""What this daemon learns of upstreams and tells the others, and what they tell it.
+
+The daemons of one data centre send to the same upstreams. Each tells the others of each call that
+it sends and of each load that it hears, so that all of them know the upstreams as well as if every
+call had gone through one. Datagrams inside a data centre cost nothing; failures, which are rare, go
+to all.
+"""
+
+from __future__ import annotations
+
+from ..timers import Clock
+from .channel import Channel
+from .members import Members
+from .messages import Failed, Hello, Message, Reported, Sent
+from .signals import UpstreamLoad
+from .upstream import Upstream
+from .upstreams import UpstreamList
+
+HEARSAY = 0.7
+"""Weight of a failure that another VM saw: some upstreams fail only some VMs."""
+
+
+class Sharing:
+    """Enters evidence here and tells it to others."""
+
+    def __init__(self, upstreams: UpstreamList, clock: Clock):
+        self.upstreams = upstreams
+        self.clock = clock
+        self.channel = Channel(self._heard)
+        self.members: Members | None = None
+
+    def sent(self, upstream: Upstream) -> None:
+        """This VM sends a call."""
+        upstream.evidence.sent()
+        if self.members is not None and self._shared(upstream):
+            self.channel.tell(Sent(upstream.id), self.members.near)
+
+    def reported(self, upstream: Upstream, load: UpstreamLoad) -> None:
+        """An upstream told this VM its load."""
+        upstream.evidence.reported(load, self.clock.now())
+        if self.members is not None and self._shared(upstream):
+            self.channel.tell(Reported(upstream.id, load), self.members.near)
+
+    def failed(self, upstream: Upstream) -> None:
+        """An upstream failed a call of this VM."""
+        upstream.evidence.failed(self.clock.now())
+        if self.members is not None:
+            self.channel.tell(Failed(upstream.id), self.members.all)
+
+    def greet(self, hello: Hello, address: str) -> None:
+        """Tell another daemon that this one is there."""
+        self.channel.tell(hello, [address])
+
+    def _shared(self, upstream: Upstream) -> bool:
+        """Return whether the others of this data centre send to the upstream as well."""
+        return upstream.near
+
+    def _heard(self, message: Message) -> None:
+        if isinstance(message, Hello):
+            if self.members is not None:
+                self.members.heard(message)
+            return
+        upstream = self.upstreams.by_id.get(message.upstream)
+        if upstream is None:
+            return
+        if isinstance(message, Sent):
+            upstream.evidence.sent()
+        elif isinstance(message, Reported):
+            upstream.evidence.reported(message.load, self.clock.now())
+        elif isinstance(message, Failed):
+            upstream.evidence.failed(self.clock.now(), HEARSAY)
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -22,9 +22,9 @@
 TOGETHER = 1.0
 """Seconds within which entries vanish together."""
 
-LAPSE_KEPT = 2.3
+LAPSE_KEPT = 2.0
 """Seconds for which an upstream whose entry lapsed is kept: living ones are listed again within
-about 2 seconds of the platform's return."""
+about 2 seconds of the platform's return, and what has left must get no calls soon after."""
 
 
 class UpstreamList(Part):
@@ -59,6 +59,7 @@
         self.by_service: dict[str, list[Upstream]] = {}
         self.unsettled_until = 0.0
         self.vanished: list[tuple[float, str]] = []
+        self.lapsed: list[Upstream] = []
 
     @property
     def known(self) -> bool:
@@ -67,7 +68,11 @@
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get work."""
-        return self.by_service.get(service, [])
+        known = self.by_service.get(service, [])
+        if not self.lapsed:
+            return known
+        now = self.clock.now()
+        return [u for u in known if u.leaves_at is None or now < u.leaves_at]
 
     def store_returned(self) -> None:
         """The platform answers again: entries that are missing now may only have lapsed."""
@@ -95,12 +100,19 @@
     def expire(self) -> None:
         """Forget upstreams whose lapsed entries have not come back; the timers call it."""
         now = self.clock.now()
-        over = [u for u in self.by_id.values() if u.leaves_at is not None and u.leaves_at <= now]
+        over = [u for u in self.lapsed if u.leaves_at is not None and u.leaves_at <= now]
         for upstream in over:
             self._forget(upstream, "its lapsed entry did not come back")
         if over:
             self._arrange()
 
+    def said_unwell(self, upstream: Upstream) -> None:
+        """An upstream called itself unwell: without an entry, that means that it is leaving."""
+        if upstream.leaves_at is None:
+            return
+        self._forget(upstream, "its entry lapsed, and it says that it is leaving")
+        self._arrange()
+
     def was_replaced(self, upstream: Upstream) -> None:
         """Another upstream answered at its address: it is gone, whatever the list says."""
         if upstream.replaced:
@@ -154,6 +166,7 @@
     def _arrange(self) -> None:
         self.changes += 1
         self.by_service = {}
+        self.lapsed = [u for u in self.by_id.values() if u.leaves_at is not None]
         for upstream in self.by_id.values():
             if upstream.takes_work:
                 self.by_service.setdefault(upstream.record.service, []).append(upstream)
--- a/sequoiabridge/upstreams/connections.py
+++ b/sequoiabridge/upstreams/connections.py
@@ -3,7 +3,7 @@
 from collections import deque
 from functools import partial
 
-from ..exceptions import UpstreamFailed
+from ..exceptions import NoFreeConnection, UpstreamFailed
 from ..parts import Part
 from ..timers import Clock
 from .base import Connector, UpstreamConnection
@@ -88,7 +88,7 @@
             await self._close(pool, pool.idle.popleft())
         if pool.count >= pool.share:
             message = f"{address}: All {pool.share} connections are in use. Try another upstream."
-            raise UpstreamFailed(message, sent=False)
+            raise NoFreeConnection(message, sent=False)
         return HttpConnection(self, await self._open(pool, address, timeout))
 
     async def release(self, connection: UpstreamConnection) -> None:
