--- /dev/null
+++ b/sequoiabridge/tests/platform/scene.py
@@ -0,0 +1,213 @@
+"""A small deployment in one process: the store, some upstreams, one daemon, and callers."""
+
+import curio
+import h11
+
+from ...config.gateway_settings import GatewaySettings
+from ...gateway import Gateway
+from ...selector import KeptSelector
+from .store_emulator import StoreEmulator
+from .upstream_emulator import UpstreamEmulator
+
+SETTINGS = """
+[vm]
+name = vm-1
+data_centre = here
+[listen]
+callers = 127.0.0.1:0
+ready = 127.0.0.1:0
+fleet_ip = 127.0.0.1
+fleet_ports = {port}, {port2}
+[store]
+address = {store}
+[bounds]
+retry_slack = 10000
+"""
+
+HOST = "reads.example"
+
+
+def path(prefix, kind, service, **more):
+    """Return one route of the operator's document."""
+    return {
+        "name": prefix.strip("/"),
+        "prefix": prefix,
+        "route_type": kind,
+        "timeout_s": 1.0,
+        "target_latency_s": 0.5,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **more,
+    }
+
+
+def document(version=1, paths=(), **limits):
+    """Return an operator's document with routes for reads, approvals and uploads."""
+    routes = [
+        path("/read/", "idempotent", "reads"),
+        path("/approve/", "non_idempotent", "approvals"),
+        path("/upload/", "upload", "approvals"),
+        *paths,
+    ]
+    services = [
+        {"name": name, "health_check_path": "/health", "max_connections": 220}
+        for name in ("reads", "approvals")
+    ]
+    bounds = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1_000_000,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+        **limits,
+    }
+    hosts = [{"hostname": HOST, "paths": routes}]
+    return {"version": version, "services": services, "limits": bounds, "virtual_hosts": hosts}
+
+
+class Reply:
+    """What a caller got; `whole` is false when the connection ended before the answer did."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b""
+        self.whole = False
+
+
+class Connection:
+    """A caller's connection."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        self.state = h11.Connection(h11.CLIENT)
+
+    async def send(self, target, call_id="c1", method="GET", body=b"", patience=2000, host=HOST):
+        """Send a request."""
+        headers = [("host", host), ("x-attempt-id", call_id), ("x-deadline-ms", str(patience))]
+        if body:
+            headers.append(("content-length", str(len(body))))
+        data = self.state.send(h11.Request(method=method, target=target, headers=headers))
+        if body:
+            data += self.state.send(h11.Data(data=body))
+        data += self.state.send(h11.EndOfMessage())
+        await self.sock.sendall(data)
+
+    async def reply(self) -> Reply:
+        """Return the answer."""
+        reply = Reply()
+        while True:
+            event = self.state.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    self.state.receive_data(await self.sock.recv(65536))
+                except OSError:
+                    return reply
+            elif isinstance(event, h11.Response):
+                reply.status = event.status_code
+                reply.headers = dict(event.headers)
+            elif isinstance(event, h11.Data):
+                reply.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                reply.whole = True
+                if self.state.our_state is h11.DONE and self.state.their_state is h11.DONE:
+                    self.state.start_next_cycle()
+                return reply
+            else:
+                return reply
+
+    async def call(self, target, call_id="c1", **more) -> Reply:
+        """Send a request and return its answer."""
+        await self.send(target, call_id, **more)
+        return await self.reply()
+
+
+class Scene:
+    """The parts of the deployment."""
+
+    def __init__(self):
+        self.store = StoreEmulator()
+        self.store_address = ""
+        self.upstreams: dict[str, UpstreamEmulator] = {}
+        self.gateway: Gateway | None = None
+        self.run: curio.Task | None = None
+        self.lines: list[bytes] = []
+
+    async def add(self, id, service, zone="here", **more) -> UpstreamEmulator:
+        """Start an upstream and list it."""
+        upstream = self.upstreams[id] = UpstreamEmulator(id, service, zone, **more)
+        await upstream.start()
+        await self.store.put("servers", id, upstream.entry())
+        return upstream
+
+    async def relist(self, id) -> None:
+        """Write an upstream's entry anew."""
+        await self.store.put("servers", id, self.upstreams[id].entry())
+
+    async def start_store(self) -> None:
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        self.store_address = "{}:{}".format(*sock.getsockname()[:2])
+        await curio.spawn(curio.network.run_server, sock, self.store.serve, daemon=True)
+
+    async def start_gateway(self) -> None:
+        port, port2 = free_port(), free_port()
+        text = SETTINGS.format(store=self.store_address, port=port, port2=port2)
+        self.gateway = Gateway(GatewaySettings.parse(text))
+        self.gateway.decisions.write = self.lines.append
+        self.run = await curio.spawn(self.gateway.run(), daemon=True)
+        await self.until(lambda: self.gateway.ready.address)
+
+    async def serving(self) -> None:
+        """Wait until the daemon is ready."""
+        await self.until(lambda: not self.gateway.readiness.why_not_ready())
+
+    async def until(self, condition, seconds=8.0) -> None:
+        """Wait for a condition."""
+        async with curio.timeout_after(seconds):
+            while not condition():
+                await curio.sleep(0.005)
+
+    async def connect(self, address="") -> Connection:
+        host, _, port = (address or self.gateway.callers.address).rpartition(":")
+        return Connection(await curio.open_connection(host, int(port)))
+
+    async def call(self, target, call_id="c1", **more) -> Reply:
+        """Make one call on a connection of its own."""
+        connection = await self.connect()
+        try:
+            return await connection.call(target, call_id, **more)
+        finally:
+            await connection.sock.close()
+
+    def runs(self, call_id) -> int:
+        """Return how often a call ran."""
+        return sum(upstream.runs.count(call_id) for upstream in self.upstreams.values())
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    import socket
+
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def play(test, configured=True, reads=2, approvals=2):
+    """Run `test(scene)` with a store, upstreams and a daemon that serves."""
+
+    async def main():
+        scene = Scene()
+        await scene.start_store()
+        if configured:
+            await scene.store.put("op", "config", document())
+        for number in range(reads):
+            await scene.add(f"r{number}", "reads")
+        for number in range(approvals):
+            await scene.add(f"a{number}", "approvals")
+        await scene.start_gateway()
+        if configured:
+            await scene.serving()
+        await curio.timeout_after(25, test, scene)
+
+    curio.run(main, selector=KeptSelector())
--- /dev/null
+++ b/sequoiabridge/tests/platform/store_emulator.py
@@ -0,0 +1,168 @@
+"""The platform's store as a stand-in: rows with one counter of versions, a feed, faults."""
+
+import json
+from base64 import b64decode, b64encode
+from collections import deque
+from socket import SHUT_RDWR
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+
+from ..standins.upstream_http import GONE, Incoming, Wire
+
+HISTORY = 1000
+"""Changes that the feed still knows."""
+
+
+class StoreFaults:
+    """What is wrong with the store now."""
+
+    def __init__(self):
+        self.silent = False
+        self.refuse = 0
+        self.lose_answers = 0
+        self.delay = 0.0
+        self.refused_vms: set[str] = set()
+
+
+class StoreEmulator:
+    """Rows by (table, part, key); `calls` counts calls by path."""
+
+    def __init__(self):
+        self.rows: dict[tuple[str, str, str], tuple[bytes, int]] = {}
+        self.version = 0
+        self.history: deque[tuple[int, tuple[str, str, str], bytes | None]] = deque(maxlen=HISTORY)
+        self.forgotten = 0
+        self.faults = StoreFaults()
+        self.calls: dict[str, int] = {}
+        self.changed = curio.Event()
+        self.wires: set[Wire] = set()
+
+    async def put(self, table: str, key: str, value: dict | None, part: str = "") -> None:
+        """Write or remove a row as the platform itself does, whatever the faults."""
+        data = None if value is None else json.dumps(value).encode()
+        await self.apply([((table, part, key), data)])
+
+    async def apply(self, writes) -> None:
+        self.version += 1
+        for name, value in writes:
+            if value is None:
+                self.rows.pop(name, None)
+            else:
+                self.rows[name] = (value, self.version)
+            if len(self.history) == HISTORY:
+                self.forgotten = self.history[0][0]
+            self.history.append((self.version, name, value))
+        old, self.changed = self.changed, curio.Event()
+        await old.set()
+
+    def forget_history(self) -> None:
+        """Drop the history: whoever follows must read all rows."""
+        self.history.clear()
+        self.forgotten = self.version
+
+    async def cut(self) -> None:
+        """Reset all connections."""
+        for wire in list(self.wires):
+            break_off(wire)
+
+    async def serve(self, client, peer) -> None:
+        """Serve one connection until it ends."""
+        wire = Wire(client)
+        self.wires.add(wire)
+        try:
+            while request := await wire.request():
+                if not await self.handle(wire, request):
+                    return
+        except GONE:
+            pass
+        finally:
+            self.wires.discard(wire)
+            await client.close()
+
+    async def handle(self, wire: Wire, request: Incoming) -> bool:
+        url = urlsplit(request.target)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        self.calls[url.path] = self.calls.get(url.path, 0) + 1
+        faults = self.faults
+        if faults.silent:
+            await curio.sleep(3600)
+        if faults.refuse:
+            faults.refuse -= 1
+            return await self.reply(wire, 503, {})
+        await curio.sleep(faults.delay)
+        status, body = await self.answer(request.method, url.path, query, request.body)
+        if faults.lose_answers:
+            faults.lose_answers -= 1
+            return False
+        return await self.reply(wire, status, body)
+
+    async def reply(self, wire: Wire, status: int, body: dict) -> bool:
+        data = json.dumps(body).encode()
+        return await wire.answer(status, [(b"content-type", b"application/json")], data)
+
+    async def answer(self, method: str, path: str, query: dict, body: bytes) -> tuple[int, dict]:
+        if (method, path) == ("POST", "/rows-tx"):
+            return await self.transact(json.loads(body))
+        if path == "/rows-get":
+            return self.get(query)
+        if path == "/rows-feed":
+            return await self.feed(query)
+        return 404, {}
+
+    async def transact(self, call: dict) -> tuple[int, dict]:
+        for row in call["expected_rev"]:
+            name = (row["table"], row.get("part", ""), row["key"])
+            if self.rows.get(name, (b"", 0))[1] != row["ver"]:
+                return 412, {"rows": [], "ver": self.version}
+        writes = [
+            ((w["table"], w.get("part", ""), w["key"]), b64decode(w["value"])) for w in call["puts"]
+        ]
+        writes += [((w["table"], w.get("part", ""), w["key"]), None) for w in call["remove"]]
+        await self.apply(writes)
+        return 200, {"ver": self.version, "now_s": 1.0}
+
+    def get(self, query: dict) -> tuple[int, dict]:
+        limit = int(query.get("limit", 500))
+        start, end = query.get("from", ""), query.get("target", "\U0010ffff")
+        names = sorted(
+            name
+            for name in self.rows
+            if name[:2] == (query["table"], query.get("part", "")) and start <= name[2] < end
+        )
+        rows = [row_of(name, *self.rows[name]) for name in names[:limit]]
+        more = len(names) > limit
+        return 200, {"rows": rows, "has_more": more, "ver": self.version, "now_s": 1.0}
+
+    async def feed(self, query: dict) -> tuple[int, dict]:
+        table, after = query["table"], int(query["after"])
+        if after < self.forgotten or after > self.version:
+            return 410, {}
+        async with curio.ignore_after(int(query["wait_ms"]) / 1000):
+            while not (rows := self.since(table, after)):
+                await self.changed.wait()
+                if after < self.forgotten:
+                    return 410, {}
+        return 200, {"rows": self.since(table, after), "ver": self.version, "now_s": 1.0}
+
+    def since(self, table: str, after: int) -> list[dict]:
+        found = [(v, name, value) for v, name, value in self.history if v > after]
+        return [row_of(name, value, v) for v, name, value in found if name[0] == table]
+
+
+def break_off(wire: Wire) -> None:
+    """End a connection at once; the task that reads from it ends as well."""
+    with wire.sock.blocking() as sock:
+        sock.setblocking(False)
+        try:
+            sock.shutdown(SHUT_RDWR)
+        except OSError:
+            return  # The other end was first.
+
+
+def row_of(name: tuple[str, str, str], value: bytes | None, version: int) -> dict:
+    table, part, key = name
+    row = {"table": table, "part": part, "key": key, "ver": version}
+    if value is None:
+        return {**row, "removed": True}
+    return {**row, "value": b64encode(value).decode()}
--- /dev/null
+++ b/sequoiabridge/tests/test_gateway.py
@@ -0,0 +1,286 @@
+"""The daemon on the platform, whole, against the emulator: what callers and upstreams see."""
+
+import json
+
+import curio
+import pytest
+
+from .platform.scene import document, path, play
+
+READ, APPROVE, UPLOAD = "/read/x?q=1", "/approve/x", "/upload/x"
+
+
+def calls_of(scene):
+    """Return the decision log's lines of calls."""
+    lines = [json.loads(line) for line in scene.lines]
+    return [line for line in lines if line["event"] == "call"]
+
+
+def test_a_call_goes_to_an_upstream_of_its_service_unchanged_and_its_answer_comes_back():
+    async def test(scene):
+        reply = await scene.call(APPROVE, "c7", method="POST", body=b"12345")
+        assert reply.status == 200 and reply.whole
+        assert reply.headers[b"x-server-signature"] == b"signed"
+        assert reply.headers[b"x-attempt-id"] == b"c7"
+        (seen,) = [r for u in scene.upstreams.values() for r in u.seen]
+        assert (seen.method, seen.target, seen.body) == ("POST", APPROVE, b"12345")
+        assert 0 < int(seen.header(b"x-deadline-ms")) <= 1000
+
+    play(test)
+
+
+def test_routes_are_found_by_host_and_longest_prefix_and_only_a_current_daemon_says_404():
+    async def test(scene):
+        nested = path("/read/special/", "idempotent", "approvals")
+        await scene.store.put("op", "config", document(2, [nested]))
+        await scene.until(lambda: scene.gateway.configuration.version == 2)
+        assert (await scene.call("/read/special/1")).body.startswith(b"a")
+        assert (await scene.call("/read/speciall")).body.startswith(b"r")
+        assert (await scene.call("/other/")).status == 404
+        assert (await scene.call(READ, host="nobody.example")).status == 404
+        scene.gateway.configuration.store_lost = True
+        assert (await scene.call("/other/")).status == 503
+
+    play(test)
+
+
+def test_before_a_configuration_is_known_calls_are_told_truly_that_they_did_not_run():
+    async def test(scene):
+        ready = await scene.connect(scene.gateway.ready.address)
+        assert (await ready.call("/ready")).status == 503
+        reply = await scene.call(READ)
+        assert reply.status == 503 and 0 < float(reply.headers[b"retry-after"]) < 1
+        await scene.store.put("op", "config", document())
+        await scene.serving()
+        assert (await ready.call("/ready")).status == 200
+        assert (await scene.call(READ)).status == 200
+
+    play(test, configured=False)
+
+
+@pytest.mark.parametrize("fault", ["reset", "cut", "unsigned"])
+def test_a_call_that_may_run_once_is_never_sent_again_and_its_failure_is_no_promise(fault):
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            setattr(upstream.faults, fault, True if fault == "unsigned" else 1.0)
+        reply = await scene.call(APPROVE, "once", method="POST", body=b"x")
+        assert reply.status == 502 and scene.runs("once") == 1
+
+    play(test)
+
+
+@pytest.mark.parametrize("fault", ["reset", "cut", "unsigned", "fail"])
+def test_an_idempotent_call_is_tried_at_a_second_upstream_and_no_third(fault):
+    async def test(scene):
+        bad = [u for u in scene.upstreams.values() if u.service == "reads"]
+        for upstream in bad[:-1]:
+            setattr(upstream.faults, fault, True if fault == "unsigned" else 1.0)
+        replies = [await scene.call(READ, f"c{n}") for n in range(6)]
+        assert sum(reply.status == 200 for reply in replies) >= 3
+        assert max(scene.runs(f"c{n}") for n in range(6)) == 2
+
+    play(test, reads=3)
+
+
+def test_a_refusal_of_an_upstream_is_tried_elsewhere_for_any_kind_and_told_truly_at_last():
+    async def test(scene):
+        scene.upstreams["a0"].faults.shed = True
+        replies = [
+            await scene.call(UPLOAD, f"u{n}", method="POST", body=b"y" * 90_000) for n in range(6)
+        ]
+        assert [reply.status for reply in replies] == [200] * 6
+        scene.upstreams["a1"].faults.shed = True
+        reply = await scene.call(APPROVE, "none", method="POST", body=b"x")
+        assert reply.status == 503 and scene.runs("none") == 0
+        assert b"retry-after" in reply.headers
+
+    play(test)
+
+
+def test_a_second_answer_is_never_handed_to_another_call():
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            upstream.faults.late_extra = True
+        for number in range(8):
+            reply = await scene.call(APPROVE, f"c{number}", method="POST", body=b"x")
+            assert reply.status == 200 and f" c{number} ".encode() in reply.body
+            await curio.sleep(0.02)
+
+    play(test, approvals=1)
+
+
+def test_an_answer_without_a_length_is_whole_when_its_connection_ends():
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            upstream.faults.until_close = True
+        reply = await scene.call(READ, "c1")
+        assert reply.status == 200 and reply.whole and b" c1 " in reply.body
+
+    play(test)
+
+
+def test_a_caller_gets_its_final_answer_when_the_time_of_its_route_is_over():
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            upstream.faults.hang = True
+        started = scene.gateway.clock.now()
+        reply = await scene.call(APPROVE, "c1", method="POST", body=b"x", patience=5000)
+        took = scene.gateway.clock.now() - started
+        assert reply.status == 504 and 0.9 < took < 1.6
+        await scene.until(lambda: sum(u.cancelled for u in scene.upstreams.values()) == 1)
+
+    play(test)
+
+
+def test_work_ends_when_its_caller_leaves():
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            upstream.faults.hang = True
+        connection = await scene.connect()
+        await connection.send(READ)
+        await scene.until(lambda: scene.runs("c1") == 1)
+        await connection.sock.close()
+        await scene.until(lambda: sum(u.cancelled for u in scene.upstreams.values()) >= 1, 1.0)
+
+    play(test)
+
+
+def test_an_idempotent_call_that_hangs_is_sent_to_a_second_upstream():
+    async def test(scene):
+        assert (await scene.call(READ, "warm")).status == 200
+        scene.upstreams["r0"].faults.hang = True
+        replies = [await scene.call(READ, f"c{n}") for n in range(4)]
+        assert [reply.status for reply in replies] == [200] * 4
+
+    play(test)
+
+
+def test_a_leaving_upstream_gets_no_more_calls_and_a_new_one_gets_some():
+    async def test(scene):
+        assert (await scene.call(READ)).status == 200
+        await scene.add("r9", "reads")
+        for id in ("r0", "r1"):
+            scene.upstreams[id].draining = True
+            await scene.relist(id)
+        await scene.until(lambda: len(scene.gateway.upstreams.of_service("reads")) == 1)
+        ran = len(scene.upstreams["r0"].runs) + len(scene.upstreams["r1"].runs)
+        for number in range(5):
+            assert (await scene.call(READ, f"c{number}")).body.startswith(b"r9")
+        assert len(scene.upstreams["r0"].runs) + len(scene.upstreams["r1"].runs) == ran
+
+    play(test)
+
+
+def test_an_address_that_went_to_another_upstream_gets_no_call_of_the_first():
+    async def test(scene):
+        old = scene.upstreams["a0"]
+        address = old.address
+        await old.crash()
+        new = scene.upstreams["new"] = type(old)("new", "reads", "here")
+        await new.start(address)
+        for number in range(4):
+            reply = await scene.call(APPROVE, f"c{number}", method="POST", body=b"x")
+            assert reply.body.startswith(b"a1")
+        assert new.runs == []
+
+    play(test)
+
+
+def test_a_newer_configuration_comes_into_force_and_an_older_one_never_again():
+    async def test(scene):
+        await scene.store.put("op", "config", document(5, [path("/new/", "idempotent", "reads")]))
+        await scene.until(lambda: scene.gateway.configuration.version == 5)
+        assert (await scene.call("/new/x")).status == 200
+        scene.store.forget_history()
+        await scene.store.put("op", "config", document(4))
+        await curio.sleep(0.5)
+        assert scene.gateway.configuration.version == 5
+        assert (await scene.call("/new/x")).status == 200
+
+    play(test)
+
+
+def test_the_daemon_serves_on_while_the_store_is_away_and_catches_up_after():
+    async def test(scene):
+        scene.store.faults.refuse = 10**6
+        await scene.store.cut()
+        await scene.until(lambda: scene.gateway.configuration_feed.lost)
+        assert (await scene.call(READ)).status == 200
+        await scene.store.put("op", "config", document(9, [path("/new/", "idempotent", "reads")]))
+        scene.store.faults.refuse = 0
+        await scene.until(lambda: scene.gateway.configuration.version == 9, 2.0)
+        assert (await scene.call("/new/x")).status == 200
+
+    play(test)
+
+
+def test_a_planned_stop_leaves_the_balancer_first_and_cuts_nothing_off():
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            upstream.work = 0.8
+        kept = await scene.connect()
+        assert (await kept.call(READ)).status == 200
+        scene.gateway.readiness.stopping = True
+        await scene.gateway.stop_asked.set()
+        ready = await scene.connect(scene.gateway.ready.address)
+        assert (await ready.call("/ready")).status == 503
+        reply = await kept.call(READ, "late")
+        assert reply.status == 200 and reply.headers[b"connection"] == b"close"
+        started = scene.gateway.clock.now()
+        while scene.gateway.clock.now() - started < 1.5:
+            assert (await scene.call(READ, "new")).status == 200
+        assert await scene.run.join() == 0
+        with pytest.raises(OSError):
+            await scene.connect()
+
+    play(test)
+
+
+def test_bodies_come_in_chunks_too_and_one_that_is_too_large_is_refused():
+    async def test(scene):
+        connection = await scene.connect()
+        head = f"POST {UPLOAD} HTTP/1.1\r\nHost: reads.example\r\nX-Attempt-Id: c1\r\n"
+        chunked = "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n2\r\n!!\r\n0\r\n\r\n"
+        await connection.sock.sendall((head + chunked).encode())
+        connection.state = h11_client_waiting()
+        assert (await connection.reply()).body.endswith(b" c1 7")
+        reply = await scene.call(UPLOAD, "big", method="POST", body=b"z" * 1_200_000)
+        assert reply.status == 413 and scene.runs("big") == 0
+
+    play(test)
+
+
+def h11_client_waiting():
+    """Return a client's state that has sent a request and waits for the answer."""
+    import h11
+
+    state = h11.Connection(h11.CLIENT)
+    state.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+    state.send(h11.EndOfMessage())
+    return state
+
+
+def test_each_call_has_a_line_with_what_decided_it():
+    async def test(scene):
+        scene.upstreams["a0"].faults.shed = scene.upstreams["a1"].faults.shed = True
+        await scene.call(APPROVE, "c42", method="POST", body=b"x")
+        await scene.until(lambda: calls_of(scene))
+        line = calls_of(scene)[-1]
+        assert line["id"] == "c42" and line["ran"] == "not-run" and line["status"] == 503
+        assert {attempt["ending"] for attempt in line["attempts"]} == {"not-run"}
+        assert {"upstream", "cost", "slowdown", "age_ms"} <= set(line["considered"][0])
+
+    play(test)
+
+
+def test_metrics_and_dump_are_served_to_operators():
+    async def test(scene):
+        await scene.call(READ)
+        operators = await scene.connect(scene.gateway.operators.address)
+        text = (await operators.call("/metrics")).body.decode()
+        assert 'sequoia_calls_total{route="read",status="2xx"} 1.0' in text
+        assert "sequoia_call_seconds_bucket" in text
+        dump = json.loads((await operators.call("/dump")).body)
+        assert set(dump["upstreams"]["upstreams"]) == {"r0", "r1", "a0", "a1"}
+
+    play(test)
