--- a/sequoiabridge/commands/gateway.py
+++ b/sequoiabridge/commands/gateway.py
@@ -13,6 +13,7 @@
 from ..config.problem import Invalid
 from ..exceptions import SequoiaError
 from ..gateway import Gateway
+from ..relay.decisions import STDOUT
 from ..selector import KeptSelector
 
 SETTINGS_VARIABLE = "SEQUOIABRIDGE_CONFIG"
@@ -29,7 +30,10 @@
         return Invalid.exit_code
     try:
         settings = GatewaySettings.load(path)
-        return curio.run(Gateway(settings).run, selector=KeptSelector()) or 0
+        os.set_blocking(STDOUT, False)
+        gateway = Gateway(settings)
+        gateway.catch_signals()
+        return curio.run(gateway.run, selector=KeptSelector()) or 0
     except Invalid as error:
         for problem in error.problems:
             print(problem.text, file=sys.stderr)
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -101,7 +101,6 @@
 
     async def run(self) -> int:
         """Serve until SIGTERM or SIGINT, then stop in order; return the exit code."""
-        self._catch_signals()
         await self._start()
         await self.stop_asked.wait()
         await self._stop()
@@ -251,7 +250,7 @@
         self.decisions.belief("stopped", cut_off=self.callers.in_flight)
         self.lines.flush()
 
-    def _catch_signals(self) -> None:
+    def catch_signals(self) -> None:
         """Stop at SIGTERM and SIGINT; read the settings again at SIGHUP."""
 
         def stop(number: int, frame: object) -> None:
--- a/sequoiabridge/relay/chooser.py
+++ b/sequoiabridge/relay/chooser.py
@@ -117,5 +117,5 @@
         terms = self._terms(call)
         weighed = [weigh(terms, upstream, now) for upstream in upstreams if upstream.takes_work]
         weighed.sort(key=lambda one: one.cost)
-        call.considered = weighed[:SHOWN]
+        call.considered = weighed[:SHOWN] or call.considered
         return weighed[0] if weighed else None
--- a/sequoiabridge/relay/costs.py
+++ b/sequoiabridge/relay/costs.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from math import exp, log
+
 from .call import RelayedCall
+from .choice import Weighed
 
 FIRST_WORK_SHARE = 0.35
 """Share of its target latency that a call's work is taken to need before any was measured; the
@@ -11,10 +14,18 @@
 STEP = 0.1
 """Weight of the latest call; some ten calls fix a mean to a tenth."""
 
+MOST_STEP = 0.5
+"""Bound on one call's part in the logarithm of the work time: one that met a neighbour takes seven
+times as long, and says nothing about the work."""
+
+CLEAN_SLOWDOWN = 1.3
+"""Slowdown up to which a call tells what its work takes; the reports of quiet upstreams say 1."""
+
 FIRST_ANSWER = 4000.0
 """Bytes of an answer that are expected before any was seen."""
 
 MEGABYTE = 1_000_000
+LEAST_SECONDS = 0.001
 
 
 class Learned:
@@ -47,11 +58,17 @@
         size = (call.request.length or 0) + self._of(call).answer
         return size / MEGABYTE * self.far_megabyte
 
-    def measured(self, call: RelayedCall, work: float, answer_bytes: int) -> None:
-        """A call was answered: its work, with all known slowness taken out, and its answer."""
+    def measured(self, call: RelayedCall, weighed: Weighed, seconds: float, size: int) -> None:
+        """A call was answered after `seconds`, with `size` bytes.
+
+        Its work is learned only if it had a slot at once on an upstream that nothing slowed.
+        """
         learned = self._of(call)
-        learned.work += STEP * (min(work, 3.0 * learned.work) - learned.work)
-        learned.answer += STEP * (answer_bytes - learned.answer)
+        learned.answer += STEP * (size - learned.answer)
+        if weighed.queue > 0 or weighed.slowdown > CLEAN_SLOWDOWN:
+            return
+        ratio = log(max(seconds, LEAST_SECONDS) / weighed.alone)
+        learned.work *= exp(STEP * max(-MOST_STEP, min(MOST_STEP, ratio)))
 
     def _of(self, call: RelayedCall) -> Learned:
         key = f"{call.route.name}/{call.service}"
--- a/sequoiabridge/relay/decisions.py
+++ b/sequoiabridge/relay/decisions.py
@@ -58,6 +58,8 @@
 class LineWriter:
     """Writes whole lines to a descriptor without ever waiting for its reader.
 
+    The descriptor must be set to non-blocking.
+
     Attributes:
         omitted: Lines that were left out because the reader did not read.
     """
@@ -68,7 +70,6 @@
         self.fd = fd
         self.pending = b""
         self.omitted = 0
-        os.set_blocking(fd, False)
 
     def write(self, line: bytes) -> None:
         """Write a line, or as much of what waits as the reader takes."""
--- a/sequoiabridge/relay/evidence.py
+++ b/sequoiabridge/relay/evidence.py
@@ -20,9 +20,9 @@
 PACE_MEMORY = 4.0
 """Seconds in which the memory of an upstream's own slowness fades by two thirds."""
 
-PACE_STEP = 0.5
-"""Weight of the latest call in an upstream's pace: work times spread by a third around their mean,
-so two or three calls tell a slow upstream from an ordinary one."""
+PACE_STEP = 0.3
+"""Weight of the latest call in the logarithm of an upstream's pace: three calls that take five times
+as long tell a slow upstream, one alone does not."""
 
 LEAST_PACE, MOST_PACE = 0.5, 20.0
 """Bounds on one call's part in the pace, so that a single odd call cannot outweigh all others."""
@@ -176,7 +176,7 @@
         """A call took `ratio` times as long as expected."""
         ratio = min(MOST_PACE, max(LEAST_PACE, ratio))
         pace = self.pace_now(now)
-        self.pace = pace + PACE_STEP * (ratio - pace)
+        self.pace = pace * (ratio / pace) ** PACE_STEP
         self.pace_at = now
 
     def pace_now(self, now: float) -> float:
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -25,6 +25,10 @@
 
 FIRST_FAILURE = 500
 
+NEIGHBOUR = 1.5
+"""Rise of the reported slowdown during a call from which its duration says nothing of the upstream
+itself."""
+
 MOST_SENDS = 4
 """Upstreams that a call is offered to at most, those that refused it included: when four have no
 room, the service has none, and a later try of the caller does better."""
@@ -186,10 +190,9 @@
             self.sharing.reported(upstream, attempt.signals.load)
         if ending is Ending.ANSWERED and attempt.answer.status < FIRST_FAILURE:
             evidence.succeeded(now)
-            evidence.measured(attempt.seconds / usual, now)
-            size = attempt.answer.length or 0
-            work = attempt.seconds / weighed.expected * self.costs.work(call)
-            self.costs.measured(call, work, size)
+            if not met_neighbour(attempt):
+                evidence.measured(attempt.seconds / usual, now)
+            self.costs.measured(call, weighed, attempt.seconds, attempt.answer.length or 0)
         elif ending is Ending.CANCELLED:
             if attempt.seconds > usual:
                 evidence.measured(attempt.seconds / usual, now)
@@ -206,3 +209,9 @@
     failed = attempt.answer.status >= FIRST_FAILURE
     # A long answer has begun to come; it cannot be held back for a better one.
     return not failed or not isinstance(attempt.answer.body, BytesBody | None)
+
+
+def met_neighbour(attempt: Attempt) -> bool:
+    """Return whether other work slowed the upstream down after the call was sent there."""
+    load = attempt.signals.load
+    return load is not None and load.slowdown > NEIGHBOUR * attempt.weighed.slowdown
--- /dev/null
+++ b/sequoiabridge/tests/relay/fakes.py
@@ -0,0 +1,25 @@
+"""Upstreams, calls and a log for tests of the relay's decisions."""
+
+from ...relay.decisions import DecisionLog
+from ...relay.signals import UpstreamLoad
+from ...relay.upstream import Upstream, UpstreamRecord
+from ...timers import ManualClock
+
+
+def record(id, service="s", zone="here", draining=False, address="", cold=0.0):
+    """Return an entry of the platform's list."""
+    return UpstreamRecord(id, service, address or f"{id}:1", zone, 2, draining, cold, "v1")
+
+
+def upstream(id="u", near=True, load=(0, 0, 2, 1.0), now=0.0, **more):
+    """Return an upstream that has just told its load."""
+    made = Upstream(record(id, **more), near, now)
+    if load is not None:
+        made.evidence.reported(UpstreamLoad(*load), now)
+    return made
+
+
+def decision_log(clock=None):
+    """Return a log and the list that takes its lines."""
+    lines = []
+    return DecisionLog("vm", clock or ManualClock(), lines.append), lines
--- /dev/null
+++ b/sequoiabridge/tests/relay/test_decisions_of_the_path.py
@@ -0,0 +1,163 @@
+"""The pure decisions of the path of calls: budget, allowance, evidence, choice, splitting."""
+
+from random import Random
+
+import pytest
+
+from ...relay.allowance import KEPT_SHARE, ProbeAllowance
+from ...relay.budget import RetryBudget
+from ...relay.candidates import MOST_NEAR, Candidates
+from ...relay.choice import Call, is_crowded, weigh
+from ...relay.evidence import OpenCall
+from ...relay.routes import Route, Target
+from ...relay.splitting import Splitter
+from ...relay.upstreams import UpstreamList
+from ...timers import ManualClock
+from .fakes import decision_log, record, upstream
+
+CALL = Call(work=0.1, time_left=0.4, target=0.4, far_cost=0.04, idempotent=True)
+
+
+def test_repeats_of_a_fleet_stay_under_its_limit_however_calls_are_spread():
+    random, now = Random(5), 0.0
+    fleet = [RetryBudget(0.2, 10.0, 56) for _ in range(13)]
+    calls, repeats = [], []
+    for _ in range(6000):
+        now += random.expovariate(60)
+        budget = fleet[min(12, int(random.expovariate(0.3)))]
+        budget.called(now)
+        calls.append(now)
+        for _ in range(3):
+            if budget.take(now):
+                repeats.append(now)
+    for start in repeats:
+        sent = sum(start <= at < start + 10 for at in repeats)
+        counted = max(
+            sum(start - back <= at < start - back + 10 for at in calls) for back in (0, 5, 10)
+        )
+        assert sent <= 0.2 * counted + 56
+
+
+def test_a_quiet_vm_may_repeat_a_call_but_not_all_calls():
+    budget = RetryBudget(0.2, 10.0, 56)
+    budget.called(1.0)
+    assert [budget.take(1.0 + n / 10) for n in range(3)] == [True, False, False]
+    assert budget.take(11.2)
+
+
+def test_the_fleet_keeps_to_the_limit_on_health_checks_over_a_day():
+    fleet, sent = [ProbeAllowance(60.0) for _ in range(18)], 0
+    for allowance in fleet:
+        allowance.vms = 18
+    for step in range(3000):
+        for allowance in fleet:
+            sent += allowance.take(10, 37, step / 100)
+    assert sent / 37 / 30.0 <= 60.0
+    assert sent / 37 / 30.0 >= 60.0 * KEPT_SHARE * 0.9
+
+
+def test_the_cheapest_upstream_is_the_one_that_is_likely_to_answer_in_time():
+    idle, noisy = upstream("idle"), upstream("noisy", load=(0, 0, 2, 7.0))
+    full, far = upstream("full", load=(2, 2, 2, 1.0)), upstream("far", near=False)
+    costs = {u.id: weigh(CALL, u, 0.01).cost for u in (idle, noisy, full, far)}
+    assert costs["idle"] < costs["far"] < costs["full"] < costs["noisy"]
+
+
+@pytest.mark.parametrize("hurt", ["failed", "silent", "unwell", "overdue", "slow", "sent"])
+def test_each_kind_of_bad_evidence_makes_an_upstream_dearer(hurt):
+    good, bad = upstream("good"), upstream("bad")
+    if hurt == "failed":
+        bad.evidence.failed(0.0)
+    elif hurt == "silent":
+        bad.evidence.ignored_probe(0.0)
+    elif hurt == "unwell":
+        bad.evidence.answered_probe(healthy=False)
+    elif hurt == "overdue":
+        bad.evidence.began(OpenCall(-1.0, 0.1))
+    elif hurt == "slow":
+        for _ in range(3):
+            bad.evidence.measured(5.0, 0.0)
+    else:
+        bad.evidence.sent()
+    assert weigh(CALL, bad, 0.01).cost > weigh(CALL, good, 0.01).cost
+
+
+def test_bad_evidence_fades_so_that_a_mended_upstream_comes_back():
+    bad = upstream("bad")
+    for _ in range(5):
+        bad.evidence.failed(0.0)
+        bad.evidence.measured(10.0, 0.0)
+    assert bad.evidence.failure_share(0.0) > 0.7
+    assert bad.evidence.failure_share(20.0) < 0.05
+    assert bad.evidence.pace_now(20.0) < 1.1
+
+
+def test_one_slow_call_does_not_condemn_an_upstream_and_three_do():
+    one = upstream("one")
+    one.evidence.measured(7.0, 0.0)
+    assert one.evidence.pace_now(0.0) < 2.0
+    one.evidence.measured(7.0, 0.0)
+    one.evidence.measured(7.0, 0.0)
+    assert one.evidence.pace_now(0.0) > 3.0
+
+
+def test_a_silent_upstream_is_asked_again_after_a_pause_that_grows():
+    evidence = upstream().evidence
+    evidence.ignored_probe(0.0)
+    assert evidence.is_silent(0.1) and not evidence.may_be_asked(0.1)
+    assert evidence.may_be_asked(0.3)
+    evidence.ignored_probe(0.3)
+    assert not evidence.may_be_asked(0.6) and evidence.may_be_asked(0.9)
+    evidence.answered_probe(True)
+    assert not evidence.is_silent(0.9)
+
+
+def test_an_open_health_check_that_takes_long_says_silence_before_it_ends():
+    evidence = upstream().evidence
+    evidence.asked(1.0)
+    assert not evidence.is_silent(1.01) and evidence.is_silent(1.1)
+
+
+def test_a_call_is_not_sent_into_a_queue_that_alone_makes_it_late():
+    queued, noisy = upstream(load=(2, 4, 2, 1.0)), upstream(load=(2, 0, 2, 7.0))
+    free = upstream(load=(1, 0, 2, 1.0))
+    assert is_crowded(CALL, weigh(CALL, queued, 0.01))
+    assert not is_crowded(CALL, weigh(CALL, noisy, 0.01)), "late anywhere: it may wait its turn"
+    assert not is_crowded(CALL, weigh(CALL, free, 0.01))
+    late = Call(work=0.1, time_left=-0.1, target=0.4, far_cost=0.0, idempotent=True)
+    assert not is_crowded(late, weigh(late, free, 0.01))
+    assert is_crowded(late, weigh(late, upstream(load=(2, 1, 2, 1.0)), 0.01))
+
+
+def route(*weights):
+    targets = tuple(Target(f"s{n}", weight) for n, weight in enumerate(weights))
+    return Route("r", b"/", True, 1.0, 0.5, 2, 1, targets)
+
+
+def test_shares_follow_the_weights_over_many_vms_with_few_calls_each():
+    counts = {"s0": 0, "s1": 0}
+    for vm in range(60):
+        splitter, split = Splitter(Random(vm)), route(90, 10)
+        for _ in range(20):
+            counts[splitter.service_for(split)] += 1
+    assert abs(counts["s1"] / 1200 - 0.1) < 0.03
+
+
+def test_new_weights_count_from_their_first_call_and_a_single_service_gets_all():
+    splitter = Splitter(Random(1))
+    assert {splitter.service_for(route(50, 50)) for _ in range(4)} == {"s0", "s1"}
+    assert {splitter.service_for(route(100, 0)) for _ in range(20)} == {"s0"}
+    assert splitter.service_for(route(1)) == "s0"
+
+
+def test_a_vm_looks_at_a_part_of_a_large_service_that_stays_when_others_come():
+    log, _ = decision_log()
+    known = UpstreamList("here", ManualClock(), log, lambda u: None)
+    known.update([record(f"u{n}") for n in range(40)], [], 1)
+    candidates = Candidates("vm-1", known)
+    before = {u.id for u in candidates.of_service("s").near}
+    assert len(before) == MOST_NEAR
+    assert before != {u.id for u in Candidates("vm-2", known).of_service("s").near}
+    known.update([record("new")], [], 2)
+    after = {u.id for u in candidates.of_service("s").near}
+    assert len(before & after) >= MOST_NEAR - 1
--- /dev/null
+++ b/sequoiabridge/tests/relay/test_log.py
@@ -0,0 +1,55 @@
+"""The log of decisions: bounded, never waited for, and what is left out is counted."""
+
+import json
+import os
+
+from ...relay.decisions import BAD_CALLS, GOOD_CALLS, PENDING, LineWriter
+from ...timers import ManualClock
+from .fakes import decision_log
+
+
+def test_a_flood_of_good_calls_hides_no_bad_one_and_is_counted():
+    clock = ManualClock(5.0)
+    log, lines = decision_log(clock)
+    for number in range(1000):
+        log.call(True, {"id": number})
+    log.call(False, {"id": "bad"})
+    assert len(lines) == GOOD_CALLS[1] + 1 and json.loads(lines[-1])["id"] == "bad"
+    clock.advance(1.0)
+    log.call(True, {"id": "next"})
+    assert json.loads(lines[-1])["omitted_so_far"] == 1000 - GOOD_CALLS[1]
+
+
+def test_bad_calls_are_bounded_too():
+    log, lines = decision_log(ManualClock(5.0))
+    for number in range(1000):
+        log.call(False, {"id": number})
+    assert len(lines) == BAD_CALLS[1] and log.omitted == 1000 - BAD_CALLS[1]
+
+
+def test_a_reader_that_does_not_read_holds_nothing_up():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    lines = LineWriter(writer)
+    for _ in range(3000):
+        lines.write(b"x" * 99 + b"\n")
+    assert lines.omitted > 0 and len(lines.pending) <= PENDING
+    got = b""
+    while lines.pending:
+        got += os.read(reader, 1 << 20)
+        lines.flush()
+    os.close(writer)
+    got += os.read(reader, 1 << 20)
+    assert got.count(b"\n") == 3000 - lines.omitted
+    assert set(got.split(b"\n")) == {b"x" * 99, b""}
+    os.close(reader)
+
+
+def test_a_reader_that_is_gone_is_no_failure():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.close(reader)
+    lines = LineWriter(writer)
+    lines.write(b"a\n")
+    assert lines.omitted == 1 and not lines.pending
+    os.close(writer)
