--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -29,6 +29,7 @@
 from .relay.chooser import Chooser
 from .relay.configuration import Configuration
 from .relay.costs import Costs
+from .relay.crash_guard import CrashGuard
 from .relay.decisions import DecisionLog, LineWriter, SentenceHandler
 from .relay.feeds import Follower, Update
 from .relay.hedging import Hedging
@@ -60,7 +61,7 @@
 """Seconds between two counts of the fleet's daemons."""
 
 LOOK_AT_SETTINGS = 1.0
-"""Seconds between two looks whether the settings file has changed; it may do so without a signal."""
+"""Seconds between two looks whether the settings file has changed; no signal need come."""
 
 BALANCER_LAG = 2.6
 """Seconds after a stop began in which new connections still come: the balancer asks once a second
@@ -176,6 +177,7 @@
             self.tally,
             clock,
             lambda: RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
+            CrashGuard(self.connector, self.sharing, self.decisions, clock),
         )
         self.relay = Relay(
             self.configuration,
--- a/sequoiabridge/logs.py
+++ b/sequoiabridge/logs.py
@@ -35,5 +35,5 @@
 
 
 def quiet_curio() -> None:
-    """Silence curio's warning of each wait that ended just after its timeout: no news under load."""
+    """Silence curio's warning of waits that ended just after their timeout: no news under load."""
     logging.getLogger("curio.time").setLevel(logging.ERROR)
--- a/sequoiabridge/platform/client.py
+++ b/sequoiabridge/platform/client.py
@@ -29,8 +29,8 @@
 """Seconds for a call that answers at once; the store takes 4 ms, some 0.25 s when it is slow."""
 
 PROMPT_TIMEOUT = 0.6
-"""Seconds for a question for changes that need not wait: asked when the store has been away, so that
-its return is noticed soon."""
+"""Seconds for a question for changes that need not wait: asked when the store has been away, so
+that its return is noticed soon."""
 
 LARGEST_PAGE = 500
 """Rows of one answer, as the platform fixes it."""
--- a/sequoiabridge/policy/crashes.py
+++ b/sequoiabridge/policy/crashes.py
@@ -58,9 +58,14 @@
 
 
 class CrashLedger:
-    """Crashes of the upstreams of one service, and the requests that are stopped for them."""
+    """Crashes of the upstreams of one service, and the requests that are stopped for them.
 
-    def __init__(self):
+    Args:
+        fewest: Distinct upstreams that must have died with a request before it is stopped.
+    """
+
+    def __init__(self, fewest: int = FEWEST_UPSTREAMS):
+        self.fewest = fewest
         self.crashes: list[Crash] = []
         self.by_fingerprint: dict[str, list[Crash]] = {}
         self.released: dict[str, float] = {}
@@ -156,7 +161,7 @@
 
     def _judge(self, fingerprints: Iterable[str]) -> None:
         for fingerprint in fingerprints:
-            enough = self._count(fingerprint) >= FEWEST_UPSTREAMS
+            enough = self._count(fingerprint) >= self.fewest
             if enough and self.blame(fingerprint) >= BLOCK_BLAME:
                 self.stopped.add(fingerprint)
             else:
--- a/sequoiabridge/relay/candidates.py
+++ b/sequoiabridge/relay/candidates.py
@@ -1,4 +1,4 @@
-"""Which upstreams of a service this VM looks at: all of a small one, a stable part of a large one."""
+"""Which upstreams of a service a VM looks at: all of a small one, a stable part of a large one."""
 
 from __future__ import annotations
 
--- a/sequoiabridge/relay/choice.py
+++ b/sequoiabridge/relay/choice.py
@@ -42,8 +42,8 @@
 where neighbours slow it sevenfold for a quarter of it."""
 
 SURELY_LATE = 0.2
-"""Likelihood of being late from which a call is not sent into a queue. Of 0.7, 0.4, 0.2 and 0.05, one
-run each of the users' most crowded day: worth 0.352, 0.389, 0.416, 0.403."""
+"""Likelihood of being late from which a call is not sent into a queue. Of 0.7,
+0.4, 0.2 and 0.05, one run each of the users' most crowded day: worth 0.352, 0.389, 0.416, 0.403."""
 
 MOST_WAITING = 2
 """Requests for each slot that may wait at an upstream at most; the users' upstreams have room for 2
--- a/sequoiabridge/relay/configuration.py
+++ b/sequoiabridge/relay/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration in force at this VM: the newest that it has heard of, and never an older one."""
+"""The configuration in force at this VM: the newest it has heard of, and never an older one."""
 
 from __future__ import annotations
 
--- a/sequoiabridge/relay/evidence.py
+++ b/sequoiabridge/relay/evidence.py
@@ -21,8 +21,8 @@
 """Seconds in which the memory of an upstream's own slowness fades by two thirds."""
 
 PACE_STEP = 0.3
-"""Weight of the latest call in the logarithm of an upstream's pace: three calls that take five times
-as long tell a slow upstream, one alone does not."""
+"""Weight of the latest call in the logarithm of an upstream's pace: three calls that take five
+times as long tell a slow upstream, one alone does not."""
 
 LEAST_PACE, MOST_PACE = 0.5, 20.0
 """Bounds on one call's part in the pace, so that a single odd call cannot outweigh all others."""
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -7,6 +7,7 @@
 from .signals import UpstreamLoad
 
 HELLO, SENT, LOAD, FAILED = "hello", "sent", "load", "failed"
+CRASHED, SURVIVED = "crashed", "survived"
 """First element of a datagram, a JSON list."""
 
 LARGEST = 1200
@@ -71,7 +72,34 @@
         return [FAILED, self.upstream]
 
 
-Message = Hello | Sent | Reported | Failed
+class Crashed:
+    """An upstream died while it had a request with this fingerprint."""
+
+    __slots__ = ("fingerprint", "upstream")
+
+    def __init__(self, fingerprint: str, upstream: str):
+        self.fingerprint = fingerprint
+        self.upstream = upstream
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [CRASHED, self.fingerprint, self.upstream]
+
+
+class Survived:
+    """A request with this fingerprint, suspected of crashing upstreams, was answered."""
+
+    __slots__ = ("fingerprint",)
+
+    def __init__(self, fingerprint: str):
+        self.fingerprint = fingerprint
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [SURVIVED, self.fingerprint]
+
+
+Message = Hello | Sent | Reported | Failed | Crashed | Survived
 
 
 def encoded(message: Message) -> bytes:
@@ -90,6 +118,10 @@
             return Reported(str(rest[0]), load)
         if kind == FAILED:
             return Failed(str(rest[0]))
+        if kind == CRASHED:
+            return Crashed(str(rest[0]), str(rest[1]))
+        if kind == SURVIVED:
+            return Survived(str(rest[0]))
         if kind == HELLO:
             return Hello(str(rest[0]), str(rest[1]), str(rest[2]))
     except (ValueError, TypeError, IndexError):
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..pipeline.exchange import Answer, BytesBody
 from ..timers import Clock
 from ..upstreams.base import Connector
@@ -15,6 +17,7 @@
 from .choice import Weighed
 from .chooser import Chooser
 from .costs import Costs
+from .crash_guard import CrashGuard
 from .dialect import Dialect
 from .hedging import Hedging
 from .race import Race
@@ -41,7 +44,11 @@
     """The last step of a call's way.
 
     Args:
-        budgets: The repeated sends that are left, by service.
+        new_budget: Makes the budget of repeated sends of a service.
+        guard: Stops requests that crash upstreams.
+
+    Attributes:
+        budgets: The budgets by service.
     """
 
     def __init__(
@@ -55,8 +62,10 @@
         sharing: Sharing,
         tally: Tally,
         clock: Clock,
-        new_budget,
+        new_budget: Callable[[], RetryBudget],
+        guard: CrashGuard,
     ):
+        self.guard = guard
         self.chooser = chooser
         self.hedging = hedging
         self.costs = costs
@@ -75,6 +84,7 @@
         Raises:
             Refusal: There is none.
         """
+        self.guard.check(call)
         self._budget(call).called(self.clock.now())
         race = Race()
         try:
@@ -97,6 +107,7 @@
                 await self._look(call, race)
                 continue
             self._learn(call, attempt)
+            await self.guard.ended(call, attempt)
             if is_final(call, attempt):
                 return attempt.answer
             if attempt.answer is not None:
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..timers import Clock
 from .channel import Channel
 from .members import Members
-from .messages import Failed, Hello, Message, Reported, Sent
+from .messages import Crashed, Failed, Hello, Message, Reported, Sent, Survived
 from .signals import UpstreamLoad
 from .upstream import Upstream
 from .upstreams import UpstreamList
@@ -28,6 +30,8 @@
         self.clock = clock
         self.channel = Channel(self._heard)
         self.members: Members | None = None
+        self.on_crash: Callable[[Crashed], object] = lambda message: None
+        self.on_survival: Callable[[Survived], object] = lambda message: None
 
     def sent(self, upstream: Upstream) -> None:
         """This VM sends a call."""
@@ -44,8 +48,12 @@
     def failed(self, upstream: Upstream) -> None:
         """An upstream failed a call of this VM."""
         upstream.evidence.failed(self.clock.now())
+        self.tell_all(Failed(upstream.id))
+
+    def tell_all(self, message: Message) -> None:
+        """Tell all daemons."""
         if self.members is not None:
-            self.channel.tell(Failed(upstream.id), self.members.all)
+            self.channel.tell(message, self.members.all)
 
     def greet(self, hello: Hello, address: str) -> None:
         """Tell another daemon that this one is there."""
@@ -60,6 +68,12 @@
             if self.members is not None:
                 self.members.heard(message)
             return
+        if isinstance(message, Crashed):
+            self.on_crash(message)
+            return
+        if isinstance(message, Survived):
+            self.on_survival(message)
+            return
         upstream = self.upstreams.by_id.get(message.upstream)
         if upstream is None:
             return
--- a/sequoiabridge/tests/test_gateway.py
+++ b/sequoiabridge/tests/test_gateway.py
@@ -284,3 +284,36 @@
         assert set(dump["upstreams"]["upstreams"]) == {"r0", "r1", "a0", "a1"}
 
     play(test)
+
+
+def test_a_request_that_crashes_upstreams_is_stopped_and_others_are_not():
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            upstream.faults.crash_path = "/read/poison"
+        statuses = []
+        for number in range(8):
+            statuses.append((await scene.call("/read/poison", f"p{number}")).status)
+            await curio.sleep(0.15)
+        crashed = [u for u in scene.upstreams.values() if any(r[0] == "p" for r in u.runs)]
+        # The third death may be heard of while the fourth attempt is already under way.
+        assert len(crashed) in (3, 4) and statuses[-1] == 503
+        assert (await scene.call("/read/other", "fine")).status == 200
+
+    play(test, reads=6)
+
+
+def test_a_page_is_not_stopped_because_upstreams_die_by_chance_while_all_ask_for_it():
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            upstream.work = 0.3
+        for id in ("r0", "r1"):
+            connections = [await scene.connect() for _ in range(8)]
+            for number, connection in enumerate(connections):
+                await connection.send(READ, f"{id}-{number}")
+            await curio.sleep(0.1)
+            await scene.upstreams[id].crash()
+            for connection in connections:
+                await connection.reply()
+        assert (await scene.call(READ, "after")).status == 200
+
+    play(test, reads=5)
