A fault soak of real daemon processes, and the pages of the daemon on the platform

The soak keeps callers, store and upstreams in one process, puts a proxy before each link, signals daemons, and judges by what callers and upstreams saw.

--- a/sequoiabridge/config/reference.py
+++ b/sequoiabridge/config/reference.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from .fields import Field
+from .gateway_settings import SECTIONS as GATEWAY_SECTIONS
 from .kinds import KINDS
 from .section import Section
 from .settings import SECTIONS
@@ -28,6 +29,13 @@
 need a restart. `examples/vm.ini` is a whole file.
 """
 
+GATEWAY_TEXT = """\
+## Settings of a daemon on the users' platform
+
+The platform fills in `sequoiabridge/platform/settings.template`; the path stands in the environment
+variable `SEQUOIABRIDGE_CONFIG`, or is the one argument of `python -m sequoiabridge.commands.gateway`.
+"""
+
 DOCUMENT_TEXT = """\
 ## Configuration of the fleet
 
@@ -46,6 +54,8 @@
     """Return the page as Markdown."""
     lines = [INTRODUCTION, SETTINGS_TEXT]
     lines += [text for kind in SECTIONS.values() for text in section(kind, kind.heading)]
+    lines.append(GATEWAY_TEXT)
+    lines += [text for kind in GATEWAY_SECTIONS.values() for text in section(kind, kind.heading)]
     lines.append(DOCUMENT_TEXT)
     lines += [text for kind in KINDS.values() for text in section(kind, f"{kind.heading} NAME")]
     return "\n".join(lines)
--- a/sequoiabridge/tests/platform/scene.py
+++ b/sequoiabridge/tests/platform/scene.py
@@ -97,7 +97,10 @@
         """Return the answer."""
         reply = Reply()
         while True:
-            event = self.state.next_event()
+            try:
+                event = self.state.next_event()
+            except h11.RemoteProtocolError:
+                return reply  # It ended before the answer did.
             if event is h11.NEED_DATA:
                 try:
                     self.state.receive_data(await self.sock.recv(65536))
--- /dev/null
+++ b/sequoiabridge/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The fault soak: daemons as processes, faults from outside them, promises checked meanwhile."""
--- /dev/null
+++ b/sequoiabridge/tests/soak/deployment.py
@@ -0,0 +1,173 @@
+"""The soak's deployment: store and upstreams here, daemons as processes, proxies in between."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from random import Random
+
+import curio
+
+from ..platform.scene import HOST, SETTINGS, Connection, document, free_port, path
+from ..platform.store_emulator import StoreEmulator
+from ..platform.upstream_emulator import UpstreamEmulator
+from .oracle import Record, Run
+from .proxy import Proxy
+
+READY_TIMEOUT = 15.0
+
+
+class Daemon:
+    """One daemon process, its settings, and the proxy on its way to the store."""
+
+    def __init__(self, name: str, data_centre: str, store: Proxy, folder: Path):
+        self.name = name
+        self.store = store
+        self.log = folder / f"{name}.log"
+        self.settings = folder / f"{name}.ini"
+        self.callers, self.ready = free_port(), free_port()
+        text = SETTINGS.format(store=store.address, port=free_port(), port2=free_port())
+        text = text.replace("vm-1", name).replace("= here", f"= {data_centre}")
+        text = text.replace("callers = 127.0.0.1:0", f"callers = 127.0.0.1:{self.callers}")
+        text = text.replace("ready = 127.0.0.1:0", f"ready = 127.0.0.1:{self.ready}")
+        self.settings.write_text(text.replace("retry_slack = 10000", "retry_slack = 60"))
+        self.child: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process; its log is added to."""
+        command = [sys.executable, "-m", "sequoiabridge.commands.gateway", str(self.settings)]
+        with open(self.log, "ab") as log:
+            self.child = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, by its id."""
+        if self.child.poll() is None:
+            os.kill(self.child.pid, number)
+
+    async def ended(self) -> int:
+        """Wait for the process's end."""
+        while self.child.poll() is None:
+            await curio.sleep(0.02)
+        return self.child.returncode
+
+    def end(self) -> None:
+        """End the process for good."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.child.wait()
+
+
+class RecordedUpstream(UpstreamEmulator):
+    """An upstream that enters each run in the record."""
+
+    def __init__(self, record: Record, clock, **more):
+        super().__init__(**more)
+        self.record = record
+        self.clock = clock
+
+    async def run(self, wire, request):
+        """Enter the request, then run it."""
+        call_id = request.header(b"x-attempt-id")
+        size = len(request.body)
+        self.record.runs.append(Run(call_id, self.id, self.service, self.clock(), size))
+        return await super().run(wire, request)
+
+
+class Deployment:
+    """All parts; `close` ends the processes."""
+
+    def __init__(self, seed: int, daemons: int, clock):
+        self.random = Random(seed)
+        self.clock = clock
+        self.record = Record()
+        self.store = StoreEmulator()
+        self.folder = tempfile.TemporaryDirectory(prefix="sequoia-soak-")
+        self.count = daemons
+        self.daemons: list[Daemon] = []
+        self.upstreams: dict[str, RecordedUpstream] = {}
+        self.proxies: dict[str, Proxy] = {}
+        self.version = 0
+        self.made = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until all daemons are ready."""
+        sock = curio.tcp_server_socket("127.0.0.1", 0, backlog=512)
+        address = "{}:{}".format(*sock.getsockname()[:2])
+        await curio.spawn(curio.network.run_server, sock, self.store.serve, daemon=True)
+        await self.change()
+        for service, count in (("reads", 5), ("approvals", 4)):
+            for _ in range(count):
+                await self.add(service)
+        for number in range(self.count):
+            proxy = Proxy(address, self.random)
+            await proxy.start()
+            centre = ("here", "there")[number % 2]
+            daemon = Daemon(f"vm-{number}", centre, proxy, Path(self.folder.name))
+            self.daemons.append(daemon)
+            daemon.start()
+        for daemon in self.daemons:
+            await self.until_ready(daemon)
+
+    async def until_ready(self, daemon: Daemon) -> bool:
+        """Wait until a daemon says that it is ready."""
+        async with curio.ignore_after(READY_TIMEOUT):
+            while not await self.is_ready(daemon):
+                await curio.sleep(0.05)
+            return True
+        return False
+
+    async def is_ready(self, daemon: Daemon) -> bool:
+        """Ask a daemon as the balancer does."""
+        try:
+            async with curio.timeout_after(1.0):
+                connection = Connection(await curio.open_connection("127.0.0.1", daemon.ready))
+                status = (await connection.call("/ready")).status
+                await connection.sock.close()
+                return status == 200
+        except (OSError, curio.TaskTimeout):
+            return False
+
+    async def change(self) -> None:
+        """Write a new configuration, in which one route goes to the other service."""
+        self.version += 1
+        service = ("reads", "approvals")[self.version % 2]
+        marker = path("/mark/", "idempotent", service)
+        self.record.marks.append((self.clock(), service))
+        await self.store.put("op", "config", document(self.version, [marker]))
+
+    async def add(self, service: str) -> str:
+        """Start an upstream behind a proxy and list it."""
+        self.made += 1
+        id = f"{service}-{self.made}"
+        centre = self.random.choice(("here", "there"))
+        upstream = RecordedUpstream(
+            self.record, self.clock, id=id, service=service, zone=centre, work=0.03, seed=self.made
+        )
+        await upstream.start()
+        proxy = Proxy(upstream.address, self.random)
+        await proxy.start()
+        upstream.address = proxy.address
+        self.upstreams[id], self.proxies[id] = upstream, proxy
+        await self.store.put("servers", id, upstream.entry())
+        return id
+
+    async def drain(self, id: str) -> None:
+        """List an upstream as leaving; it serves on for a while and ends."""
+        upstream = self.upstreams.pop(id)
+        upstream.draining = True
+        await self.store.put("servers", id, upstream.entry())
+        self.record.drains[id] = self.clock()
+        await curio.sleep(4.0)
+        await self.store.put("servers", id, None)
+        await upstream.crash()
+
+    def close(self) -> None:
+        """End all processes that were started here."""
+        for daemon in self.daemons:
+            daemon.end()
+        self.folder.cleanup()
+
+
+__all__ = ["HOST", "Daemon", "Deployment"]
--- /dev/null
+++ b/sequoiabridge/tests/soak/proxy.py
@@ -0,0 +1,87 @@
+"""A loopback proxy that harms the connections through it."""
+
+from enum import Enum
+from random import Random
+
+import curio
+
+PIECE = 65536
+FOREVER = 3600.0
+
+
+class Harm(Enum):
+    """What a proxy does to its connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    ONE_WAY = "one-way"
+    SILENT = "silent"
+
+
+class Proxy:
+    """Forwards connections from an address of its own to `target`."""
+
+    def __init__(self, target: str, random: Random):
+        self.target = target
+        self.random = random
+        self.harm = Harm.NONE
+        self.address = ""
+        self.pairs: set[tuple] = set()
+
+    async def start(self) -> None:
+        """Listen."""
+        sock = curio.tcp_server_socket("127.0.0.1", 0, backlog=512)
+        self.address = "{}:{}".format(*sock.getsockname()[:2])
+        await curio.spawn(curio.network.run_server, sock, self.serve, daemon=True)
+
+    def set(self, harm: Harm) -> None:
+        """Begin to harm; a reset ends what is open, the others harm that as well."""
+        self.harm = harm
+        if harm is Harm.RESET:
+            for pair in list(self.pairs):
+                for side in pair:
+                    end(side)
+
+    async def serve(self, client, peer) -> None:
+        """Forward one connection."""
+        if self.harm is Harm.RESET:
+            end(client)
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            upstream = await curio.open_connection(host, int(port))
+        except OSError:
+            await client.close()
+            return
+        pair = (client, upstream)
+        self.pairs.add(pair)
+        back = await curio.spawn(self.forward(upstream, client, True), daemon=True)
+        await self.forward(client, upstream, False)
+        await back.join()
+        self.pairs.discard(pair)
+        for side in pair:
+            await side.close()
+
+    async def forward(self, source, sink, answers: bool) -> None:
+        """Forward one direction until its end."""
+        try:
+            while data := await source.recv(PIECE):
+                if self.harm is Harm.SILENT or (self.harm is Harm.ONE_WAY and answers):
+                    await curio.sleep(FOREVER)
+                if self.harm is Harm.DELAY:
+                    await curio.sleep(self.random.uniform(0.02, 0.3))
+                await sink.sendall(data)
+        except OSError:
+            pass  # One side has gone; the other is ended below.
+        end(sink)
+
+
+def end(sock) -> None:
+    """End a connection at once."""
+    with sock.blocking() as raw:
+        raw.setblocking(False)
+        try:
+            raw.shutdown(2)
+        except OSError:
+            return  # It was ended already.
