Count an attempt that is still connecting as one that may run

While a hedge was being connected (a proxy held it up), it did not count yet, and a third attempt was let through. Ruled out: retries after a break (the log shows three open attempts).

--- a/sequoiabridge/relay/call.py
+++ b/sequoiabridge/relay/call.py
@@ -110,6 +110,12 @@
         """Return how many upstreams may have run it, or may be running it."""
         return sum(attempt.may_have_run for attempt in self.attempts)
 
+    @property
+    def may_run_at(self) -> int:
+        """Return how many upstreams may have run it or may yet, those still being connected to
+        included."""
+        return sum(a.may_have_run or a.ending is None for a in self.attempts)
+
     @property
     def reached(self) -> bool:
         """Return whether it has reached an upstream at all, so that another send is a repeat."""
--- a/sequoiabridge/relay/hedging.py
+++ b/sequoiabridge/relay/hedging.py
@@ -80,7 +80,7 @@
 
     def _allowed(self, call: RelayedCall) -> bool:
         repeatable = call.route.idempotent and call.replayable
-        return repeatable and call.may_have_run < call.route.max_attempts
+        return repeatable and call.may_run_at < call.route.max_attempts
 
     def _time_left(self, call: RelayedCall, attempt: Attempt) -> float:
         """Return the seconds that an attempt is expected to need still; infinite if it is stuck."""
