--- a/sequoiabridge/relay/members.py
+++ b/sequoiabridge/relay/members.py
@@ -27,7 +27,7 @@
 
 MOST_PEERS = 8
 """Other daemons of the own data centre up to which each is told of each call and load. With more,
-the datagrams would cost more processor time than the calls (32 peers: some 40,000 a second in a data
+the datagrams would cost more processor time than the calls (32 peers: 40,000 a second in a data
 centre of the users' grown sites), and each daemon asks often enough for its few calls."""
 
 
