--- a/sequoiabridge/relay/feeds.py
+++ b/sequoiabridge/relay/feeds.py
@@ -19,9 +19,10 @@
 """Seconds that a question for changes waits in the store; it allows 30. Each question costs, a
 waiting one does not."""
 
-GATHER = 0.25
-"""Seconds between an answer and the next question. A burst of changes comes in one answer then; it
-is an eighth of the 2 seconds within which a change must be in force."""
+GATHER = 0.5
+"""Seconds between an answer and the next question, so that a burst of changes comes in one answer:
+entries of upstreams that have just started change with each heartbeat. With the beacon's 0.3 s a
+change is known everywhere within a second; it must be in force within 2."""
 
 FIRST_PAUSE, LONGEST_PAUSE = 0.1, 0.4
 """Seconds before a call that failed is made again; doubles up to the longest. A VM that was cut off
