One client for the platform's store; the guessed protocol goes

Tests moved with their assertions; of two that looked into the old client, one (IPv6) now connects for real, the other (pauses in large bodies) checks the shared exchange with the same bounds.

--- a/sequoiabridge/benchmarks/claims.py
+++ b/sequoiabridge/benchmarks/claims.py
@@ -14,10 +14,10 @@
 import curio
 import defopt
 
+from ..platform.services import PlatformObjects, PlatformTables
 from ..store.claim_results import ClaimGranted
 from ..store.claims import Claims
 from ..store.client import StoreClient
-from ..store.http import HttpObjects, HttpTables
 from ..timers import SystemClock
 
 HEADING = (
@@ -92,8 +92,8 @@
     clock, measured = SystemClock(), Measured()
     clients = [
         StoreClient(
-            HttpTables(address, clock),
-            HttpObjects(address, clock),
+            PlatformTables(address, clock),
+            PlatformObjects(address, clock),
             clock,
             lambda: vms,
             writes,
@@ -122,7 +122,7 @@
 
 def with_platform(case: Case, vms: int, writes: float, seconds: float) -> Measured:
     """Run a case against a platform process of its own."""
-    command = [sys.executable, "-m", "sequoiabridge.tests.standins.platform"]
+    command = [sys.executable, "-m", "sequoiabridge.tests.platform.service"]
     command += ["--writes", str(writes), "--reads", "2000"]
     if case.unit == "row":
         command.append("--count-rows")
--- a/sequoiabridge/benchmarks/scene.py
+++ b/sequoiabridge/benchmarks/scene.py
@@ -18,7 +18,7 @@
 from .oracle import Kind
 from .processes import Process, Trial, free_ports, loopback_ip
 
-PLATFORM = "sequoiabridge.tests.standins.platform"
+PLATFORM = "sequoiabridge.tests.platform.service"
 DAEMON = "sequoiabridge.commands.daemon"
 TOOL = "sequoiabridge.commands.main"
 READY_TIMEOUT = 20.0
--- a/sequoiabridge/benchmarks/upload_vm.py
+++ b/sequoiabridge/benchmarks/upload_vm.py
@@ -16,8 +16,8 @@
 from ..callers.server import CallerServer, Handler
 from ..pipeline.exchange import Answer, BytesBody, Exchange, Request
 from ..pipeline.uploads import UploadHandler, delivery_request, delivery_result
+from ..platform.services import PlatformObjects, PlatformTables
 from ..store.client import StoreClient
-from ..store.http import HttpObjects, HttpTables
 from ..store.upload_delivery import Deliveries, Sent
 from ..store.uploads import Uploads
 from ..timers import SystemClock, Timers
@@ -117,7 +117,7 @@
     connector.set_share(upstream, SHARE)
     handler: Handler = Forward(connector, upstream)
     if way == "spool":
-        tables, objects = HttpTables(platform, clock), HttpObjects(platform, clock)
+        tables, objects = PlatformTables(platform, clock), PlatformObjects(platform, clock)
         store = StoreClient(tables, objects, clock, lambda: 1, FLEET_WRITES, FLEET_READS)
         store.subscribe(timers)
         options = {"chunk_size": int(chunk), "commit_every": int(commit_every)}
--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -24,11 +24,11 @@
 from .metrics import Metrics
 from .operators.journal import Journal
 from .parts import Part
+from .platform.services import PlatformObjects, PlatformTables, PlatformVmList
 from .readiness import DaemonReadiness
 from .store.claim_admin import ClaimAdmin
 from .store.claims import Claims
 from .store.client import StoreClient
-from .store.http import HttpObjects, HttpTables, HttpVmList
 from .store.uploads import Uploads
 from .store.versions import Versions
 from .timers import Clock, SystemClock, Timers
@@ -109,10 +109,10 @@
     def _build_store(self) -> None:
         """Build the platform's services; tests put others in place of these three classes."""
         platform = self.settings.platform
-        self.vm_list = HttpVmList(platform.list, self.clock)
+        self.vm_list = PlatformVmList(platform.list, self.clock)
         self.store = StoreClient(
-            HttpTables(platform.tables, self.clock),
-            HttpObjects(platform.objects, self.clock),
+            PlatformTables(platform.tables, self.clock),
+            PlatformObjects(platform.objects, self.clock),
             self.clock,
             self.fleet.live_count,
             platform.fleet_writes,
--- a/sequoiabridge/exceptions.py
+++ b/sequoiabridge/exceptions.py
@@ -25,10 +25,17 @@
 
 
 class StoreUnavailable(SequoiaError):
-    """The platform's service gave no answer in time; nothing is known to have been written."""
+    """The platform's service gave no answer in time; nothing is known to have been written.
+
+    `sent` is false only if no byte of the call has left, which is proof that nothing was written.
+    """
 
     exit_code = 4
 
+    def __init__(self, message: str, *, sent: bool = True):
+        super().__init__(message)
+        self.sent = sent
+
 
 class StoreRefused(StoreUnavailable):
     """The platform's service answered that it is too busy or away; nothing was done."""
--- a/sequoiabridge/platform/client.py
+++ b/sequoiabridge/platform/client.py
@@ -22,7 +22,7 @@
 from ..store.tables import Tables
 from ..timers import Clock
 from ..upstreams.connections import ConnectorLimits, HttpConnector
-from ..upstreams.fetch import fetch
+from ..upstreams.fetch import Fetched, fetch
 
 CALL_TIMEOUT = 1.5
 """Seconds for a call that answers at once; the store takes 4 ms, some 0.25 s when it is slow."""
@@ -31,6 +31,9 @@
 """Seconds for a question for changes that need not wait: asked when the store has been away, so
 that its return is noticed soon."""
 
+MOST_CONNECTIONS = 256
+"""Connections to the store at a time; each call has one, and claims come in crowds."""
+
 LARGEST_PAGE = 500
 """Rows of one answer, as the platform fixes it."""
 
@@ -46,24 +49,35 @@
 class PlatformClient(Tables):
     """The platform's store at one address."""
 
-    def __init__(self, address: str, clock: Clock, counted: Counter = lambda failed: None):
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        counted: Counter = lambda failed: None,
+        call_timeout: float = CALL_TIMEOUT,
+    ):
         self.address = address
         self.counted = counted
-        self.connector = HttpConnector(clock, ConnectorLimits(idle_timeout=IDLE_TIMEOUT))
-
-    async def rows(self, table: str, part: str = "", start: str = "", end: str = "") -> Rows:
-        found, version, query = [], 0, {"table": table, "part": part, "limit": LARGEST_PAGE}
+        self.call_timeout = call_timeout
+        limits = ConnectorLimits(idle_timeout=IDLE_TIMEOUT)
+        self.connector = HttpConnector(clock, limits, MOST_CONNECTIONS)
+
+    async def rows(
+        self, table: str, part: str = "", start: str = "", end: str = "", limit: int = 0
+    ) -> Rows:
+        page_size = min(limit or LARGEST_PAGE, LARGEST_PAGE)
+        found, version, query = [], 0, {"table": table, "part": part, "limit": page_size}
         if end:
             query["target"] = end
         while True:
             if start:
                 query["from"] = start
-            page = await self._get("/rows-get", query, CALL_TIMEOUT)
+            page = await self._get("/rows-get", query, self.call_timeout)
             found += [_row(row) for row in page["rows"]]
             # Pages are read one after the other: only what the first saw is known of all.
             version = version or page["ver"]
-            if not page.get("has_more") or not page["rows"]:
-                return Rows(found, version)
+            if not page.get("has_more") or not page["rows"] or 0 < limit <= len(found):
+                return Rows(found[: limit or None], version)
             start = page["rows"][-1]["key"] + "\0"
 
     async def changes(self, table: str, after: int, wait: float) -> Changes:
@@ -87,7 +101,9 @@
             ],
             "remove": [{"table": w.table, "part": w.part, "key": w.key} for w in removed],
         }
-        answer = await self._call(b"POST", b"/rows-tx", json.dumps(body).encode(), CALL_TIMEOUT)
+        answer = await self._call(
+            b"POST", b"/rows-tx", json.dumps(body).encode(), self.call_timeout
+        )
         return answer["ver"]
 
     async def _get(self, path: str, query: dict, timeout: float) -> dict:
@@ -97,23 +113,37 @@
     async def _call(self, method: bytes, target: bytes, body: bytes, timeout: float) -> dict:
         failed = True
         try:
-            async with curio.timeout_after(timeout):
-                found = await fetch(
-                    self.connector, self.address, method, target, timeout, body, JSON
-                )
-            answer = decoded(found.status, found.body)
+            answer = decoded(await self.exchange(method, target, body, JSON, timeout))
             failed = False
             return answer
+        finally:
+            self.counted(failed)
+
+    async def exchange(
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes = b"",
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        timeout: float | None = None,
+    ) -> Fetched:
+        """Make one call, and once only, and return its whole answer, whatever its status."""
+        timeout = self.call_timeout if timeout is None else timeout
+        try:
+            async with curio.timeout_after(timeout):
+                return await fetch(
+                    self.connector, self.address, method, target, timeout, body, headers
+                )
         except curio.TaskTimeout:
             raise StoreUnavailable(f"The store gave no answer within {timeout:.1f} s.") from None
         except UpstreamFailed as error:
-            raise StoreUnavailable(f"The store gave no answer: {error}") from error
-        finally:
-            self.counted(failed)
+            message = f"The store gave no answer: {error}"
+            raise StoreUnavailable(message, sent=error.sent) from error
 
 
-def decoded(status: int, data: bytes) -> dict:
-    """Return the fields of a good answer, or raise what another one stands for."""
+def accepted(found: Fetched) -> bytes:
+    """Return the body of a good answer, or raise what another one stands for."""
+    status = found.status
     if status == HTTPStatus.GONE:
         raise HistoryLost("The store no longer knows what changed; read all rows.")
     if status == HTTPStatus.PRECONDITION_FAILED:
@@ -122,8 +152,13 @@
         raise StoreRefused(f"The store refused the call ({status}) and did nothing; try later.")
     if status != HTTPStatus.OK:
         raise StoreUnavailable(f"The store answered {status}; read back what was written.")
+    return found.body
+
+
+def decoded(found: Fetched) -> dict:
+    """Return the fields of a good answer, or raise what another one stands for."""
     try:
-        return json.loads(data)
+        return json.loads(accepted(found))
     except ValueError as error:
         raise StoreUnavailable(f"The store's answer is not JSON: {error}.") from error
 
--- a/sequoiabridge/store/tables.py
+++ b/sequoiabridge/store/tables.py
@@ -16,8 +16,13 @@
     """
 
     @abstractmethod
-    async def rows(self, table: str, part: str = "", start: str = "", end: str = "") -> Rows:
-        """Return all rows of a part of a table with keys from `start` up to, not with, `end`."""
+    async def rows(
+        self, table: str, part: str = "", start: str = "", end: str = "", limit: int = 0
+    ) -> Rows:
+        """Return rows of a part of a table with keys from `start` up to, not with, `end`.
+
+        All of them, or the first `limit`.
+        """
 
     @abstractmethod
     async def changes(self, table: str, after: int, wait: float) -> Changes:
--- a/sequoiabridge/tests/matrix/world.py
+++ b/sequoiabridge/tests/matrix/world.py
@@ -356,9 +356,9 @@
         network = world.network
 
     patches = [
-        (daemon_module, "HttpTables", lambda address, clock: world.tables),
-        (daemon_module, "HttpObjects", lambda address, clock: world.objects),
-        (daemon_module, "HttpVmList", lambda address, clock: world.vm_list),
+        (daemon_module, "PlatformTables", lambda address, clock: world.tables),
+        (daemon_module, "PlatformObjects", lambda address, clock: world.objects),
+        (daemon_module, "PlatformVmList", lambda address, clock: world.vm_list),
         (daemon_module, "Random", lambda: Random(random.random())),
         (probing, "LOOK_EVERY", 0.1),
         (upload_delivery, "Random", lambda: Random(random.random())),
--- a/sequoiabridge/tests/standins/platform.py
+++ b/sequoiabridge/tests/platform/service.py
@@ -16,20 +16,51 @@
 import msgspec
 from curio.network import run_server
 
-from ...store.base import ListedVm, StoreErrorKind
-from ...store.http import ENCODER, VMS, ReadBody, ScanBody, TransactBody
+from ...platform.services import VM_TABLE
+from ...store.base import Condition, ListedVm, Row, StoreErrorKind, Write
 from ...timers import SystemClock
-from .memory import Faults, MemoryObjects, MemoryTables, MemoryVmList
+from ..standins.memory import Faults, MemoryObjects, MemoryTables, MemoryVmList
 
 BURST = 0.25
 """Seconds of the rate that may come at once."""
 
+ENCODER = msgspec.json.Encoder()
+VMS = msgspec.json.Decoder(list[ListedVm])
+
 STATUS_OF = {
-    StoreErrorKind.CONDITION_FAILED: HTTPStatus.CONFLICT,
+    StoreErrorKind.CONDITION_FAILED: HTTPStatus.PRECONDITION_FAILED,
     StoreErrorKind.REJECTED: HTTPStatus.TOO_MANY_REQUESTS,
 }
 
 
+LARGEST_LIST = 1000
+
+
+class Named(msgspec.Struct):
+    """A row as transactions name it."""
+
+    table: str
+    key: str
+    part: str = ""
+    value: bytes | None = None
+    ver: int = 0
+
+
+class Transaction(msgspec.Struct):
+    """Body of `POST /rows-tx`."""
+
+    expected_rev: list[Named] = []
+    puts: list[Named] = []
+    remove: list[Named] = []
+
+    def conditions(self) -> list[Condition]:
+        return [Condition(n.table, n.key, n.ver) for n in self.expected_rev]
+
+    def writes(self) -> list[Write]:
+        put = [Write(n.table, n.key, n.value) for n in self.puts]
+        return put + [Write(n.table, n.key, None) for n in self.remove]
+
+
 class Rate:
     """Refuses what comes over `per_second`; 0 means no limit."""
 
@@ -74,19 +105,25 @@
         if self.faults.down:
             raise Unanswered
         if part == "vms":
-            return await self.list_vms(method, body)
-        writes = rest == "transact" or method in ("PUT", "DELETE")
-        cost = self.cost(body) if rest == "transact" else 1
+            return await self.put_vms(body)
+        query = {key: values[0] for key, values in parse_qs(url.query, True).items()}
+        if part == "rows-get" and query["table"] == VM_TABLE:
+            return await self.listed_vms()
+        writes = method != "GET"
+        cost = self.cost(body) if part == "rows-tx" else 1
         if not (self.writes.allows(cost) if writes else self.reads.allows()):
             return HTTPStatus.TOO_MANY_REQUESTS, b""
-        if part == "tables":
-            return await self.use_tables(rest, body)
-        return await self.use_objects(method, unquote(rest), parse_qs(url.query, True), body)
+        if part == "rows-tx":
+            call = msgspec.json.decode(body, type=Transaction)
+            return await self.write(self.tables, call.conditions(), call.writes())
+        if part == "rows-get":
+            return await self.get_rows(query)
+        return await self.use_objects(method, unquote(rest), query, body)
 
     def cost(self, body: bytes) -> int:
         if not self.count_rows:
             return 1
-        return len(msgspec.json.decode(body, type=TransactBody).writes)
+        return len(msgspec.json.decode(body, type=Transaction).writes())
 
     def control(self, method: str, body: bytes) -> tuple[int, bytes]:
         if method == "POST":
@@ -96,22 +133,32 @@
         counts = {name: {"passed": r.passed, "refused": r.refused} for name, r in rates.items()}
         return HTTPStatus.OK, ENCODER.encode({"faults": self.faults, **counts})
 
-    async def list_vms(self, method: str, body: bytes) -> tuple[int, bytes]:
-        if method == "PUT":
-            self.vms.set(VMS.decode(body))
-        return self.reply(await self.vms.vms(60.0))
-
-    async def use_tables(self, verb: str, body: bytes) -> tuple[int, bytes]:
-        if verb == "transact":
-            call = msgspec.json.decode(body, type=TransactBody)
-            return await self.write(self.tables, call.conditions, call.writes)
-        if verb == "read":
-            call = msgspec.json.decode(body, type=ReadBody)
-            return self.reply(await self.tables.read(call.table, call.key, 60.0))
-        call = msgspec.json.decode(body, type=ScanBody)
-        return self.reply(
-            await self.tables.scan(call.table, call.prefix, call.after, call.limit, 60.0)
-        )
+    async def put_vms(self, body: bytes) -> tuple[int, bytes]:
+        self.vms.set(VMS.decode(body))
+        return HTTPStatus.OK, b"{}"
+
+    async def listed_vms(self) -> tuple[int, bytes]:
+        found = await self.vms.vms(60.0)
+        if found.is_error():
+            raise Unanswered
+        rows = [Row(VM_TABLE, vm.name, ENCODER.encode(vm), 1) for vm in found.ok]
+        return self.page(rows)
+
+    async def get_rows(self, query: dict) -> tuple[int, bytes]:
+        table, limit = query["table"], int(query["limit"])
+        found = await self.tables.scan(table, "", "", 1 << 30, 60.0)
+        if found.is_error():
+            return self.reply(found)
+        start, end = query.get("from", ""), query.get("target", "\U0010ffff" * 2)
+        rows = [row for row in found.ok if start <= row.key < end]
+        return self.page(rows[:limit], len(rows) > limit)
+
+    def page(self, rows: list[Row], more: bool = False) -> tuple[int, bytes]:
+        listed = [
+            {"table": r.table, "part": "", "key": r.key, "value": r.value, "ver": r.version}
+            for r in rows
+        ]
+        return HTTPStatus.OK, ENCODER.encode({"rows": listed, "has_more": more, "ver": 1})
 
     async def write(self, tables: MemoryTables, conditions, writes) -> tuple[int, bytes]:
         late = len(tables.waiting)
@@ -130,8 +177,8 @@
         if method == "DELETE":
             return self.reply(await self.objects.delete(name, 60.0))
         if not name:
-            prefix, after, limit = (query[key][0] for key in ("prefix", "after", "limit"))
-            return self.reply(await self.objects.names(prefix, after, int(limit), 60.0))
+            found = await self.objects.names(query["prefix"], query["after"], LARGEST_LIST, 60.0)
+            return self.reply(found.map(lambda names: {"names": names, "has_more": False}))
         found = await self.objects.get(name, 60.0)
         if found.is_ok():
             return (HTTPStatus.OK, found.ok) if found.ok is not None else (404, b"")
@@ -139,7 +186,7 @@
 
     def reply(self, result) -> tuple[int, bytes]:
         if result.is_ok():
-            return HTTPStatus.OK, ENCODER.encode(result.ok)
+            return HTTPStatus.OK, ENCODER.encode(result.ok if result.ok is not None else {"ver": 1})
         if result.error.kind not in STATUS_OF:
             raise Unanswered
         return STATUS_OF[result.error.kind], b""
--- a/sequoiabridge/tests/store/test_http.py
+++ b/sequoiabridge/tests/platform/test_services.py
@@ -4,11 +4,11 @@
 import pytest
 from curio.network import run_server
 
+from ...platform.client import PlatformClient
+from ...platform.services import PlatformObjects, PlatformTables, PlatformVmList
 from ...store.base import Condition, ListedVm, StoreErrorKind, Write
-from ...store.http import HttpObjects, HttpTables, HttpVmList
-from ...store.http_connection import PlatformClient
 from ...timers import SystemClock
-from ..standins.platform import Platform
+from .service import Platform
 
 WRITE = [Write("t", "a", b"\x00value")]
 ABSENT = [Condition("t", "a", 0)]
@@ -34,7 +34,9 @@
 
 def test_rows_objects_and_list_over_one_connection_each():
     async def check(address, platform):
-        tables, objects = HttpTables(address, SystemClock()), HttpObjects(address, SystemClock())
+        tables, objects = PlatformTables(address, SystemClock()), PlatformObjects(
+            address, SystemClock()
+        )
         assert (await tables.transact(ABSENT, WRITE, 5.0)).is_ok()
         again = await tables.transact(ABSENT, WRITE, 5.0)
         assert again.error.kind is StoreErrorKind.CONDITION_FAILED
@@ -44,8 +46,8 @@
         assert (await objects.get("up/1 x", 5.0)).ok == b"data"
         assert (await objects.get("none", 5.0)).ok is None
         assert (await objects.names("up/", "", 9, 5.0)).ok == ["up/1 x"]
-        assert (await HttpVmList(address, SystemClock()).vms(5.0)).ok[0].name == "vm1"
-        assert tables.client.opened == 1 and objects.client.opened == 1
+        assert (await PlatformVmList(address, SystemClock()).vms(5.0)).ok[0].name == "vm1"
+        assert tables.client.connector.opened == 1 and objects.client.connector.opened == 1
 
     run(check)
 
@@ -64,7 +66,7 @@
     async def check(address, platform):
         for name, value in faults.items():
             setattr(platform.faults, name, value)
-        result = await HttpTables(address, SystemClock()).transact(ABSENT, WRITE, 0.2)
+        result = await PlatformTables(address, SystemClock()).transact(ABSENT, WRITE, 0.2)
         assert result.error.kind is kind
         assert (("t", "a") in platform.tables.rows) is stored
 
@@ -73,7 +75,7 @@
 
 def test_refused_connection_is_not_sent_and_rate_is_enforced():
     async def check(address, platform):
-        tables = HttpTables(address, SystemClock())
+        tables = PlatformTables(address, SystemClock())
         results = [await tables.transact([], WRITE, 5.0) for _ in range(4)]
         assert [r.is_ok() for r in results] == [True, False, False, False]
         assert results[1].error.kind is StoreErrorKind.REJECTED
@@ -82,39 +84,50 @@
     sock = curio.tcp_server_socket("127.0.0.1", 0)
     free = address_of(sock)
     curio.run(sock.close)
-    refused = curio.run(HttpTables(free, SystemClock()).transact, ABSENT, WRITE, 5.0)
+    refused = curio.run(PlatformTables(free, SystemClock()).transact, ABSENT, WRITE, 5.0)
     assert refused.error.kind is StoreErrorKind.NOT_SENT
 
 
 def test_faults_are_switched_at_run_time():
     async def check(address, platform):
-        control, tables = PlatformClient(address, SystemClock()), HttpTables(address, SystemClock())
-        await control.call("POST", "/control", b'{"late": 1, "late_after": 0.01}', 5.0)
+        control, tables = PlatformClient(address, SystemClock()), PlatformTables(
+            address, SystemClock()
+        )
+        await control.exchange(b"POST", b"/control", b'{"late": 1, "late_after": 0.01}')
         late = await tables.transact(ABSENT, WRITE, 5.0)
         assert late.error.kind is StoreErrorKind.UNKNOWN
         while (await tables.read("t", "a", 5.0)).ok is None:
             await curio.sleep(0.005)
-        await control.call("PUT", "/vms", b"[]", 5.0)
-        assert (await HttpVmList(address, SystemClock()).vms(5.0)).ok == []
-        counts = (await control.call("GET", "/control", b"", 5.0)).ok.body
+        await control.exchange(b"PUT", b"/vms", b"[]")
+        assert (await PlatformVmList(address, SystemClock()).vms(5.0)).ok == []
+        counts = (await control.exchange(b"GET", b"/control")).body
         assert b'"writes":{"passed":1,' in counts
 
     run(check)
 
 
 def test_an_ipv6_address_is_connected_to_without_its_brackets():
-    client = PlatformClient("[fd00::5]:8080", SystemClock())
-    assert (client.host, client.port) == ("fd00::5", 8080)
+    async def check():
+        sock = curio.socket.socket(curio.socket.AF_INET6, curio.socket.SOCK_STREAM)
+        sock.bind(("::1", 0))
+        sock.listen(5)
+        client = PlatformClient(f"[::1]:{sock.getsockname()[1]}", SystemClock())
+        task = await curio.spawn(client.rows, "t")
+        peer, _ = await curio.timeout_after(5, sock.accept)
+        assert (await peer.recv(100)).startswith(b"GET /rows-get")
+        await task.cancel()
+
+    curio.run(check)
 
 
 def test_connection_closed_while_idle_is_not_used_for_a_write():
     async def check(address, platform):
-        tables = HttpTables(address, SystemClock())
+        tables = PlatformTables(address, SystemClock())
         assert (await tables.read("t", "a", 5.0)).is_ok()
         platform.faults.down = True
         await tables.read("t", "a", 5.0)
         platform.faults.down = False
         assert (await tables.transact(ABSENT, WRITE, 5.0)).is_ok()
-        assert tables.client.opened == 2
+        assert tables.client.connector.opened == 2
 
     run(check)
--- /dev/null
+++ b/sequoiabridge/tests/upstreams/test_fetch.py
@@ -0,0 +1,83 @@
+"""Large bodies to and from the platform do not hold up the calls beside them."""
+
+import curio
+
+from ...pipeline.exchange import Answer, Body
+from ...upstreams.base import Connector, UpstreamConnection
+from ...upstreams.fetch import STEP, fetch
+
+SIZE = 4 << 20
+BODY = bytes(range(256)) * (SIZE // 256)
+
+
+class Ready(Connector, UpstreamConnection):
+    """Takes and gives bytes without ever waiting, as a fast platform does."""
+
+    clean = True
+
+    def __init__(self, answer: bytes = b""):
+        self.answer = answer
+        self.sent = bytearray()
+        self.largest = 0
+
+    async def acquire(self, address, *, fresh, timeout):
+        return self
+
+    async def release(self, connection):
+        pass
+
+    async def suspect(self, address, opened_before):
+        pass
+
+    async def reachable(self, address, timeout):
+        return True
+
+    async def send(self, request):
+        while request.body and (piece := await request.body.read()):
+            self.largest = max(self.largest, len(piece))
+            self.sent += piece
+
+    async def read_head(self):
+        return Answer(200, [], len(self.answer), Pieces(self.answer))
+
+    async def close(self):
+        pass
+
+
+class Pieces(Body):
+    """A body in pieces as a socket gives them."""
+
+    def __init__(self, data: bytes):
+        self.rest = memoryview(data)
+
+    async def read(self):
+        piece, self.rest = self.rest[:65536], self.rest[65536:]
+        return bytes(piece)
+
+
+async def fetched(connector, body):
+    """Return the answer, and how often another task ran meanwhile."""
+    turns = 0
+
+    async def beside():
+        nonlocal turns
+        while True:
+            turns += 1
+            await curio.sleep(0)
+
+    other = await curio.spawn(beside)
+    found = await fetch(connector, "a:1", b"PUT", b"/o", 1.0, body)
+    await other.cancel()
+    return found, turns
+
+
+def test_a_large_body_goes_in_steps_with_turns_for_others():
+    connector = Ready()
+    found, turns = curio.run(fetched, connector, BODY)
+    assert found.status == 200 and bytes(connector.sent) == BODY
+    assert connector.largest <= STEP and turns >= SIZE // STEP - 1
+
+
+def test_a_large_answer_comes_in_steps_with_turns_for_others():
+    found, turns = curio.run(fetched, Ready(BODY), b"")
+    assert found.body == BODY and turns >= SIZE // STEP
--- a/sequoiabridge/upstreams/fetch.py
+++ b/sequoiabridge/upstreams/fetch.py
@@ -2,9 +2,33 @@
 
 from __future__ import annotations
 
-from ..pipeline.exchange import BytesBody
+import curio
+
+from ..pipeline.exchange import Body
 from .base import Connector, UpstreamRequest
 
+STEP = 256 * 1024
+"""Bytes of a body that are sent or read in one go; other tasks run in between."""
+
+
+class SteppedBody(Body):
+    """A body in memory that is given out in steps."""
+
+    __slots__ = ("rest", "begun")
+
+    def __init__(self, data: bytes):
+        self.rest = memoryview(data)
+        self.begun = False
+
+    async def read(self) -> bytes:
+        """Return the next step, after a turn for others."""
+        # Not before the end: an answer that came meanwhile would look like one to half a body.
+        if self.begun and self.rest:
+            await curio.sleep(0)
+        self.begun = True
+        piece, self.rest = self.rest[:STEP], self.rest[STEP:]
+        return bytes(piece)
+
 
 class Fetched:
     """A whole answer."""
@@ -33,16 +57,20 @@
     Raises:
         UpstreamFailed: There was no whole answer.
     """
-    source = BytesBody(body) if body else None
+    source = SteppedBody(body) if body else None
     fields = [(b"host", address.encode()), *headers]
     request = UpstreamRequest(method, target, fields, len(body), source)
     connection = await connector.acquire(address, fresh=False, timeout=timeout)
     try:
         await connection.send(request)
         answer = await connection.read_head()
-        pieces = []
+        pieces, unpaused = [], 0
         while answer.body is not None and (piece := await answer.body.read()):
             pieces.append(piece)
+            unpaused += len(piece)
+            if unpaused >= STEP:
+                unpaused = 0
+                await curio.sleep(0)
         return Fetched(answer.status, b"".join(pieces))
     finally:
         await connector.release(connection)
