--- a/sequoiabridge/store/base.py
+++ b/sequoiabridge/store/base.py
@@ -1,8 +1,8 @@
 """The platform's services as the daemon sees them: table service, object store, VM list.
 
 Each is an abstract base class; `platform.services` has the adapters, `tests.platform.service`
-and `tests.standins.memory` the stand-ins. All calls return a `Result` of `expression`: `Ok` with the
-answer or `Error` with a `StoreError`, whose kind says whether the write may have taken effect.
+and `tests.standins.memory` the stand-ins. All calls return a `Result` of `expression`: `Ok` with
+the answer or `Error` with a `StoreError`, whose kind says whether the write may have taken effect.
 """
 
 from abc import ABC, abstractmethod
