--- a/sequoiabridge/relay/call.py
+++ b/sequoiabridge/relay/call.py
@@ -60,7 +60,6 @@
         "route",
         "service",
         "version",
-        "fingerprint",
         "attempts",
         "fallback",
         "answer",
@@ -80,7 +79,6 @@
         self.route: Route | None = None
         self.service = ""
         self.version = 0
-        self.fingerprint = ""
         self.attempts: list[Attempt] = []
         self.fallback: Answer | None = None
         self.answer: Answer | None = None
--- a/sequoiabridge/relay/choice.py
+++ b/sequoiabridge/relay/choice.py
@@ -58,7 +58,7 @@
 all answer in time."""
 
 
-class Call:
+class CallNeeds:
     """What the choice must know of a call.
 
     Attributes:
@@ -66,19 +66,15 @@
         time_left: Seconds until its answer is late; negative once it is.
         target: Seconds from arrival within which an answer is in time.
         far_cost: Cost of the bytes that it would move between data centres.
-        idempotent: Another upstream can be tried if this one fails it.
     """
 
-    __slots__ = ("work", "time_left", "target", "far_cost", "idempotent")
+    __slots__ = ("work", "time_left", "target", "far_cost")
 
-    def __init__(
-        self, work: float, time_left: float, target: float, far_cost: float, idempotent: bool
-    ):
+    def __init__(self, work: float, time_left: float, target: float, far_cost: float):
         self.work = work
         self.time_left = time_left
         self.target = target
         self.far_cost = far_cost
-        self.idempotent = idempotent
 
 
 class Weighed:
@@ -127,7 +123,7 @@
         }
 
 
-def weigh(call: Call, upstream: Upstream, now: float) -> Weighed:
+def weigh(call: CallNeeds, upstream: Upstream, now: float) -> Weighed:
     """Return what sending `call` to `upstream` now is likely to cost."""
     evidence = upstream.evidence
     age = now - evidence.load_at
@@ -178,7 +174,7 @@
     return UNKNOWN_SLOWDOWN, max(busy, len(evidence.open_calls)) - slots + 1
 
 
-def is_crowded(call: Call, best: Weighed) -> bool:
+def is_crowded(call: CallNeeds, best: Weighed) -> bool:
     """Return whether even the best upstream has no place for a call now.
 
     Only the calls before it would make it late: if it is sent all the same, those that come after
--- a/sequoiabridge/relay/chooser.py
+++ b/sequoiabridge/relay/chooser.py
@@ -9,7 +9,7 @@
 from ..timers import Clock
 from .call import RelayedCall
 from .candidates import Candidates
-from .choice import Call, Weighed, is_crowded, weigh
+from .choice import CallNeeds, Weighed, is_crowded, weigh
 from .costs import Costs
 from .evidence import PROMPT
 from .probing import Probes
@@ -74,7 +74,7 @@
 
     def is_crowded(self, call: RelayedCall, weighed: Weighed) -> bool:
         """Return whether an upstream that was chosen has no place for the call."""
-        return is_crowded(self._terms(call), weighed)
+        return is_crowded(self._needs(call), weighed)
 
     async def choose(self, call: RelayedCall) -> Weighed | None:
         """Return the best upstream that the call was not sent to yet, None if there is none."""
@@ -103,19 +103,18 @@
         if answering:
             await self.probes.ask(answering, PROMPT)
 
-    def _terms(self, call: RelayedCall) -> Call:
-        return Call(
+    def _needs(self, call: RelayedCall) -> CallNeeds:
+        return CallNeeds(
             self.costs.work(call),
             call.target_at - self.clock.now(),
             call.route.target_latency,
             self.costs.far_cost(call),
-            call.route.idempotent,
         )
 
     def _best(self, call: RelayedCall, upstreams: list[Upstream]) -> Weighed | None:
         now = self.clock.now()
-        terms = self._terms(call)
-        weighed = [weigh(terms, upstream, now) for upstream in upstreams if upstream.takes_work]
+        needs = self._needs(call)
+        weighed = [weigh(needs, upstream, now) for upstream in upstreams if upstream.takes_work]
         weighed.sort(key=lambda one: one.cost)
         call.considered = weighed[:SHOWN] or call.considered
         return weighed[0] if weighed else None
--- a/sequoiabridge/relay/configuration.py
+++ b/sequoiabridge/relay/configuration.py
@@ -67,6 +67,7 @@
                 "timeout": route.timeout,
                 "idempotent": route.idempotent,
                 "max_attempts": route.max_attempts,
+                "priority": route.priority,
                 "targets": {target.service: target.weight for target in route.targets},
             }
             for route in self.table.routes()
--- a/sequoiabridge/relay/routes.py
+++ b/sequoiabridge/relay/routes.py
@@ -26,7 +26,8 @@
         timeout: Seconds after which the caller is to have a final answer.
         target_latency: Seconds within which an answer is worth most.
         max_attempts: Upstreams that may run one call, at most.
-        priority: Rank under overload; 0 is the highest.
+        priority: Rank under overload; 0 is the highest. Shown only: a service refuses by what its
+            calls can still gain, whichever route they came by.
         targets: The services that share the calls, at least one.
     """
 
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -108,13 +108,13 @@
                 continue
             self._learn(call, attempt)
             await self.guard.ended(call, attempt)
-            if is_final(call, attempt):
+            if is_final(attempt):
                 return attempt.answer
             if attempt.answer is not None:
                 call.fallback = attempt.answer
             if attempt.error is not None:
                 raise attempt.error
-            if race.running or await self._again(call, race, attempt):
+            if race.running or await self._again(call, race):
                 continue
             if call.fallback is not None:
                 return call.fallback
@@ -132,7 +132,7 @@
         call.attempts.append(attempt)
         await race.start(attempt)
 
-    async def _again(self, call: RelayedCall, race: Race, failed: Attempt) -> bool:
+    async def _again(self, call: RelayedCall, race: Race) -> bool:
         """Send the call to another upstream if that is allowed; return whether it was sent."""
         if not self._may_repeat(call):
             return False
@@ -213,7 +213,7 @@
             self.sharing.failed(upstream)
 
 
-def is_final(call: RelayedCall, attempt: Attempt) -> bool:
+def is_final(attempt: Attempt) -> bool:
     """Return whether an attempt's answer is the call's, whatever other upstreams might say."""
     if attempt.answer is None:
         return False
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -178,6 +178,7 @@
     return {
         "service": upstream.record.service,
         "address": upstream.address,
+        "software": upstream.record.version,
         "near": upstream.near,
         "draining": upstream.record.draining,
         "replaced": upstream.replaced,
--- a/sequoiabridge/tests/relay/test_decisions_of_the_path.py
+++ b/sequoiabridge/tests/relay/test_decisions_of_the_path.py
@@ -7,7 +7,7 @@
 from ...relay.allowance import KEPT_SHARE, ProbeAllowance
 from ...relay.budget import RetryBudget
 from ...relay.candidates import MOST_NEAR, Candidates
-from ...relay.choice import Call, is_crowded, weigh
+from ...relay.choice import CallNeeds, is_crowded, weigh
 from ...relay.evidence import OpenCall
 from ...relay.routes import Route, Target
 from ...relay.splitting import Splitter
@@ -15,7 +15,7 @@
 from ...timers import ManualClock
 from .fakes import decision_log, record, upstream
 
-CALL = Call(work=0.1, time_left=0.4, target=0.4, far_cost=0.04, idempotent=True)
+CALL = CallNeeds(work=0.1, time_left=0.4, target=0.4, far_cost=0.04)
 
 
 def test_repeats_of_a_fleet_stay_under_its_limit_however_calls_are_spread():
@@ -124,7 +124,7 @@
     assert is_crowded(CALL, weigh(CALL, queued, 0.01))
     assert not is_crowded(CALL, weigh(CALL, noisy, 0.01)), "late anywhere: it may wait its turn"
     assert not is_crowded(CALL, weigh(CALL, free, 0.01))
-    late = Call(work=0.1, time_left=-0.1, target=0.4, far_cost=0.0, idempotent=True)
+    late = CallNeeds(work=0.1, time_left=-0.1, target=0.4, far_cost=0.0)
     assert not is_crowded(late, weigh(late, free, 0.01))
     assert is_crowded(late, weigh(late, upstream(load=(2, 1, 2, 1.0)), 0.01))
 
