Settings that change while the daemon runs are a part of their own

Cause: gateway.py held the reading of changed settings beside the building of all parts, and nothing tested it.

--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -10,7 +10,6 @@
 import logging
 import os
 import signal
-from pathlib import Path
 from random import Random
 
 import curio
@@ -18,7 +17,6 @@
 from .callers.limits import CallerLimits
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
-from .config.problem import Invalid
 from .logs import ROOT, get_log, quiet_curio
 from .platform.client import PlatformClient
 from .platform.dialect import PlatformDialect
@@ -40,6 +38,7 @@
 from .relay.probing import Probes
 from .relay.readiness import READY_LIMITS, SWEEP, Readiness, ReadyHandler
 from .relay.relay import Relay
+from .relay.reloading import SettingsWatch
 from .relay.routes import RouteTable
 from .relay.sender import Sender
 from .relay.sharing import Sharing
@@ -104,8 +103,7 @@
         self._build_path()
         self._build_ports()
         self.stop_asked = curio.UniversalEvent()
-        self.settings_changed = False
-        self.settings_seen = modified(settings.source)
+        self.settings_watch = SettingsWatch(settings, self.costs, self.store, self.decisions)
 
     async def run(self) -> int:
         """Serve until SIGTERM or SIGINT, then stop in order; return the exit code."""
@@ -276,7 +274,7 @@
         self.timers.every(EXPIRE_EVERY, "waiting lines", self.lines.flush)
         self.timers.every(BEACON_EVERY, "beacons", self.watchers.beacon)
         self.timers.every(COUNT_EVERY, "members", self._count_members)
-        self.timers.every(LOOK_AT_SETTINGS, "settings", self._look_at_settings)
+        self.timers.every(LOOK_AT_SETTINGS, "settings", self.settings_watch.look)
 
     async def _stop(self) -> None:
         """Leave the balancer, serve on for its lag, finish all calls, then end."""
@@ -300,29 +298,12 @@
             self.stop_asked.set()
 
         def reload(number: int, frame: object) -> None:
-            self.settings_changed = True
+            self.settings_watch.asked = True
 
         signal.signal(signal.SIGTERM, stop)
         signal.signal(signal.SIGINT, stop)
         signal.signal(signal.SIGHUP, reload)
 
-    def _look_at_settings(self) -> None:
-        """Read the settings again after a signal, or when the file is another one."""
-        seen = modified(self.settings.source)
-        if not self.settings_changed and seen == self.settings_seen:
-            return
-        self.settings_changed, self.settings_seen = False, seen
-        try:
-            settings = GatewaySettings.load(self.settings.source)
-        except Invalid as error:
-            self.decisions.belief("reload-refused", why=str(error))
-            return
-        self.settings.bounds = settings.bounds
-        self.costs.far_megabyte = settings.choice.far_megabyte
-        if settings.store.address != self.store.address:
-            self.store.address = settings.store.address
-        self.decisions.belief("reload", store=settings.store.address)
-
     def _configuration_read(self, update: Update[RouteTable]) -> None:
         for table in update.entries:
             self.configuration.offer(table)
@@ -353,11 +334,3 @@
     def _counted(self, failed: bool) -> None:
         self.tally.store_calls += 1
         self.tally.store_failures += failed
-
-
-def modified(path: str) -> int:
-    """Return when a file was changed last, in nanoseconds; 0 if it is not there."""
-    try:
-        return Path(path).stat().st_mtime_ns
-    except OSError:
-        return 0
--- /dev/null
+++ b/sequoiabridge/tests/relay/test_reloading.py
@@ -0,0 +1,73 @@
+"""Settings that change while the daemon runs."""
+
+import json
+
+from ...config.gateway_settings import GatewaySettings
+from ...relay.costs import Costs
+from ...relay.reloading import SettingsWatch
+from .fakes import decision_log
+
+TEXT = """
+[vm]
+name = vm-1
+data_centre = here
+[listen]
+callers = 127.0.0.1:1
+ready = 127.0.0.1:2
+fleet_ip = 127.0.0.1
+fleet_ports = 3, 4
+[store]
+address = 127.0.0.1:{port}
+[bounds]
+grace = 6s
+"""
+
+
+class Store:
+    """Has an address."""
+
+    address = ""
+
+
+def watch(tmp_path):
+    """Return a watch over a file, the file, the store and the log's lines."""
+    file = tmp_path / "vm.ini"
+    file.write_text(TEXT.format(port=5))
+    log, lines = decision_log()
+    store = Store()
+    made = SettingsWatch(GatewaySettings.load(file), Costs(1.0), store, log)
+    return made, file, store, lines
+
+
+def change(file, text):
+    """Write the file so that its time differs."""
+    import os
+
+    file.write_text(text)
+    os.utime(file, ns=(1, 1))
+
+
+def test_a_changed_file_is_taken_in_without_a_signal_and_an_unchanged_one_is_not(tmp_path):
+    made, file, store, lines = watch(tmp_path)
+    made.look()
+    assert lines == [] and store.address == ""
+    change(file, TEXT.format(port=9) + "retry_ratio = 0.5\n")
+    made.look()
+    made.look()
+    assert store.address == "127.0.0.1:9" and made.settings.bounds.retry_ratio == 0.5
+    assert [json.loads(line)["event"] for line in lines] == ["reload"]
+
+
+def test_a_signal_reads_the_file_again_even_if_it_is_the_same(tmp_path):
+    made, _, store, lines = watch(tmp_path)
+    made.asked = True
+    made.look()
+    assert store.address == "127.0.0.1:5" and len(lines) == 1
+
+
+def test_settings_that_are_not_valid_are_refused_and_the_old_ones_stay(tmp_path):
+    made, file, store, lines = watch(tmp_path)
+    change(file, TEXT.format(port=9).replace("grace = 6s", "grace = soon"))
+    made.look()
+    assert made.settings.bounds.grace == 6.0 and store.address == ""
+    assert json.loads(lines[0])["event"] == "reload-refused" and b"grace" in lines[0]
