--- a/sequoiabridge/config/reference.py
+++ b/sequoiabridge/config/reference.py
@@ -34,6 +34,7 @@
 
 The platform fills in `sequoiabridge/platform/settings.template`. The path stands in the variable
 `SEQUOIABRIDGE_CONFIG`, or is the one argument of `python -m sequoiabridge.commands.gateway`.
+`examples/gateway.ini` is a whole file.
 """
 
 DOCUMENT_TEXT = """\
--- a/sequoiabridge/tests/config/test_gateway_settings.py
+++ b/sequoiabridge/tests/config/test_gateway_settings.py
@@ -1,5 +1,7 @@
 """Settings of the daemon on the platform: every problem at once."""
 
+from pathlib import Path
+
 import pytest
 
 from ...config.gateway_settings import GatewaySettings
@@ -20,3 +22,8 @@
     told = " ".join(problem.text for problem in found.value.problems)
     assert "[store] address" in told and "[vm] name: the option is missing" in told
     assert "nam: there is no such option; write name" in told and "[extra]" in told
+
+
+def test_the_example_is_valid():
+    example = Path(__file__).parents[3] / "examples" / "gateway.ini"
+    assert GatewaySettings.load(example).choice.far_megabyte == 7.0
