--- a/sequoiabridge/relay/choice.py
+++ b/sequoiabridge/relay/choice.py
@@ -41,7 +41,7 @@
 """Slowdown that is assumed of an upstream that has not told its load lately: the mean over time
 where neighbours slow it sevenfold for a quarter of it."""
 
-SURELY_LATE = 0.2
+MOST_LATENESS = 0.2
 """Likelihood of being late from which a call is not sent into a queue. Of 0.7,
 0.4, 0.2 and 0.05, one run each of the users' most crowded day: worth 0.352, 0.389, 0.416, 0.403."""
 
@@ -187,5 +187,5 @@
         return True
     if call.time_left <= 0.0:
         return True
-    slow_anyway = lateness(best.alone, call.time_left) > SURELY_LATE
-    return best.late > SURELY_LATE and not slow_anyway
+    slow_anyway = lateness(best.alone, call.time_left) > MOST_LATENESS
+    return best.late > MOST_LATENESS and not slow_anyway
--- a/sequoiabridge/relay/refusals.py
+++ b/sequoiabridge/relay/refusals.py
@@ -37,7 +37,7 @@
 
 def crowded(call: RelayedCall) -> Refusal:
     """Return the refusal of a call for which all upstreams are too busy."""
-    message = "All upstreams of the service are too busy to answer in time. Come back later."
+    message = "All upstreams of the service are too busy now. Come back later."
     return Refusal(503, Outcome.NOT_RUN, Reason.QUEUE_FULL, message, COME_BACK)
 
 
