Give places that new calls would be in time at to those first

Ruled out: neighbours that turn up after a call was sent (97 of 982 late reads had a second attempt), callers held too long (58), a wrong work time.

Change: a caller's patience is compared with what is usual on its route, which tells how long it has waited. A call that is late already prefers upstreams that are too slow for new ones but quick enough for it, waits in no queue, and is turned away from fast places while new calls find none. Work at a full upstream is taken to be 1.7 times as long (it was 1.5) and a running request to have two thirds before it (0.6): 34 to 67% of those sent behind two or three others were late where 20% was meant.

--- a/sequoiabridge/relay/call.py
+++ b/sequoiabridge/relay/call.py
@@ -40,6 +40,7 @@
     Attributes:
         id: The caller's name for it, for logs.
         deadline: When the caller must have a final answer.
+        waited: Seconds that its caller has probably waited before, in an earlier try.
         target_at: When an answer begins to be late.
         service: Where it goes, once that is known.
         attempts: All attempts at upstreams, in order.
@@ -56,6 +57,7 @@
         "terms",
         "arrived",
         "deadline",
+        "waited",
         "target_at",
         "route",
         "service",
@@ -75,6 +77,7 @@
         self.terms = terms
         self.arrived = arrived
         self.deadline = arrived
+        self.waited = 0.0
         self.target_at = arrived
         self.route: Route | None = None
         self.service = ""
@@ -97,6 +100,11 @@
         self.deadline = self.arrived + patience
         self.target_at = self.arrived + min(route.target_latency, patience)
 
+    def has_waited(self, seconds: float) -> None:
+        """Take in that the caller has waited before: its answer is late sooner."""
+        self.waited = seconds
+        self.target_at -= seconds
+
     @property
     def replayable(self) -> bool:
         """Return whether the call can be sent again: its body, if any, is in memory."""
--- a/sequoiabridge/relay/choice.py
+++ b/sequoiabridge/relay/choice.py
@@ -13,6 +13,15 @@
 """Part of a call's worth that is lost when its answer comes late (the users' figures: a late one
 is worth a tenth)."""
 
+LOST_COST = 1.0
+"""Cost of a call's waiting at an upstream until its caller leaves: more than any place is worth to
+others, so that such a call is rather turned away at once."""
+
+MOST_DISPLACED = 0.45
+"""Worth to other calls up to which a place is given to one that is late already. Without it, such
+calls took a fifth of the places of the users' most crowded day; 5,002 of 9,306 reads were in time,
+5,885 with it. At 0.7 no more are served at all."""
+
 SPREAD = 0.25
 """Spread of the logarithm of a call's duration around what is expected: work times spread by 0.3
 and reports are some milliseconds old."""
@@ -20,7 +29,7 @@
 COLD_FACTOR = 2.0
 """How many times longer work takes on an upstream that has just started (the users' figure)."""
 
-WAIT_SHARE = 0.6
+WAIT_SHARE = 0.67
 """Part of its work that a running request still has before it, on average; a little over half,
 since those that run long are met more often."""
 
@@ -33,7 +42,7 @@
 SILENT_COST = 0.5
 """Cost of an upstream that did not answer the last probe."""
 
-FULL_FACTOR = 1.5
+FULL_FACTOR = 1.7
 """How many times longer work takes on an upstream of which all slots are taken: some slow down when
 they are nearly full (1.7 times at the users' site that shows it)."""
 
@@ -66,15 +75,32 @@
         time_left: Seconds until its answer is late; negative once it is.
         target: Seconds from arrival within which an answer is in time.
         far_cost: Cost of the bytes that it would move between data centres.
+        patience: Seconds until its caller leaves.
+        crowding: Share of new calls of the service that lately found no place at once.
     """
 
-    __slots__ = ("work", "time_left", "target", "far_cost")
+    __slots__ = ("work", "time_left", "target", "far_cost", "patience", "crowding")
 
-    def __init__(self, work: float, time_left: float, target: float, far_cost: float):
+    def __init__(
+        self,
+        work: float,
+        time_left: float,
+        target: float,
+        far_cost: float,
+        patience: float,
+        crowding: float,
+    ):
         self.work = work
         self.time_left = time_left
         self.target = target
         self.far_cost = far_cost
+        self.patience = patience
+        self.crowding = crowding
+
+    @property
+    def is_late(self) -> bool:
+        """Return whether its answer will be late wherever it goes."""
+        return self.time_left <= 0.0
 
 
 class Weighed:
@@ -87,9 +113,21 @@
         cost: What sending it there is likely to cost.
         queue: Requests that it would wait for; 0 if it gets the last free slot.
         age: Seconds since the upstream told its load.
+        displaced: What the place is worth to another call, which would be in time there, if this
+            one is late already.
     """
 
-    __slots__ = ("upstream", "expected", "alone", "late", "cost", "slowdown", "queue", "age")
+    __slots__ = (
+        "upstream",
+        "expected",
+        "alone",
+        "late",
+        "cost",
+        "slowdown",
+        "queue",
+        "age",
+        "displaced",
+    )
 
     def __init__(
         self,
@@ -101,6 +139,7 @@
         slowdown: float,
         queue: int,
         age: float,
+        displaced: float,
     ):
         self.upstream = upstream
         self.expected = expected
@@ -110,6 +149,7 @@
         self.slowdown = slowdown
         self.queue = queue
         self.age = age
+        self.displaced = displaced
 
     def row(self) -> dict:
         """Return the inputs of the choice, for the log."""
@@ -139,6 +179,10 @@
     failure = evidence.failure_share(now)
     cost = failure + (1.0 - failure) * LATE_COST * late
     cost += DURATION_COST * expected / call.target
+    displaced = 0.0
+    if call.is_late:
+        displaced = LATE_COST * call.crowding * (1.0 - lateness(expected, call.target))
+        cost += displaced + LOST_COST * lateness(expected, call.patience)
     cost += OVERDUE_COST * evidence.overdue(now)
     if not upstream.near:
         cost += call.far_cost
@@ -146,7 +190,7 @@
         cost += UNHEALTHY_COST
     if evidence.is_silent(now):
         cost += SILENT_COST
-    return Weighed(upstream, expected, duration, late, cost, slowdown, queue, age)
+    return Weighed(upstream, expected, duration, late, cost, slowdown, queue, age, displaced)
 
 
 def lateness(expected: float, time_left: float) -> float:
@@ -179,13 +223,14 @@
 
     Only the calls before it would make it late: if it is sent all the same, those that come after
     it are late as well, and soon all are. A call that would be late anywhere takes no place from
-    one that would not, so it may wait in a short queue.
+    one that would not, so it may wait in a short queue. One that is late already, since its caller
+    comes back, waits in no queue and leaves places to others while the service is crowded.
     """
     if best.queue < 1:
-        return False
+        return best.displaced > MOST_DISPLACED
     if best.queue > MOST_WAITING * max(1, best.upstream.record.slots):
         return True
-    if call.time_left <= 0.0:
+    if call.is_late:
         return True
     slow_anyway = lateness(best.alone, call.time_left) > MOST_LATENESS
     return best.late > MOST_LATENESS and not slow_anyway
--- a/sequoiabridge/relay/chooser.py
+++ b/sequoiabridge/relay/chooser.py
@@ -11,6 +11,7 @@
 from .candidates import Candidates
 from .choice import CallNeeds, Weighed, is_crowded, weigh
 from .costs import Costs
+from .crowding import Crowding
 from .evidence import PROMPT
 from .probing import Probes
 from .refusals import crowded
@@ -54,6 +55,7 @@
         self.costs = costs
         self.clock = clock
         self.random = random
+        self.crowding = Crowding()
 
     async def place(self, call: RelayedCall) -> Weighed | None:
         """Return an upstream with a place for a new call, None if there is none at all.
@@ -64,13 +66,17 @@
             Refusal: All stay crowded.
         """
         until = call.arrived + call.body_seconds + HOLD_SHARE * call.route.target_latency
-        while True:
-            best = await self.choose(call)
-            if best is None or not self.is_crowded(call, best):
-                return best
+        best = await self.choose(call)
+        full = best is not None and self.is_crowded(call, best)
+        if not call.waited:
+            self.crowding.met(call.service, full, self.clock.now())
+        while full:
             if self.clock.now() >= until:
                 raise crowded(call)
             await curio.sleep(HOLD_LOOK)
+            best = await self.choose(call)
+            full = best is not None and self.is_crowded(call, best)
+        return best
 
     def is_crowded(self, call: RelayedCall, weighed: Weighed) -> bool:
         """Return whether an upstream that was chosen has no place for the call."""
@@ -109,6 +115,8 @@
             call.target_at - self.clock.now(),
             call.route.target_latency,
             self.costs.far_cost(call),
+            call.deadline - self.clock.now(),
+            self.crowding.share(call.service, self.clock.now()),
         )
 
     def _best(self, call: RelayedCall, upstreams: list[Upstream]) -> Weighed | None:
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -16,6 +16,7 @@
 from .configuration import Configuration
 from .decisions import DecisionLog
 from .dialect import Dialect
+from .patience import Patience
 from .refusals import internal
 from .routes import Route
 from .sender import Sender
@@ -59,6 +60,7 @@
         self.clock = clock
         self.why_not_serving = why_not_serving
         self.counter = count(1)
+        self.patience = Patience()
 
     def next_id(self) -> str:
         """Return an id for a call that brought none."""
@@ -97,6 +99,7 @@
 
     async def _relay(self, call: RelayedCall) -> Answer:
         call.fall_under(self._route(call), self.configuration.version)
+        call.has_waited(self.patience.waited(call))
         call.service = self.splitter.service_for(call.route)
         limit = self.configuration.table.limits.max_body
         await take_body(call.request, limit, call.deadline - self.clock.now())
@@ -149,6 +152,8 @@
             "outcome": "answered" if clean else "cut-off",
             "left_ms": round((call.deadline - now) * 1000),
         }
+        if call.waited:
+            row["waited_ms"] = round(call.waited * 1000)
         if call.body_seconds > 0.001:
             row["body_ms"] = round(call.body_seconds * 1000, 1)
         if call.refusal is not None:
--- a/sequoiabridge/tests/relay/test_decisions_of_the_path.py
+++ b/sequoiabridge/tests/relay/test_decisions_of_the_path.py
@@ -15,7 +15,7 @@
 from ...timers import ManualClock
 from .fakes import decision_log, record, upstream
 
-CALL = CallNeeds(work=0.1, time_left=0.4, target=0.4, far_cost=0.04)
+CALL = CallNeeds(work=0.1, time_left=0.4, target=0.4, far_cost=0.04, patience=1.2, crowding=0.0)
 
 
 def test_repeats_of_a_fleet_stay_under_its_limit_however_calls_are_spread():
@@ -124,11 +124,34 @@
     assert is_crowded(CALL, weigh(CALL, queued, 0.01))
     assert not is_crowded(CALL, weigh(CALL, noisy, 0.01)), "late anywhere: it may wait its turn"
     assert not is_crowded(CALL, weigh(CALL, free, 0.01))
-    late = CallNeeds(work=0.1, time_left=-0.1, target=0.4, far_cost=0.0)
+    late = CallNeeds(work=0.1, time_left=-0.1, target=0.4, far_cost=0.0, patience=0.7, crowding=0.0)
     assert not is_crowded(late, weigh(late, free, 0.01))
     assert is_crowded(late, weigh(late, upstream(load=(2, 1, 2, 1.0)), 0.01))
 
 
+def coming_back(crowding, patience=0.9):
+    return CallNeeds(0.1, -0.1, 0.4, 0.0, patience, crowding)
+
+
+def test_a_call_that_comes_back_late_leaves_fast_places_to_others_while_they_are_scarce():
+    fast, slowed = upstream("fast"), upstream("slowed", load=(0, 0, 2, 6.0))
+
+    def chosen(call):
+        return min((weigh(call, one, 0.01) for one in (fast, slowed)), key=lambda w: w.cost)
+
+    assert chosen(coming_back(crowding=0.0)).upstream is fast
+    assert chosen(coming_back(crowding=0.9)).upstream is slowed
+    assert chosen(coming_back(crowding=0.9, patience=0.4)).upstream is fast, "slowed is too slow"
+
+
+def test_a_call_that_comes_back_late_gets_no_place_that_others_would_be_in_time_at():
+    fast, slowed = upstream("fast"), upstream("slowed", load=(0, 0, 2, 6.0))
+    crowded, calm = coming_back(crowding=0.9), coming_back(crowding=0.2)
+    assert is_crowded(crowded, weigh(crowded, fast, 0.01))
+    assert not is_crowded(crowded, weigh(crowded, slowed, 0.01))
+    assert not is_crowded(calm, weigh(calm, fast, 0.01))
+
+
 def route(*weights):
     targets = tuple(Target(f"s{n}", weight) for n, weight in enumerate(weights))
     return Route("r", b"/", True, 1.0, 0.5, 2, 1, targets)
--- a/sequoiabridge/tests/relay/test_hedging.py
+++ b/sequoiabridge/tests/relay/test_hedging.py
@@ -17,7 +17,7 @@
     call = RelayedCall("c1", Request(b"GET", b"/", []), CallTerms(b"c1", 1.0), 0.0)
     call.fall_under(Route("r", b"/", True, 1.0, 0.5, 2, 1, (Target("s", 1.0),)), 1)
     for number, (sent, ending) in enumerate(attempts):
-        weighed = Weighed(upstream(f"u{number}"), 0.1, 0.1, 0.1, 0.1, 1.0, 0, 0.0)
+        weighed = Weighed(upstream(f"u{number}"), 0.1, 0.1, 0.1, 0.1, 1.0, 0, 0.0, 0.0)
         attempt = Attempt(call, weighed, None, None, clock, None)
         attempt.sent, attempt.ending = sent, ending
         call.attempts.append(attempt)
