--- a/sequoiabridge/tests/platform/soak/proxy.py
+++ b/sequoiabridge/tests/platform/soak/proxy.py
@@ -58,7 +58,7 @@
         self.pairs.add(pair)
         back = await curio.spawn(self.forward(upstream, client, True), daemon=True)
         await self.forward(client, upstream, False)
-        await back.join()
+        await back.wait()
         self.pairs.discard(pair)
         for side in pair:
             await side.close()
