--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -10,6 +10,7 @@
 import logging
 import os
 import signal
+import sys
 from random import Random
 
 import curio
@@ -17,6 +18,8 @@
 from .callers.limits import CallerLimits
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
+from .config.problem import Invalid
+from .exceptions import SequoiaError
 from .logs import ROOT, get_log, quiet_curio
 from .platform.client import PlatformClient
 from .platform.dialect import PlatformDialect
@@ -28,7 +31,7 @@
 from .relay.configuration import Configuration
 from .relay.costs import Costs
 from .relay.crash_guard import CrashGuard
-from .relay.decisions import DecisionLog, LineWriter, SentenceHandler
+from .relay.decisions import STDOUT, DecisionLog, LineWriter, SentenceHandler
 from .relay.feeds import Follower, Update
 from .relay.hedging import Hedging
 from .relay.members import Members
@@ -47,6 +50,7 @@
 from .relay.upstream import Upstream, UpstreamRecord
 from .relay.upstreams import UpstreamList
 from .relay.watchers import BEACON_EVERY, Watchers
+from .selector import KeptSelector
 from .timers import SystemClock, Timers
 from .upstreams.connections import ConnectorLimits, HttpConnector
 
@@ -340,3 +344,23 @@
     def _counted(self, failed: bool) -> None:
         self.tally.store_calls += 1
         self.tally.store_failures += failed
+
+
+def run_daemon(path: str) -> int:
+    """Run the daemon of a settings file until it is stopped; return its exit code.
+
+    What is wrong with the settings, or keeps it from starting, goes to standard error.
+    """
+    try:
+        settings = GatewaySettings.load(path)
+        os.set_blocking(STDOUT, False)
+        gateway = Gateway(settings)
+        gateway.catch_signals()
+        return curio.run(gateway.run, selector=KeptSelector()) or 0
+    except Invalid as error:
+        for problem in error.problems:
+            print(problem.text, file=sys.stderr)
+        return error.exit_code
+    except SequoiaError as error:
+        print(f"sequoiabridge: {' '.join(str(error).split())}", file=sys.stderr)
+        return error.exit_code
