--- a/sequoiabridge/relay/choice.py
+++ b/sequoiabridge/relay/choice.py
@@ -153,7 +153,7 @@
 
     def row(self) -> dict:
         """Return the inputs of the choice, for the log."""
-        return {
+        row = {
             "upstream": self.upstream.id,
             "cost": round(self.cost, 3),
             "expected_ms": round(self.expected * 1000),
@@ -161,6 +161,9 @@
             "queue": self.queue,
             "age_ms": round(min(self.age, 999.0) * 1000, 1),
         }
+        if self.displaced:
+            row["displaced"] = round(self.displaced, 2)
+        return row
 
 
 def weigh(call: CallNeeds, upstream: Upstream, now: float) -> Weighed:
--- a/sequoiabridge/tests/platform/store_emulator.py
+++ b/sequoiabridge/tests/platform/store_emulator.py
@@ -92,6 +92,9 @@
             return await self.reply(wire, 503, {})
         await curio.sleep(faults.delay)
         status, body = await self.answer(request.method, url.path, query, request.body)
+        if faults.silent:
+            # Questions that were waiting when it fell silent are forgotten.
+            await curio.sleep(3600)
         if faults.lose_answers:
             faults.lose_answers -= 1
             return False
--- a/sequoiabridge/tests/test_gateway.py
+++ b/sequoiabridge/tests/test_gateway.py
@@ -214,6 +214,21 @@
     play(test)
 
 
+def test_a_store_that_forgot_what_waited_in_it_is_asked_again_soon_after_its_return():
+    async def test(scene):
+        followers = scene.gateway.followers.values()
+        await scene.until(lambda: scene.store.calls.get("/rows-feed", 0) >= 2)
+        scene.store.faults.silent = True
+        await scene.store.put("op", "config", document(2))
+        await scene.add("r9", "reads")
+        await scene.until(lambda: any(f.lost for f in followers))
+        scene.store.faults.silent = False
+        await scene.until(lambda: scene.gateway.configuration.version == 2)
+        await scene.until(lambda: "r9" in scene.gateway.upstreams.by_id)
+
+    play(test)
+
+
 def test_a_planned_stop_leaves_the_balancer_first_and_cuts_nothing_off():
     async def test(scene):
         for upstream in scene.upstreams.values():
