--- a/sequoiabridge/tests/platform/soak/proxy.py
+++ b/sequoiabridge/tests/platform/soak/proxy.py
@@ -79,9 +79,9 @@
 
 def end(sock) -> None:
     """End a connection at once."""
-    with sock.blocking() as raw:
-        raw.setblocking(False)
-        try:
+    try:
+        with sock.blocking() as raw:
+            raw.setblocking(False)
             raw.shutdown(2)
-        except OSError:
-            return  # It was ended already.
+    except OSError:
+        return  # It was ended or closed already.
