--- a/sequoiabridge/relay/watchers.py
+++ b/sequoiabridge/relay/watchers.py
@@ -5,7 +5,9 @@
 older one reads the rest from them. One that hears from too few of them follows the store itself.
 
 The newest version that is heard from anyone counts, so a watcher that is cut off from the store
-without knowing it does no harm while another one is not.
+without knowing it does no harm while another one is not. For the case that all of them are, a few
+watchers, the sentinels, ask the store often; when it does not answer them they say so, and all
+watchers ask anew.
 """
 
 from __future__ import annotations
