Check what other writers leave in the store, and tell an upstream's lifetimes apart

Cause: one row that was no base64 failed every reading of its table; a service that was a list ended the follower; an address without a port, slots of -1, a state without a name and JSON nested 50,000 deep came through or raised what nobody caught; a datagram of 1,199 brackets ended the reader of datagrams. An upstream may now start again under its id, and everything known of the earlier lifetime was held against the next one.

Change: foreign.py reads JSON field by field and refuses what is not of the expected type; platform/entries.py decodes an entry with it, and so do the daemons' rows, datagrams and peers' answers. An entry that became unusable takes its upstream out at once; each is told of once with key and reason, and counted. Entries of services that no configuration names no longer count in the allowance of health checks nor in the share that lapses together. A newer start (born) begins a new lifetime with evidence, connections and blame of its own; open calls of the earlier one end within 0.5 s; words of earlier lifetimes, late entries included, change nothing.

Replaced: the members' test used names as addresses; names are refused now, so it uses addresses, with the same assertions. The wire test's entry had no version, sequence and cold time; entries without are refused now.

--- a/sequoiabridge/exceptions.py
+++ b/sequoiabridge/exceptions.py
@@ -50,7 +50,15 @@
 
 
 class BadEntry(SequoiaError):
-    """An entry in the platform's store cannot be read; what was known before stays in use."""
+    """Something that another writer wrote cannot be used; it names nothing to work with.
+
+    Attributes:
+        key: Key of the row that it stands in, "" if it is in none.
+    """
+
+    def __init__(self, message: str, key: str = ""):
+        super().__init__(message)
+        self.key = key
 
 
 class AdminError(SequoiaError):
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -320,6 +320,7 @@
 
     def _configured(self, table: RouteTable) -> None:
         """Let callers have what a configuration that came into force allows them."""
+        self.upstreams.services_named(table.services)
         limits = table.limits
         self.limits.max_head = limits.max_head
         self.limits.max_body = limits.max_body
@@ -327,10 +328,10 @@
         self.limits.idle_timeout = limits.idle_timeout
 
     def _upstreams_read(self, update: Update[UpstreamRecord]) -> None:
-        self.upstreams.replace(update.entries, update.version)
+        self.upstreams.replace(update.entries, update.version, update.unusable)
 
     def _upstreams_changed(self, update: Update[UpstreamRecord]) -> None:
-        self.upstreams.update(update.entries, update.removed, update.version)
+        self.upstreams.update(update.entries, update.removed, update.version, update.unusable)
 
     def _upstream_leaves(self, upstream: Upstream) -> None:
         """Close what is open to an upstream that gets no more calls, as soon as it is idle."""
--- a/sequoiabridge/platform/client.py
+++ b/sequoiabridge/platform/client.py
@@ -4,7 +4,6 @@
 
 import json
 from base64 import b64decode, b64encode
-from binascii import Error as BadBase64
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from urllib.parse import urlencode
@@ -18,7 +17,7 @@
     StoreUnavailable,
     UpstreamFailed,
 )
-from ..store.rows import Changes, Condition, Rows, StoredRow, Write
+from ..store.rows import UNREADABLE, Changes, Condition, Rows, StoredRow, Write
 from ..store.tables import Tables
 from ..timers import Clock
 from ..upstreams.connections import ConnectorLimits, HttpConnector
@@ -73,7 +72,7 @@
             if start:
                 query["from"] = start
             page = await self._get("/rows-get", query, self.call_timeout)
-            found += [_row(row) for row in page["rows"]]
+            found += _rows(page)
             # Pages are read one after the other: only what the first saw is known of all.
             version = version or page["ver"]
             if not page.get("has_more") or not page["rows"] or 0 < limit <= len(found):
@@ -83,7 +82,7 @@
     async def changes(self, table: str, after: int, wait: float) -> Changes:
         query = {"table": table, "after": after, "wait_ms": int(wait * 1000)}
         page = await self._get("/rows-feed", query, wait + PROMPT_TIMEOUT)
-        return Changes([_row(row) for row in page["rows"]], page["ver"])
+        return Changes(_rows(page), page["ver"])
 
     async def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> int:
         puts = [write for write in writes if write.value is not None]
@@ -162,16 +161,31 @@
         raise StoreUnavailable(f"The store's answer is not JSON: {error}.") from error
 
 
+def _rows(page: dict) -> list[StoredRow]:
+    """Return the rows of an answer.
+
+    Raises:
+        StoreUnavailable: The answer is not of the store's form.
+    """
+    try:
+        return [_row(row) for row in page["rows"]]
+    except (KeyError, TypeError, AttributeError) as error:
+        raise StoreUnavailable(f"The store's answer has no rows in it: {error!r}.") from error
+
+
 def _row(row: dict) -> StoredRow:
-    value = None if row.get("removed") else _bytes(row.get("value") or "")
+    value = None if row.get("removed") else _bytes(row.get("value"))
     return StoredRow(row["table"], row.get("part", ""), row["key"], value, row.get("ver", 0))
 
 
-def _bytes(text: str) -> bytes:
+def _bytes(text: object) -> bytes:
+    """Return a row's value; one that cannot be read is that row's matter, and the others hold."""
+    if not isinstance(text, str):
+        return UNREADABLE
     try:
-        return b64decode(text)
-    except (BadBase64, ValueError) as error:
-        raise StoreUnavailable(f"The store sent a value that cannot be read: {error}.") from error
+        return b64decode(text, validate=True)
+    except ValueError:
+        return UNREADABLE
 
 
 def _text(value: bytes) -> str:
--- /dev/null
+++ b/sequoiabridge/platform/entries.py
@@ -0,0 +1,63 @@
+"""An upstream's entry in the platform's list: checked field by field, then decoded."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from ..exceptions import BadEntry
+from ..foreign import as_address, as_number, as_table, as_text, as_whole, parsed
+from ..relay.upstream import UpstreamRecord
+from ..store.rows import StoredRow
+
+READY, DRAINING = "ready", "draining"
+STATES = (READY, DRAINING)
+
+MOST_SLOTS = 100_000
+"""Requests at a time that an upstream may claim to run; the users' run 2 to 8. One that claims more
+than any server has would draw all calls."""
+
+LONGEST_COLD = 3600.0
+"""Seconds for which an upstream may claim to be slow after its start; the users' are for 3."""
+
+LAST_COUNT = 2**53
+"""Largest whole number that all writers of JSON carry exactly: a Unix millisecond or a count."""
+
+
+def upstream_record(row: StoredRow) -> UpstreamRecord:
+    """Return what a row of the platform's list says.
+
+    Raises:
+        BadEntry: It names no upstream that can be used.
+    """
+    if not row.key.isascii():
+        raise BadEntry("its key is no id that a header can carry")
+    entry = as_table(parsed(row.value or b""), "the entry")
+    info = as_table(entry.get("info"), "info")
+    status = as_table(entry.get("status"), "status")
+    # It counts the entry's own changes; only an upstream itself writes it.
+    as_whole(status.get("sequence"), "sequence", 0, LAST_COUNT)
+    return UpstreamRecord(
+        id=as_text(row.key, "its key"),
+        service=as_text(info.get("service"), "service"),
+        address=as_address(entry.get("address"), "address"),
+        data_centre=as_text(info.get("zone"), "zone"),
+        slots=as_whole(info.get("slots"), "slots", 1, MOST_SLOTS),
+        draining=_state(status) == DRAINING,
+        cold_for=as_number(status.get("cold_remaining_s"), "its cold time", 0.0, LONGEST_COLD),
+        version=as_text(info.get("version"), "version"),
+        born=_born(entry),
+    )
+
+
+def _state(status: Mapping) -> str:
+    state = status.get("state")
+    if state not in STATES:
+        raise BadEntry(f"its state is none of {', '.join(STATES)}")
+    return state
+
+
+def _born(entry: Mapping) -> int | None:
+    """Return the Unix millisecond of its start, None where the platform does not tell it."""
+    if "born" not in entry:
+        return None
+    return as_whole(entry["born"], "born", 0, LAST_COUNT)
--- a/sequoiabridge/platform/feeds.py
+++ b/sequoiabridge/platform/feeds.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import json
-
+from ..foreign import as_table, parsed
 from ..relay.feeds import Feed
 from ..relay.routes import RouteTable
 from ..relay.upstream import UpstreamRecord
 from ..store.rows import Changes, Rows, StoredRow
 from ..store.tables import Tables
 from .configuration import route_table
+from .entries import upstream_record
 from .names import CONFIGURATION_KEY, CONFIGURATION_TABLE, UPSTREAM_TABLE
 
-DRAINING = "draining"
-
 
 class ConfigurationFeed(Feed[RouteTable]):
     """The operator's configuration: a single row that holds the newest whole."""
@@ -33,7 +31,7 @@
     def decode(self, row: StoredRow) -> RouteTable | None:
         if row.key != CONFIGURATION_KEY:
             return None
-        return route_table(json.loads(row.value))
+        return route_table(as_table(parsed(row.value or b""), "the configuration"))
 
 
 class UpstreamFeed(Feed[UpstreamRecord]):
@@ -52,15 +50,4 @@
         return await self.tables.changes(UPSTREAM_TABLE, after, wait)
 
     def decode(self, row: StoredRow) -> UpstreamRecord:
-        entry = json.loads(row.value)
-        info, status = entry.get("info", {}), entry.get("status", {})
-        return UpstreamRecord(
-            id=row.key,
-            service=info["service"],
-            address=entry["address"],
-            data_centre=info.get("zone", ""),
-            slots=int(info.get("slots", 1)),
-            draining=status.get("state") == DRAINING,
-            cold_for=float(status.get("cold_remaining_s", 0.0)),
-            version=str(info.get("version", "")),
-        )
+        return upstream_record(row)
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -118,7 +118,10 @@
             self.error = error
             await self._failed(UpstreamFailed(str(error), sent=self.sent))
         except curio.CancelledError:
-            self._end(Ending.CANCELLED, "given up")
+            if self.upstream.is_over:
+                self._end(Ending.RESTARTED, "the upstream has started again")
+            else:
+                self._end(Ending.CANCELLED, "given up")
             raise
         finally:
             await self._abandon()
@@ -190,7 +193,7 @@
             self.answer and not isinstance(self.answer.body, BytesBody | None)
         ):
             return
-        if self.ending is Ending.CANCELLED:
+        if self.ending in (Ending.CANCELLED, Ending.RESTARTED):
             await connection.close()
         await self.connector.release(connection)
 
--- a/sequoiabridge/relay/call.py
+++ b/sequoiabridge/relay/call.py
@@ -29,6 +29,8 @@
     """The call was sent, and no usable answer came; it may have run."""
     CANCELLED = "cancelled"
     """The daemon gave the attempt up; it may have run."""
+    RESTARTED = "restarted"
+    """The upstream has started again meanwhile and knows nothing of it; it may have run."""
 
 
 PROVEN_NOT_RUN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN})
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -74,7 +74,7 @@
         address = attempt.upstream.address
         if await self.connector.reachable(address, ALIVE_TIMEOUT):
             return
-        crashed = Crashed(fingerprint(call), attempt.upstream.id)
+        crashed = Crashed(fingerprint(call), attempt.upstream.lifetime)
         if self._heard_crash(crashed):
             self.sharing.tell_all(crashed)
 
--- a/sequoiabridge/relay/feeds.py
+++ b/sequoiabridge/relay/feeds.py
@@ -14,6 +14,7 @@
 from ..parts import Part
 from ..store.rows import Changes, Rows, StoredRow
 from ..timers import Clock
+from .complaints import Complaints
 from .decisions import DecisionLog
 
 LONGEST_WAIT = 25.0
@@ -43,6 +44,10 @@
 """Times that pause for daemons that hear of the store's return from others: refused calls are paid
 for too, and all daemons together made over 1,000 of them in 8 seconds."""
 
+UNUSABLE = (BadEntry, ValueError, KeyError, TypeError, AttributeError, ArithmeticError)
+"""What decoding raises for a row that some other writer wrote. Of the configuration, which the
+store takes only if it is valid, just the fields in use are decoded, unchecked."""
+
 Entry = TypeVar("Entry")
 
 
@@ -53,7 +58,7 @@
         version: The store's version that it is up to.
         entries: Entries that are new or changed; all of them in a snapshot.
         removed: Keys of entries that are gone.
-        problems: Entries that cannot be read; what was known of them stays.
+        problems: Entries that cannot be used, even if they could be before.
     """
 
     __slots__ = ("version", "entries", "removed", "problems")
@@ -64,6 +69,16 @@
         self.removed: list[str] = []
         self.problems: list[BadEntry] = []
 
+    @property
+    def unusable(self) -> list[str]:
+        """Return the keys of the entries that cannot be used."""
+        return [problem.key for problem in self.problems]
+
+    @property
+    def is_news(self) -> bool:
+        """Return whether it says anything."""
+        return bool(self.entries or self.removed or self.problems)
+
 
 class Feed(ABC, Generic[Entry]):
     """Something in the store that can be read whole and followed.
@@ -92,7 +107,7 @@
 
     @abstractmethod
     def decode(self, row: StoredRow) -> Entry | None:
-        """Return a row's entry, None if it has none; raise `ValueError` if it cannot be read."""
+        """Return a row's entry, None if it has none; raise `BadEntry` if it cannot be used."""
 
     def replaced(self, rows: Rows) -> Update[Entry]:
         """Take in all rows."""
@@ -136,8 +151,8 @@
                 continue
             try:
                 entry = self.decode(row)
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
-                update.problems.append(BadEntry(f"{row.key} cannot be read: {error!r}."))
+            except UNUSABLE as error:
+                update.problems.append(BadEntry(said_of(error), row.key))
                 continue
             if entry is not None:
                 update.entries.append(entry)
@@ -190,6 +205,7 @@
         self.asked_at: float | None = None
         self.pending: curio.Task | None = None
         self.in_doubt = False
+        self.complaints = Complaints(decisions)
 
     async def set_active(self, active: bool) -> None:
         """Begin or end following; a question that waits in the store is not taken back."""
@@ -262,10 +278,10 @@
             # Another daemon was quicker with all rows: what came is older, or in them.
             return 0.0
         update = self.feed.changed(changes)
-        if update.entries or update.removed:
+        if update.is_news:
             self.on_changes(update)
         self._took_in(update)
-        return GATHER if update.entries or update.removed else 0.0
+        return GATHER if update.is_news else 0.0
 
     async def _ask(self, after: int) -> Changes | None:
         """Ask what changed; return None if the question was taken back."""
@@ -287,8 +303,7 @@
 
     def _took_in(self, update: Update[Entry]) -> None:
         self.version = update.version
-        for problem in update.problems:
-            self.decisions.belief("entry-unreadable", feed=self.feed.name, why=str(problem))
+        self.complaints.heard(self.feed.name, update.problems)
 
     def _history_lost(self) -> float:
         """Read everything next; return the seconds until then: 0, unless it happens in a row."""
@@ -320,3 +335,8 @@
     def dump(self) -> dict:
         """Describe the follower for the state dump."""
         return {"version": self.version, "lost": self.lost, "failures": self.failures}
+
+
+def said_of(error: Exception) -> str:
+    """Return what is wrong with an entry, for people."""
+    return str(error) if isinstance(error, BadEntry) else repr(error)
--- a/sequoiabridge/relay/members.py
+++ b/sequoiabridge/relay/members.py
@@ -13,12 +13,14 @@
 
 import curio
 
-from ..exceptions import StoreUnavailable
+from ..exceptions import BadEntry, StoreUnavailable
+from ..foreign import as_address, as_number, as_table, as_text, parsed
 from ..parts import Part
 from ..store.rows import Write
 from ..store.tables import Tables
+from .complaints import Complaints
 from .decisions import DecisionLog
-from .messages import Hello
+from .messages import MOST_LINK, Hello
 
 TABLE = "daemons"
 
@@ -64,6 +66,7 @@
         self.decisions = decisions
         self.random = random
         self.greet = greet
+        self.complaints = Complaints(decisions)
         self.first_start = first_start
         self.joined = False
         self.failed = False
@@ -112,11 +115,9 @@
 
     def _found(self, vm: str, value: bytes | None) -> None:
         try:
-            where = json.loads(value or b"")
-            address, data_centre = str(where["address"]), str(where["data_centre"])
-            hello = Hello(vm, address, data_centre, float(where.get("link", UNKNOWN_LINK)))
-        except (ValueError, KeyError, TypeError) as error:
-            self.decisions.belief("entry-unreadable", feed=TABLE, key=vm, why=repr(error))
+            hello = hello_of(vm, value or b"")
+        except BadEntry as error:
+            self.complaints.heard(TABLE, [BadEntry(str(error), vm)])
             return
         self.heard(hello)
 
@@ -137,3 +138,18 @@
     def dump(self) -> dict:
         """Describe the members for the state dump."""
         return {vm: other.address for vm, other in self.others.items()}
+
+
+def hello_of(vm: str, value: bytes) -> Hello:
+    """Return what a row of the daemons' table says.
+
+    Raises:
+        BadEntry: It names no daemon that can be told anything.
+    """
+    where = as_table(parsed(value), "the row")
+    return Hello(
+        as_text(vm, "its key"),
+        as_address(where.get("address"), "address"),
+        as_text(where.get("data_centre"), "data_centre"),
+        as_number(where.get("link", UNKNOWN_LINK), "link", 0.0, MOST_LINK),
+    )
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 
+from ..exceptions import BadEntry
+from ..foreign import as_address, as_list, as_number, as_table, as_text, as_whole, parsed
 from .signals import UpstreamLoad
 
 HELLO, SENT, LOAD, FAILED = "hello", "sent", "load", "failed"
@@ -13,6 +16,17 @@
 LARGEST = 1200
 """Bytes of a datagram at most, so that it travels in one packet."""
 
+MOST_LINK = 1e9
+"""Mbit/s that a daemon may claim for its link."""
+
+MOST_REQUESTS = 1_000_000
+MOST_SLOWDOWN = 1e6
+"""Requests and slowdown that an upstream may be said to have; the users' have some dozens, and
+20."""
+
+MOST_VERSION = 2**53
+"""Largest version that JSON's numbers carry exactly."""
+
 ENCODER = json.JSONEncoder(separators=(",", ":"))
 
 
@@ -139,23 +153,64 @@
 def decoded(data: bytes) -> Message | None:
     """Return the message of a datagram, None if it is none that this release knows."""
     try:
-        kind, *rest = json.loads(data)
-        if kind == SENT:
-            return Sent(str(rest[0]))
-        if kind == LOAD:
-            load = UpstreamLoad(int(rest[1]), int(rest[2]), int(rest[3]), float(rest[4]))
-            return Reported(str(rest[0]), load)
-        if kind == FAILED:
-            return Failed(str(rest[0]))
-        if kind == CRASHED:
-            return Crashed(str(rest[0]), str(rest[1]))
-        if kind == SURVIVED:
-            return Survived(str(rest[0]))
-        if kind == BEACON:
-            versions = {str(name): int(version) for name, version in rest[3].items()}
-            return Beacon(str(rest[0]), str(rest[1]), str(rest[2]), versions, float(rest[4]))
-        if kind == HELLO:
-            return Hello(str(rest[0]), str(rest[1]), str(rest[2]), float(rest[3]))
-    except (ValueError, TypeError, IndexError, AttributeError):
+        fields = as_list(parsed(data), "the datagram")
+        reader = READERS.get(fields[0]) if fields and isinstance(fields[0], str) else None
+        return None if reader is None else reader(fields[1:])
+    except (BadEntry, IndexError):
         return None
-    return None
+
+
+def _name(fields: list, place: int) -> str:
+    return as_text(fields[place], "a name")
+
+
+def _link(value: object) -> float:
+    return as_number(value, "the link", 0.0, MOST_LINK)
+
+
+def _hello(fields: list) -> Hello:
+    address = as_address(fields[1], "the address")
+    return Hello(_name(fields, 0), address, _name(fields, 2), _link(fields[3]))
+
+
+def _sent(fields: list) -> Sent:
+    return Sent(_name(fields, 0))
+
+
+def _reported(fields: list) -> Reported:
+    running, waiting, slots = (
+        as_whole(fields[place], "the load", 0, MOST_REQUESTS) for place in (1, 2, 3)
+    )
+    slowdown = as_number(fields[4], "the slowdown", 0.0, MOST_SLOWDOWN)
+    return Reported(_name(fields, 0), UpstreamLoad(running, waiting, slots, slowdown))
+
+
+def _failed(fields: list) -> Failed:
+    return Failed(_name(fields, 0))
+
+
+def _crashed(fields: list) -> Crashed:
+    return Crashed(_name(fields, 0), _name(fields, 1))
+
+
+def _survived(fields: list) -> Survived:
+    return Survived(_name(fields, 0))
+
+
+def _beacon(fields: list) -> Beacon:
+    told = as_table(fields[3], "the versions")
+    versions = {name: as_whole(told[name], "a version", 0, MOST_VERSION) for name in told}
+    address = as_address(fields[2], "the address")
+    return Beacon(_name(fields, 0), _name(fields, 1), address, versions, _link(fields[4]))
+
+
+READERS: dict[str, Callable[[list], Message]] = {
+    HELLO: _hello,
+    SENT: _sent,
+    LOAD: _reported,
+    FAILED: _failed,
+    CRASHED: _crashed,
+    SURVIVED: _survived,
+    BEACON: _beacon,
+}
+"""Reads a datagram's elements after the first, by the first."""
--- a/sequoiabridge/relay/peers.py
+++ b/sequoiabridge/relay/peers.py
@@ -8,12 +8,14 @@
 
 import curio
 
-from ..exceptions import StoreUnavailable, UpstreamFailed
+from ..exceptions import BadEntry, StoreUnavailable, UpstreamFailed
+from ..foreign import as_list, as_table, as_whole, parsed
 from ..store.rows import Changes, Rows, StoredRow
 from ..timers import Clock
 from ..upstreams.connections import ConnectorLimits, HttpConnector
 from ..upstreams.fetch import fetch
 from .feeds import Follower
+from .messages import MOST_VERSION
 
 PATH = b"/feeds/"
 """Path of the operators' port under which each feed's rows are read, by the feed's name."""
@@ -107,12 +109,27 @@
         StoreUnavailable: They cannot be read.
     """
     try:
-        found = json.loads(zlib.decompress(data))
-        rows = [
-            StoredRow(t, part, key, None if v is None else v.encode("latin-1"), n)
-            for t, part, key, v, n in found["rows"]
-        ]
-        kind = Rows if found["whole"] else Changes
-        return kind(rows, int(found["version"]))
-    except (ValueError, KeyError, TypeError, AttributeError, zlib.error) as error:
-        raise StoreUnavailable(f"A daemon gave rows that cannot be read: {error!r}.") from error
+        found = as_table(parsed(zlib.decompress(data)), "the answer")
+        rows = [_row(as_list(row, "a row")) for row in as_list(found.get("rows"), "rows")]
+        version = as_whole(found.get("version"), "version", 0, MOST_VERSION)
+    except (BadEntry, zlib.error) as error:
+        raise StoreUnavailable(f"A daemon gave rows that cannot be read: {error}.") from error
+    kind = Rows if found.get("whole") is True else Changes
+    return kind(rows, version)
+
+
+def _row(fields: list) -> StoredRow:
+    if len(fields) != len(StoredRow.__slots__):
+        raise BadEntry(f"a row has {len(fields)} fields")
+    table, part, key, value, version = fields
+    if not all(isinstance(name, str) for name in (table, part, key)):
+        raise BadEntry("a row has no key")
+    if value is not None and not (isinstance(value, str) and is_latin(value)):
+        raise BadEntry("a row's value is none")
+    data = None if value is None else value.encode("latin-1")
+    return StoredRow(table, part, key, data, as_whole(version, "version", 0, MOST_VERSION))
+
+
+def is_latin(text: str) -> bool:
+    """Return whether each character of a text stands for one byte."""
+    return all(ord(character) < 256 for character in text)
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -67,7 +67,7 @@
         What comes later is taken in all the same. Fewer are asked, the first ones, when the fleet's
         limit on health checks demands it.
         """
-        now, known = self.clock.now(), len(self.upstreams.by_id)
+        now, known = self.clock.now(), self.upstreams.count
         upstreams = upstreams[: self.allowance.take(len(upstreams), known, now)]
         if not upstreams:
             return
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -36,6 +36,10 @@
 """Upstreams that a call is offered to at most, those that refused it included: when four have no
 room, the service has none, and a later try of the caller does better."""
 
+RESTART_LOOK = 0.5
+"""Seconds between two looks whether the upstream that has a call has started again. The connection
+to one that did so behind a cut stays open and silent until the call's deadline."""
+
 LEAST_TIME = 0.02
 """Seconds that must be left for another attempt; a round trip and a probe take a few."""
 
@@ -102,8 +106,10 @@
             if now >= call.deadline:
                 raise timed_out(call)
             look_at = self.hedging.next_look(call, list(race.running))
-            attempt = await race.next_ended(min(look_at, call.deadline) - now)
+            wake_at = min(look_at, call.deadline, now + RESTART_LOOK)
+            attempt = await race.next_ended(wake_at - now)
             if attempt is None:
+                await end_what_is_over(race)
                 await self._look(call, race)
                 continue
             self._learn(call, attempt)
@@ -207,12 +213,21 @@
         elif ending is Ending.CANCELLED:
             if attempt.seconds > usual:
                 evidence.measured(attempt.seconds / usual, now)
+        elif ending is Ending.RESTARTED:
+            return
         elif attempt.signals is not None and attempt.signals.other_upstream:
             self.upstreams.was_replaced(upstream)
         elif attempt.error is None:
             self.sharing.failed(upstream)
 
 
+async def end_what_is_over(race: Race) -> None:
+    """End attempts at upstreams that have started again: no answer will come."""
+    for attempt in list(race.running):
+        if attempt.upstream.is_over:
+            await race.end(attempt)
+
+
 def is_final(attempt: Attempt) -> bool:
     """Return whether an attempt's answer is the call's, whatever other upstreams might say."""
     if attempt.answer is None:
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -39,18 +39,18 @@
         """This VM sends a call."""
         upstream.evidence.sent()
         if self.members is not None and self._shared(upstream):
-            self.channel.tell(Sent(upstream.id), self.members.told_of_calls)
+            self.channel.tell(Sent(upstream.lifetime), self.members.told_of_calls)
 
     def reported(self, upstream: Upstream, load: UpstreamLoad) -> None:
         """An upstream told this VM its load."""
         upstream.evidence.reported(load, self.clock.now())
         if self.members is not None and self._shared(upstream):
-            self.channel.tell(Reported(upstream.id, load), self.members.told_of_calls)
+            self.channel.tell(Reported(upstream.lifetime, load), self.members.told_of_calls)
 
     def failed(self, upstream: Upstream) -> None:
         """An upstream failed a call of this VM."""
         upstream.evidence.failed(self.clock.now())
-        self.tell_all(Failed(upstream.id))
+        self.tell_all(Failed(upstream.lifetime))
 
     def tell_all(self, message: Message) -> None:
         """Tell all daemons."""
@@ -80,7 +80,7 @@
         if isinstance(message, Survived):
             self.on_survival(message)
             return
-        upstream = self.upstreams.by_id.get(message.upstream)
+        upstream = self.upstreams.of_lifetime(message.upstream)
         if upstream is None:
             return
         if isinstance(message, Sent):
--- a/sequoiabridge/relay/upstream.py
+++ b/sequoiabridge/relay/upstream.py
@@ -9,11 +9,12 @@
     """An entry of the platform's list of upstreams, decoded.
 
     Attributes:
-        id: New at each start of the upstream; never used again.
+        id: Names the upstream; it may start again under the same id.
         address: "IP:port". Another upstream may get it later.
         draining: It takes no new work.
         cold_for: Seconds for which it is still slow after its start.
         version: Version of its software.
+        born: Unix millisecond of its start, which tells its lifetimes apart; None if unsaid.
     """
 
     __slots__ = (
@@ -25,6 +26,7 @@
         "draining",
         "cold_for",
         "version",
+        "born",
     )
 
     def __init__(
@@ -37,6 +39,7 @@
         draining: bool,
         cold_for: float,
         version: str,
+        born: int | None = None,
     ):
         self.id = id
         self.service = service
@@ -46,10 +49,11 @@
         self.draining = draining
         self.cold_for = cold_for
         self.version = version
+        self.born = born
 
 
 class Upstream:
-    """An upstream that this VM knows of.
+    """One lifetime of an upstream that this VM knows of.
 
     Attributes:
         record: The platform's last word.
@@ -58,14 +62,16 @@
         warm_at: When it stops being slow after its start, in seconds on the daemon's clock.
         replaced: Its address has gone to another upstream.
         leaves_at: When it is to be forgotten, since its entry has lapsed; None while listed.
+        is_over: It has started again: nothing that was sent to this lifetime will be answered.
     """
 
-    __slots__ = ("record", "evidence", "near", "warm_at", "replaced", "leaves_at")
+    __slots__ = ("record", "evidence", "near", "warm_at", "replaced", "leaves_at", "is_over")
 
     def __init__(self, record: UpstreamRecord, near: bool, now: float):
         self.evidence = Evidence()
         self.near = near
         self.replaced = False
+        self.is_over = False
         self.listed(record, now)
 
     @property
@@ -78,13 +84,23 @@
         """Return its address."""
         return self.record.address
 
+    @property
+    def lifetime(self) -> str:
+        """Return a name that no other lifetime of any upstream has."""
+        return lifetime_name(self.record.id, self.record.born)
+
     @property
     def takes_work(self) -> bool:
         """Return whether it may get new calls."""
-        return not (self.record.draining or self.replaced)
+        return not (self.record.draining or self.replaced or self.is_over)
 
     def listed(self, record: UpstreamRecord, now: float) -> None:
         """Take in the platform's latest entry."""
         self.record = record
         self.warm_at = now + record.cold_for
         self.leaves_at: float | None = None
+
+
+def lifetime_name(id: str, born: int | None) -> str:
+    """Return the name of the lifetime of an upstream that began at `born`."""
+    return id if born is None else f"{id}@{born}"
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 from ..logs import get_log
@@ -27,6 +28,11 @@
 about 2 seconds of the platform's return, and what has left must get no calls soon after."""
 
 
+MOST_DEPARTED = 2000
+"""Upstreams that are gone of which the start is remembered, so that a late word of theirs does not
+bring them back; the users' largest sites lose some hundreds a day."""
+
+
 class UpstreamList(Part):
     """All upstreams, by id and by service.
 
@@ -38,6 +44,9 @@
     Attributes:
         version: The platform's version of the list, None before the first.
         changes: Grows with each change of who may get work.
+        departed: When the upstreams that are gone began, by id.
+        named: The services that the configuration names, None before it is known.
+        count: Upstreams of those services. Entries of others may be anybody's invention.
     """
 
     name = "upstreams"
@@ -60,6 +69,9 @@
         self.unsettled_until = 0.0
         self.vanished: list[tuple[float, str]] = []
         self.lapsed: list[Upstream] = []
+        self.departed: OrderedDict[str, int] = OrderedDict()
+        self.named: frozenset[str] | None = None
+        self.count = 0
 
     @property
     def known(self) -> bool:
@@ -74,18 +86,38 @@
         now = self.clock.now()
         return [u for u in known if u.leaves_at is None or now < u.leaves_at]
 
+    def of_lifetime(self, name: str) -> Upstream | None:
+        """Return the upstream of which this is the present lifetime, None if it is another's."""
+        upstream = self.by_id.get(name) or self.by_id.get(name.rpartition("@")[0])
+        return upstream if upstream is not None and upstream.lifetime == name else None
+
+    def services_named(self, services: Iterable[str]) -> None:
+        """Take in which services the configuration names."""
+        self.named = frozenset(services)
+        self._arrange()
+
     def store_returned(self) -> None:
         """The platform answers again: entries that are missing now may only have lapsed."""
         self.unsettled_until = self.clock.now() + LAPSE_KEPT
 
-    def replace(self, records: Iterable[UpstreamRecord], version: int) -> None:
-        """Take in a whole list."""
+    def replace(
+        self, records: Iterable[UpstreamRecord], version: int, unusable: Iterable[str] = ()
+    ) -> None:
+        """Take in a whole list, and the ids of entries in it that cannot be used."""
         listed = {record.id: record for record in records}
-        gone = [id for id in self.by_id if id not in listed]
-        self.update(listed.values(), gone, version)
+        unusable = set(unusable)
+        gone = [id for id in self.by_id if id not in listed and id not in unusable]
+        self.update(listed.values(), gone, version, unusable)
 
-    def update(self, records: Iterable[UpstreamRecord], gone: Iterable[str], version: int) -> None:
-        """Take in entries that are new or changed, and the ids of those that are gone."""
+    def update(
+        self,
+        records: Iterable[UpstreamRecord],
+        gone: Iterable[str],
+        version: int,
+        unusable: Iterable[str] = (),
+    ) -> None:
+        """Take in entries that are new or changed, and the ids of those that are gone or that
+        cannot be used any more."""
         if self.known and version < self.version:
             log.warning("A list of version %d came after %d; not used.", version, self.version)
             return
@@ -93,6 +125,9 @@
         now = self.clock.now()
         for record in records:
             self._listed(record, now)
+        for id in unusable:
+            if id in self.by_id:
+                self._forget(self.by_id[id], "its entry cannot be used any more")
         missing = [id for id in gone if id in self.by_id and self.by_id[id].leaves_at is None]
         self._missing(missing, now)
         self._arrange()
@@ -108,7 +143,7 @@
 
     def said_unwell(self, upstream: Upstream) -> None:
         """An upstream called itself unwell: without an entry, that means that it is leaving."""
-        if upstream.leaves_at is None:
+        if upstream.leaves_at is None or upstream.is_over:
             return
         self._forget(upstream, "its entry lapsed, and it says that it is leaving")
         self._arrange()
@@ -132,22 +167,43 @@
 
     def _listed(self, record: UpstreamRecord, now: float) -> None:
         known = self.by_id.get(record.id)
+        latest = known.record.born if known is not None else self.departed.get(record.id)
+        if is_older(record.born, latest):
+            self.decisions.belief("upstream-entry-old", upstream=record.id, born=record.born)
+            return
+        if known is not None and known.record.born != record.born:
+            self._ends(known)
+            known = None
         if known is None:
-            near = record.data_centre == self.data_centre
-            self.by_id[record.id] = Upstream(record, near, now)
-            self.decisions.belief("upstream-joined", upstream=record.id, service=record.service)
+            self._joins(record, now)
             return
         began = record.draining and not known.record.draining
+        if record.address != known.address:
+            self.on_leave(known)
         known.listed(record, now)
         if began:
             self.decisions.belief("upstream-drains", upstream=record.id, version=self.version)
             self.on_leave(known)
 
+    def _joins(self, record: UpstreamRecord, now: float) -> None:
+        near = record.data_centre == self.data_centre
+        self.by_id[record.id] = Upstream(record, near, now)
+        self.decisions.belief(
+            "upstream-joined", upstream=record.id, service=record.service, born=record.born
+        )
+
+    def _ends(self, upstream: Upstream) -> None:
+        """An upstream has started again: what was known of it, and is open there, is over."""
+        upstream.is_over = True
+        self.decisions.belief("upstream-restarted", upstream=upstream.id, version=self.version)
+        self.on_leave(upstream)
+
     def _missing(self, ids: list[str], now: float) -> None:
         """Entries are gone: forget the upstreams, or keep them a while if they only lapsed."""
         self.vanished = [v for v in self.vanished if now - v[0] <= TOGETHER]
-        self.vanished += [(now, id) for id in ids]
-        many = len(self.vanished) >= max(LAPSE_FEWEST, LAPSE_SHARE * len(self.by_id))
+        self.vanished += [(now, id) for id in ids if self._counts(self.by_id[id])]
+        known = max(self.count, len(self.vanished))
+        many = len(self.vanished) >= max(LAPSE_FEWEST, LAPSE_SHARE * known)
         if many:
             self.unsettled_until = max(self.unsettled_until, now + LAPSE_KEPT)
         for id in ids:
@@ -160,18 +216,40 @@
 
     def _forget(self, upstream: Upstream, why: str) -> None:
         del self.by_id[upstream.id]
+        if upstream.record.born is not None:
+            self._remember(upstream.id, upstream.record.born)
         self.decisions.belief("upstream-gone", upstream=upstream.id, why=why, version=self.version)
         self.on_leave(upstream)
 
+    def _counts(self, upstream: Upstream) -> bool:
+        return self.named is None or upstream.record.service in self.named
+
+    def _remember(self, id: str, born: int) -> None:
+        self.departed[id] = born
+        self.departed.move_to_end(id)
+        if len(self.departed) > MOST_DEPARTED:
+            self.departed.popitem(last=False)
+
     def _arrange(self) -> None:
         self.changes += 1
         self.by_service = {}
         self.lapsed = [u for u in self.by_id.values() if u.leaves_at is not None]
+        self.count = sum(self._counts(upstream) for upstream in self.by_id.values())
         for upstream in self.by_id.values():
             if upstream.takes_work:
                 self.by_service.setdefault(upstream.record.service, []).append(upstream)
 
 
+def is_older(born: int | None, latest: int | None) -> bool:
+    """Return whether an entry speaks of an earlier lifetime than the latest that is known.
+
+    An entry that tells no start, of an upstream that has told one, is not its own word.
+    """
+    if latest is None:
+        return False
+    return born is None or born < latest
+
+
 def describe(upstream: Upstream, now: float) -> dict:
     """Return what is known of an upstream, for people."""
     evidence = upstream.evidence
@@ -180,6 +258,7 @@
         "address": upstream.address,
         "software": upstream.record.version,
         "near": upstream.near,
+        "born": upstream.record.born,
         "draining": upstream.record.draining,
         "replaced": upstream.replaced,
         "open_calls": len(evidence.open_calls),
--- a/sequoiabridge/store/rows.py
+++ b/sequoiabridge/store/rows.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+UNREADABLE = b""
+"""Stands for a value whose bytes cannot be read; no reader of this package takes an empty value."""
+
 
 class StoredRow:
     """One row; `value` is None for a row that was removed, `version` grows with each change."""
--- a/sequoiabridge/tests/platform/test_wire.py
+++ b/sequoiabridge/tests/platform/test_wire.py
@@ -50,8 +50,10 @@
 def test_feeds_give_entries_removals_and_what_cannot_be_read():
     async def test(client, store):
         feed = UpstreamFeed(client)
-        entry = {"address": "1.2.3.4:5", "info": {"service": "s", "zone": "z", "slots": 2}}
-        await store.put("servers", "i-1", {**entry, "status": {"state": "draining"}})
+        info = {"service": "s", "zone": "z", "slots": 2, "version": "v1"}
+        status = {"state": "draining", "sequence": 1, "cold_remaining_s": 0}
+        entry = {"address": "1.2.3.4:5", "info": info, "status": status}
+        await store.put("servers", "i-1", entry)
         await store.put("servers", "i-2", {"address": 7})
         found = feed.replaced(await feed.read_all())
         assert [(u.id, u.draining) for u in found.entries] == [("i-1", True)]
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -52,13 +52,16 @@
         self.probes = 0
         self.cancelled = 0
         self.draining = False
+        self.born: int | None = None
         self.address = ""
         self.listener: curio.Task | None = None
         self.wires: set[Wire] = set()
 
     def entry(self) -> dict:
         """Return its row in the platform's list."""
+        born = {} if self.born is None else {"born": self.born}
         return {
+            **born,
             "address": self.address,
             "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": 2},
             "status": {
--- a/sequoiabridge/tests/relay/fakes.py
+++ b/sequoiabridge/tests/relay/fakes.py
@@ -6,9 +6,10 @@
 from ...timers import ManualClock
 
 
-def record(id, service="s", zone="here", draining=False, address="", cold=0.0):
+def record(id, service="s", zone="here", draining=False, address="", cold=0.0, born=None):
     """Return an entry of the platform's list."""
-    return UpstreamRecord(id, service, address or f"{id}:1", zone, 2, draining, cold, "v1")
+    address = address or f"{id}:1"
+    return UpstreamRecord(id, service, address, zone, 2, draining, cold, "v1", born)
 
 
 def upstream(id="u", near=True, load=(0, 0, 2, 1.0), now=0.0, **more):
--- a/sequoiabridge/tests/relay/test_members.py
+++ b/sequoiabridge/tests/relay/test_members.py
@@ -26,12 +26,17 @@
         return 1
 
 
+def address_of(vm):
+    """Return an address that is a VM's own; names are not looked up, so it must be one."""
+    return f"10.0.0.{ord(vm[0])}:1"
+
+
 def start(table, vm, first_start=False, address=""):
     """Let a daemon join; return the members that it knows and whom it greeted."""
     log, _ = decision_log()
     greeted = []
     members = Members(
-        Hello(vm, address or f"{vm}:1", "here", 1.0),
+        Hello(vm, address or address_of(vm), "here", 1.0),
         table,
         log,
         None,
@@ -47,7 +52,7 @@
     start(table, "a", first_start=True)
     members, greeted = start(table, "b", first_start=True)
     assert table.calls == ["write", "read"] * 2
-    assert list(members.others) == ["a"] and greeted == ["a:1"]
+    assert list(members.others) == ["a"] and greeted == [address_of("a")]
 
 
 def test_a_daemon_that_starts_again_where_it_was_writes_nothing():
@@ -57,15 +62,15 @@
     table.calls.clear()
     members, greeted = start(table, "a")
     assert table.calls == ["read"]
-    assert members.joined and greeted == ["b:1"]
+    assert members.joined and greeted == [address_of("b")]
 
 
 def test_a_daemon_that_is_new_or_has_moved_writes_where_it_is():
     table = Table()
     start(table, "a", first_start=True)
-    for vm, address in (("a", "elsewhere:1"), ("new", "")):
+    for vm, address in (("a", "10.9.9.9:1"), ("new", "")):
         table.calls.clear()
         start(table, vm, address=address)
         assert table.calls == ["read", "write", "read"]
     members, _ = start(table, "new")
-    assert members.others["a"].address == "elsewhere:1"
+    assert members.others["a"].address == "10.9.9.9:1"
--- a/sequoiabridge/tests/relay/test_sharing.py
+++ b/sequoiabridge/tests/relay/test_sharing.py
@@ -51,3 +51,18 @@
     sharing._heard(Failed("u"))
     assert evidence.failure_share(5.0) > before
     sharing._heard(Sent("unknown"))
+
+
+def test_what_others_say_of_an_earlier_lifetime_does_not_count():
+    sharing, known, told = fleet(1)
+    known.update([record("u", born=1000)], [], 2)
+    known.update([record("u", born=2000)], [], 3)
+    evidence = known.by_id["u"].evidence
+    for late in ("u", "u@1000"):
+        sharing._heard(Reported(late, UpstreamLoad(1, 0, 2, 7.0)))
+        sharing._heard(Failed(late))
+    assert evidence.load is None and evidence.failure_share(5.0) < 0.05
+    sharing._heard(Reported("u@2000", UpstreamLoad(1, 0, 2, 7.0)))
+    assert evidence.load.slowdown == 7.0
+    sharing.sent(known.by_id["u"])
+    assert told[-1][1].upstream == "u@2000"
--- a/sequoiabridge/tests/relay/test_upstreams.py
+++ b/sequoiabridge/tests/relay/test_upstreams.py
@@ -1,5 +1,6 @@
 """Who may get work: drains, departures, entries that lapse while the platform is away."""
 
+from ...relay.evidence import OpenCall
 from ...relay.upstreams import LAPSE_KEPT, UpstreamList
 from ...timers import ManualClock
 from .fakes import decision_log, record
@@ -75,3 +76,94 @@
     known.was_replaced(known.by_id["a"])
     known.update([record("a")], [], 2)
     assert names(known) == ["b"] and left == ["a"]
+
+
+def restarted(known, version=2, **more):
+    """Let upstream "a" start again under its id; return its lifetimes before and after."""
+    before = known.by_id["a"]
+    known.update([record("a", born=2000, **more)], [], version)
+    return before, known.by_id["a"]
+
+
+def with_births():
+    known, clock, left = listed()
+    known.update([record("a", born=1000), record("b", born=1000)], [], 1)
+    return known, clock, left
+
+
+def test_nothing_that_was_seen_of_a_lifetime_holds_for_the_next_one():
+    known, clock, left = with_births()
+    first = known.by_id["a"]
+    first.evidence.failed(clock.now())
+    first.evidence.ignored_probe(clock.now())
+    first.evidence.began(OpenCall(clock.now(), 0.1))
+    known.was_replaced(first)
+    assert names(known) == ["b"]
+    before, after = restarted(known)
+    assert before is first and before.is_over and not before.takes_work
+    assert names(known) == ["a", "b"] and left == ["a", "a"]
+    assert after.evidence.failure_share(clock.now()) < 0.05
+    assert not after.evidence.is_silent(clock.now()) and after.evidence.open_calls == []
+
+
+def test_a_late_word_of_an_earlier_lifetime_is_no_news():
+    known, _, _ = with_births()
+    _, after = restarted(known, address="new:1")
+    for late in (record("a", born=1000, draining=True), record("a", draining=True)):
+        known.update([late], [], 3)
+        assert known.by_id["a"] is after and names(known) == ["a", "b"]
+    known.update([], ["a"], 4)
+    known.update([record("a", born=1000)], [], 5)
+    assert names(known) == ["b"], "also when the later lifetime has left meanwhile"
+    known.update([record("a", born=3000)], [], 6)
+    assert names(known) == ["a", "b"]
+
+
+def test_a_restart_ends_a_drain_and_a_lapse():
+    known, clock, _ = with_births()
+    known.update([record("a", born=1000, draining=True)], [], 2)
+    assert names(known) == ["b"]
+    restarted(known, 3)
+    assert names(known) == ["a", "b"]
+    known.store_returned()
+    known.replace([record("b", born=1000)], 4)
+    assert known.by_id["a"].leaves_at is not None
+    known.update([record("a", born=3000)], [], 5)
+    clock.advance(LAPSE_KEPT + 1.0)
+    known.expire()
+    assert names(known) == ["a", "b"]
+
+
+def test_an_earlier_lifetime_that_says_it_is_leaving_does_not_end_the_next_one():
+    known, _, _ = with_births()
+    known.store_returned()
+    known.replace([record("b", born=1000)], 2)
+    before, _ = restarted(known, 3)
+    known.said_unwell(before)
+    assert names(known) == ["a", "b"]
+
+
+def test_an_upstream_that_moved_leaves_its_old_connections():
+    known, _, left = with_births()
+    known.update([record("a", born=1000, address="elsewhere:1")], [], 2)
+    assert left == ["a"] and known.by_id["a"].address == "elsewhere:1"
+
+
+def test_an_entry_that_cannot_be_used_any_more_takes_its_upstream_out_at_once():
+    known, _, left = with_births()
+    known.store_returned()
+    known.update([], [], 2, ["a"])
+    assert names(known) == ["b"] and left == ["a"]
+    known.replace([], 3, ["b"])
+    assert names(known) == [], "no lapse: its entry is there, and says nothing"
+    known.update([record("b", born=1000)], [], 4)
+    assert names(known) == ["b"]
+
+
+def test_entries_of_unknown_services_do_not_make_the_others_seem_lapsed():
+    known, _, _ = listed(*"abcdefghij")
+    known.update([record(f"x{n}", service="nobody") for n in range(20)], [], 2)
+    known.services_named(["s"])
+    assert known.count == 10
+    known.update([], [f"x{n}" for n in range(20)] + ["a"], 3)
+    assert names(known) == list("bcdefghij"), "one of ten has left"
--- a/sequoiabridge/tests/test_gateway.py
+++ b/sequoiabridge/tests/test_gateway.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from ..relay.messages import Crashed
 from .platform.scene import document, path, play
 
 READ, APPROVE, UPLOAD = "/read/x?q=1", "/approve/x", "/upload/x"
@@ -332,3 +333,58 @@
         assert (await scene.call(READ, "after")).status == 200
 
     play(test, reads=5)
+
+
+def test_open_calls_end_soon_when_their_upstream_starts_again_under_its_id():
+    async def test(scene):
+        for upstream in scene.upstreams.values():
+            upstream.faults.hang = True
+            upstream.born = 1000
+            await scene.relist(upstream.id)
+        read = await curio.spawn(scene.call, READ, "r")
+        approve = await curio.spawn(scene.call, APPROVE, "a")
+        await scene.until(lambda: scene.runs("r") and scene.runs("a"))
+        for id in ("r0", "a0"):
+            old = scene.upstreams[id]
+            await scene.add(id, old.service)
+            scene.upstreams[id].born = 2000
+            await scene.relist(id)
+        started = scene.gateway.clock.now()
+        reply = await approve.join()
+        assert reply.status == 502 and scene.gateway.clock.now() - started < 0.9
+        assert scene.runs("a") == 0, "the new lifetime does not run it"
+        await read.join()
+
+    play(test, reads=1, approvals=1)
+
+
+def test_each_lifetime_that_dies_with_a_request_counts_in_its_blame():
+    async def test(scene):
+        guard, upstreams = scene.gateway.sender.guard, scene.gateway.upstreams.by_id
+        for born in (1000, 2000, 3000):
+            scene.upstreams["r0"].born = born
+            await scene.relist("r0")
+            await scene.until(lambda born=born: upstreams["r0"].record.born == born)
+            guard._heard_crash(Crashed("print", upstreams["r0"].lifetime))
+        assert "print" in guard.ledger.stopped
+
+    play(test, reads=1)
+
+
+def test_one_foreign_entry_does_not_blind_the_daemon():
+    async def test(scene):
+        good = scene.upstreams["r0"].entry()
+        good["info"]["service"] = ["reads"]
+        await scene.store.put("servers", "x", good)
+        await scene.store.apply([(("servers", "", "y"), b"[" * 50_000)])
+        await scene.store.apply([(("daemons", "", "z"), b'{"address": 7}')])
+        upstreams = scene.gateway.upstreams
+        await scene.until(lambda: upstreams.version >= scene.store.version - 1)
+        assert (await scene.call(READ)).status == 200
+        await scene.add("late", "reads")
+        await scene.until(lambda: "late" in upstreams.by_id)
+        scene.upstreams["r0"].draining = True
+        await scene.relist("r0")
+        await scene.until(lambda: upstreams.by_id["r0"].record.draining)
+
+    play(test)
