Take the decisions out of the relay into a folder without input or output

Cause: how calls are placed, held, repeated and refused stood in coroutines between network calls, so nothing could drive them but a daemon on the network, and no bound on them could be measured.

Change: balancing/ holds choice, evidence, costs, crowding, patience, budgets, allowance, hedging, learning, refusals and the way of a call. The way is a generator of steps (ask, pause, send, wait, give up); relay/sender.py takes the steps on the network. Nothing is copied; behaviour stays but for one fault: when two attempts at a call ended at the same moment and the first one looked at had failed, the other one's ready answer was thrown away.

--- a/sequoiabridge/relay/candidates.py
+++ b/sequoiabridge/balancing/candidates.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from hashlib import blake2b
 
 from .upstream import Upstream
-from .upstreams import UpstreamList
 
 MOST_NEAR = 8
 """Upstreams of its own data centre that a VM keeps connections to, for each service. Five are asked
@@ -25,6 +25,20 @@
         self.far = far
 
 
+class UpstreamSource(ABC):
+    """Knows which upstreams may get work.
+
+    Attributes:
+        changes: Grows with each change of that.
+    """
+
+    changes = 0
+
+    @abstractmethod
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that may get work."""
+
+
 class Candidates:
     """Picks each VM's part by a hash of VM and upstream (rendezvous hashing).
 
@@ -33,7 +47,7 @@
     ones.
     """
 
-    def __init__(self, vm: str, upstreams: UpstreamList):
+    def __init__(self, vm: str, upstreams: UpstreamSource):
         self.vm = vm
         self.upstreams = upstreams
         self.changes = -1
--- a/sequoiabridge/relay/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -4,17 +4,15 @@
 
 from random import Random
 
-import curio
-
 from ..timers import Clock
-from .call import RelayedCall
+from .call import Call
 from .candidates import Candidates
 from .choice import CallNeeds, Weighed, is_crowded, weigh
 from .costs import Costs
 from .crowding import Crowding
 from .evidence import PROMPT
-from .probing import Probes
 from .refusals import crowded
+from .steps import Ask, Pause, Remind, Steps
 from .upstream import Upstream
 
 MOST_ASKED = 5
@@ -47,17 +45,14 @@
         costs: What a call's work takes and what moving its bytes costs.
     """
 
-    def __init__(
-        self, candidates: Candidates, probes: Probes, costs: Costs, clock: Clock, random: Random
-    ):
+    def __init__(self, candidates: Candidates, costs: Costs, clock: Clock, random: Random):
         self.candidates = candidates
-        self.probes = probes
         self.costs = costs
         self.clock = clock
         self.random = random
         self.crowding = Crowding()
 
-    async def place(self, call: RelayedCall) -> Weighed | None:
+    def place(self, call: Call) -> Steps[Weighed | None]:
         """Return an upstream with a place for a new call, None if there is none at all.
 
         When all are crowded, it looks again for a little while.
@@ -66,50 +61,50 @@
             Refusal: All stay crowded.
         """
         until = call.arrived + call.body_seconds + HOLD_SHARE * call.route.target_latency
-        best = await self.choose(call)
+        best = yield from self.choose(call)
         full = best is not None and self.is_crowded(call, best)
         if not call.waited:
             self.crowding.met(call.service, full, self.clock.now())
         while full:
             if self.clock.now() >= until:
                 raise crowded(call)
-            await curio.sleep(HOLD_LOOK)
-            best = await self.choose(call)
+            yield Pause(HOLD_LOOK)
+            best = yield from self.choose(call)
             full = best is not None and self.is_crowded(call, best)
         return best
 
-    def is_crowded(self, call: RelayedCall, weighed: Weighed) -> bool:
+    def is_crowded(self, call: Call, weighed: Weighed) -> bool:
         """Return whether an upstream that was chosen has no place for the call."""
         return is_crowded(self._needs(call), weighed)
 
-    async def choose(self, call: RelayedCall) -> Weighed | None:
+    def choose(self, call: Call) -> Steps[Weighed | None]:
         """Return the best upstream that the call was not sent to yet, None if there is none."""
         neighbours = self.candidates.of_service(call.service)
         tried = call.tried
         near = [upstream for upstream in neighbours.near if upstream.id not in tried]
         far = [upstream for upstream in neighbours.far if upstream.id not in tried]
-        await self._ask(near)
+        yield from self._ask(near)
         best = self._best(call, near)
         far_cost = self.costs.far_cost(call)
         if far and (best is None or best.cost > far_cost + GAIN):
-            await self._ask(far)
+            yield from self._ask(far)
             best = self._best(call, near + far)
         return best
 
-    async def _ask(self, upstreams: list[Upstream]) -> None:
+    def _ask(self, upstreams: list[Upstream]) -> Steps[None]:
         """Ask some of them, by chance; those that lately did not answer are not waited for."""
         now = self.clock.now()
         for upstream in upstreams:
             if upstream.evidence.may_be_asked(now):
-                await curio.spawn(self.probes.probe(upstream), daemon=True)
+                yield Remind(upstream)
         answering = [u for u in upstreams if not u.evidence.is_silent(now)]
         answering = [u for u in answering if now - u.evidence.load_at > FRESH]
         if len(answering) > MOST_ASKED:
             answering = self.random.sample(answering, MOST_ASKED)
         if answering:
-            await self.probes.ask(answering, PROMPT)
+            yield Ask(answering, PROMPT)
 
-    def _needs(self, call: RelayedCall) -> CallNeeds:
+    def _needs(self, call: Call) -> CallNeeds:
         return CallNeeds(
             self.costs.work(call),
             call.target_at - self.clock.now(),
@@ -119,7 +114,7 @@
             self.crowding.share(call.service, self.clock.now()),
         )
 
-    def _best(self, call: RelayedCall, upstreams: list[Upstream]) -> Weighed | None:
+    def _best(self, call: Call, upstreams: list[Upstream]) -> Weighed | None:
         now = self.clock.now()
         needs = self._needs(call)
         weighed = [weigh(needs, upstream, now) for upstream in upstreams if upstream.takes_work]
--- a/sequoiabridge/relay/costs.py
+++ b/sequoiabridge/balancing/costs.py
@@ -4,8 +4,7 @@
 
 from math import exp, log
 
-from .call import RelayedCall
-from .choice import Weighed
+from .call import Call, Try
 
 FIRST_WORK_SHARE = 0.35
 """Share of its target latency that a call's work is taken to need before any was measured; the
@@ -49,28 +48,29 @@
         self.far_megabyte = far_megabyte
         self.learned: dict[str, Learned] = {}
 
-    def work(self, call: RelayedCall) -> float:
+    def work(self, call: Call) -> float:
         """Return the seconds that the call's work takes on an upstream that nothing slows."""
         return self._of(call).work
 
-    def far_cost(self, call: RelayedCall) -> float:
+    def far_cost(self, call: Call) -> float:
         """Return the cost of sending the call to another data centre."""
-        size = (call.request.length or 0) + self._of(call).answer
+        size = call.length + self._of(call).answer
         return size / MEGABYTE * self.far_megabyte
 
-    def measured(self, call: RelayedCall, weighed: Weighed, seconds: float, size: int) -> None:
-        """A call was answered after `seconds`, with `size` bytes.
+    def measured(self, call: Call, attempt: Try) -> None:
+        """An attempt at a call was answered well.
 
         Its work is learned only if it had a slot at once on an upstream that nothing slowed.
         """
-        learned = self._of(call)
-        learned.answer += STEP * (size - learned.answer)
+        learned, weighed = self._of(call), attempt.weighed
+        learned.answer += STEP * (attempt.size - learned.answer)
         if weighed.queue > 0 or weighed.slowdown > CLEAN_SLOWDOWN:
             return
+        seconds = attempt.ended_at - attempt.started
         ratio = log(max(seconds, LEAST_SECONDS) / weighed.alone)
         learned.work *= exp(STEP * max(-MOST_STEP, min(MOST_STEP, ratio)))
 
-    def _of(self, call: RelayedCall) -> Learned:
+    def _of(self, call: Call) -> Learned:
         key = f"{call.route.name}/{call.service}"
         if key not in self.learned:
             self.learned[key] = Learned(call.route.target_latency * FIRST_WORK_SHARE)
--- /dev/null
+++ b/sequoiabridge/balancing/dispatch.py
@@ -0,0 +1,162 @@
+"""Takes a call to upstreams until there is a final answer: place, send, wait, repeat.
+
+`Dispatch.way` reads top to bottom. A call that may run only once is sent again only when it is
+proven that no upstream ran it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..timers import Clock
+from .budget import RetryBudget
+from .call import Call, Try
+from .choice import Weighed
+from .chooser import Chooser
+from .hedging import Hedging
+from .learning import Learning
+from .refusals import gave_up, no_upstream, timed_out
+from .steps import GiveUp, Send, Steps, Wait
+
+MOST_SENDS = 4
+"""Upstreams that a call is offered to at most, those that refused it included: when four have no
+room, the service has none, and a later try of the caller does better."""
+
+RESTART_LOOK = 0.5
+"""Seconds between two looks whether the upstream that has a call has started again. The connection
+to one that did so behind a cut stays open and silent until the call's deadline."""
+
+LEAST_TIME = 0.02
+"""Seconds that must be left for another attempt; a round trip and a probe take a few."""
+
+
+class Dispatch:
+    """The way of each call, as steps.
+
+    Args:
+        new_budget: Makes the budget of repeated sends of a service.
+
+    Attributes:
+        budgets: The budgets by service.
+        hedges, retries: Attempts after the first of a call: while one ran, after one had failed.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        hedging: Hedging,
+        learning: Learning,
+        clock: Clock,
+        new_budget: Callable[[], RetryBudget],
+    ):
+        self.chooser = chooser
+        self.hedging = hedging
+        self.learning = learning
+        self.clock = clock
+        self.new_budget = new_budget
+        self.budgets: dict[str, RetryBudget] = {}
+        self.hedges = 0
+        self.retries = 0
+
+    def way(self, call: Call) -> Steps[Try]:
+        """Return the attempt whose answer is the call's.
+
+        Raises:
+            Refusal: There is none.
+        """
+        self._budget(call).called(self.clock.now())
+        yield from self._first(call)
+        while True:
+            now = self.clock.now()
+            if now >= call.deadline:
+                raise timed_out(call)
+            wake_at = min(self.hedging.next_look(call), call.deadline, now + RESTART_LOOK)
+            attempt = yield Wait(wake_at)
+            if attempt is None:
+                yield from self._look(call)
+                continue
+            call.open.remove(attempt)
+            self.learning.ended(call, attempt)
+            if attempt.is_final:
+                return attempt
+            if attempt.status:
+                call.fallback = attempt
+            if attempt.error is not None:
+                raise attempt.error
+            if call.open or (yield from self._again(call)):
+                continue
+            if call.fallback is not None:
+                return call.fallback
+            raise gave_up(call, attempt.why)
+
+    def _first(self, call: Call) -> Steps[None]:
+        weighed = yield from self.chooser.place(call)
+        if weighed is None:
+            raise no_upstream(call)
+        yield from self._start(call, weighed)
+
+    def _start(self, call: Call, weighed: Weighed) -> Steps[None]:
+        attempt = yield Send(weighed)
+        call.tries.append(attempt)
+        call.open.append(attempt)
+        self.hedging.begin(call, attempt)
+
+    def _again(self, call: Call) -> Steps[bool]:
+        """Send the call to another upstream if that is allowed; return whether it was sent."""
+        if not self._may_repeat(call):
+            return False
+        weighed = yield from self.chooser.choose(call)
+        if weighed is None or self.chooser.is_crowded(call, weighed):
+            call.note = "no other upstream has a place"
+            return False
+        if call.reached and not self._budget(call).take(self.clock.now()):
+            call.note = "the budget of repeats is spent"
+            return False
+        self.retries += 1
+        yield from self._start(call, weighed)
+        return True
+
+    def _may_repeat(self, call: Call) -> bool:
+        ran = call.may_have_run
+        if ran and not call.route.idempotent:
+            call.note = "it may have run"
+        elif ran >= call.route.max_attempts or len(call.tries) >= MOST_SENDS:
+            call.note = "no attempt left"
+        elif not call.replayable and call.reached:
+            call.note = "its body has been passed on"
+        elif call.deadline - self.clock.now() < LEAST_TIME:
+            call.note = "no time left"
+        elif call.reached and not self._budget(call).has(self.clock.now()):
+            call.note = "the budget of repeats is spent"
+        else:
+            return True
+        return False
+
+    def _look(self, call: Call) -> Steps[None]:
+        """See how open attempts do; let another upstream try too if they do badly."""
+        for attempt in list(call.open):
+            if attempt.upstream.is_over:
+                yield GiveUp(attempt)
+            elif attempt.check_at <= self.clock.now():
+                yield from self._hedge(call, attempt)
+
+    def _hedge(self, call: Call, attempt: Try) -> Steps[None]:
+        budget = self._budget(call)
+        if not budget.has(self.clock.now()):
+            self.hedging.look_later(call, attempt)
+            call.note = "the budget of repeats is spent"
+            return
+        weighed = yield from self.hedging.better(call, attempt)
+        if weighed is None or attempt.ending is not None:
+            return
+        if not budget.take(self.clock.now()):
+            call.note = "the budget of repeats is spent"
+            return
+        self.hedges += 1
+        yield from self._start(call, weighed)
+
+    def _budget(self, call: Call) -> RetryBudget:
+        budget = self.budgets.get(call.service)
+        if budget is None:
+            budget = self.budgets[call.service] = self.new_budget()
+        return budget
--- a/sequoiabridge/relay/evidence.py
+++ b/sequoiabridge/balancing/evidence.py
@@ -4,7 +4,7 @@
 
 from math import exp
 
-from .signals import UpstreamLoad
+from .load import UpstreamLoad
 
 FAILURE_MEMORY = 4.0
 """Seconds in which failures and successes lose two thirds of their weight: upstreams that fail do
--- a/sequoiabridge/relay/hedging.py
+++ b/sequoiabridge/balancing/hedging.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 from ..timers import Clock
-from .attempt import Attempt
-from .call import RelayedCall
+from .call import Call, Try
 from .choice import Weighed
 from .chooser import Chooser
 from .costs import Costs
 from .evidence import PROMPT
-from .probing import Probes
+from .steps import Ask, Steps
 
 FIRST_LOOK = 1.3
 """Times its expected duration after which a call is looked at first: work times spread by a third
@@ -38,57 +37,57 @@
 class Hedging:
     """Decides on second attempts."""
 
-    def __init__(self, chooser: Chooser, probes: Probes, costs: Costs, clock: Clock):
+    def __init__(self, chooser: Chooser, costs: Costs, clock: Clock):
         self.chooser = chooser
-        self.probes = probes
         self.costs = costs
         self.clock = clock
 
-    def begin(self, call: RelayedCall, attempt: Attempt) -> None:
+    def begin(self, call: Call, attempt: Try) -> None:
         """Set when a new attempt is looked at first."""
         target = call.route.target_latency
         wait = max(FIRST_LOOK * attempt.weighed.expected, LEAST_LOOK * target)
         attempt.check_at = attempt.started + min(wait, target)
 
-    def next_look(self, call: RelayedCall, running: list[Attempt]) -> float:
+    def next_look(self, call: Call) -> float:
         """Return when to look at the running attempts; the deadline if no second one is allowed."""
         if not self._allowed(call):
             return call.deadline
-        return min((attempt.check_at for attempt in running), default=call.deadline)
+        return min((attempt.check_at for attempt in call.open), default=call.deadline)
 
-    def look_later(self, call: RelayedCall, attempt: Attempt) -> None:
+    def look_later(self, call: Call, attempt: Try) -> None:
         """Set when an attempt is looked at again."""
         attempt.check_at = self.clock.now() + LOOK_EVERY * call.route.target_latency
 
-    async def better(self, call: RelayedCall, attempt: Attempt) -> Weighed | None:
+    def better(self, call: Call, attempt: Try) -> Steps[Weighed | None]:
         """Return an upstream that should try the call too, None if the first does well enough."""
         self.look_later(call, attempt)
         if not self._allowed(call):
             return None
         evidence = attempt.upstream.evidence
         if not evidence.is_silent(self.clock.now()):
-            await self.probes.ask([attempt.upstream], PROMPT)
+            yield Ask([attempt.upstream], PROMPT)
         left = self._time_left(call, attempt)
         if left <= 0.0:
             return None
-        weighed = await self.chooser.choose(call)
+        weighed = yield from self.chooser.choose(call)
         if weighed is None or weighed.expected > WORTHWHILE * left or weighed.queue > 0:
             return None
         if weighed.expected > call.deadline - self.clock.now():
             return None
         return weighed
 
-    def _allowed(self, call: RelayedCall) -> bool:
+    def _allowed(self, call: Call) -> bool:
         repeatable = call.route.idempotent and call.replayable
         return repeatable and call.may_run_at < call.route.max_attempts
 
-    def _time_left(self, call: RelayedCall, attempt: Attempt) -> float:
+    def _time_left(self, call: Call, attempt: Try) -> float:
         """Return the seconds that an attempt is expected to need still; infinite if it is stuck."""
         evidence, now = attempt.upstream.evidence, self.clock.now()
         if evidence.is_silent(now):
             return float("inf")
         slowdown = evidence.load.slowdown if evidence.load else attempt.weighed.slowdown
         duration = self.costs.work(call) * max(1.0, slowdown) * max(1.0, evidence.pace_now(now))
-        if attempt.seconds > ALIVE * max(duration, attempt.weighed.expected):
+        taken = now - attempt.started
+        if taken > ALIVE * max(duration, attempt.weighed.expected):
             return float("inf")
-        return max(LEAST_LEFT * duration, duration - attempt.seconds)
+        return max(LEAST_LEFT * duration, duration - taken)
--- /dev/null
+++ b/sequoiabridge/balancing/learning.py
@@ -0,0 +1,75 @@
+"""Takes in what an ended attempt says about its upstream and about its route."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+from .call import FIRST_FAILURE, Call, Ending, Try
+from .costs import Costs
+from .load import UpstreamLoad
+from .upstream import Upstream
+
+NEIGHBOUR = 1.5
+"""Rise of the reported slowdown during a call from which its duration says nothing of the upstream
+itself."""
+
+
+class News(ABC):
+    """Enters what was seen of upstreams, and tells those who must know."""
+
+    @abstractmethod
+    def reported(self, upstream: Upstream, load: UpstreamLoad) -> None:
+        """An upstream told its load."""
+
+    @abstractmethod
+    def failed(self, upstream: Upstream) -> None:
+        """An upstream failed a call."""
+
+    @abstractmethod
+    def was_replaced(self, upstream: Upstream) -> None:
+        """Another upstream answered at its address."""
+
+
+class Learning:
+    """Learns from attempts that have ended.
+
+    Attributes:
+        endings: Attempts by how they ended.
+    """
+
+    def __init__(self, costs: Costs, news: News):
+        self.costs = costs
+        self.news = news
+        self.endings: dict[str, int] = {}
+
+    def ended(self, call: Call, attempt: Try) -> None:
+        """Take in one attempt."""
+        ending, now = attempt.ending, attempt.ended_at
+        self.endings[ending.value] = self.endings.get(ending.value, 0) + 1
+        upstream, weighed = attempt.upstream, attempt.weighed
+        evidence = upstream.evidence
+        seconds = now - attempt.started
+        # What was expected without regard to the upstream's own slowness.
+        usual = weighed.expected / evidence.pace_now(now)
+        if attempt.load is not None:
+            self.news.reported(upstream, attempt.load)
+        if ending is Ending.ANSWERED and attempt.status < FIRST_FAILURE:
+            evidence.succeeded(now)
+            if not met_neighbour(attempt):
+                evidence.measured(seconds / usual, now)
+            self.costs.measured(call, attempt)
+        elif ending is Ending.CANCELLED:
+            if seconds > usual:
+                evidence.measured(seconds / usual, now)
+        elif ending is Ending.RESTARTED:
+            return
+        elif attempt.other_upstream:
+            self.news.was_replaced(upstream)
+        elif attempt.error is None:
+            self.news.failed(upstream)
+
+
+def met_neighbour(attempt: Try) -> bool:
+    """Return whether other work slowed the upstream down after the call was sent there."""
+    load = attempt.load
+    return load is not None and load.slowdown > NEIGHBOUR * attempt.weighed.slowdown
--- a/sequoiabridge/relay/patience.py
+++ b/sequoiabridge/balancing/patience.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from .call import RelayedCall
-
 NEAR = 0.97
 """Part of the usual patience from which a call counts as a first try: opening a connection takes
 some milliseconds of it."""
@@ -54,12 +52,15 @@
     def __init__(self) -> None:
         self.by_route: dict[str, UsualPatience] = {}
 
-    def waited(self, call: RelayedCall) -> float:
-        """Return the seconds that the caller has probably waited before this call came."""
-        patience = call.terms.patience
+    def waited(self, route: str, patience: float | None) -> float:
+        """Return the seconds that a caller has probably waited before its call came.
+
+        Args:
+            patience: Seconds that it still waits, None if it did not say.
+        """
         if patience is None:
             return 0.0
-        usual = self.by_route.get(call.route.name)
+        usual = self.by_route.get(route)
         if usual is None:
-            usual = self.by_route[call.route.name] = UsualPatience(patience)
+            usual = self.by_route[route] = UsualPatience(patience)
         return usual.waited(patience)
--- a/sequoiabridge/relay/refusals.py
+++ b/sequoiabridge/balancing/refusals.py
@@ -1,23 +1,23 @@
-"""The final answers that the relay makes itself, each true about whether the call ran."""
+"""The final answers that the daemon makes itself, each true about whether the call ran."""
 
 from __future__ import annotations
 
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
-from .call import RelayedCall
+from .call import Call
 
 COME_BACK = 0.15
 """Seconds after which a caller may try again: a place becomes free within the time of one piece of
 work, and callers wait at most a third of the time they have left."""
 
 
-def no_upstream(call: RelayedCall) -> Refusal:
+def no_upstream(call: Call) -> Refusal:
     """Return the refusal of a call whose service has no upstream that takes work."""
     message = "No upstream of the service takes work now. Come back later."
     return Refusal(503, Outcome.NOT_RUN, Reason.NO_UPSTREAM, message, COME_BACK)
 
 
-def timed_out(call: RelayedCall) -> Refusal:
+def timed_out(call: Call) -> Refusal:
     """Return the refusal of a call whose time is up."""
     if call.may_have_run:
         message = "No upstream answered in time. Whether the request ran is not known."
@@ -26,7 +26,7 @@
     return Refusal(503, Outcome.NOT_RUN, Reason.TIMEOUT, message, COME_BACK)
 
 
-def gave_up(call: RelayedCall, why: str) -> Refusal:
+def gave_up(call: Call, why: str) -> Refusal:
     """Return the refusal of a call that cannot be sent again."""
     if call.may_have_run:
         message = f"The upstream gave no usable answer ({why}). The request may have run."
@@ -35,13 +35,13 @@
     return Refusal(503, Outcome.NOT_RUN, Reason.UPSTREAM_SHED, message, COME_BACK)
 
 
-def crowded(call: RelayedCall) -> Refusal:
+def crowded(call: Call) -> Refusal:
     """Return the refusal of a call for which all upstreams are too busy."""
     message = "All upstreams of the service are too busy now. Come back later."
     return Refusal(503, Outcome.NOT_RUN, Reason.QUEUE_FULL, message, COME_BACK)
 
 
-def internal(call: RelayedCall) -> Refusal:
+def internal(call: Call) -> Refusal:
     """Return the refusal that stands for a fault of the daemon's own."""
     message = "The daemon failed at this request. Tell its operator the request's id."
     if call.may_have_run:
--- /dev/null
+++ b/sequoiabridge/balancing/steps.py
@@ -0,0 +1,78 @@
+"""What decisions ask of the world: the daemon does it on the network, a model in its own time.
+
+A decision that needs something is a generator. It yields a step and is sent what came of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Generator, Sequence
+from typing import TypeVar
+
+from .call import Try
+from .choice import Weighed
+from .upstream import Upstream
+
+
+class Ask:
+    """Ask upstreams for their load; go on when all have answered or `patience` seconds are over.
+
+    What comes later is taken in all the same.
+    """
+
+    __slots__ = ("upstreams", "patience")
+
+    def __init__(self, upstreams: Sequence[Upstream], patience: float):
+        self.upstreams = upstreams
+        self.patience = patience
+
+
+class Remind:
+    """Ask an upstream that did not answer lately, without waiting for its answer."""
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, upstream: Upstream):
+        self.upstream = upstream
+
+
+class Pause:
+    """Go on after `seconds`."""
+
+    __slots__ = ("seconds",)
+
+    def __init__(self, seconds: float):
+        self.seconds = seconds
+
+
+class Send:
+    """Send the call to an upstream; the attempt, which has begun, comes of it."""
+
+    __slots__ = ("weighed",)
+
+    def __init__(self, weighed: Weighed):
+        self.weighed = weighed
+
+
+class Wait:
+    """Wait until an attempt has ended, which comes of it, or until a time, and then None does."""
+
+    __slots__ = ("until",)
+
+    def __init__(self, until: float):
+        self.until = until
+
+
+class GiveUp:
+    """End an attempt that still runs; `Wait` returns it soon."""
+
+    __slots__ = ("attempt",)
+
+    def __init__(self, attempt: Try):
+        self.attempt = attempt
+
+
+Step = Ask | Remind | Pause | Send | Wait | GiveUp
+
+Result = TypeVar("Result")
+Steps = Generator[Step, Try | None, Result]
+"""A decision that returns a `Result` after some steps."""
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -15,6 +15,17 @@
 
 import curio
 
+from .balancing.allowance import ProbeAllowance
+from .balancing.budget import RetryBudget
+from .balancing.candidates import Candidates
+from .balancing.chooser import Chooser
+from .balancing.costs import Costs
+from .balancing.dispatch import Dispatch
+from .balancing.hedging import Hedging
+from .balancing.learning import Learning
+from .balancing.routes import RouteTable
+from .balancing.splitting import Splitter
+from .balancing.upstream import Upstream, UpstreamRecord
 from .callers.limits import CallerLimits
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
@@ -24,16 +35,10 @@
 from .platform.client import PlatformClient
 from .platform.dialect import PlatformDialect
 from .platform.feeds import ConfigurationFeed, UpstreamFeed
-from .relay.allowance import ProbeAllowance
-from .relay.budget import RetryBudget
-from .relay.candidates import Candidates
-from .relay.chooser import Chooser
 from .relay.configuration import Configuration
-from .relay.costs import Costs
 from .relay.crash_guard import CrashGuard
 from .relay.decisions import STDOUT, DecisionLog, LineWriter, SentenceHandler
 from .relay.feeds import Follower, Update
-from .relay.hedging import Hedging
 from .relay.members import Members
 from .relay.messages import Hello
 from .relay.operators import OperatorPort
@@ -42,12 +47,9 @@
 from .relay.readiness import READY_LIMITS, SWEEP, Readiness, ReadyHandler
 from .relay.relay import Relay
 from .relay.reloading import SettingsWatch
-from .relay.routes import RouteTable
 from .relay.sender import Sender
 from .relay.sharing import Sharing
-from .relay.splitting import Splitter
 from .relay.tally import Tally
-from .relay.upstream import Upstream, UpstreamRecord
 from .relay.upstreams import UpstreamList
 from .relay.watchers import BEACON_EVERY, Watchers
 from .selector import KeptSelector
@@ -203,18 +205,21 @@
         )
         self.costs = Costs(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
-        chooser = Chooser(candidates, self.probes, self.costs, clock, self.random)
-        self.sender = Sender(
+        chooser = Chooser(candidates, self.costs, clock, self.random)
+        dispatch = Dispatch(
             chooser,
-            Hedging(chooser, self.probes, self.costs, clock),
-            self.costs,
-            self.upstreams,
+            Hedging(chooser, self.costs, clock),
+            Learning(self.costs, self.sharing),
+            clock,
+            lambda: RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
+        )
+        self.sender = Sender(
+            dispatch,
+            self.probes,
             self.connector,
             self.dialect,
             self.sharing,
-            self.tally,
             clock,
-            lambda: RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
             CrashGuard(self.connector, self.sharing, self.decisions, clock),
         )
         self.relay = Relay(
--- a/sequoiabridge/platform/configuration.py
+++ b/sequoiabridge/platform/configuration.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from ..relay.routes import CallLimits, Route, RouteTable, ServiceTerms, Target
+from ..balancing.routes import CallLimits, Route, RouteTable, ServiceTerms, Target
 
 IDEMPOTENT = "idempotent"
 """The only kind of route whose calls may run more than once; uploads may not."""
--- a/sequoiabridge/platform/dialect.py
+++ b/sequoiabridge/platform/dialect.py
@@ -4,10 +4,11 @@
 
 import json
 
+from ..balancing.load import UpstreamLoad
 from ..exceptions import Refusal
 from ..pipeline.exchange import Answer, BytesBody, RawHeaders, Request, first_value
 from ..relay.dialect import Dialect
-from ..relay.signals import AnswerSignals, CallTerms, HealthSignals, UpstreamLoad
+from ..relay.signals import AnswerSignals, CallTerms, HealthSignals
 from .names import (
     CALL_ID,
     ENCODING,
--- a/sequoiabridge/platform/entries.py
+++ b/sequoiabridge/platform/entries.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Mapping
 
+from ..balancing.upstream import UpstreamRecord
 from ..exceptions import BadEntry
 from ..foreign import as_address, as_number, as_table, as_text, as_whole, parsed
-from ..relay.upstream import UpstreamRecord
 from ..store.rows import StoredRow
 
 READY, DRAINING = "ready", "draining"
--- a/sequoiabridge/platform/feeds.py
+++ b/sequoiabridge/platform/feeds.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from ..balancing.routes import RouteTable
+from ..balancing.upstream import UpstreamRecord
 from ..foreign import as_table, parsed
 from ..relay.feeds import Feed
-from ..relay.routes import RouteTable
-from ..relay.upstream import UpstreamRecord
 from ..store.rows import Changes, Rows, StoredRow
 from ..store.tables import Tables
 from .configuration import route_table
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -4,18 +4,18 @@
 
 import curio
 
+from ..balancing.call import Ending, Try
+from ..balancing.choice import Weighed
+from ..balancing.evidence import OpenCall
 from ..exceptions import CallerGone, Refusal, UpstreamFailed
 from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Answer, Body, BytesBody
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
-from .call import PROVEN_NOT_RUN, Ending, RelayedCall
-from .choice import Weighed
+from .call import RelayedCall
 from .dialect import Dialect
-from .evidence import OpenCall
 from .sharing import Sharing
 from .signals import AnswerSignals
-from .upstream import Upstream
 
 MOST_BUFFERED = 256 * 1024
 """Bytes of an answer that are taken in before any of it goes to the caller, so that a broken one
@@ -30,37 +30,24 @@
 few milliseconds, a lost packet comes again after 0.2 s."""
 
 
-class Attempt:
+class Attempt(Try):
     """One attempt; `run` never raises for what an upstream did, but sets `ending`.
 
     Attributes:
-        weighed: The upstream as it was weighed when it was chosen.
-        sent: A byte of the call may have reached the upstream.
-        ending: How it ended, None while it runs.
-        why: What went wrong, for the log.
-        error: What the caller did wrong while its body was being passed on, or None.
         answer: The upstream's answer, if it is to be used.
-        check_at: When to look whether the answer is still worth waiting for.
+        signals: What that says beside its content, None before it began.
     """
 
     __slots__ = (
         "call",
-        "weighed",
         "connector",
         "dialect",
         "clock",
         "sharing",
         "open_call",
         "connection",
-        "sent",
-        "ending",
-        "why",
-        "error",
         "answer",
         "signals",
-        "started",
-        "ended_at",
-        "check_at",
     )
 
     def __init__(
@@ -72,33 +59,16 @@
         clock: Clock,
         sharing: Sharing,
     ):
-        self.sharing = sharing
+        super().__init__(weighed, clock.now())
         self.call = call
-        self.weighed = weighed
         self.connector = connector
         self.dialect = dialect
         self.clock = clock
-        self.started = clock.now()
+        self.sharing = sharing
         self.open_call = OpenCall(self.started, weighed.expected)
         self.connection: UpstreamConnection | None = None
-        self.sent = False
-        self.ending: Ending | None = None
-        self.why = ""
-        self.error: Refusal | CallerGone | None = None
         self.answer: Answer | None = None
         self.signals: AnswerSignals | None = None
-        self.ended_at = 0.0
-        self.check_at = 0.0
-
-    @property
-    def upstream(self) -> Upstream:
-        """Return the upstream that it goes to."""
-        return self.weighed.upstream
-
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether the upstream may have run the call, or may be running it."""
-        return self.sent and self.ending not in PROVEN_NOT_RUN
 
     @property
     def seconds(self) -> float:
@@ -136,6 +106,7 @@
         await self.connection.send(request)
         answer = await self.connection.read_head()
         self.signals = self.dialect.answer_signals(answer)
+        self.load = self.signals.load
         if answer.body is not None:
             await take_in(answer)
         return answer
@@ -168,17 +139,24 @@
     async def _judge(self, answer: Answer) -> None:
         signals = self.signals
         if signals.other_upstream:
+            self.other_upstream = True
             self._end(Ending.NOT_RUN, "another upstream has its address")
         elif signals.not_run:
             self._end(Ending.NOT_RUN, f"refused with {answer.status}")
         elif 200 <= answer.status < 300 and not signals.genuine:
             self._end(Ending.BROKEN, "a success that is not the upstream's own")
         else:
-            self.answer = answer
+            self._takes(answer)
             self._end(Ending.ANSWERED, "")
         if self.answer is None and answer.body is not None:
             await answer.body.close()
 
+    def _takes(self, answer: Answer) -> None:
+        self.answer = answer
+        self.status = answer.status
+        self.size = answer.length or 0
+        self.is_long = not isinstance(answer.body, BytesBody | None)
+
     async def _failed(self, error: UpstreamFailed) -> None:
         self.sent = self.sent and error.sent
         self._end(Ending.BROKEN if self.sent else Ending.NOT_SENT, str(error))
@@ -189,9 +167,7 @@
         A long answer that is on its way to the caller gives it back itself.
         """
         connection, self.connection = self.connection, None
-        if connection is None or (
-            self.answer and not isinstance(self.answer.body, BytesBody | None)
-        ):
+        if connection is None or self.is_long:
             return
         if self.ending in (Ending.CANCELLED, Ending.RESTARTED):
             await connection.close()
--- a/sequoiabridge/relay/configuration.py
+++ b/sequoiabridge/relay/configuration.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Callable
 
+from ..balancing.routes import RouteTable
 from ..logs import get_log
 from ..parts import Part
 from .decisions import DecisionLog
-from .routes import RouteTable
 
 log = get_log("configuration")
 
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from ..balancing.call import Ending
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
 from ..pipeline.buffering import ReplayableBody
@@ -17,7 +18,7 @@
 from ..timers import Clock
 from ..upstreams.base import Connector
 from .attempt import Attempt
-from .call import Ending, RelayedCall
+from .call import RelayedCall
 from .decisions import DecisionLog
 from .messages import Crashed, Survived
 from .sharing import Sharing
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -5,9 +5,9 @@
 import json
 from collections.abc import Callable
 
+from ..balancing.load import UpstreamLoad
 from ..exceptions import BadEntry
 from ..foreign import as_address, as_list, as_number, as_table, as_text, as_whole, parsed
-from .signals import UpstreamLoad
 
 HELLO, SENT, LOAD, FAILED = "hello", "sent", "load", "failed"
 CRASHED, SURVIVED, BEACON = "crashed", "survived", "beacon"
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -38,9 +38,10 @@
     def collect(self) -> Iterator[Metric]:
         """Yield all families."""
         tally = self.gateway.tally
+        endings = self.gateway.sender.dispatch.learning.endings
         yield from route_families(tally)
         yield counted("sequoia_refusals", "Answers the daemon made.", "reason", tally.refusals)
-        yield counted("sequoia_attempts", "Attempts at upstreams.", "ending", tally.endings)
+        yield counted("sequoia_attempts", "Attempts at upstreams.", "ending", endings)
         yield counted(
             "sequoia_log_lines",
             "Lines of the decision log.",
@@ -82,9 +83,9 @@
 
 def plain_counts(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
     """Yield name, help and value of each counter without labels."""
-    tally = gateway.tally
-    yield "sequoia_hedges", "Second attempts at calls that waited.", tally.hedges
-    yield "sequoia_retries", "Attempts after one that failed.", tally.retries
+    tally, dispatch = gateway.tally, gateway.sender.dispatch
+    yield "sequoia_hedges", "Second attempts at calls that waited.", dispatch.hedges
+    yield "sequoia_retries", "Attempts after one that failed.", dispatch.retries
     yield "sequoia_probes", "Health checks sent.", tally.probes
     yield "sequoia_probes_unanswered", "Health checks without an answer.", tally.probes_unanswered
     yield "sequoia_callers_left", "Calls whose callers left.", tally.callers_left
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from ..balancing.routes import path_of
 from ..callers.limits import CallerLimits
 from ..callers.server import CallerServer, Handler
 from ..exceptions import ConfigurationError
@@ -15,7 +16,6 @@
 from .peers import PATH as FEEDS_PATH
 from .peers import FeedAnswers
 from .readiness import SWEEP
-from .routes import path_of
 
 if TYPE_CHECKING:
     from ..gateway import Gateway
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -6,17 +6,17 @@
 
 import curio
 
+from ..balancing.allowance import ProbeAllowance
+from ..balancing.upstream import Upstream
 from ..exceptions import NoFreeConnection, UpstreamFailed
 from ..pipeline.exchange import Answer, Body
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
-from .allowance import ProbeAllowance
 from .configuration import Configuration
 from .decisions import DecisionLog
 from .dialect import Dialect
 from .sharing import Sharing
 from .tally import Tally
-from .upstream import Upstream
 from .upstreams import UpstreamList
 
 ANSWER_LIMIT = 0.4
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -5,6 +5,10 @@
 from collections.abc import Callable
 from itertools import count
 
+from ..balancing.patience import Patience
+from ..balancing.refusals import internal
+from ..balancing.routes import Route
+from ..balancing.splitting import Splitter
 from ..callers.server import Handler
 from ..exceptions import Refusal
 from ..logs import get_log
@@ -16,11 +20,7 @@
 from .configuration import Configuration
 from .decisions import DecisionLog
 from .dialect import Dialect
-from .patience import Patience
-from .refusals import internal
-from .routes import Route
 from .sender import Sender
-from .splitting import Splitter
 from .tally import Tally
 
 log = get_log("relay")
@@ -98,12 +98,12 @@
         self.decisions.call(in_time, self._row(call, now, clean))
 
     async def _relay(self, call: RelayedCall) -> Answer:
-        call.fall_under(self._route(call), self.configuration.version)
-        call.has_waited(self.patience.waited(call))
+        call.fall_under_version(self._route(call), self.configuration.version)
+        call.has_waited(self.patience.waited(call.route.name, call.terms.patience))
         call.service = self.splitter.service_for(call.route)
         limit = self.configuration.table.limits.max_body
         await take_body(call.request, limit, call.deadline - self.clock.now())
-        call.body_seconds = self.clock.now() - call.arrived
+        call.body_came(self.clock.now())
         return await self.sender.run(call)
 
     def _route(self, call: RelayedCall) -> Route:
@@ -162,6 +162,6 @@
             row["why"] = str(call.refusal)
         if call.note:
             row["note"] = call.note
-        row["attempts"] = [attempt.row() for attempt in call.attempts]
+        row["attempts"] = [attempt.row() for attempt in call.tries]
         row["considered"] = [weighed.row() for weighed in call.considered]
         return row
--- a/sequoiabridge/relay/reloading.py
+++ b/sequoiabridge/relay/reloading.py
@@ -4,9 +4,9 @@
 
 from pathlib import Path
 
+from ..balancing.costs import Costs
 from ..config.gateway_settings import GatewaySettings
 from ..config.problem import Invalid
-from .costs import Costs
 from .decisions import DecisionLog
 
 
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -10,19 +10,20 @@
 
 from collections.abc import Callable
 
+from ..balancing.learning import News
+from ..balancing.load import UpstreamLoad
+from ..balancing.upstream import Upstream
 from ..timers import Clock
 from .channel import Channel
 from .members import Members
 from .messages import Beacon, Crashed, Failed, Hello, Message, Reported, Sent, Survived
-from .signals import UpstreamLoad
-from .upstream import Upstream
 from .upstreams import UpstreamList
 
 HEARSAY = 0.7
 """Weight of a failure that another VM saw: some upstreams fail only some VMs."""
 
 
-class Sharing:
+class Sharing(News):
     """Enters evidence here and tells it to others."""
 
     def __init__(self, upstreams: UpstreamList, clock: Clock):
@@ -52,6 +53,10 @@
         upstream.evidence.failed(self.clock.now())
         self.tell_all(Failed(upstream.lifetime))
 
+    def was_replaced(self, upstream: Upstream) -> None:
+        """Another upstream answered at its address."""
+        self.upstreams.was_replaced(upstream)
+
     def tell_all(self, message: Message) -> None:
         """Tell all daemons."""
         if self.members is not None:
--- a/sequoiabridge/relay/signals.py
+++ b/sequoiabridge/relay/signals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ..balancing.load import UpstreamLoad
+
 
 class CallTerms:
     """What a caller says of its call.
@@ -18,26 +20,6 @@
         self.patience = patience
 
 
-class UpstreamLoad:
-    """An upstream's word on its load at the time of its answer.
-
-    Attributes:
-        running: Requests that it runs.
-        waiting: Requests in its queue.
-        slots: Requests that it runs at a time.
-        slowdown: How many times longer than usual work takes there now; 1.0 is as usual. Other
-            work on its hardware changes it several times a second.
-    """
-
-    __slots__ = ("running", "waiting", "slots", "slowdown")
-
-    def __init__(self, running: int, waiting: int, slots: int, slowdown: float):
-        self.running = running
-        self.waiting = waiting
-        self.slots = slots
-        self.slowdown = slowdown
-
-
 class AnswerSignals:
     """What an upstream's answer says about itself.
 
--- a/sequoiabridge/relay/tally.py
+++ b/sequoiabridge/relay/tally.py
@@ -39,17 +39,12 @@
     Attributes:
         routes: Counts by route.
         refusals: Answers that the daemon made itself, by reason.
-        endings: Attempts at upstreams, by how they ended.
-        hedges, retries: Attempts after the first of a call.
         callers_left: Calls whose callers left before their answer.
     """
 
     def __init__(self) -> None:
         self.routes: dict[str, RouteTally] = {}
         self.refusals: dict[str, int] = {}
-        self.endings: dict[str, int] = {}
-        self.hedges = 0
-        self.retries = 0
         self.probes = 0
         self.probes_unanswered = 0
         self.callers_left = 0
@@ -65,7 +60,3 @@
     def refused(self, reason: str) -> None:
         """Count one answer that the daemon made itself."""
         self.refusals[reason] = self.refusals.get(reason, 0) + 1
-
-    def ended(self, ending: str) -> None:
-        """Count one attempt."""
-        self.endings[ending] = self.endings.get(ending, 0) + 1
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -5,11 +5,12 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
+from ..balancing.candidates import UpstreamSource
+from ..balancing.upstream import Upstream, UpstreamRecord
 from ..logs import get_log
 from ..parts import Part
 from ..timers import Clock
 from .decisions import DecisionLog
-from .upstream import Upstream, UpstreamRecord
 
 log = get_log("upstreams")
 
@@ -33,7 +34,7 @@
 bring them back; the users' largest sites lose some hundreds a day."""
 
 
-class UpstreamList(Part):
+class UpstreamList(Part, UpstreamSource):
     """All upstreams, by id and by service.
 
     Args:
--- a/sequoiabridge/tests/relay/test_decisions_of_the_path.py
+++ b/sequoiabridge/tests/balancing/test_decisions_of_the_path.py
@@ -4,16 +4,16 @@
 
 import pytest
 
-from ...relay.allowance import KEPT_SHARE, ProbeAllowance
-from ...relay.budget import RetryBudget
-from ...relay.candidates import MOST_NEAR, Candidates
-from ...relay.choice import CallNeeds, is_crowded, weigh
-from ...relay.evidence import OpenCall
-from ...relay.routes import Route, Target
-from ...relay.splitting import Splitter
+from ...balancing.allowance import KEPT_SHARE, ProbeAllowance
+from ...balancing.budget import RetryBudget
+from ...balancing.candidates import MOST_NEAR, Candidates
+from ...balancing.choice import CallNeeds, is_crowded, weigh
+from ...balancing.evidence import OpenCall
+from ...balancing.routes import Route, Target
+from ...balancing.splitting import Splitter
 from ...relay.upstreams import UpstreamList
 from ...timers import ManualClock
-from .fakes import decision_log, record, upstream
+from ..relay.fakes import decision_log, record, upstream
 
 CALL = CallNeeds(work=0.1, time_left=0.4, target=0.4, far_cost=0.04, patience=1.2, crowding=0.0)
 
--- a/sequoiabridge/tests/relay/test_hedging.py
+++ b/sequoiabridge/tests/balancing/test_hedging.py
@@ -1,31 +1,27 @@
 """Second attempts: how many upstreams a call may be at, counting those on the way."""
 
-from ...pipeline.exchange import Request
-from ...relay.attempt import Attempt
-from ...relay.call import Ending, RelayedCall
-from ...relay.choice import Weighed
-from ...relay.hedging import Hedging
-from ...relay.routes import Route, Target
-from ...relay.signals import CallTerms
+from ...balancing.call import Call, Ending, Try
+from ...balancing.choice import Weighed
+from ...balancing.hedging import Hedging
+from ...balancing.routes import Route, Target
 from ...timers import ManualClock
-from .fakes import upstream
+from ..relay.fakes import upstream
 
 
-def call_with(*attempts):
+def call_with(*tries):
     """Return a call of at most two attempts with attempts that are (sent, ending)."""
-    clock = ManualClock()
-    call = RelayedCall("c1", Request(b"GET", b"/", []), CallTerms(b"c1", 1.0), 0.0)
-    call.fall_under(Route("r", b"/", True, 1.0, 0.5, 2, 1, (Target("s", 1.0),)), 1)
-    for number, (sent, ending) in enumerate(attempts):
+    call = Call(0.0)
+    call.fall_under(Route("r", b"/", True, 1.0, 0.5, 2, 1, (Target("s", 1.0),)), 1.0)
+    for number, (sent, ending) in enumerate(tries):
         weighed = Weighed(upstream(f"u{number}"), 0.1, 0.1, 0.1, 0.1, 1.0, 0, 0.0, 0.0)
-        attempt = Attempt(call, weighed, None, None, clock, None)
+        attempt = Try(weighed, 0.0)
         attempt.sent, attempt.ending = sent, ending
-        call.attempts.append(attempt)
+        call.tries.append(attempt)
     return call
 
 
 def allowed(call):
-    return Hedging(None, None, None, ManualClock())._allowed(call)
+    return Hedging(None, None, ManualClock())._allowed(call)
 
 
 def test_an_attempt_that_is_still_connecting_counts_as_one_that_may_run():
--- a/sequoiabridge/tests/relay/fakes.py
+++ b/sequoiabridge/tests/relay/fakes.py
@@ -1,8 +1,8 @@
 """Upstreams, calls and a log for tests of the relay's decisions."""
 
+from ...balancing.load import UpstreamLoad
+from ...balancing.upstream import Upstream, UpstreamRecord
 from ...relay.decisions import DecisionLog
-from ...relay.signals import UpstreamLoad
-from ...relay.upstream import Upstream, UpstreamRecord
 from ...timers import ManualClock
 
 
--- a/sequoiabridge/tests/relay/test_messages.py
+++ b/sequoiabridge/tests/relay/test_messages.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from ...balancing.load import UpstreamLoad
 from ...relay.messages import LARGEST, Failed, Hello, Reported, Sent, decoded, encoded
-from ...relay.signals import UpstreamLoad
 
 
 @pytest.mark.parametrize(
--- a/sequoiabridge/tests/relay/test_reloading.py
+++ b/sequoiabridge/tests/relay/test_reloading.py
@@ -2,8 +2,8 @@
 
 import json
 
+from ...balancing.costs import Costs
 from ...config.gateway_settings import GatewaySettings
-from ...relay.costs import Costs
 from ...relay.reloading import SettingsWatch
 from .fakes import decision_log
 
--- a/sequoiabridge/tests/relay/test_sharing.py
+++ b/sequoiabridge/tests/relay/test_sharing.py
@@ -1,9 +1,9 @@
 """What daemons tell each other of calls: in small data centres all, in large ones nothing."""
 
+from ...balancing.load import UpstreamLoad
 from ...relay.members import MOST_PEERS, Members
 from ...relay.messages import Failed, Hello, Reported, Sent
 from ...relay.sharing import Sharing
-from ...relay.signals import UpstreamLoad
 from ...relay.upstreams import UpstreamList
 from ...timers import ManualClock
 from .fakes import decision_log, record
