Count what a call's place costs the calls that are there; a model to decide with

Hypothesis: price the last slot, and any place behind it, by the work that the others lose, times how scarce places are; where the price is above what the call gains, it has no place there.

experiment/ plays scenes on simulated time with the same decision objects; sequoiactl experiment compares.

--- a/sequoiabridge/balancing/choice.py
+++ b/sequoiabridge/balancing/choice.py
@@ -46,6 +46,10 @@
 """How many times longer work takes on an upstream of which all slots are taken: some slow down when
 they are nearly full (1.7 times at the users' site that shows it)."""
 
+LEAST_SCARCITY = 0.15
+"""Share of the work that a full upstream does not get done which is missed even where places are
+not scarce: the calls there may meet a neighbour as well and be late."""
+
 UNKNOWN_SLOWDOWN = 2.5
 """Slowdown that is assumed of an upstream that has not told its load lately: the mean over time
 where neighbours slow it sevenfold for a quarter of it."""
@@ -115,6 +119,7 @@
         age: Seconds since the upstream told its load.
         displaced: What the place is worth to another call, which would be in time there, if this
             one is late already.
+        others: What the call's being there costs the calls that are there.
     """
 
     __slots__ = (
@@ -127,6 +132,7 @@
         "queue",
         "age",
         "displaced",
+        "others",
     )
 
     def __init__(
@@ -140,6 +146,7 @@
         queue: int,
         age: float,
         displaced: float,
+        others: float = 0.0,
     ):
         self.upstream = upstream
         self.expected = expected
@@ -150,6 +157,7 @@
         self.queue = queue
         self.age = age
         self.displaced = displaced
+        self.others = others
 
     def row(self) -> dict:
         """Return the inputs of the choice, for the log."""
@@ -163,6 +171,8 @@
         }
         if self.displaced:
             row["displaced"] = round(self.displaced, 2)
+        if self.others:
+            row["others"] = round(self.others, 2)
         return row
 
 
@@ -186,6 +196,8 @@
     if call.is_late:
         displaced = LATE_COST * call.crowding * (1.0 - lateness(expected, call.target))
         cost += displaced + LOST_COST * lateness(expected, call.patience)
+    others = cost_to_others(slots, queue, call.crowding)
+    cost += others
     cost += OVERDUE_COST * evidence.overdue(now)
     if not upstream.near:
         cost += call.far_cost
@@ -193,7 +205,27 @@
         cost += UNHEALTHY_COST
     if evidence.is_silent(now):
         cost += SILENT_COST
-    return Weighed(upstream, expected, duration, late, cost, slowdown, queue, age, displaced)
+    return Weighed(
+        upstream, expected, duration, late, cost, slowdown, queue, age, displaced, others
+    )
+
+
+def cost_to_others(slots: int, queue: int, crowding: float) -> float:
+    """Return what taking the last free slot of an upstream, or waiting there, costs others.
+
+    Load pattern: more calls than there are quiet places, for some seconds. An upstream with all
+    slots taken is `FULL_FACTOR` times slower for all calls there, so each of the others takes
+    `FULL_FACTOR - 1` of a call's work longer. With four slots that is work for 2.1 calls lost for
+    one that is gained: filled up, the upstreams do less than with a slot left free, and stay full.
+    What is lost is missed by as many calls as find no place: `crowding` of them.
+
+    Limit: it never keeps a slot free that would serve more. With two slots the loss is 0.7 calls
+    at most, less than the one gained, so both are used however crowded it is.
+    """
+    if slots < 2 or queue < 0:
+        return 0.0
+    lost_calls = (FULL_FACTOR - 1.0) * (slots - 1)
+    return LATE_COST * lost_calls * max(LEAST_SCARCITY, crowding)
 
 
 def lateness(expected: float, time_left: float) -> float:
@@ -227,8 +259,11 @@
     Only the calls before it would make it late: if it is sent all the same, those that come after
     it are late as well, and soon all are. A call that would be late anywhere takes no place from
     one that would not, so it may wait in a short queue. One that is late already, since its caller
-    comes back, waits in no queue and leaves places to others while the service is crowded.
+    comes back, waits in no queue and leaves places to others while the service is crowded. One
+    that would cost the calls there more than it gains has no place there either.
     """
+    if best.others > 1.0 - LATE_COST * best.late:
+        return True
     if best.queue < 1:
         return best.displaced > MOST_DISPLACED
     if best.queue > MOST_WAITING * max(1, best.upstream.record.slots):
--- a/sequoiabridge/commands/main.py
+++ b/sequoiabridge/commands/main.py
@@ -15,10 +15,11 @@
 from .ask import ask
 from .check import check
 from .dump import dump
+from .experiment import experiment
 from .explain import explain
 from .version import version
 
-VERBS = [check, dump, ask, apply, explain, version]
+VERBS = [check, dump, ask, apply, explain, experiment, version]
 
 FAILED = 1
 INTERRUPTED = 130
--- /dev/null
+++ b/sequoiabridge/experiment/mechanisms.py
@@ -0,0 +1,106 @@
+"""Limits and mechanisms of the decisions that an experiment may set or switch off, by name."""
+
+from __future__ import annotations
+
+from importlib import import_module
+
+from ..exceptions import SequoiaError
+
+MODULES = (
+    "allowance",
+    "budget",
+    "candidates",
+    "choice",
+    "chooser",
+    "costs",
+    "crowding",
+    "dispatch",
+    "evidence",
+    "hedging",
+    "learning",
+    "patience",
+    "refusals",
+)
+"""Modules of `balancing` whose named limits can be set."""
+
+NEVER = 1e9
+"""Stands for a time or a factor that nothing reaches."""
+
+WITHOUT: dict[str, dict[str, float]] = {
+    "asking": {"chooser.MOST_ASKED": 0},
+    "hedging": {"hedging.FIRST_LOOK": NEVER, "hedging.LEAST_LOOK": NEVER},
+    "repeats": {"dispatch.MOST_SENDS": 1},
+    "holding": {"chooser.HOLD_SHARE": 0.0},
+    "crowding": {"crowding.DOUBT": NEVER},
+    "patience": {"patience.TRUSTED_SHARE": NEVER},
+    "others": {"choice.LEAST_SCARCITY": 0.0, "choice.FULL_FACTOR": 1.0},
+    "pace": {"evidence.PACE_STEP": 0.0},
+    "failures": {"evidence.FAILURE_MEMORY": 1e-6},
+    "overdue": {"choice.OVERDUE_COST": 0.0},
+    "far-cost": {"chooser.GAIN": -NEVER},
+}
+"""What switches each mechanism off. Sharing of words is a scene's `words_lost`."""
+
+
+class BadChange(SequoiaError):
+    """An experiment names something that cannot be changed; the message says what can."""
+
+    exit_code = 2
+
+
+def changes_of(sets: list[str], without: list[str]) -> dict[str, float]:
+    """Return the limits to set, by name, from `NAME=VALUE` texts and names of mechanisms.
+
+    Raises:
+        BadChange: Some cannot be; all of them are named.
+    """
+    found: dict[str, float] = {}
+    problems: list[str] = []
+    for text in sets:
+        name, _, value = text.partition("=")
+        problem = _problem(name, value)
+        if problem:
+            problems.append(problem)
+        else:
+            found[name] = float(value)
+    for mechanism in without:
+        if mechanism in WITHOUT:
+            found.update(WITHOUT[mechanism])
+        else:
+            problems.append(f"no mechanism {mechanism!r}: name one of {', '.join(WITHOUT)}")
+    if problems:
+        raise BadChange("; ".join(problems))
+    return found
+
+
+def limits() -> dict[str, float]:
+    """Return all limits that can be set, by name."""
+    found: dict[str, float] = {}
+    for module in MODULES:
+        for name, value in vars(_module(module)).items():
+            if name.isupper() and type(value) in (int, float):
+                found[f"{module}.{name}"] = value
+    return found
+
+
+def apply(changes: dict[str, float]) -> None:
+    """Set limits in this process; a whole number stays one."""
+    known = limits()
+    for name, value in changes.items():
+        module, _, limit = name.partition(".")
+        whole = type(known[name]) is int and value == int(value)
+        setattr(_module(module), limit, int(value) if whole else value)
+
+
+def _problem(name: str, value: str) -> str:
+    if name not in limits():
+        return f"no limit {name!r}: name one as module.NAME, such as chooser.HOLD_SHARE"
+    try:
+        float(value)
+    except ValueError:
+        return f"{name}: {value!r} is no number"
+    return ""
+
+
+def _module(name: str):
+    return import_module(f"..balancing.{name}", __package__)
