--- a/sequoiabridge/tests/docs/test_pages.py
+++ b/sequoiabridge/tests/docs/test_pages.py
@@ -18,7 +18,7 @@
 COMMAND = re.compile(r"^(?: {4})?(?:\$ )?((?:sequoiactl|sequoiabridged) .+)$", re.M)
 LINK = re.compile(r"\]\(([^()\s#]*)(?:#([^()\s]*))?\)")
 ROW = re.compile(r"^\| `([a-z-]+)` \| \d", re.M)
-ALONE = ("check", "version")
+ALONE = ("check", "experiment", "version")
 """Verbs that need no daemon; the run-books leave the address of one out."""
 
 
