Let the model's VMs pause before they ask a silent upstream again

Cause: the model told the evidence the length of its timeout in place of the time, so a silent upstream could be asked again at once. The daemon is untouched.

Test: test_model, an upstream that fell silent; it fails on the code before (the pause was over 4 s ago).

--- a/sequoiabridge/experiment/vm.py
+++ b/sequoiabridge/experiment/vm.py
@@ -212,7 +212,7 @@
         upstream.evidence.asked(self.agenda.now())
         model, way = self.known.models[upstream.id], self._one_way(upstream)
         if model.dark:
-            self.agenda.after(NO_ANSWER, upstream.evidence.ignored_probe, NO_ANSWER)
+            self.agenda.after(NO_ANSWER, self._ignored, upstream)
             return
 
         def arrive() -> None:
@@ -226,6 +226,9 @@
 
         self.agenda.after(way, arrive)
 
+    def _ignored(self, upstream: Upstream) -> None:
+        upstream.evidence.ignored_probe(self.agenda.now())
+
     def _send(self, call: ModelCall, step: Send) -> Try:
         upstream, now = step.weighed.upstream, self.agenda.now()
         attempt = Try(step.weighed, now)
--- a/sequoiabridge/tests/experiment/test_model.py
+++ b/sequoiabridge/tests/experiment/test_model.py
@@ -116,6 +116,17 @@
     assert hearer.known.by_id[near.id].evidence.sent_since == 1
 
 
+def test_an_upstream_that_fell_silent_is_not_asked_again_before_its_pause_is_over():
+    played = Play(parse_scene(CROWDED, "test"), 1, "own")
+    vm, agenda = played.vms[0], played.agenda
+    silent = next(iter(vm.known.by_id.values()))
+    vm.known.models[silent.id].dark = True
+    agenda.after(5.0, vm._probe, silent, None)
+    agenda.run()
+    assert agenda.now() > 5.0 and silent.evidence.is_silent(agenda.now())
+    assert not silent.evidence.may_be_asked(agenda.now())
+
+
 def test_figures_weigh_what_was_earned():
     good, late, lost = (Record("k", float(n), 1.0, 0.5) for n in range(3))
     good.served(0.4, 0.1)
