Keep one copy of two limits that the model had written again

Cause: the weight of a failure heard from others and the time limit of a health check stood in the daemon's parts and again in the model, which is to drive the daemon's own decisions. Both are in balancing/evidence.py now; learning asks an attempt whether its answer is good in place of comparing its status anew. No value and no behaviour changes.

Measured: tests of decisions, relay, model and whole daemon pass.

--- a/sequoiabridge/balancing/evidence.py
+++ b/sequoiabridge/balancing/evidence.py
@@ -34,6 +34,13 @@
 PROMPT = 0.03
 """Seconds within which a health check is answered; upstreams do so within 1 to 5 ms."""
 
+ANSWER_LIMIT = 0.4
+"""Seconds after which a probe is given up: healthy upstreams answer within milliseconds, and one
+lost packet is sent again after 0.2 s."""
+
+HEARSAY = 0.7
+"""Weight of a failure that another VM saw: some upstreams fail only some VMs."""
+
 OVERDUE = 2.5
 """Times its expected duration after which an open call says that something is wrong."""
 
--- a/sequoiabridge/balancing/learning.py
+++ b/sequoiabridge/balancing/learning.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 
-from .call import FIRST_FAILURE, Call, Ending, Try
+from .call import Call, Ending, Try
 from .costs import Costs
 from .load import UpstreamLoad
 from .upstream import Upstream
@@ -53,7 +53,7 @@
         usual = weighed.expected / evidence.pace_now(now)
         if attempt.load is not None:
             self.news.reported(upstream, attempt.load)
-        if ending is Ending.ANSWERED and attempt.status < FIRST_FAILURE:
+        if ending is Ending.ANSWERED and attempt.is_good:
             evidence.succeeded(now)
             if not met_neighbour(attempt):
                 evidence.measured(seconds / usual, now)
--- a/sequoiabridge/experiment/vm.py
+++ b/sequoiabridge/experiment/vm.py
@@ -12,7 +12,7 @@
 from ..balancing.chooser import Chooser
 from ..balancing.costs import Costs
 from ..balancing.dispatch import Dispatch
-from ..balancing.evidence import OpenCall
+from ..balancing.evidence import ANSWER_LIMIT, HEARSAY, OpenCall
 from ..balancing.hedging import Hedging
 from ..balancing.learning import Learning, News
 from ..balancing.load import UpstreamLoad
@@ -24,15 +24,9 @@
 from .scene import Scene
 from .upstream import Job, ModelUpstream
 
-NO_ANSWER = 0.4
-"""Seconds after which a health check is given up, as at the daemon."""
-
 RETRY_RATIO, RETRY_WINDOW, RETRY_SLACK = 0.2, 10.0, 60.0
 """Repeats for each call, seconds that they are counted over, and those allowed beside them."""
 
-HEARSAY = 0.7
-"""Weight of a failure that another VM saw, as at the daemon."""
-
 
 class ModelCall(Call):
     """A call on its way through a VM.
@@ -212,7 +206,7 @@
         upstream.evidence.asked(self.agenda.now())
         model, way = self.known.models[upstream.id], self._one_way(upstream)
         if model.dark:
-            self.agenda.after(NO_ANSWER, self._ignored, upstream)
+            self.agenda.after(ANSWER_LIMIT, self._ignored, upstream)
             return
 
         def arrive() -> None:
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -7,6 +7,7 @@
 import curio
 
 from ..balancing.allowance import ProbeAllowance
+from ..balancing.evidence import ANSWER_LIMIT
 from ..balancing.upstream import Upstream
 from ..exceptions import NoFreeConnection, UpstreamFailed
 from ..pipeline.exchange import Answer, Body
@@ -19,10 +20,6 @@
 from .tally import Tally
 from .upstreams import UpstreamList
 
-ANSWER_LIMIT = 0.4
-"""Seconds after which a probe is given up: healthy upstreams answer within milliseconds, and one
-lost packet is sent again after 0.2 s."""
-
 MOST_BODY = 4096
 """Bytes of a health answer's body that are read; longer ones are given up."""
 
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 
+from ..balancing.evidence import HEARSAY
 from ..balancing.learning import News
 from ..balancing.load import UpstreamLoad
 from ..balancing.upstream import Upstream
@@ -19,9 +20,6 @@
 from .messages import Beacon, Crashed, Failed, Hello, Message, Reported, Sent, Survived
 from .upstreams import UpstreamList
 
-HEARSAY = 0.7
-"""Weight of a failure that another VM saw: some upstreams fail only some VMs."""
-
 
 class Sharing(News):
     """Enters evidence here and tells it to others."""
