Show retries, their limit and abandoned calls by service

The incident could not be told apart from logs: the retry counters were sums over all services, refused retries were shown nowhere, and the state of a limit was in no dump. Now each service has counters of attempts sent, of repeats, and of granted and refused tokens (a difference between repeats and tokens is a send without payment), the dump has the state of each limit, the uptime shows restarts, an attempt shows how long after its start it was sent, and an upstream that answers again shows how many calls this VM had given up there. No decision changes.

--- a/sequoiabridge/balancing/attempt_recorder.py
+++ b/sequoiabridge/balancing/attempt_recorder.py
@@ -39,15 +39,21 @@
 
     Attributes:
         endings: Number of attempts by ending.
+        sends: Number of attempts that were sent, by service.
+        repeats: Those of them that were sent after, or beside, another attempt of their call.
     """
 
     def __init__(self, route_stats: RouteStats, observer: UpstreamObserver):
         self.route_stats = route_stats
         self.observer = observer
         self.endings: dict[str, int] = {}
+        self.sends: dict[str, int] = {}
+        self.repeats: dict[str, int] = {}
 
     def record(self, call: Call, attempt: CallAttempt) -> None:
         """Record an attempt that has ended."""
+        if attempt.sent:
+            self._count_send(call)
         ending, now = attempt.ending, attempt.ended_at
         self.endings[ending.value] = self.endings.get(ending.value, 0) + 1
         upstream, estimate = attempt.upstream, attempt.estimate
@@ -72,6 +78,13 @@
         elif attempt.error is None:
             self.observer.record_failure(upstream)
 
+    def _count_send(self, call: Call) -> None:
+        service = call.service
+        self.sends[service] = self.sends.get(service, 0) + 1
+        if call.recorded_sends:
+            self.repeats[service] = self.repeats.get(service, 0) + 1
+        call.recorded_sends += 1
+
 
 def slowed_by_neighbour(attempt: CallAttempt) -> bool:
     """Return whether a noisy neighbour slowed the upstream down after the call was sent."""
--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -33,7 +33,6 @@
 
 PROVEN_NOT_RUN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN})
 """Endings after which the call certainly did not run."""
-"""Endings after which the call certainly did not run."""
 
 
 class CallAttempt:
@@ -44,6 +43,7 @@
         started: Time at which the attempt started.
         ended_at: Time at which it ended.
         sent: Whether a byte of the call may have reached the upstream.
+        sent_at: Time at which sending it began, 0.0 before.
         ending: How the attempt ended, None while it is running.
         why: Reason of a failure, for the log.
         error: Fault of the caller while its body was being forwarded, or None.
@@ -60,6 +60,7 @@
         "started",
         "ended_at",
         "sent",
+        "sent_at",
         "ending",
         "why",
         "error",
@@ -76,6 +77,7 @@
         self.started = started
         self.ended_at = 0.0
         self.sent = False
+        self.sent_at = 0.0
         self.ending: Ending | None = None
         self.why = ""
         self.error: SequoiaError | None = None
@@ -126,6 +128,7 @@
             attempt succeeds.
         considered: Cost estimates of the latest choice, the lowest cost first.
         note: Reason why the call was not sent again, for the log.
+        recorded_sends: Number of ended attempts that were sent and have been recorded.
     """
 
     __slots__ = (
@@ -143,6 +146,7 @@
         "fallback",
         "considered",
         "note",
+        "recorded_sends",
     )
 
     def __init__(self, arrived: float):
@@ -160,6 +164,7 @@
         self.fallback: CallAttempt | None = None
         self.considered: list[CostEstimate] = []
         self.note = ""
+        self.recorded_sends = 0
 
     def apply_route(self, route: Route, caller_timeout: float | None) -> None:
         """Set the route, and the deadlines from it and the timeout that the caller stated."""
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+from ..component import Component
 from ..timers import Clock
 from .attempt_recorder import AttemptRecorder
 from .call import Call, CallAttempt
@@ -28,7 +29,7 @@
 """Minimum time in seconds before the deadline at which a retry is started."""
 
 
-class Dispatch:
+class Dispatch(Component):
     """Runs calls as sequences of steps.
 
     Args:
@@ -44,6 +45,8 @@
         retries: Number of attempts started after another attempt had failed.
     """
 
+    name = "retry_budgets"
+
     def __init__(
         self,
         chooser: Chooser,
@@ -93,6 +96,11 @@
             overload_ratio = self.chooser.overload.ratio(call.service, self.clock.now())
             raise no_attempt_left(call, attempt.why, overload_ratio)
 
+    def dump(self) -> dict:
+        """Describe the retry budgets for the state dump."""
+        now = self.clock.now()
+        return {service: budget.dump(now) for service, budget in self.budgets.items()}
+
     def _send_first(self, call: Call) -> Steps[None]:
         estimate = yield from self.chooser.choose_or_hold(call)
         if estimate is None:
--- a/sequoiabridge/balancing/retry_budget.py
+++ b/sequoiabridge/balancing/retry_budget.py
@@ -29,10 +29,11 @@
         free_retries: Retries and hedges that the fleet may send per window in addition.
 
     Attributes:
-        refused: Number of retries and hedges refused so far.
+        taken: Number of retries and hedges granted so far.
+        refused: Number of refusals so far; a call that waits may be refused several times.
     """
 
-    __slots__ = ("ratio", "window", "free_retries", "calls", "retries", "refused")
+    __slots__ = ("ratio", "window", "free_retries", "calls", "retries", "taken", "refused")
 
     def __init__(self, ratio: float, window: float, free_retries: float):
         self.ratio = ratio * USED_SHARE
@@ -40,6 +41,7 @@
         self.free_retries = max(MIN_FREE_RETRIES, free_retries / MAX_VM_COUNT)
         self.calls: deque[float] = deque()
         self.retries: deque[float] = deque()
+        self.taken = 0
         self.refused = 0
 
     def record_call(self, now: float) -> None:
@@ -48,18 +50,32 @@
         self._expire(now)
 
     def has_token(self, now: float) -> bool:
-        """Return whether a retry or hedge may be sent now."""
+        """Return whether a retry or hedge may be sent now; count it as refused if not."""
         self._expire(now)
-        return len(self.retries) + 1 <= self.free_retries + self.ratio * len(self.calls)
+        if len(self.retries) + 1 <= self.free_retries + self.ratio * len(self.calls):
+            return True
+        self.refused += 1
+        return False
 
     def take(self, now: float) -> bool:
         """Take a token for one retry or hedge; return False if there is none."""
         if not self.has_token(now):
-            self.refused += 1
             return False
         self.retries.append(now)
+        self.taken += 1
         return True
 
+    def dump(self, now: float) -> dict:
+        """Describe the budget for the state dump."""
+        self._expire(now)
+        return {
+            "calls_in_window": len(self.calls),
+            "retries_in_window": len(self.retries),
+            "allowed_in_window": round(self.free_retries + self.ratio * len(self.calls), 1),
+            "taken": self.taken,
+            "refused": self.refused,
+        }
+
     def _expire(self, now: float) -> None:
         oldest = now - self.window
         for times in (self.calls, self.retries):
--- a/sequoiabridge/balancing/upstream_stats.py
+++ b/sequoiabridge/balancing/upstream_stats.py
@@ -96,6 +96,8 @@
         unanswered_probes: Number of consecutive unanswered probes.
         next_probe_at: Time from which an unresponsive upstream is probed again.
         probe_sent_at: Time at which the oldest open probe was sent, or None.
+        alive_at: Latest time at which something was sent to the upstream that it has answered.
+        abandoned_calls: Number of calls that this VM gave up there without an answer, since then.
     """
 
     __slots__ = (
@@ -111,6 +113,8 @@
         "unanswered_probes",
         "next_probe_at",
         "probe_sent_at",
+        "alive_at",
+        "abandoned_calls",
     )
 
     def __init__(self) -> None:
@@ -126,6 +130,14 @@
         self.unanswered_probes = 0
         self.next_probe_at = 0.0
         self.probe_sent_at: float | None = None
+        self.alive_at = float("-inf")
+        self.abandoned_calls = 0
+
+    def record_answer_to(self, sent_at: float) -> None:
+        """Record that the upstream has answered something that was sent at `sent_at`."""
+        if sent_at > self.alive_at:
+            self.alive_at = sent_at
+            self.abandoned_calls = 0
 
     def record_load_report(self, load: UpstreamLoad, now: float) -> None:
         """Record a load report."""
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -96,6 +96,7 @@
     def __init__(self, settings: GatewaySettings):
         self.settings = settings
         self.clock = SystemClock()
+        self.started_at = self.clock.now()
         self.timers = Timers(self.clock)
         self.random = Random()
         listen = settings.listen
@@ -112,6 +113,11 @@
             settings, self.route_stats, self.store, self.decisions
         )
 
+    @property
+    def uptime(self) -> float:
+        """Return the seconds since the daemon was started."""
+        return self.clock.now() - self.started_at
+
     async def run(self) -> int:
         """Serve until a stop is requested, then stop gracefully; return the exit code."""
         await self._start()
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -91,6 +91,7 @@
                 self._set_ending(Ending.RESTARTED, "the upstream has started again")
             else:
                 self._set_ending(Ending.CANCELLED, "cancelled by the daemon")
+                self.upstream.stats.abandoned_calls += self.sent
             raise
         finally:
             await self._release_connection()
@@ -102,8 +103,10 @@
         request = self._build_request()
         # From here on, only the upstream can prove that the request did not run.
         self.sent = True
+        self.sent_at = self.clock.now()
         await self.connection.send(request)
         answer = await self.connection.read_head()
+        self.upstream.stats.record_answer_to(self.sent_at)
         self.metadata = self.dialect.answer_metadata(answer)
         self.load = self.metadata.load
         if answer.body is not None:
@@ -185,6 +188,8 @@
             "ms": round(self.seconds * 1000, 1),
             "expected_ms": round(self.estimate.expected_duration * 1000),
         }
+        if self.sent:
+            row["sent_ms"] = round((self.sent_at - self.started) * 1000, 1)
         if self.answer is not None:
             row["status"] = self.answer.status
         if self.why:
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -17,6 +17,7 @@
 from .counters import LATENCY_BOUNDS, Counters
 
 if TYPE_CHECKING:
+    from ..balancing.dispatch import Dispatch
     from ..gateway import Gateway
 
 BUCKET_BOUNDS = [*(str(bound) for bound in LATENCY_BOUNDS), "+Inf"]
@@ -50,6 +51,7 @@
             "event",
             self.gateway.decisions.written,
         )
+        yield from retry_families(self.gateway.sender.dispatch)
         for name, about, value in plain_counters(self.gateway):
             yield CounterMetricFamily(name, about, value=value)
         for name, about, value in gauges(self.gateway):
@@ -83,6 +85,32 @@
     yield from (calls, timely, latency)
 
 
+def retry_families(dispatch: Dispatch) -> Iterator[Metric]:
+    """Yield the families about retries and hedges, each by service."""
+    recorder, budgets = dispatch.recorder, dispatch.budgets
+    yield labelled_counter(
+        "sequoia_service_sends", "Attempts that were sent.", "service", recorder.sends
+    )
+    yield labelled_counter(
+        "sequoia_service_repeats",
+        "Attempts that were sent after, or beside, another attempt of their call.",
+        "service",
+        recorder.repeats,
+    )
+    yield labelled_counter(
+        "sequoia_retry_tokens",
+        "Retries and hedges that the retry budget granted.",
+        "service",
+        {service: budget.taken for service, budget in budgets.items()},
+    )
+    yield labelled_counter(
+        "sequoia_retry_tokens_refused",
+        "Retries and hedges that the retry budget refused.",
+        "service",
+        {service: budget.refused for service, budget in budgets.items()},
+    )
+
+
 def plain_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
     """Yield name, help and value of each counter without labels."""
     counters, dispatch = gateway.counters, gateway.sender.dispatch
@@ -106,6 +134,7 @@
 
 def gauges(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
     """Yield name, help and value of each gauge."""
+    yield "sequoia_uptime_seconds", "Seconds since the start.", gateway.uptime
     yield "sequoia_ready", "1 if callers may be sent here.", not gateway.readiness.why_not_ready()
     yield "sequoia_configuration_version", "Version in force.", gateway.configuration.version
     yield "sequoia_upstreams", "Upstreams known.", len(gateway.upstreams.by_id)
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -85,7 +85,8 @@
     async def probe(self, upstream: Upstream) -> None:
         """Probe one upstream and record its answer or the failure."""
         self.counters.probes += 1
-        upstream.stats.record_probe_sent(self.clock.now())
+        sent_at = self.clock.now()
+        upstream.stats.record_probe_sent(sent_at)
         connection = None
         try:
             async with curio.timeout_after(PROBE_TIMEOUT):
@@ -100,7 +101,7 @@
         except UpstreamFailed as error:
             self._record_failure(upstream, str(error))
         else:
-            self._record_answer(upstream, answer)
+            self._record_answer(upstream, answer, sent_at)
         finally:
             if connection is not None:
                 await self.connector.release(connection)
@@ -125,7 +126,7 @@
         stats.record_probe_failure(self.clock.now())
         self.counters.probes_unanswered += 1
 
-    def _record_answer(self, upstream: Upstream, answer: Answer) -> None:
+    def _record_answer(self, upstream: Upstream, answer: Answer, sent_at: float) -> None:
         metadata = self.dialect.health_metadata(answer)
         if metadata.upstream and metadata.upstream != upstream.id:
             self.upstreams.record_replacement(upstream)
@@ -133,8 +134,12 @@
         stats = upstream.stats
         if stats.unanswered_probes:
             self.decisions.event(
-                "upstream-answers", upstream=upstream.id, after=stats.unanswered_probes
+                "upstream-answers",
+                upstream=upstream.id,
+                after=stats.unanswered_probes,
+                abandoned_calls=stats.abandoned_calls,
             )
+        stats.record_answer_to(sent_at)
         if metadata.healthy != stats.healthy:
             self.decisions.event("upstream-health", upstream=upstream.id, healthy=metadata.healthy)
         stats.record_probe_answer(metadata.healthy)
