Reproduce the retry limit incident with real processes

The soak's upstreams are processes now, which can be stopped, killed and restarted, and log each arrival. Its oracle counts repeats per service and window, as users do.

--- a/sequoiabridge/tests/platform/soak/oracle.py
+++ b/sequoiabridge/tests/platform/soak/oracle.py
@@ -1,5 +1,8 @@
 """Records what callers and upstreams observed, and checks it against the daemon's guarantees."""
 
+import json
+from bisect import bisect_left
+
 READ, APPROVE, UPLOAD, MARK = "read", "approve", "upload", "mark"
 """Kinds of calls, each with a route of its own; the route of `MARK` alternates between services."""
 
@@ -22,6 +25,19 @@
 """Seconds that a request may take from a daemon to an upstream on a busy machine."""
 
 
+ARRIVAL, RUN = "arrival", "run"
+"""Kinds of lines in an upstream's log."""
+
+RETRY_RATIO = 0.2
+"""Repeats that a service may receive per call, over all daemons."""
+
+RETRY_WINDOW = 10.0
+"""Seconds over which calls and repeats are counted."""
+
+SERVICES = {READ: "reads", APPROVE: "approvals", UPLOAD: "approvals"}
+"""Service of each kind of call whose route does not change."""
+
+
 class CallRecord:
     """One call of a caller and its answer."""
 
@@ -48,10 +64,20 @@
         self.size = size
 
 
+class Arrival:
+    """One call that an upstream received, whether it ran or rejected it."""
+
+    def __init__(self, call_id, service, at):
+        self.id = call_id
+        self.service = service
+        self.at = at
+
+
 class Record:
     """Events of one soak run; times are in seconds on one clock.
 
     Attributes:
+        retry_slack: Fixed part of the retry limit; repeats are not checked if it is None.
         faults: Start, end and description of each fault.
         drains: Time at which each upstream was listed as draining, by id.
         route_changes: Time and new service of each change of the alternating route.
@@ -62,6 +88,8 @@
     def __init__(self):
         self.calls: list[CallRecord] = []
         self.runs: list[UpstreamRun] = []
+        self.arrivals: list[Arrival] = []
+        self.retry_slack: float | None = None
         self.faults: list[tuple[float, float, str]] = []
         self.drains: dict[str, float] = {}
         self.route_changes: list[tuple[float, str]] = []
@@ -88,6 +116,7 @@
     violations += [f"{id}: ran, but no caller sent it" for id in runs if id not in sent_ids]
     violations += check_drains(record)
     violations += check_stops(record)
+    violations += check_repeats(record)
     return violations
 
 
@@ -156,3 +185,91 @@
                     f"{call.id} ({call.kind}): cut off by the graceful stop of {daemon} at {at:.2f}"
                 )
     return violations
+
+
+def check_repeats(record: Record) -> list[str]:
+    """Return a message for each service that received more repeats than the fleet may send."""
+    if record.retry_slack is None:
+        return []
+    return [
+        f"{service}: {worst}"
+        for service, worst in worst_repeats(record).items()
+        if worst.excess > 0.0
+    ]
+
+
+def worst_repeats(record: Record) -> dict[str, "RepeatExcess"]:
+    """Return the window with the most repeats beyond the limit for each service."""
+    worst = {}
+    for service in sorted({arrival.service for arrival in record.arrivals}):
+        calls = sorted(c.sent_at for c in record.calls if service_of(record, c) == service)
+        repeats = repeat_times(record, service)
+        windows = [repeat_excess(start, repeats, calls, record.retry_slack) for start in repeats]
+        if windows:
+            worst[service] = max(windows, key=lambda window: window.excess)
+    return worst
+
+
+class RepeatExcess:
+    """The repeats in one window and how many were allowed."""
+
+    def __init__(self, start, count, allowed):
+        self.start = start
+        self.count = count
+        self.allowed = allowed
+
+    @property
+    def excess(self) -> float:
+        """Return how many repeats were too many; negative if there was room."""
+        return self.count - self.allowed
+
+    def __str__(self) -> str:
+        return (
+            f"{self.count} repeats within {RETRY_WINDOW:.0f} s from {self.start:.2f} on, "
+            f"{self.allowed:.0f} allowed"
+        )
+
+
+def repeat_excess(start, repeats, calls, slack) -> RepeatExcess:
+    """Return the repeats in the window from `start` on; `repeats` and `calls` are sorted times."""
+    counted = max(
+        count_between(calls, start - back, start - back + RETRY_WINDOW)
+        for back in (0.0, RETRY_WINDOW / 2, RETRY_WINDOW)
+    )
+    count = count_between(repeats, start, start + RETRY_WINDOW)
+    return RepeatExcess(start, count, RETRY_RATIO * counted + slack)
+
+
+def repeat_times(record: Record, service: str) -> list[float]:
+    """Return the sorted times of all arrivals at a service but the first of each call."""
+    seen, repeats = set(), []
+    for arrival in sorted(record.arrivals, key=lambda one: one.at):
+        if arrival.id in seen and arrival.service == service:
+            repeats.append(arrival.at)
+        seen.add(arrival.id)
+    return repeats
+
+
+def service_of(record: Record, call: CallRecord) -> str:
+    """Return the service of a call's route at the time at which the call was sent."""
+    if call.kind in SERVICES:
+        return SERVICES[call.kind]
+    return [service for at, service in record.route_changes if at <= call.sent_at][-1]
+
+
+def count_between(times: list[float], start: float, end: float) -> int:
+    """Return the number of sorted `times` from `start` up to but without `end`."""
+    return bisect_left(times, end) - bisect_left(times, start)
+
+
+def read_upstream_log(record: Record, upstream, clock_start: float) -> None:
+    """Add the arrivals and runs in an upstream's log to the record."""
+    if not upstream.log.exists():
+        return
+    for line in upstream.log.read_text().splitlines():
+        at, what, call_id, size = json.loads(line)
+        at -= clock_start
+        if what == ARRIVAL:
+            record.arrivals.append(Arrival(call_id, upstream.service, at))
+        else:
+            record.runs.append(UpstreamRun(call_id, upstream.id, upstream.service, at, size))
--- /dev/null
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -0,0 +1,196 @@
+"""Soak runs that press on the retry limit while processes stop, continue, end and start again."""
+
+import signal
+from enum import Enum
+from random import Random
+
+import curio
+
+from ..environment import Connection
+from .deployment import Daemon
+from .oracle import APPROVE, MARK, READ
+from .soak import READY_POLL_INTERVAL, Soak
+
+SERVICE = "reads"
+"""The service whose upstreams fail."""
+
+RETRY_SLACK_PER_DAEMON = 2.5
+"""Fixed part of the retry limit for each daemon, as in large fleets."""
+
+QUIET_SECONDS = 11.0
+"""Seconds without faults at the start, in which daemons save up allowance for retries."""
+
+MIN_PRESSURE, MAX_PRESSURE = 0.3, 0.9
+"""Bounds on the share of calls that upstreams fail while they fail."""
+
+KILL_INTERVAL = 2.5
+"""Seconds between two kills of all daemons; a daemon serves again about a second after one."""
+
+MAX_UPSTREAM_STOP = 9.0
+"""Maximum seconds for which upstreams are stopped; close to the window of the retry limit."""
+
+
+class Scenario(Enum):
+    """What happens while upstreams fail; `RANDOM` mixes everything in series."""
+
+    RANDOM = "random"
+    RESTARTS = "restarts"
+    STOPPED_UPSTREAMS = "stopped-upstreams"
+
+
+class RetrySoak(Soak):
+    """One run in which upstreams of one service fail while processes are disturbed.
+
+    Args:
+        scenario: Which processes are disturbed.
+        reads: Number of upstreams of the service.
+        call_rate: Calls per second to all daemons together, whether they are answered or not.
+
+    Attributes:
+        idle_connections: Connections of callers that can be used again, by daemon.
+        ready_daemons: Daemons that answered their latest readiness check.
+    """
+
+    callers_per_daemon = 1
+    call_kinds = ((READ, 0.85), (APPROVE, 0.1), (MARK, 0.05))
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        daemons: int,
+        scenario: Scenario = Scenario.RANDOM,
+        reads: int = 5,
+        call_rate: float = 60.0,
+    ):
+        super().__init__(seed, seconds, daemons)
+        self.scenario = scenario
+        self.call_interval = daemons / call_rate
+        self.idle_connections: dict[str, list[Connection]] = {}
+        self.ready_daemons: set[Daemon] = set()
+        self.deployment.retry_slack = RETRY_SLACK_PER_DAEMON * daemons
+        self.deployment.upstream_counts = {SERVICE: reads, "approvals": 3}
+
+    async def run_caller(self, daemon: Daemon, random: Random) -> None:
+        """Send calls at a constant mean rate; to another daemon while this one is not ready."""
+        watcher = await curio.spawn(self.watch_readiness, daemon)
+        calls = curio.TaskGroup(wait=all)
+        while not self.stopping:
+            await curio.sleep(random.expovariate(1 / self.call_interval))
+            target = daemon
+            if daemon not in self.ready_daemons and self.ready_daemons:
+                target = random.choice(sorted(self.ready_daemons, key=lambda one: one.name))
+            await calls.spawn(self.make_call, target, random)
+        await calls.join()
+        await watcher.cancel()
+
+    async def watch_readiness(self, daemon: Daemon) -> None:
+        """Check a daemon's readiness regularly, as the platform's balancer does."""
+        while True:
+            if await self.deployment.is_ready(daemon):
+                self.ready_daemons.add(daemon)
+            else:
+                self.ready_daemons.discard(daemon)
+            await curio.sleep(READY_POLL_INTERVAL)
+
+    async def make_call(self, daemon: Daemon, random: Random) -> None:
+        """Make one call on an idle connection, or on a new one."""
+        idle = self.idle_connections.setdefault(daemon.name, [])
+        connection = idle.pop() if idle else await self.open_connection(daemon)
+        if connection is None:
+            return
+        if await self.call(connection, daemon, random):
+            idle.append(connection)
+        else:
+            await connection.sock.close()
+
+    async def inject_faults(self, until: float) -> None:
+        """Wait while the daemons save up allowance, then run the scenario until `until`."""
+        await curio.sleep(QUIET_SECONDS)
+        if self.scenario is Scenario.RESTARTS:
+            await self.restart_under_pressure(until)
+        elif self.scenario is Scenario.STOPPED_UPSTREAMS:
+            await self.stop_upstreams_under_pressure(until)
+        else:
+            await super().inject_faults(until)
+
+    def fault_kinds(self) -> list:
+        """Return the faults and planned operations to choose from; some stand twice."""
+        return [
+            self.fail_upstreams,
+            self.fail_upstreams,
+            self.kill_daemons,
+            self.kill_daemons,
+            self.pause_daemon,
+            self.stop_daemon,
+            self.stop_upstreams,
+            self.stop_upstreams,
+            self.restart_upstream,
+            self.disturb_upstream_link,
+            self.change_configuration,
+        ]
+
+    async def restart_under_pressure(self, until: float) -> None:
+        """Let upstreams fail, and kill all daemons whenever they have spent their allowance."""
+        failing = await curio.spawn(self.fail_upstreams, until - self.now(), MAX_PRESSURE)
+        while self.now() + KILL_INTERVAL < until:
+            await curio.sleep(KILL_INTERVAL)
+            self.signal_daemons(self.deployment.daemons, signal.SIGKILL)
+        await failing.join()
+
+    async def stop_upstreams_under_pressure(self, until: float) -> None:
+        """Stop all upstreams of the service for most of a window; let them fail afterwards."""
+        await self.stop_upstreams(MAX_UPSTREAM_STOP, 1.0)
+        await self.fail_upstreams(until - self.now(), MAX_PRESSURE)
+
+    def service_upstreams(self) -> list:
+        """Return the upstreams of the service, in random order."""
+        upstreams = [u for u in self.deployment.upstreams.values() if u.service == SERVICE]
+        self.random.shuffle(upstreams)
+        return upstreams
+
+    async def fail_upstreams(self, seconds: float, share: float | None = None) -> None:
+        """Let all upstreams of the service fail or reject a share of the calls."""
+        if share is None:
+            share = self.random.uniform(MIN_PRESSURE, MAX_PRESSURE)
+            seconds *= 2.0
+        fault = self.random.choice(("fail", "reset", "lose"))
+        self.record_fault(seconds, f"{fault} {share:.2f}")
+        upstreams = self.service_upstreams()
+        for upstream in upstreams:
+            upstream.set(**{fault: share})
+        await curio.sleep(seconds)
+        for upstream in upstreams:
+            upstream.set(**{fault: 0.0})
+
+    def signal_daemons(self, daemons: list, number: int) -> None:
+        """Signal daemons at the same moment."""
+        for daemon in daemons:
+            self.record_fault(3.0, f"signal {number} {daemon.name}")
+            daemon.signal(number)
+
+    async def kill_daemons(self, seconds: float) -> None:
+        """Kill a share of the daemons, up to three times in a row."""
+        for _ in range(self.random.choice((1, 2, 3))):
+            count = self.random.randint(1, len(self.deployment.daemons))
+            self.signal_daemons(self.random.sample(self.deployment.daemons, count), signal.SIGKILL)
+            await curio.sleep(seconds)
+
+    async def stop_upstreams(self, seconds: float, share: float | None = None) -> None:
+        """Stop upstreams of the service by a signal and continue them together."""
+        upstreams = self.service_upstreams()
+        if share is None:
+            upstreams = upstreams[: self.random.randint(1, len(upstreams))]
+            seconds = self.random.uniform(0.5, MAX_UPSTREAM_STOP)
+        self.record_fault(seconds + 1.0, f"stop {len(upstreams)} upstreams")
+        for upstream in upstreams:
+            upstream.signal(signal.SIGSTOP)
+        await curio.sleep(seconds)
+        for upstream in upstreams:
+            upstream.signal(signal.SIGCONT)
+
+    async def restart_upstream(self, seconds: float) -> None:
+        """Kill an upstream and start it again under its id."""
+        upstream = self.service_upstreams()[0]
+        self.record_fault(seconds + 2.0, f"restart {upstream.id}")
+        await self.deployment.restart_upstream(upstream, seconds)
--- /dev/null
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -0,0 +1,88 @@
+"""An upstream as a process of its own, which the soak can stop, continue, kill and restart.
+
+It prints its address, appends a line for each arrival and each run of a call to its log, and reads
+changes of its faults from standard input, one JSON object a line. It ends with standard input.
+"""
+
+import json
+import os
+import sys
+import time
+
+import curio
+import defopt
+from curio.traps import _read_wait
+
+from ....selector import LazySelector
+from ..upstream_emulator import UpstreamEmulator
+from .oracle import ARRIVAL, RUN
+
+STDIN = 0
+
+
+class LoggingUpstream(UpstreamEmulator):
+    """An upstream that logs each arrival and each run; times are those of the monotonic clock."""
+
+    def __init__(self, log: str, **more):
+        super().__init__(**more)
+        self.log = os.open(log, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+
+    async def handle(self, connection, request):
+        """Log the arrival of a call, then handle it."""
+        if request.target != "/health":
+            self.write(ARRIVAL, request)
+        return await super().handle(connection, request)
+
+    async def run(self, connection, request):
+        """Log the run of a call, then run it."""
+        self.write(RUN, request)
+        return await super().run(connection, request)
+
+    def write(self, what: str, request) -> None:
+        """Append a line to the log."""
+        fields = (time.monotonic(), what, request.header(b"x-attempt-id"), len(request.body))
+        os.write(self.log, (json.dumps(fields) + "\n").encode())
+
+    async def read_commands(self) -> None:
+        """Apply changes of the faults until standard input ends."""
+        os.set_blocking(STDIN, False)
+        while True:
+            await _read_wait(STDIN)
+            data = os.read(STDIN, 65536)
+            if not data:
+                return
+            for line in data.splitlines():
+                for name, value in json.loads(line).items():
+                    setattr(self if name == "draining" else self.faults, name, value)
+
+
+async def serve(upstream: LoggingUpstream) -> None:
+    """Serve until standard input ends."""
+    await upstream.start()
+    print(upstream.address, flush=True)
+    await upstream.read_commands()
+
+
+def main(*, id: str, service: str, data_centre: str, log: str, seconds: float, seed: int) -> None:
+    """Run one upstream.
+
+    :param id: id of the upstream
+    :param service: name of its service
+    :param data_centre: name of its data centre
+    :param log: file to which arrivals and runs are appended
+    :param seconds: processing time of a call
+    :param seed: seed of its random faults
+    """
+    upstream = LoggingUpstream(
+        log,
+        id=id,
+        service=service,
+        data_centre=data_centre,
+        processing_time=seconds,
+        seed=seed,
+    )
+    curio.run(serve, upstream, selector=LazySelector())
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
