Give a new process no more retries than its predecessor left

What callers saw: after daemons had ended and started again, upstreams of a failing service received more repeats than the fleet may send; the repeats held back calls that could have been served.

Cause: the limit is a sliding window in the memory of a process. A process that starts again has an empty window: its free retry is there again, and calls after the start pay for retries beside those which calls before it have paid for. Calls of up to 20 s paid for retries of 10 s.

Fix: until one window has passed since its start, a process may retry 0.04 times its calls (0.2 x 0.2) and has no free retry. The predecessor used 0.15 at the most, so both together stay under 0.2.

--- a/sequoiabridge/balancing/retry_budget.py
+++ b/sequoiabridge/balancing/retry_budget.py
@@ -2,6 +2,10 @@
 
 The VMs do not coordinate. Each one may send a share of its own calls again, plus a small fixed
 number; since both bounds hold on each VM, they hold for the sum.
+
+A process that has just started does not know which retries its predecessor sent within the window.
+Until a whole window has passed, it gets nothing but a small share of its own calls, which the
+predecessor left unused.
 """
 
 from __future__ import annotations
@@ -10,7 +14,11 @@
 
 USED_SHARE = 0.75
 """Share of the fleet's ratio that is used. The rest covers calls that fall just outside the window
-in which their retries are counted."""
+in which their retries are counted, and the retries of processes that have just started."""
+
+NEW_PROCESS_SHARE = 0.2
+"""Share of the fleet's ratio that a process uses in its first window; `USED_SHARE` and this one
+together are less than 1."""
 
 MAX_VM_COUNT = 128
 """Maximum number of VMs that share the fixed part of the limit."""
@@ -27,18 +35,29 @@
         ratio: Retries and hedges that the fleet may send per call.
         window: Length of the sliding window in seconds.
         free_retries: Retries and hedges that the fleet may send per window in addition.
+        started_at: Time at which this process started.
 
     Attributes:
         taken: Number of retries and hedges granted so far.
         refused: Number of refusals so far; a call that waits may be refused several times.
     """
 
-    __slots__ = ("ratio", "window", "free_retries", "calls", "retries", "taken", "refused")
-
-    def __init__(self, ratio: float, window: float, free_retries: float):
-        self.ratio = ratio * USED_SHARE
+    __slots__ = (
+        "ratio",
+        "window",
+        "free_retries",
+        "started_at",
+        "calls",
+        "retries",
+        "taken",
+        "refused",
+    )
+
+    def __init__(self, ratio: float, window: float, free_retries: float, started_at: float):
+        self.ratio = ratio
         self.window = window
         self.free_retries = max(MIN_FREE_RETRIES, free_retries / MAX_VM_COUNT)
+        self.started_at = started_at
         self.calls: deque[float] = deque()
         self.retries: deque[float] = deque()
         self.taken = 0
@@ -52,7 +71,7 @@
     def has_token(self, now: float) -> bool:
         """Return whether a retry or hedge may be sent now; count it as refused if not."""
         self._expire(now)
-        if len(self.retries) + 1 <= self.free_retries + self.ratio * len(self.calls):
+        if len(self.retries) + 1 <= self._allowed(now):
             return True
         self.refused += 1
         return False
@@ -71,11 +90,17 @@
         return {
             "calls_in_window": len(self.calls),
             "retries_in_window": len(self.retries),
-            "allowed_in_window": round(self.free_retries + self.ratio * len(self.calls), 1),
+            "allowed_in_window": round(self._allowed(now), 1),
             "taken": self.taken,
             "refused": self.refused,
         }
 
+    def _allowed(self, now: float) -> float:
+        """Return the number of retries and hedges that may be sent in the window ending now."""
+        if now - self.started_at < self.window:
+            return NEW_PROCESS_SHARE * self.ratio * len(self.calls)
+        return self.free_retries + USED_SHARE * self.ratio * len(self.calls)
+
     def _expire(self, now: float) -> None:
         oldest = now - self.window
         for times in (self.calls, self.retries):
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -223,7 +223,9 @@
             Hedging(chooser, self.route_stats, clock),
             AttemptRecorder(self.route_stats, self.sharing),
             clock,
-            lambda: RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
+            lambda: RetryBudget(
+                bounds.retry_ratio, bounds.retry_window, bounds.retry_slack, self.started_at
+            ),
         )
         self.sender = Sender(
             dispatch,
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -41,6 +41,7 @@
         text = text.replace("vm-1", name).replace("= here", f"= {data_centre}")
         text = text.replace("callers = 127.0.0.1:0", f"callers = 127.0.0.1:{self.callers}")
         text = text.replace("ready = 127.0.0.1:0", f"ready = 127.0.0.1:{self.ready}")
+        text = text.replace("retry_window = 0.1s", "retry_window = 10s")
         self.settings.write_text(text.replace("= 10000", f"= {retry_slack}"))
         self.process: subprocess.Popen | None = None
         self.starts = 1
