Hold a retry token until no upstream can still read its call

What callers saw: once stopped upstreams continued, more repeats than the fleet may send arrived together with the retries of the calls that failed then.

Cause: a token was charged at the decision and came back one window later. A stopped upstream reads what was sent to it when it continues, also on connections that were closed meanwhile, so retries of one window arrived in the next.

Fix: a token is in use from the decision until a window after its call is settled.

--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -128,6 +128,7 @@
             attempt succeeds.
         considered: Cost estimates of the latest choice, the lowest cost first.
         note: Reason why the call was not sent again, for the log.
+        retry_tokens: Number of tokens that it has taken from the retry budget and not settled.
         recorded_sends: Number of ended attempts that were sent and have been recorded.
     """
 
@@ -146,6 +147,7 @@
         "fallback",
         "considered",
         "note",
+        "retry_tokens",
         "recorded_sends",
     )
 
@@ -164,6 +166,7 @@
         self.fallback: CallAttempt | None = None
         self.considered: list[CostEstimate] = []
         self.note = ""
+        self.retry_tokens = 0
         self.recorded_sends = 0
 
     def apply_route(self, route: Route, caller_timeout: float | None) -> None:
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -121,8 +121,7 @@
         if estimate is None or self.chooser.lacks_capacity(call, estimate):
             call.note = "no other upstream has capacity"
             return False
-        if call.was_sent and not self._retry_budget(call).take(self.clock.now()):
-            call.note = "the retry budget is exhausted"
+        if call.was_sent and not self._take_token(call):
             return False
         self.retries += 1
         yield from self._start(call, estimate)
@@ -161,12 +160,24 @@
         estimate = yield from self.hedging.find_hedge(call, attempt)
         if estimate is None or attempt.ending is not None:
             return
-        if not budget.take(self.clock.now()):
-            call.note = "the retry budget is exhausted"
+        if not self._take_token(call):
             return
         self.hedges += 1
         yield from self._start(call, estimate)
 
+    def settle(self, call: Call) -> None:
+        """Settle the retry tokens of a call once no upstream can receive it any more."""
+        if call.retry_tokens:
+            self._retry_budget(call).settle(call.retry_tokens, self.clock.now())
+            call.retry_tokens = 0
+
+    def _take_token(self, call: Call) -> bool:
+        if not self._retry_budget(call).take(self.clock.now()):
+            call.note = "the retry budget is exhausted"
+            return False
+        call.retry_tokens += 1
+        return True
+
     def _retry_budget(self, call: Call) -> RetryBudget:
         budget = self.budgets.get(call.service)
         if budget is None:
--- a/sequoiabridge/balancing/retry_budget.py
+++ b/sequoiabridge/balancing/retry_budget.py
@@ -3,6 +3,10 @@
 The VMs do not coordinate. Each one may send a share of its own calls again, plus a small fixed
 number; since both bounds hold on each VM, they hold for the sum.
 
+A retry counts when an upstream receives it, which may be long after it was decided, for instance at
+an upstream that was stopped meanwhile. Its token is therefore in use from the decision until a
+window after the call is settled, that is, after no upstream can receive it any more.
+
 A process that has just started does not know which retries its predecessor sent within the window.
 Until a whole window has passed, it gets nothing but a small share of its own calls, which the
 predecessor left unused.
@@ -38,6 +42,9 @@
         started_at: Time at which this process started.
 
     Attributes:
+        calls: Times of the calls in the window.
+        settled: Times at which tokens were settled, in the window.
+        unsettled: Number of tokens in use by calls that upstreams may still receive.
         taken: Number of retries and hedges granted so far.
         refused: Number of refusals so far; a call that waits may be refused several times.
     """
@@ -48,7 +55,8 @@
         "free_retries",
         "started_at",
         "calls",
-        "retries",
+        "settled",
+        "unsettled",
         "taken",
         "refused",
     )
@@ -59,7 +67,8 @@
         self.free_retries = max(MIN_FREE_RETRIES, free_retries / MAX_VM_COUNT)
         self.started_at = started_at
         self.calls: deque[float] = deque()
-        self.retries: deque[float] = deque()
+        self.settled: deque[float] = deque()
+        self.unsettled = 0
         self.taken = 0
         self.refused = 0
 
@@ -71,25 +80,31 @@
     def has_token(self, now: float) -> bool:
         """Return whether a retry or hedge may be sent now; count it as refused if not."""
         self._expire(now)
-        if len(self.retries) + 1 <= self._allowed(now):
+        if self.unsettled + len(self.settled) + 1 <= self._allowed(now):
             return True
         self.refused += 1
         return False
 
     def take(self, now: float) -> bool:
-        """Take a token for one retry or hedge; return False if there is none."""
+        """Take a token for one retry or hedge, to be settled; return False if there is none."""
         if not self.has_token(now):
             return False
-        self.retries.append(now)
+        self.unsettled += 1
         self.taken += 1
         return True
 
+    def settle(self, count: int, now: float) -> None:
+        """Return tokens a window from now; no upstream receives their calls after `now`."""
+        self.unsettled -= count
+        self.settled.extend([now] * count)
+
     def dump(self, now: float) -> dict:
         """Describe the budget for the state dump."""
         self._expire(now)
         return {
             "calls_in_window": len(self.calls),
-            "retries_in_window": len(self.retries),
+            "retries_settled_in_window": len(self.settled),
+            "retries_unsettled": self.unsettled,
             "allowed_in_window": round(self._allowed(now), 1),
             "taken": self.taken,
             "refused": self.refused,
@@ -103,6 +118,6 @@
 
     def _expire(self, now: float) -> None:
         oldest = now - self.window
-        for times in (self.calls, self.retries):
+        for times in (self.calls, self.settled):
             while times and times[0] < oldest:
                 times.popleft()
--- a/sequoiabridge/experiment/vm.py
+++ b/sequoiabridge/experiment/vm.py
@@ -35,17 +35,19 @@
     Attributes:
         work: Seconds of work at full speed.
         on_answer: Called with the status of the answer and the Retry-After of a refusal in seconds.
+        dispatch: The dispatch that runs it, that of the process which received it.
         steps: Remaining steps of its dispatch; None before it begins and after it ends.
         jobs: The job of each attempt that runs.
         generation: Changes with each step; scheduled resumptions of older ones are ignored.
     """
 
-    __slots__ = ("work", "on_answer", "steps", "jobs", "generation")
+    __slots__ = ("work", "on_answer", "dispatch", "steps", "jobs", "generation")
 
     def __init__(self, arrived: float, work: float, on_answer: Callable[[int, float | None], None]):
         super().__init__(arrived)
         self.work = work
         self.on_answer = on_answer
+        self.dispatch: Dispatch | None = None
         self.steps = None
         self.jobs: dict[CallAttempt, Job] = {}
         self.generation = 0
@@ -140,6 +142,7 @@
         """Start a call, whose route is set already."""
         call.apply_route(call.route, caller_timeout)
         call.add_prior_wait(self.wait_estimator.estimate(call.route.name, caller_timeout))
+        call.dispatch = self.dispatch
         call.steps = self.dispatch.run(call)
         self._advance(call, None)
 
@@ -169,6 +172,7 @@
         call.on_answer(status, retry_after)
 
     def _close(self, call: ModelCall) -> None:
+        call.dispatch.settle(call)
         call.steps = None
         call.generation += 1
         for attempt in call.open_attempts:
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -50,6 +50,7 @@
 from .relay.reloading import SettingsReloader
 from .relay.sender import Sender
 from .relay.sharing import Sharing
+from .relay.unread import UnreadCalls
 from .relay.upstreams import UpstreamList
 from .relay.watchers import HEARTBEAT_INTERVAL, Watchers
 from .selector import LazySelector
@@ -235,6 +236,7 @@
             self.sharing,
             clock,
             CrashGuard(self.connector, self.sharing, self.decisions, clock),
+            UnreadCalls(self.prober, self.decisions, clock),
         )
         self.relay = Relay(
             self.configuration,
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -139,6 +139,8 @@
     yield "sequoia_configuration_version", "Version in force.", gateway.configuration.version
     yield "sequoia_upstreams", "Upstreams known.", len(gateway.upstreams.by_id)
     yield "sequoia_calls_in_flight", "Calls under way.", gateway.callers.in_flight
+    unread = gateway.sender.unread_calls.count
+    yield "sequoia_unread_calls", "Calls given up that an upstream may still read.", unread
     lost = any(follower.store_unavailable for follower in gateway.followers.values())
     yield "sequoia_store_lost", "1 while the store does not answer.", lost
     yield "sequoia_watches_store", "1 if the store is followed here.", gateway.watchers.watching
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -18,6 +18,7 @@
 from .probing import Prober
 from .race import Race
 from .sharing import Sharing
+from .unread import UnreadCall, UnreadCalls
 
 
 class Sender:
@@ -26,6 +27,7 @@
     Args:
         dispatch: Yields the steps to take for each call.
         crash_guard: Blocks requests that crash upstreams.
+        unread_calls: Waits for calls that were given up but may still be read.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         sharing: Sharing,
         clock: Clock,
         crash_guard: CrashGuard,
+        unread_calls: UnreadCalls,
     ):
         self.dispatch = dispatch
         self.prober = prober
@@ -45,6 +48,7 @@
         self.sharing = sharing
         self.clock = clock
         self.crash_guard = crash_guard
+        self.unread_calls = unread_calls
 
     async def send(self, call: RelayedCall) -> Answer:
         """Return the answer that the caller gets.
@@ -61,6 +65,23 @@
             for attempt in call.open_attempts:
                 if attempt.ending is Ending.CANCELLED:
                     self.dispatch.recorder.record(call, attempt)
+            await self._settle(call)
+
+    async def _settle(self, call: RelayedCall) -> None:
+        """Settle the retry tokens of a call, at once or when no upstream can read it any more."""
+        unread = [attempt.unread for attempt in call.attempts if attempt.unread is not None]
+        if unread:
+            await curio.spawn(self._settle_later, call, unread, daemon=True)
+        else:
+            self.dispatch.settle(call)
+
+    async def _settle_later(self, call: RelayedCall, unread: list[UnreadCall]) -> None:
+        try:
+            async with curio.TaskGroup() as waits:
+                for one in unread:
+                    await waits.spawn(self.unread_calls.wait, one)
+        finally:
+            self.dispatch.settle(call)
 
     async def _run_steps(self, call: RelayedCall, race: Race) -> Answer:
         """Execute steps until dispatch returns the attempt with the final answer."""
--- a/sequoiabridge/tests/balancing/test_retry_budget.py
+++ b/sequoiabridge/tests/balancing/test_retry_budget.py
@@ -27,6 +27,7 @@
         self.calls.append(now)
         for _ in range(retries):
             if self.budgets[vm].take(now):
+                self.budgets[vm].settle(1, now)
                 self.retries.append(now)
 
     def restart(self, vm, now):
@@ -59,6 +60,7 @@
     budget = RetryBudget(RATIO, WINDOW, SLACK, -WINDOW)
     budget.record_call(1.0)
     assert [budget.take(1.0 + n / 10) for n in range(3)] == [True, False, False]
+    budget.settle(1, 1.0)
     assert budget.take(11.2)
 
 
@@ -81,4 +83,24 @@
     for step in range(200):
         budget.record_call(100.0 + step / 25)
     assert sum(budget.take(108.0) for _ in range(100)) == 8
+    budget.settle(8, 108.0)
     assert sum(budget.take(110.0) for _ in range(100)) == 23
+
+
+def test_retries_that_a_stopped_upstream_reads_later_count_until_a_window_after_that():
+    # Retries held by stopped upstreams arrived with those of the next window.
+    fleet, held = Fleet(18), []
+    for step in range(45 * 130):
+        now, vm = step / 130, step % 18
+        if now < 22.0:
+            fleet.budgets[vm].record_call(now)
+            fleet.calls.append(now)
+            if now >= 13.0 and fleet.budgets[vm].take(now):
+                held.append(vm)
+            continue
+        while held:
+            fleet.budgets[held.pop()].settle(1, now)
+            fleet.retries.append(now)
+        fleet.call(vm, now, retries=2)
+    assert len(fleet.retries) > 200
+    assert fleet.worst_excess() <= 0
--- a/sequoiabridge/tests/test_gateway.py
+++ b/sequoiabridge/tests/test_gateway.py
@@ -315,7 +315,7 @@
         assert 'sequoia_retry_tokens_total{service="reads"} 1.0' in text
         assert 'sequoia_retry_tokens_refused_total{service="reads"} 0.0' in text
         budget = json.loads((await operators.call("/dump")).body)["retry_budgets"]["reads"]
-        assert budget["retries_in_window"] == 1 and budget["calls_in_window"] == 1
+        assert budget["retries_settled_in_window"] == 1 and budget["calls_in_window"] == 1
 
     run_in_environment(test)
 
