Tell a daemon that starts which requests crash upstreams

What callers saw: after a daemon had started again, a request that crashes upstreams was sent to three more of them, and calls that were with these failed.

What a daemon knows of the request lies in its memory, and its peers report a crash only when it happens.

Evidence: three daemon processes, nine upstreams: the request was blocked on all; after a kill of one daemon it got 502 three times there, each from an upstream that died, instead of 503. The test failed like that.

Fix: peers answer the greeting of a daemon that starts with the crashes behind each blocked request, with their ages, since blame depends on which crashes are close together. If all daemons end at once, the knowledge is lost as before.

--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -181,7 +181,7 @@
             self.settings.vm.first_start,
         )
         self.sharing.on_heartbeat = self.watchers.handle_heartbeat
-        self.sharing.on_hello = self.watchers.handle_hello
+        self.sharing.on_hello = self._handle_hello
         self.sharing.channel.after_batch = self.watchers.wake_if_behind
         self.configuration.receives_updates = lambda: self.watchers.is_current
 
@@ -332,6 +332,11 @@
         signal.signal(signal.SIGINT, stop)
         signal.signal(signal.SIGHUP, reload)
 
+    def _handle_hello(self, hello: Hello) -> None:
+        """Tell a daemon that has just started what it needs to know at once."""
+        self.watchers.handle_hello(hello)
+        self.sender.crash_guard.send_blocked(hello)
+
     def _offer_configuration(self, update: Update[RouteTable]) -> None:
         for table in update.entries:
             self.configuration.offer(table)
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -21,7 +21,7 @@
 from .attempt import Attempt
 from .call import RelayedCall
 from .decisions import DecisionLog
-from .messages import RequestCrashed, RequestSurvived
+from .messages import Hello, RequestCrashed, RequestSurvived
 from .sharing import Sharing
 
 MIN_CRASHED_UPSTREAMS = 3
@@ -31,6 +31,9 @@
 ALIVE_CHECK_TIMEOUT = 0.1
 """Timeout in seconds for the connection that checks whether an upstream is alive."""
 
+MAX_SENT_CRASHES = 60
+"""Maximum number of crashes that a daemon which has just started is told by each peer."""
+
 RETRY_AFTER = 1.0
 """Seconds in the Retry-After header of a blocked request."""
 
@@ -79,6 +82,17 @@
         if self._record_crash(crashed):
             self.sharing.broadcast(crashed)
 
+    def send_blocked(self, hello: Hello) -> None:
+        """Tell a daemon that has just started which requests are blocked, and why."""
+        now = self.clock.now()
+        known = [
+            RequestCrashed(fingerprint, crash.upstream, max(0.0, now - crash.at))
+            for fingerprint in sorted(self.ledger.blocked_fingerprints)
+            for crash in self.ledger.by_fingerprint[fingerprint]
+        ]
+        for crashed in known[:MAX_SENT_CRASHES]:
+            self.sharing.channel.send(crashed, [hello.address])
+
     def _report_survival(self, call: RelayedCall) -> None:
         if not self.ledger.by_fingerprint:
             return
@@ -89,7 +103,8 @@
     def _record_crash(self, crashed: RequestCrashed) -> bool:
         """Record a crash; return whether it was unknown so far."""
         now = self.clock.now()
-        is_new = self.ledger.record_crash(crashed.fingerprint, crashed.upstream, "", now, now)
+        at = now - crashed.age
+        is_new = self.ledger.record_crash(crashed.fingerprint, crashed.upstream, "", at, now)
         if is_new:
             stopped = crashed.fingerprint in self.ledger.blocked_fingerprints
             self.decisions.event(
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -31,6 +31,9 @@
 MAX_SLOWDOWN = 1e6
 """Maximum number of requests, and maximum slowdown, that are accepted in a load report."""
 
+MAX_CRASH_AGE = 86_400.0
+"""Maximum number of seconds since a crash that is accepted from a peer."""
+
 MAX_VERSION = 2**53
 """Maximum version that a JSON number represents exactly."""
 
@@ -119,17 +122,19 @@
     Attributes:
         fingerprint: Hash of the request.
         upstream: Name of the upstream's lifetime.
+        age: Seconds since the upstream died.
     """
 
-    __slots__ = ("fingerprint", "upstream")
+    __slots__ = ("fingerprint", "upstream", "age")
 
-    def __init__(self, fingerprint: str, upstream: str):
+    def __init__(self, fingerprint: str, upstream: str, age: float = 0.0):
         self.fingerprint = fingerprint
         self.upstream = upstream
+        self.age = age
 
     def fields(self) -> list:
         """Return the datagram's elements."""
-        return [CRASHED, self.fingerprint, self.upstream]
+        return [CRASHED, self.fingerprint, self.upstream, round(self.age, 1)]
 
 
 class RequestSurvived:
@@ -224,7 +229,9 @@
 
 
 def _decode_request_crashed(fields: list) -> RequestCrashed:
-    return RequestCrashed(_text(fields, 0), _text(fields, 1))
+    # A daemon of an earlier version sends no age.
+    age = as_number(fields[2], "the age", 0.0, MAX_CRASH_AGE) if len(fields) > 2 else 0.0
+    return RequestCrashed(_text(fields, 0), _text(fields, 1), age)
 
 
 def _decode_request_survived(fields: list) -> RequestSurvived:
--- /dev/null
+++ b/sequoiabridge/tests/relay/test_crash_guard.py
@@ -0,0 +1,61 @@
+"""Requests that crash upstreams stay blocked when daemons start again."""
+
+from types import SimpleNamespace
+
+from ...relay.crash_guard import CrashGuard
+from ...relay.messages import (
+    Hello,
+    RequestCrashed,
+    RequestSurvived,
+    decode_message,
+    encode_message,
+)
+from ...timers import ManualClock
+from .fakes import decision_log
+
+
+class Fleet:
+    """Crash guards of daemons with clocks of their own; each receives what is sent to it."""
+
+    def __init__(self):
+        self.guards = {}
+
+    def start(self, vm, now):
+        """Start a daemon whose clock shows `now`, and let it greet its peers."""
+        clock = ManualClock(now)
+        sharing = SimpleNamespace(
+            channel=SimpleNamespace(send=self.deliver), broadcast=lambda message: None
+        )
+        guard = self.guards[vm] = CrashGuard(None, sharing, decision_log(clock)[0], clock)
+        for other in list(self.guards.values()):
+            if other is not guard:
+                other.send_blocked(Hello(vm, vm, "here", 1.0))
+        return guard
+
+    def deliver(self, message, addresses):
+        """Deliver a message as a datagram."""
+        message = decode_message(encode_message(message))
+        for address in addresses:
+            self.guards[address]._record_crash(message)
+
+
+def test_a_daemon_that_starts_again_knows_which_requests_crash_upstreams():
+    # Each restarted daemon let three more upstreams die before it blocked the request.
+    fleet = Fleet()
+    old = fleet.start("old", 500.0)
+    for request in range(4):
+        for number in range(3):
+            old._record_crash(RequestCrashed(f"f{request}", f"u{request}-{number}"))
+        old.clock.advance(60.0)
+    assert len(old.ledger.blocked_fingerprints) == 4
+    new = fleet.start("new", 3.0)
+    assert new.ledger.blocked_fingerprints == old.ledger.blocked_fingerprints
+    new._record_survival(RequestSurvived("f1"))
+    assert "f1" not in new.ledger.blocked_fingerprints
+
+
+def test_a_daemon_is_told_only_of_requests_that_are_blocked():
+    fleet = Fleet()
+    old = fleet.start("old", 500.0)
+    old._record_crash(RequestCrashed("f", "u1"))
+    assert not fleet.start("new", 3.0).ledger.by_fingerprint
