Apply a reload to the retry limit

What operators saw: OPERATIONS.md says that a reload takes the bounds over at once, but retries went on under the ratio, the window and the fixed part of the start.

Cause: the limits were copied into each budget when it was made, from the settings of the start, so also budgets made after a reload had the old ones.

Fix: all budgets share one limit, which the reload changes in place.

--- a/sequoiabridge/balancing/retry_budget.py
+++ b/sequoiabridge/balancing/retry_budget.py
@@ -32,13 +32,28 @@
 that a VM with few calls can retry at all."""
 
 
+class RetryLimit:
+    """The limit of the fleet on retries and hedges to each service; changed in place on a reload.
+
+    Attributes:
+        ratio: Retries and hedges that the fleet may send per call.
+        window: Time in seconds over which calls, retries and hedges are counted.
+        slack: Retries and hedges that the fleet may send per window in addition.
+    """
+
+    __slots__ = ("ratio", "window", "slack")
+
+    def __init__(self, ratio: float, window: float, slack: float):
+        self.ratio = ratio
+        self.window = window
+        self.slack = slack
+
+
 class RetryBudget:
     """Sliding-window budget of retries and hedges to one service.
 
     Args:
-        ratio: Retries and hedges that the fleet may send per call.
-        window: Length of the sliding window in seconds.
-        free_retries: Retries and hedges that the fleet may send per window in addition.
+        limit: The limit of the fleet.
         started_at: Time at which this process started.
 
     Attributes:
@@ -50,9 +65,7 @@
     """
 
     __slots__ = (
-        "ratio",
-        "window",
-        "free_retries",
+        "limit",
         "started_at",
         "calls",
         "settled",
@@ -61,10 +74,8 @@
         "refused",
     )
 
-    def __init__(self, ratio: float, window: float, free_retries: float, started_at: float):
-        self.ratio = ratio
-        self.window = window
-        self.free_retries = max(MIN_FREE_RETRIES, free_retries / MAX_VM_COUNT)
+    def __init__(self, limit: RetryLimit, started_at: float):
+        self.limit = limit
         self.started_at = started_at
         self.calls: deque[float] = deque()
         self.settled: deque[float] = deque()
@@ -112,12 +123,14 @@
 
     def _allowed(self, now: float) -> float:
         """Return the number of retries and hedges that may be sent in the window ending now."""
-        if now - self.started_at < self.window:
-            return NEW_PROCESS_SHARE * self.ratio * len(self.calls)
-        return self.free_retries + USED_SHARE * self.ratio * len(self.calls)
+        limit = self.limit
+        if now - self.started_at < limit.window:
+            return NEW_PROCESS_SHARE * limit.ratio * len(self.calls)
+        free_retries = max(MIN_FREE_RETRIES, limit.slack / MAX_VM_COUNT)
+        return free_retries + USED_SHARE * limit.ratio * len(self.calls)
 
     def _expire(self, now: float) -> None:
-        oldest = now - self.window
+        oldest = now - self.limit.window
         for times in (self.calls, self.settled):
             while times and times[0] < oldest:
                 times.popleft()
--- a/sequoiabridge/experiment/vm.py
+++ b/sequoiabridge/experiment/vm.py
@@ -14,7 +14,7 @@
 from ..balancing.load import UpstreamLoad
 from ..balancing.prior_wait import PriorWaitEstimator
 from ..balancing.probe_limiter import ProbeRateLimiter
-from ..balancing.retry_budget import RetryBudget
+from ..balancing.retry_budget import RetryBudget, RetryLimit
 from ..balancing.route_stats import RouteStats
 from ..balancing.steps import BackgroundProbe, CancelAttempt, Probe, Send, Sleep, Step
 from ..balancing.upstream import Upstream, UpstreamRecord
@@ -24,9 +24,8 @@
 from .scheduler import Scheduler
 from .upstream import Job, ModelUpstream
 
-RETRY_RATIO, RETRY_WINDOW_SECONDS, RETRY_BASE = 0.2, 10.0, 60.0
-"""Retry budget of a service in the fleet: retries for each call, the window that they are counted
-over, and retries in a window on top of these."""
+RETRY_LIMIT = RetryLimit(ratio=0.2, window=10.0, slack=60.0)
+"""Retry limit of a service in the fleet."""
 
 
 class ModelCall(Call):
@@ -117,7 +116,7 @@
         self.probes_sent = 0
         self.dispatches: list[Dispatch] = []
         # The fleet has been running for a while when a scene begins.
-        self.restart(started_at=scheduler.now() - RETRY_WINDOW_SECONDS)
+        self.restart(started_at=scheduler.now() - RETRY_LIMIT.window)
 
     def restart(self, started_at: float | None = None) -> None:
         """Discard everything learned and start anew, now or at `started_at`."""
@@ -134,7 +133,7 @@
             Hedging(chooser, route_stats, self.scheduler),
             AttemptRecorder(route_stats, self),
             self.scheduler,
-            lambda: RetryBudget(RETRY_RATIO, RETRY_WINDOW_SECONDS, RETRY_BASE, started_at),
+            lambda: RetryBudget(RETRY_LIMIT, started_at),
         )
         self.dispatches.append(self.dispatch)
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -21,7 +21,7 @@
 from .balancing.dispatch import Dispatch
 from .balancing.hedging import Hedging
 from .balancing.probe_limiter import ProbeRateLimiter
-from .balancing.retry_budget import RetryBudget
+from .balancing.retry_budget import RetryBudget, RetryLimit
 from .balancing.route_stats import RouteStats
 from .balancing.routes import RouteTable
 from .balancing.splitting import Splitter
@@ -111,7 +111,7 @@
         self._build_servers()
         self.stop_requested = curio.UniversalEvent()
         self.settings_reloader = SettingsReloader(
-            settings, self.route_stats, self.store, self.decisions
+            settings, self.route_stats, self.retry_limit, self.store, self.decisions
         )
 
     @property
@@ -205,6 +205,7 @@
     def _build_call_path(self) -> None:
         """Build the parts that handle calls."""
         bounds, clock = self.settings.bounds, self.clock
+        self.retry_limit = RetryLimit(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
         self.prober = Prober(
             self.connector,
             self.dialect,
@@ -224,9 +225,7 @@
             Hedging(chooser, self.route_stats, clock),
             AttemptRecorder(self.route_stats, self.sharing),
             clock,
-            lambda: RetryBudget(
-                bounds.retry_ratio, bounds.retry_window, bounds.retry_slack, self.started_at
-            ),
+            lambda: RetryBudget(self.retry_limit, self.started_at),
         )
         self.sender = Sender(
             dispatch,
--- a/sequoiabridge/relay/reloading.py
+++ b/sequoiabridge/relay/reloading.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 
+from ..balancing.retry_budget import RetryLimit
 from ..balancing.route_stats import RouteStats
 from ..config.gateway_settings import GatewaySettings
 from ..config.problem import Invalid
@@ -18,6 +19,7 @@
 
     Args:
         settings: Settings of the daemon, changed in place.
+        retry_limit: The retry limit in force, changed in place.
         store: Client of the platform's store, whose `address` is set.
 
     Attributes:
@@ -26,10 +28,16 @@
     """
 
     def __init__(
-        self, settings: GatewaySettings, route_stats: RouteStats, store, decisions: DecisionLog
+        self,
+        settings: GatewaySettings,
+        route_stats: RouteStats,
+        retry_limit: RetryLimit,
+        store,
+        decisions: DecisionLog,
     ):
         self.settings = settings
         self.route_stats = route_stats
+        self.retry_limit = retry_limit
         self.store = store
         self.decisions = decisions
         self.reload_requested = False
@@ -47,10 +55,16 @@
             self.decisions.event("reload-refused", why=str(error))
             return
         self.settings.bounds = fresh.bounds
+        self._apply_retry_limit()
         self.route_stats.transfer_cost_per_mb = fresh.choice.far_megabyte
         self.store.address = fresh.store.address
         self.decisions.event("reload", store=fresh.store.address)
 
+    def _apply_retry_limit(self) -> None:
+        bounds, limit = self.settings.bounds, self.retry_limit
+        limit.ratio, limit.window = bounds.retry_ratio, bounds.retry_window
+        limit.slack = bounds.retry_slack
+
 
 def modified_ns(path: str) -> int:
     """Return when a file was modified last, in nanoseconds; 0 if it cannot be read."""
--- a/sequoiabridge/tests/balancing/test_dispatch.py
+++ b/sequoiabridge/tests/balancing/test_dispatch.py
@@ -10,7 +10,7 @@
 from ...balancing.chooser import Chooser
 from ...balancing.dispatch import Dispatch
 from ...balancing.hedging import Hedging
-from ...balancing.retry_budget import RetryBudget
+from ...balancing.retry_budget import RetryBudget, RetryLimit
 from ...balancing.route_stats import RouteStats
 from ...balancing.routes import Route, Target
 from ...balancing.steps import CancelAttempt, Send, Wait
@@ -48,7 +48,7 @@
             Hedging(chooser, route_stats, self.clock),
             AttemptRecorder(route_stats, NullObserver()),
             self.clock,
-            lambda: RetryBudget(0.2, 10.0, 1000, self.clock.now() - 10.0),
+            lambda: RetryBudget(RetryLimit(0.2, 10.0, 1000), self.clock.now() - 10.0),
         )
         self.call = Call(self.clock.now())
         route = Route("r", b"/", idempotent, 2.0, 0.5, max_attempts, 1, (Target("s", 1.0),))
--- a/sequoiabridge/tests/balancing/test_retry_budget.py
+++ b/sequoiabridge/tests/balancing/test_retry_budget.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from ...balancing.retry_budget import RetryBudget
+from ...balancing.retry_budget import RetryBudget, RetryLimit
 
 RATIO, WINDOW, SLACK = 0.2, 10.0, 62.0
 """Limit of a fleet of 18 VMs."""
@@ -16,8 +16,8 @@
     """
 
     def __init__(self, vms, slack=SLACK):
-        self.slack = slack
-        self.budgets = [RetryBudget(RATIO, WINDOW, slack, -WINDOW) for _ in range(vms)]
+        self.limit = RetryLimit(RATIO, WINDOW, slack)
+        self.budgets = [RetryBudget(self.limit, -WINDOW) for _ in range(vms)]
         self.calls = []
         self.retries = []
 
@@ -32,14 +32,14 @@
 
     def restart(self, vm, now):
         """Restart the process of a VM."""
-        self.budgets[vm] = RetryBudget(RATIO, WINDOW, self.slack, now)
+        self.budgets[vm] = RetryBudget(self.limit, now)
 
     def worst_excess(self):
         """Return the largest number of retries in a window beyond the fleet's limit."""
         return max(
             self.count(self.retries, start)
             - RATIO * max(self.count(self.calls, start - back) for back in (0, 5, 10))
-            - self.slack
+            - self.limit.slack
             for start in self.retries
         )
 
@@ -57,7 +57,7 @@
 
 
 def test_a_vm_with_few_calls_may_send_one_retry_per_window():
-    budget = RetryBudget(RATIO, WINDOW, SLACK, -WINDOW)
+    budget = RetryBudget(RetryLimit(RATIO, WINDOW, SLACK), -WINDOW)
     budget.record_call(1.0)
     assert [budget.take(1.0 + n / 10) for n in range(3)] == [True, False, False]
     budget.settle(1, 1.0)
@@ -79,7 +79,7 @@
 
 
 def test_a_process_may_retry_a_few_calls_at_once_and_all_its_share_after_a_window():
-    budget = RetryBudget(RATIO, WINDOW, SLACK, 100.0)
+    budget = RetryBudget(RetryLimit(RATIO, WINDOW, SLACK), 100.0)
     for step in range(200):
         budget.record_call(100.0 + step / 25)
     assert sum(budget.take(108.0) for _ in range(100)) == 8
--- a/sequoiabridge/tests/relay/test_reloading.py
+++ b/sequoiabridge/tests/relay/test_reloading.py
@@ -2,6 +2,7 @@
 
 import json
 
+from ...balancing.retry_budget import RetryBudget, RetryLimit
 from ...balancing.route_stats import RouteStats
 from ...config.gateway_settings import GatewaySettings
 from ...relay.reloading import SettingsReloader
@@ -35,7 +36,9 @@
     file.write_text(SETTINGS_TEXT.format(port=5))
     log, lines = decision_log()
     store = Store()
-    reloader = SettingsReloader(GatewaySettings.load(file), RouteStats(1.0), store, log)
+    reloader = SettingsReloader(
+        GatewaySettings.load(file), RouteStats(1.0), RetryLimit(0.2, 10.0, 50.0), store, log
+    )
     return reloader, file, store, lines
 
 
@@ -71,3 +74,15 @@
     reloader.poll()
     assert reloader.settings.bounds.grace == 6.0 and store.address == ""
     assert json.loads(lines[0])["event"] == "reload-refused" and b"grace" in lines[0]
+
+
+def test_a_reload_changes_the_retry_limit_of_budgets_that_are_in_use(tmp_path):
+    # A lowered limit was in force only after a restart.
+    reloader, file, _, _ = build_reloader(tmp_path)
+    budget = RetryBudget(reloader.retry_limit, started_at=0.0)
+    for _ in range(100):
+        budget.record_call(20.0)
+    assert budget.dump(20.0)["allowed_in_window"] == 16.0
+    change(file, SETTINGS_TEXT.format(port=9) + "retry_ratio = 0.1\nretry_slack = 256\n")
+    reloader.poll()
+    assert budget.dump(20.0)["allowed_in_window"] == 9.5
