Let the soak press on the retry limit without a break

Upstreams of one service fail in series of 2 to 8 s while daemons and upstreams are killed, stopped, paused, restarted and cut off. A test checks that a fleet without a limit is detected.

--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -15,7 +15,7 @@
 from ..environment import HOST, SETTINGS, Connection, document, free_port, route
 from ..store_emulator import StoreEmulator
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
-from .oracle import Record, read_upstream_log
+from .oracle import RETRY_RATIO, Record, read_upstream_log
 from .proxy import Proxy
 
 READY_TIMEOUT = 15.0
@@ -31,7 +31,15 @@
 class Daemon:
     """A daemon process, its settings, and the proxy for its connections to the store."""
 
-    def __init__(self, name: str, data_centre: str, store: Proxy, folder: Path, retry_slack: float):
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        store: Proxy,
+        folder: Path,
+        retry_slack: float,
+        retry_ratio: float,
+    ):
         self.name = name
         self.store = store
         self.log = folder / f"{name}.log"
@@ -42,6 +50,7 @@
         text = text.replace("callers = 127.0.0.1:0", f"callers = 127.0.0.1:{self.callers}")
         text = text.replace("ready = 127.0.0.1:0", f"ready = 127.0.0.1:{self.ready}")
         text = text.replace("retry_window = 0.1s", "retry_window = 10s")
+        text += f"retry_ratio = {retry_ratio}\n"
         self.settings.write_text(text.replace("= 10000", f"= {retry_slack}"))
         self.process: subprocess.Popen | None = None
         self.starts = 1
@@ -140,6 +149,7 @@
         self.daemon_count = daemons
         self.upstream_counts = {"reads": 5, "approvals": 4}
         self.retry_slack = RETRY_SLACK
+        self.retry_ratio = RETRY_RATIO
         self.daemons: list[Daemon] = []
         self.upstreams: dict[str, UpstreamProcess] = {}
         self.started_upstreams: list[UpstreamProcess] = []
@@ -165,7 +175,9 @@
             await proxy.start()
             data_centre = ("here", "there")[number % 2]
             folder = Path(self.folder.name)
-            daemon = Daemon(f"vm-{number}", data_centre, proxy, folder, self.retry_slack)
+            daemon = Daemon(
+                f"vm-{number}", data_centre, proxy, folder, self.retry_slack, self.retry_ratio
+            )
             self.daemons.append(daemon)
             daemon.start()
             await curio.spawn(daemon.supervise(), daemon=True)
--- a/sequoiabridge/tests/platform/soak/retry_soak.py
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -23,6 +23,9 @@
 MIN_PRESSURE, MAX_PRESSURE = 0.3, 0.9
 """Bounds on the share of calls that upstreams fail while they fail."""
 
+MAX_PRESSURE_SECONDS, MAX_PAUSE_SECONDS = 8.0, 4.0
+"""Maximum seconds for which upstreams fail, and between two such times."""
+
 KILL_INTERVAL = 2.5
 """Seconds between two kills of all daemons; a daemon serves again about a second after one."""
 
@@ -48,10 +51,12 @@
 
     Attributes:
         idle_connections: Connections of callers that can be used again, by daemon.
+        quiet_seconds: Seconds without faults at the start.
         ready_daemons: Daemons that answered their latest readiness check.
     """
 
     callers_per_daemon = 1
+    mean_fault_interval = 1.0
     call_kinds = ((READ, 0.85), (APPROVE, 0.1), (MARK, 0.05))
 
     def __init__(
@@ -65,6 +70,7 @@
     ):
         super().__init__(seed, seconds, daemons)
         self.scenario = scenario
+        self.quiet_seconds = QUIET_SECONDS
         self.call_interval = daemons / call_rate
         self.idle_connections: dict[str, list[Connection]] = {}
         self.ready_daemons: set[Daemon] = set()
@@ -106,20 +112,19 @@
 
     async def inject_faults(self, until: float) -> None:
         """Wait while the daemons save up allowance, then run the scenario until `until`."""
-        await curio.sleep(QUIET_SECONDS)
+        await curio.sleep(self.quiet_seconds)
         if self.scenario is Scenario.RESTARTS:
             await self.restart_under_pressure(until)
         elif self.scenario is Scenario.STOPPED_UPSTREAMS:
             await self.stop_upstreams_under_pressure(until)
         else:
+            pressure = await curio.spawn(self.press_in_series, until)
             await super().inject_faults(until)
+            await pressure.join()
 
     def fault_kinds(self) -> list:
         """Return the faults and planned operations to choose from; some stand twice."""
         return [
-            self.fail_upstreams,
-            self.fail_upstreams,
-            self.kill_daemons,
             self.kill_daemons,
             self.pause_daemon,
             self.stop_daemon,
@@ -149,11 +154,16 @@
         self.random.shuffle(upstreams)
         return upstreams
 
-    async def fail_upstreams(self, seconds: float, share: float | None = None) -> None:
-        """Let all upstreams of the service fail or reject a share of the calls."""
-        if share is None:
-            share = self.random.uniform(MIN_PRESSURE, MAX_PRESSURE)
-            seconds *= 2.0
+    async def press_in_series(self, until: float) -> None:
+        """Let upstreams fail again and again, with pauses in which daemons save up allowance."""
+        random = Random(self.seed)
+        while self.now() < until:
+            seconds = min(random.uniform(2.0, MAX_PRESSURE_SECONDS), until - self.now())
+            await self.fail_upstreams(seconds, random.uniform(MIN_PRESSURE, MAX_PRESSURE))
+            await curio.sleep(random.uniform(0.0, MAX_PAUSE_SECONDS))
+
+    async def fail_upstreams(self, seconds: float, share: float) -> None:
+        """Let all upstreams of the service fail a share of the calls."""
         fault = self.random.choice(("fail", "reset", "lose"))
         self.record_fault(seconds, f"{fault} {share:.2f}")
         upstreams = self.service_upstreams()
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -47,6 +47,7 @@
 
     callers_per_daemon = CALLERS_PER_DAEMON
     call_kinds = CALL_KINDS
+    mean_fault_interval = MEAN_FAULT_INTERVAL
 
     def __init__(self, seed: int, seconds: float, daemons: int):
         self.seed = seed
@@ -178,7 +179,7 @@
         while self.now() < until:
             fault = self.random.choice(self.fault_kinds())
             running.append(await curio.spawn(fault(self.random.uniform(0.5, 3.0))))
-            await curio.sleep(self.random.expovariate(1 / MEAN_FAULT_INTERVAL))
+            await curio.sleep(self.random.expovariate(1 / self.mean_fault_interval))
         for task in running:
             await task.join()
 
--- a/sequoiabridge/tests/platform/soak/test_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_soak.py
@@ -60,6 +60,17 @@
     assert run_retry_soak(2, 36.0, Scenario.STOPPED_UPSTREAMS) == []
 
 
+def test_the_soak_detects_daemons_without_a_retry_limit():
+    soak = RetrySoak(1, 16.0, daemons=2)
+    soak.quiet_seconds = 0.0
+    soak.deployment.retry_ratio = 10.0
+    try:
+        violations = curio.run(soak.run, selector=LazySelector())
+        assert any("repeats within" in violation for violation in violations)
+    finally:
+        soak.close()
+
+
 def test_the_oracle_detects_more_repeats_than_calls_and_slack_allow():
     record = Record()
     record.retry_slack = 10.0
