Start the probe limiter of a new process with an empty bucket

Each process began with a full burst of health checks, four seconds' worth, whatever its predecessor had sent.

Fix: the bucket is empty at the start of the process and fills from then on. The share of the fleet's limit follows the number of known VMs within 0.5 s instead of 2 s after a start.

--- a/sequoiabridge/balancing/probe_limiter.py
+++ b/sequoiabridge/balancing/probe_limiter.py
@@ -1,4 +1,8 @@
-"""Limits the rate of probes of this VM, so that all VMs together stay within the fleet's limit."""
+"""Limits the rate of probes of this VM, so that all VMs together stay within the fleet's limit.
+
+A process begins with an empty bucket: one that ends and starts again would otherwise have a full
+one each time.
+"""
 
 from __future__ import annotations
 
@@ -17,6 +21,7 @@
 
     Args:
         rate_per_upstream: Probes per second that one upstream may receive from all VMs.
+        started_at: Time at which this process started.
 
     Attributes:
         vm_count: Number of VMs that share the limit.
@@ -25,11 +30,11 @@
 
     __slots__ = ("rate_per_upstream", "vm_count", "tokens", "refilled_at", "denied")
 
-    def __init__(self, rate_per_upstream: float):
+    def __init__(self, rate_per_upstream: float, started_at: float):
         self.rate_per_upstream = rate_per_upstream
         self.vm_count = DEFAULT_VM_COUNT
         self.tokens = 0.0
-        self.refilled_at: float | None = None
+        self.refilled_at = started_at
         self.denied = 0
 
     def take(self, wanted: int, upstreams: int, now: float) -> int:
@@ -41,8 +46,7 @@
         """
         rate = self.rate_per_upstream * USED_SHARE * upstreams / max(1, self.vm_count)
         max_tokens = rate * BURST_SECONDS
-        elapsed = BURST_SECONDS if self.refilled_at is None else now - self.refilled_at
-        self.tokens = min(max_tokens, self.tokens + elapsed * rate)
+        self.tokens = min(max_tokens, self.tokens + (now - self.refilled_at) * rate)
         self.refilled_at = now
         granted = min(wanted, int(self.tokens))
         self.tokens -= granted
--- a/sequoiabridge/experiment/vm.py
+++ b/sequoiabridge/experiment/vm.py
@@ -123,7 +123,7 @@
         if started_at is None:
             started_at = self.scheduler.now()
         self.upstreams = StaticUpstreams(self.models, self.data_centre)
-        self.probe_limiter = ProbeRateLimiter(self.scene.probes_per_second)
+        self.probe_limiter = ProbeRateLimiter(self.scene.probes_per_second, started_at)
         self.probe_limiter.vm_count = self.scene.vms
         self.wait_estimator = PriorWaitEstimator()
         route_stats = RouteStats(self.scene.far_megabyte)
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -65,7 +65,7 @@
 EXPIRY_INTERVAL = 0.5
 """Interval in seconds at which lapsed upstreams are removed and buffered log lines are written."""
 
-PROBE_SHARE_INTERVAL = 2.0
+PROBE_SHARE_INTERVAL = 0.5
 """Interval in seconds at which this VM's share of the fleet's health checks is updated."""
 
 SETTINGS_POLL_INTERVAL = 1.0
@@ -188,7 +188,9 @@
     def _build_fleet(self) -> None:
         """Build the parts that exchange messages with the peers."""
         vm, listen = self.settings.vm, self.settings.listen
-        self.probe_limiter = ProbeRateLimiter(self.settings.bounds.probes_per_second)
+        self.probe_limiter = ProbeRateLimiter(
+            self.settings.bounds.probes_per_second, self.started_at
+        )
         self.sharing = Sharing(self.upstreams, self.clock)
         address = f"{listen.fleet_ip}:{listen.fleet_ports[-1]}"
         own_hello = Hello(vm.name, address, vm.data_centre, vm.link)
--- a/sequoiabridge/tests/balancing/test_decisions.py
+++ b/sequoiabridge/tests/balancing/test_decisions.py
@@ -31,7 +31,7 @@
 
 
 def test_the_probes_of_a_fleet_stay_within_its_rate_limit():
-    fleet, sent = [ProbeRateLimiter(60.0) for _ in range(18)], 0
+    fleet, sent = [ProbeRateLimiter(60.0, 0.0) for _ in range(18)], 0
     for probe_limiter in fleet:
         probe_limiter.vm_count = 18
     for step in range(3000):
@@ -41,6 +41,16 @@
     assert sent / 37 / 30.0 >= 60.0 * USED_SHARE * 0.9
 
 
+def test_processes_that_start_again_do_not_have_a_full_burst_of_probes_each_time():
+    sent = 0
+    for step in range(3000):
+        if step % 100 == 0:
+            fleet = [ProbeRateLimiter(60.0, step / 100) for _ in range(18)]
+        for probe_limiter in fleet:
+            sent += probe_limiter.take(10, 37, step / 100)
+    assert sent / 37 / 30.0 <= 60.0
+
+
 def test_upstreams_that_are_slow_full_or_remote_cost_more_than_an_idle_one():
     idle, noisy = upstream("idle"), upstream("noisy", load=(0, 0, 2, 7.0))
     full, remote = upstream("full", load=(2, 2, 2, 1.0)), upstream("remote", is_local=False)
--- a/sequoiabridge/tests/test_gateway.py
+++ b/sequoiabridge/tests/test_gateway.py
@@ -325,10 +325,12 @@
         silent = env.upstreams["r0"]
         silent.faults.hang = silent.faults.health_hangs = True
         await env.call(READ, timeout_ms=600)
-        stats = env.gateway.upstreams.by_id["r0"].stats
+        upstream = env.gateway.upstreams.by_id["r0"]
+        stats = upstream.stats
+        await env.gateway.prober.probe(upstream)
         assert stats.abandoned_calls > 0 and stats.unanswered_probes
         silent.faults.health_hangs = False
-        await env.gateway.prober.probe(env.gateway.upstreams.by_id["r0"])
+        await env.gateway.prober.probe(upstream)
         lines = [json.loads(line) for line in env.log_lines]
         answers = [line for line in lines if line["event"] == "upstream-answers"]
         assert answers[-1]["abandoned_calls"] > 0 and stats.abandoned_calls == 0
