Hold a retry token also when the connection to a stopped upstream breaks

Cause: as for calls that are given up. A connection that broke before the answer was taken as the end of the call at its upstream, although a stopped upstream still reads what it has received on it.

Evidence: a listener that reads nothing and resets its connections: the token of the retried call was settled at once (0 unsettled, 1 expected), while the upstream still answered nothing.

Fix: an attempt without an answer may be read later until the upstream answers something sent since, starts again, or refuses a new connection, which shows that the process has ended. That rule now stands in one place, at the attempt.

--- a/sequoiabridge/balancing/upstream_stats.py
+++ b/sequoiabridge/balancing/upstream_stats.py
@@ -96,7 +96,8 @@
         unanswered_probes: Number of consecutive unanswered probes.
         next_probe_at: Time from which an unresponsive upstream is probed again.
         probe_sent_at: Time at which the oldest open probe was sent, or None.
-        alive_at: Latest time at which something was sent to the upstream that it has answered.
+        settled_until: Everything that was sent to the upstream up to this time has been read or
+            is lost: it has answered something sent then, or nothing listened at its address.
         abandoned_calls: Number of calls that this VM gave up there without an answer, since then.
     """
 
@@ -113,7 +114,7 @@
         "unanswered_probes",
         "next_probe_at",
         "probe_sent_at",
-        "alive_at",
+        "settled_until",
         "abandoned_calls",
     )
 
@@ -130,13 +131,13 @@
         self.unanswered_probes = 0
         self.next_probe_at = 0.0
         self.probe_sent_at: float | None = None
-        self.alive_at = float("-inf")
+        self.settled_until = float("-inf")
         self.abandoned_calls = 0
 
-    def record_answer_to(self, sent_at: float) -> None:
-        """Record that the upstream has answered something that was sent at `sent_at`."""
-        if sent_at > self.alive_at:
-            self.alive_at = sent_at
+    def settle(self, sent_at: float) -> None:
+        """Record that everything sent up to `sent_at` has been read or is lost."""
+        if sent_at > self.settled_until:
+            self.settled_until = sent_at
             self.abandoned_calls = 0
 
     def record_load_report(self, load: UpstreamLoad, now: float) -> None:
--- a/sequoiabridge/exceptions.py
+++ b/sequoiabridge/exceptions.py
@@ -75,13 +75,14 @@
     """An attempt at an upstream failed.
 
     `sent` is true if a byte of the request may have reached the upstream. Then only the upstream
-    can prove that the request did not run.
+    can prove that the request did not run. `refused` is true if nothing listens at the address.
     """
 
-    def __init__(self, message: str, *, sent: bool, timed_out: bool = False):
+    def __init__(self, message: str, *, sent: bool, timed_out: bool = False, refused: bool = False):
         super().__init__(message)
         self.sent = sent
         self.timed_out = timed_out
+        self.refused = refused
 
 
 class NoFreeConnection(UpstreamFailed):
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -16,7 +16,6 @@
 from .dialect import Dialect
 from .metadata import AnswerMetadata
 from .sharing import Sharing
-from .unread import UnreadCall
 
 MAX_BUFFERED_ANSWER = 256 * 1024
 """Maximum number of bytes of an answer that are buffered. A buffered answer that breaks off can be
@@ -36,7 +35,6 @@
     Attributes:
         answer: The upstream's answer if it is usable, else None.
         metadata: Metadata from the headers of the answer, None until they have arrived.
-        unread: The call at the upstream, which may still read it after this attempt; else None.
     """
 
     __slots__ = (
@@ -49,7 +47,6 @@
         "connection",
         "answer",
         "metadata",
-        "unread",
     )
 
     def __init__(
@@ -71,7 +68,6 @@
         self.connection: UpstreamConnection | None = None
         self.answer: Answer | None = None
         self.metadata: AnswerMetadata | None = None
-        self.unread: UnreadCall | None = None
 
     @property
     def seconds(self) -> float:
@@ -110,7 +106,7 @@
         self.sent_at = self.clock.now()
         await self.connection.send(request)
         answer = await self.connection.read_head()
-        self.upstream.stats.record_answer_to(self.sent_at)
+        self.upstream.stats.settle(self.sent_at)
         self.metadata = self.dialect.answer_metadata(answer)
         self.load = self.metadata.load
         if answer.body is not None:
@@ -168,11 +164,14 @@
         self._set_ending(Ending.BROKEN if self.sent else Ending.NOT_SENT, str(error))
 
     @property
-    def _may_be_read_later(self) -> bool:
-        """Return whether the call counts as a repeat if the upstream reads it later than now."""
-        if not self.call.retry_tokens or not self.sent or self.ending is not Ending.CANCELLED:
+    def may_be_read_later(self) -> bool:
+        """Return whether the upstream may still read the call although the attempt has ended.
+
+        A stopped upstream reads it when it continues, even if its connection was closed or reset.
+        """
+        if not self.sent or self.metadata is not None or self.upstream.has_restarted:
             return False
-        return self.upstream.stats.alive_at < self.sent_at
+        return self.upstream.stats.settled_until < self.sent_at
 
     async def _release_connection(self) -> None:
         """Release the connection, which closes it unless the answer is complete.
@@ -182,8 +181,6 @@
         connection, self.connection = self.connection, None
         if connection is None or self.is_streamed:
             return
-        if self._may_be_read_later:
-            self.unread = UnreadCall(self.upstream, self.sent_at)
         if self.ending in (Ending.CANCELLED, Ending.RESTARTED):
             await connection.close()
         await self.connector.release(connection)
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -18,7 +18,7 @@
 from .probing import Prober
 from .race import Race
 from .sharing import Sharing
-from .unread import UnreadCall, UnreadCalls
+from .unread import UnreadCalls
 
 
 class Sender:
@@ -69,17 +69,17 @@
 
     async def _settle(self, call: RelayedCall) -> None:
         """Settle the retry tokens of a call, at once or when no upstream can read it any more."""
-        unread = [attempt.unread for attempt in call.attempts if attempt.unread is not None]
-        if unread:
+        unread = [attempt for attempt in call.attempts if attempt.may_be_read_later]
+        if call.retry_tokens and unread:
             await curio.spawn(self._settle_later, call, unread, daemon=True)
         else:
             self.dispatch.settle(call)
 
-    async def _settle_later(self, call: RelayedCall, unread: list[UnreadCall]) -> None:
+    async def _settle_later(self, call: RelayedCall, unread: list[Attempt]) -> None:
         try:
             async with curio.TaskGroup() as waits:
-                for one in unread:
-                    await waits.spawn(self.unread_calls.wait, one)
+                for attempt in unread:
+                    await waits.spawn(self.unread_calls.wait, attempt)
         finally:
             self.dispatch.settle(call)
 
--- a/sequoiabridge/relay/unread.py
+++ b/sequoiabridge/relay/unread.py
@@ -1,16 +1,16 @@
 """Calls that were given up but that their upstream may still read.
 
 A stopped upstream, or one behind a broken link, reads what was sent to it when it continues, even
-if the connection was closed meanwhile. Such a call counts as a repeat at that time. This module
-waits for it, so that its retry token is in use until then.
+if the connection was closed or reset meanwhile. Such a call counts as a repeat at that time. This
+module waits for it, so that its retry token is in use until then.
 """
 
 from __future__ import annotations
 
 import curio
 
-from ..balancing.upstream import Upstream
 from ..timers import Clock
+from .attempt import Attempt
 from .decisions import DecisionLog
 from .probing import Prober
 
@@ -22,26 +22,6 @@
 tokens in use for calls at upstreams that have lost power."""
 
 
-class UnreadCall:
-    """A call that was given up at an upstream that has answered nothing sent since.
-
-    Args:
-        upstream: The upstream that may still read the call.
-        sent_at: Time at which the call was sent, in seconds on the daemon's clock.
-    """
-
-    __slots__ = ("upstream", "sent_at")
-
-    def __init__(self, upstream: Upstream, sent_at: float):
-        self.upstream = upstream
-        self.sent_at = sent_at
-
-    @property
-    def is_read(self) -> bool:
-        """Return whether the upstream has read the call or ended, as far as is known."""
-        return self.upstream.has_restarted or self.upstream.stats.alive_at >= self.sent_at
-
-
 class UnreadCalls:
     """Waits until upstreams have read the calls that were given up, or are dead.
 
@@ -55,22 +35,23 @@
         self.clock = clock
         self.count = 0
 
-    async def wait(self, call: UnreadCall) -> None:
-        """Return when the call has been read or its upstream counts as dead."""
+    async def wait(self, attempt: Attempt) -> None:
+        """Return when the upstream of an attempt has read the call or counts as dead."""
         began = self.clock.now()
         self.count += 1
         try:
-            while not call.is_read:
+            while attempt.may_be_read_later:
                 if self.clock.now() - began > MAX_UNREAD_SECONDS:
-                    self.decisions.event("call-unread", upstream=call.upstream.id)
+                    self.decisions.event("call-unread", upstream=attempt.upstream.id)
                     return
-                await self._probe_if_due(call.upstream)
                 await curio.sleep(POLL_INTERVAL)
+                await self._probe_if_due(attempt)
         finally:
             self.count -= 1
 
-    async def _probe_if_due(self, upstream: Upstream) -> None:
-        """Probe the upstream, as often as any unresponsive one is probed."""
-        stats = upstream.stats
-        if stats.probe_sent_at is None and self.clock.now() >= stats.next_probe_at:
-            await self.prober.probe_all([upstream], POLL_INTERVAL)
+    async def _probe_if_due(self, attempt: Attempt) -> None:
+        """Probe the upstream, as often as any unresponsive one, unless other calls settled it."""
+        stats, now = attempt.upstream.stats, self.clock.now()
+        is_due = stats.probe_sent_at is None and now >= stats.next_probe_at
+        if is_due and attempt.may_be_read_later:
+            await self.prober.probe_all([attempt.upstream], POLL_INTERVAL)
--- a/sequoiabridge/tests/relay/test_unread.py
+++ b/sequoiabridge/tests/relay/test_unread.py
@@ -1,6 +1,7 @@
 """A call that was given up keeps its retry token until its upstream has read it or is gone."""
 
 import socket
+import struct
 
 import curio
 
@@ -57,7 +58,7 @@
             budget = env.gateway.sender.dispatch.budgets["reads"]
             upstream = env.gateway.upstreams.by_id["r0"]
             assert budget.unsettled == 1
-            upstream.stats.record_answer_to(env.gateway.clock.now())
+            upstream.stats.settle(env.gateway.clock.now())
             await env.wait_until(lambda: budget.unsettled == 0, seconds=2.0)
 
     run_in_environment(test, reads=1)
@@ -74,3 +75,38 @@
             assert any(b'"call-unread"' in line for line in env.log_lines)
 
     run_in_environment(test, reads=1)
+
+
+def test_the_token_of_a_call_is_in_use_when_its_connection_to_a_stopped_upstream_was_reset():
+    # A call whose connection broke was taken to have arrived, or to be lost.
+    async def test(env):
+        with open_listener() as listener:
+            env.upstreams["r0"].address = "{}:{}".format(*listener.getsockname())
+            await env.update_entry("r0")
+            await curio.sleep(0.1)
+            caller = await env.connect()
+            await caller.send(READ, "broken", timeout_ms=TIMEOUT_MS)
+            await env.wait_until(lambda: env.gateway.upstreams.by_id["r0"].stats.open_calls)
+            await curio.sleep(0.1)
+            await env.add_upstream("r1", "reads")
+            await env.wait_until(lambda: "r1" in env.gateway.upstreams.by_id)
+            reset_all(listener)
+            assert (await caller.reply()).status == 200
+            await curio.sleep(0.5)
+            assert env.gateway.sender.dispatch.budgets["reads"].unsettled == 1
+            listener.close()
+            budget = env.gateway.sender.dispatch.budgets["reads"]
+            await env.wait_until(lambda: budget.unsettled == 0, seconds=4.0)
+
+    run_in_environment(test, reads=1)
+
+
+def reset_all(listener):
+    """Reset all connections without reading from them."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            return
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
--- a/sequoiabridge/upstreams/link.py
+++ b/sequoiabridge/upstreams/link.py
@@ -273,7 +273,8 @@
         raise UpstreamFailed(message, sent=False, timed_out=True) from late
     except (OSError, ValueError) as error:
         message = f"{address}: No connection: {error}. Try another upstream."
-        raise UpstreamFailed(message, sent=False) from error
+        refused = isinstance(error, ConnectionRefusedError)
+        raise UpstreamFailed(message, sent=False, refused=refused) from error
     finally:
         if not opened:
             await _io_release(sock)
