Give a new process of the fleet daemon no minimum of retries for the fleet

Evidence: 18 VMs in an outage, restarted every 2 s: 1,008 retries in a window, where a retry for each VM and period and one for each restart make 270.

Fix: the minimum of the fleet does not apply in the first window of a budget; one retry for each period is still allowed. Two tests of the dispatch need more retries than that; their scene now stands for a process that has been running for longer than the window.

--- a/sequoiabridge/policy/retries.py
+++ b/sequoiabridge/policy/retries.py
@@ -77,12 +77,19 @@
     At the start of each period the remaining budget of the fleet is divided among the VMs. What a
     VM's own successes add during the period is its own.
 
+    A process that has just started knows no counts of its peers and would take itself for the only
+    VM. `MIN_FLEET_RETRIES` therefore does not apply to its first window.
+
     Args:
         ratio: Retries per success.
+
+    Attributes:
+        first_used_at: Time of the first use, None before.
     """
 
     def __init__(self, ratio: float):
         self.ratio = ratio
+        self.first_used_at: float | None = None
         self.own: list[PeriodCount] = []
         self.peers: dict[str, list[PeriodCount]] = {}
         self.grant = 0.0
@@ -92,7 +99,8 @@
         """Take one retry from the budget; return False if none is left."""
         count = self._current(now)
         available = self.grant + self.ratio * count.successes
-        min_retries = MIN_FLEET_RETRIES / (1 + len(self.peers))
+        is_new = now - self.first_used_at < WINDOW_PERIODS * PERIOD_SECONDS
+        min_retries = 0 if is_new else MIN_FLEET_RETRIES / (1 + len(self.peers))
         exhausted = count.retries >= MIN_PERIOD_RETRIES and count.retries + 1 > available
         if exhausted and sum(c.retries for c in self.own) >= min_retries:
             self.refused += 1
@@ -138,6 +146,8 @@
 
     def _current(self, now: float) -> PeriodCount:
         """Return the counts of the current period; divide the budget at the start of one."""
+        if self.first_used_at is None:
+            self.first_used_at = now
         period = int(now / PERIOD_SECONDS)
         if self.own and self.own[-1].period == period:
             return self.own[-1]
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -184,6 +184,9 @@
         self.services = Services(self.clock, Random(seed), lambda address, count: None, lambda: 1)
         self.document = document(len(behaviours), **rule)
         self.services.update(self.document)
+        for state in self.services.by_name.values():
+            # The process has been running for longer than the window of the budget.
+            state.retry_budget.first_used_at = float("-inf")
         self.dispatch = Dispatch(self.services, self.connector, self.clock, self.observer)
 
     def exchange(self, window=30.0) -> Exchange:
--- a/sequoiabridge/tests/policy/test_retries.py
+++ b/sequoiabridge/tests/policy/test_retries.py
@@ -5,7 +5,14 @@
 
 from ...policy.connection_shares import LiveVmCount, connection_share
 from ...policy.quantiles import LatencyHistogram
-from ...policy.retries import MIN_FLEET_RETRIES, RetryBudget, hedge_delay, may_retry
+from ...policy.retries import (
+    MIN_FLEET_RETRIES,
+    MIN_PERIOD_RETRIES,
+    WINDOW_PERIODS,
+    RetryBudget,
+    hedge_delay,
+    may_retry,
+)
 
 
 def test_may_retry_truth_table():
@@ -50,6 +57,19 @@
     assert 0 < retries <= 0.1 * successes + MIN_FLEET_RETRIES * 3
 
 
+def test_processes_that_start_again_do_not_take_themselves_for_the_only_vm():
+    # Each new process had the minimum of the whole fleet until it had heard from its peers.
+    retries = []
+    for step in range(2000):
+        now = step / 100
+        if step % 200 == 0:
+            budgets = [RetryBudget(0.1) for _ in range(18)]
+        retries += [now for budget in budgets if budget.take(now)]
+    restarts = WINDOW_PERIODS / 2
+    allowed = 18 * MIN_PERIOD_RETRIES * (WINDOW_PERIODS + restarts)
+    assert max(sum(start <= at < start + 10 for at in retries) for start in retries) <= allowed
+
+
 def test_a_vm_with_all_the_failures_may_use_the_budget_of_its_peers():
     alone, successes = simulate(18, 0.1, 20, lambda now, vm: vm == 0, share_reports=False)
     shared, _ = simulate(18, 0.1, 20, lambda now, vm: vm == 0)
