--- a/Makefile
+++ b/Makefile
@@ -84,6 +84,9 @@
 bench-limits: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.benchmarks.policy_limits
 
-.PHONY: soak-platform
+.PHONY: soak-platform soak-retries
 soak-platform: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --seeds 3
+
+soak-retries: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --retries RANDOM --seconds 40 --seeds 3
