--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -15,8 +15,9 @@
 from ..environment import HOST, SETTINGS, Connection, document, free_port, route
 from ..store_emulator import StoreEmulator
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
-from .oracle import RETRY_RATIO, Record, read_upstream_log
 from .proxy import Proxy
+from .record import Record, read_upstream_log
+from .repeats import RETRY_RATIO
 
 READY_TIMEOUT = 15.0
 """Seconds within which a started daemon should be ready."""
--- a/sequoiabridge/tests/platform/soak/oracle.py
+++ b/sequoiabridge/tests/platform/soak/oracle.py
@@ -1,10 +1,7 @@
-"""Records what callers and upstreams observed, and checks it against the daemon's guarantees."""
+"""Checks what callers and upstreams observed against the daemon's guarantees."""
 
-import json
-from bisect import bisect_left
-
-READ, APPROVE, UPLOAD, MARK = "read", "approve", "upload", "mark"
-"""Kinds of calls, each with a route of its own; the route of `MARK` alternates between services."""
+from .record import APPROVE, MARK, UPLOAD, CallRecord, Record, UpstreamRun
+from .repeats import worst_repeats
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which the daemon states that a call did not run."""
@@ -18,92 +15,10 @@
 APPLY_SECONDS = 2.0
 """Seconds after which a new configuration must be in force."""
 
-SETTLE_SECONDS = 3.0
-"""Seconds after a fault during which time limits are not checked."""
-
 DELIVERY_SECONDS = 0.5
 """Seconds that a request may take from a daemon to an upstream on a busy machine."""
 
 
-ARRIVAL, RUN = "arrival", "run"
-"""Kinds of lines in an upstream's log."""
-
-RETRY_RATIO = 0.2
-"""Repeats that a service may receive per call, over all daemons."""
-
-RETRY_WINDOW = 10.0
-"""Seconds over which calls and repeats are counted."""
-
-SERVICES = {READ: "reads", APPROVE: "approvals", UPLOAD: "approvals"}
-"""Service of each kind of call whose route does not change."""
-
-
-class CallRecord:
-    """One call of a caller and its answer."""
-
-    def __init__(self, call_id, kind, daemon, sent_at):
-        self.id = call_id
-        self.kind = kind
-        self.daemon = daemon
-        self.sent_at = sent_at
-        self.ended_at = 0.0
-        self.status = 0
-        self.is_complete = False
-        self.body = b""
-        self.connected = False
-
-
-class UpstreamRun:
-    """One call that an upstream started to run."""
-
-    def __init__(self, call_id, upstream, service, started_at, size):
-        self.id = call_id
-        self.upstream = upstream
-        self.service = service
-        self.started_at = started_at
-        self.size = size
-
-
-class Arrival:
-    """One call that an upstream received, whether it ran or rejected it."""
-
-    def __init__(self, call_id, service, at):
-        self.id = call_id
-        self.service = service
-        self.at = at
-
-
-class Record:
-    """Events of one soak run; times are in seconds on one clock.
-
-    Attributes:
-        retry_slack: Fixed part of the retry limit; repeats are not checked if it is None.
-        faults: Start, end and description of each fault.
-        drains: Time at which each upstream was listed as draining, by id.
-        route_changes: Time and new service of each change of the alternating route.
-        stops: Time and daemon of each graceful stop.
-        body_sizes: Bytes of the body of each call, by id.
-    """
-
-    def __init__(self):
-        self.calls: list[CallRecord] = []
-        self.runs: list[UpstreamRun] = []
-        self.arrivals: list[Arrival] = []
-        self.retry_slack: float | None = None
-        self.faults: list[tuple[float, float, str]] = []
-        self.drains: dict[str, float] = {}
-        self.route_changes: list[tuple[float, str]] = []
-        self.stops: list[tuple[float, str]] = []
-        self.body_sizes: dict[str, int] = {}
-
-    def is_fault_free(self, at: float, until: float | None = None) -> bool:
-        """Return whether no fault was active from `SETTLE_SECONDS` before `at` to `until`."""
-        end = until or at
-        return not any(
-            start <= end and at - SETTLE_SECONDS <= stop for start, stop, _ in self.faults
-        )
-
-
 def find_violations(record: Record) -> list[str]:
     """Return a message for each violated guarantee."""
     runs: dict[str, list[UpstreamRun]] = {}
@@ -196,80 +111,3 @@
         for service, worst in worst_repeats(record).items()
         if worst.excess > 0.0
     ]
-
-
-def worst_repeats(record: Record) -> dict[str, "RepeatExcess"]:
-    """Return the window with the most repeats beyond the limit for each service."""
-    worst = {}
-    for service in sorted({arrival.service for arrival in record.arrivals}):
-        calls = sorted(c.sent_at for c in record.calls if service_of(record, c) == service)
-        repeats = repeat_times(record, service)
-        windows = [repeat_excess(start, repeats, calls, record.retry_slack) for start in repeats]
-        if windows:
-            worst[service] = max(windows, key=lambda window: window.excess)
-    return worst
-
-
-class RepeatExcess:
-    """The repeats in one window and how many were allowed."""
-
-    def __init__(self, start, count, allowed):
-        self.start = start
-        self.count = count
-        self.allowed = allowed
-
-    @property
-    def excess(self) -> float:
-        """Return how many repeats were too many; negative if there was room."""
-        return self.count - self.allowed
-
-    def __str__(self) -> str:
-        return (
-            f"{self.count} repeats within {RETRY_WINDOW:.0f} s from {self.start:.2f} on, "
-            f"{self.allowed:.0f} allowed"
-        )
-
-
-def repeat_excess(start, repeats, calls, slack) -> RepeatExcess:
-    """Return the repeats in the window from `start` on; `repeats` and `calls` are sorted times."""
-    counted = max(
-        count_between(calls, start - back, start - back + RETRY_WINDOW)
-        for back in (0.0, RETRY_WINDOW / 2, RETRY_WINDOW)
-    )
-    count = count_between(repeats, start, start + RETRY_WINDOW)
-    return RepeatExcess(start, count, RETRY_RATIO * counted + slack)
-
-
-def repeat_times(record: Record, service: str) -> list[float]:
-    """Return the sorted times of all arrivals at a service but the first of each call."""
-    seen, repeats = set(), []
-    for arrival in sorted(record.arrivals, key=lambda one: one.at):
-        if arrival.id in seen and arrival.service == service:
-            repeats.append(arrival.at)
-        seen.add(arrival.id)
-    return repeats
-
-
-def service_of(record: Record, call: CallRecord) -> str:
-    """Return the service of a call's route at the time at which the call was sent."""
-    if call.kind in SERVICES:
-        return SERVICES[call.kind]
-    return [service for at, service in record.route_changes if at <= call.sent_at][-1]
-
-
-def count_between(times: list[float], start: float, end: float) -> int:
-    """Return the number of sorted `times` from `start` up to but without `end`."""
-    return bisect_left(times, end) - bisect_left(times, start)
-
-
-def read_upstream_log(record: Record, upstream, clock_start: float) -> None:
-    """Add the arrivals and runs in an upstream's log to the record."""
-    if not upstream.log.exists():
-        return
-    for line in upstream.log.read_text().splitlines():
-        at, what, call_id, size = json.loads(line)
-        at -= clock_start
-        if what == ARRIVAL:
-            record.arrivals.append(Arrival(call_id, upstream.service, at))
-        else:
-            record.runs.append(UpstreamRun(call_id, upstream.id, upstream.service, at, size))
--- /dev/null
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -0,0 +1,91 @@
+"""Records what callers and upstreams observed in a soak run."""
+
+import json
+
+READ, APPROVE, UPLOAD, MARK = "read", "approve", "upload", "mark"
+"""Kinds of calls, each with a route of its own; the route of `MARK` alternates between services."""
+
+ARRIVAL, RUN = "arrival", "run"
+"""Kinds of lines in an upstream's log."""
+
+SETTLE_SECONDS = 3.0
+"""Seconds after a fault during which time limits are not checked."""
+
+
+class CallRecord:
+    """One call of a caller and its answer."""
+
+    def __init__(self, call_id, kind, daemon, sent_at):
+        self.id = call_id
+        self.kind = kind
+        self.daemon = daemon
+        self.sent_at = sent_at
+        self.ended_at = 0.0
+        self.status = 0
+        self.is_complete = False
+        self.body = b""
+        self.connected = False
+
+
+class UpstreamRun:
+    """One call that an upstream started to run."""
+
+    def __init__(self, call_id, upstream, service, started_at, size):
+        self.id = call_id
+        self.upstream = upstream
+        self.service = service
+        self.started_at = started_at
+        self.size = size
+
+
+class Arrival:
+    """One call that an upstream received, whether it ran or rejected it."""
+
+    def __init__(self, call_id, service, at):
+        self.id = call_id
+        self.service = service
+        self.at = at
+
+
+class Record:
+    """Events of one soak run; times are in seconds on one clock.
+
+    Attributes:
+        retry_slack: Fixed part of the retry limit; repeats are not checked if it is None.
+        faults: Start, end and description of each fault.
+        drains: Time at which each upstream was listed as draining, by id.
+        route_changes: Time and new service of each change of the alternating route.
+        stops: Time and daemon of each graceful stop.
+        body_sizes: Bytes of the body of each call, by id.
+    """
+
+    def __init__(self):
+        self.calls: list[CallRecord] = []
+        self.runs: list[UpstreamRun] = []
+        self.arrivals: list[Arrival] = []
+        self.retry_slack: float | None = None
+        self.faults: list[tuple[float, float, str]] = []
+        self.drains: dict[str, float] = {}
+        self.route_changes: list[tuple[float, str]] = []
+        self.stops: list[tuple[float, str]] = []
+        self.body_sizes: dict[str, int] = {}
+
+    def is_fault_free(self, at: float, until: float | None = None) -> bool:
+        """Return whether no fault was active from `SETTLE_SECONDS` before `at` to `until`."""
+        end = until or at
+        return not any(
+            start <= end and at - SETTLE_SECONDS <= stop for start, stop, _ in self.faults
+        )
+
+
+def read_upstream_log(record: Record, upstream, clock_start: float) -> None:
+    """Add the arrivals and runs in an upstream's log to the record."""
+    if not upstream.log.exists():
+        return
+    for line in upstream.log.read_text().splitlines():
+        at, what, call_id, size = json.loads(line)
+        at -= clock_start
+        if what == ARRIVAL:
+            record.arrivals.append(Arrival(call_id, upstream.service, at))
+        else:
+            record.runs.append(UpstreamRun(call_id, upstream.id, upstream.service, at, size))
--- a/sequoiabridge/tests/platform/soak/retry_soak.py
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -8,7 +8,7 @@
 
 from ..environment import Connection
 from .deployment import Daemon
-from .oracle import APPROVE, MARK, READ
+from .record import APPROVE, MARK, READ
 from .soak import READY_POLL_INTERVAL, Soak
 
 SERVICE = "reads"
@@ -78,18 +78,26 @@
         self.deployment.upstream_counts = {SERVICE: reads, "approvals": 3}
 
     async def run_caller(self, daemon: Daemon, random: Random) -> None:
-        """Send calls at a constant mean rate; to another daemon while this one is not ready."""
+        """Send calls at a constant mean rate.
+
+        Open connections are used until the daemon has ended; new ones go to another daemon while
+        this one is not ready.
+        """
         watcher = await curio.spawn(self.watch_readiness, daemon)
         calls = curio.TaskGroup(wait=all)
         while not self.stopping:
             await curio.sleep(random.expovariate(1 / self.call_interval))
-            target = daemon
-            if daemon not in self.ready_daemons and self.ready_daemons:
-                target = random.choice(sorted(self.ready_daemons, key=lambda one: one.name))
-            await calls.spawn(self.make_call, target, random)
+            await calls.spawn(self.make_call, self.choose_daemon(daemon, random), random)
         await calls.join()
         await watcher.cancel()
 
+    def choose_daemon(self, daemon: Daemon, random: Random) -> Daemon:
+        """Return `daemon` if it can be called, else a random one that is ready, if any is."""
+        if self.idle_connections.get(daemon.name) or daemon in self.ready_daemons:
+            return daemon
+        ready = sorted(self.ready_daemons, key=lambda one: one.name)
+        return random.choice(ready) if ready else daemon
+
     async def watch_readiness(self, daemon: Daemon) -> None:
         """Check a daemon's readiness regularly, as the platform's balancer does."""
         while True:
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -10,8 +10,10 @@
 
 from ..environment import Connection
 from .deployment import Daemon, Deployment
-from .oracle import APPROVE, MARK, READ, UPLOAD, CallRecord, find_violations, worst_repeats
+from .oracle import find_violations
 from .proxy import LinkFault
+from .record import APPROVE, MARK, READ, UPLOAD, CallRecord
+from .repeats import worst_repeats
 
 FAULT_FREE_SECONDS = 6.0
 """Seconds without new faults at the end of a run."""
--- a/sequoiabridge/tests/platform/soak/test_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_soak.py
@@ -4,18 +4,8 @@
 import pytest
 
 from ....selector import LazySelector
-from .oracle import (
-    APPROVE,
-    DRAIN_SECONDS,
-    MARK,
-    READ,
-    Arrival,
-    CallRecord,
-    Record,
-    UpstreamRun,
-    check_repeats,
-    find_violations,
-)
+from .oracle import DRAIN_SECONDS, check_repeats, find_violations
+from .record import APPROVE, MARK, READ, Arrival, CallRecord, Record, UpstreamRun
 from .retry_soak import RetrySoak, Scenario
 from .soak import Soak
 
@@ -74,7 +64,7 @@
 def test_the_oracle_detects_more_repeats_than_calls_and_slack_allow():
     record = Record()
     record.retry_slack = 10.0
-    record.calls = [make_call(READ, sent=14.0 + n / 10) for n in range(100)]
+    record.calls = [make_call(READ, sent=10.0 + n / 10) for n in range(200)]
     record.arrivals = [Arrival(f"c{n}", "reads", 20.0 + n / 100) for n in range(100)]
     record.arrivals += [Arrival(f"c{n}", "reads", 24.0 + n / 100) for n in range(30)]
     assert check_repeats(record) == []
--- a/sequoiabridge/tests/platform/soak/upstream_process.py
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -15,7 +15,7 @@
 
 from ....selector import LazySelector
 from ..upstream_emulator import UpstreamEmulator
-from .oracle import ARRIVAL, RUN
+from .record import ARRIVAL, RUN
 
 STDIN = 0
 
--- a/sequoiabridge/tests/relay/test_unread.py
+++ b/sequoiabridge/tests/relay/test_unread.py
@@ -12,14 +12,20 @@
 TIMEOUT_MS = 4000
 
 
-async def give_up_a_call(env, listener):
-    """Send a call to an upstream that reads nothing, and let a second one answer it."""
+async def send_to_stopped_upstream(env, listener, call_id):
+    """Send a call to an upstream that reads nothing; return the caller's connection."""
     env.upstreams["r0"].address = "{}:{}".format(*listener.getsockname())
     await env.update_entry("r0")
     await curio.sleep(0.1)
     caller = await env.connect()
-    await caller.send(READ, "given-up", timeout_ms=TIMEOUT_MS)
+    await caller.send(READ, call_id, timeout_ms=TIMEOUT_MS)
     await env.wait_until(lambda: env.gateway.upstreams.by_id["r0"].stats.open_calls)
+    return caller
+
+
+async def give_up_a_call(env, listener):
+    """Send a call to an upstream that reads nothing, and let a second one answer it."""
+    caller = await send_to_stopped_upstream(env, listener, "given-up")
     await env.add_upstream("r1", "reads")
     assert (await caller.reply()).status == 200
     await curio.sleep(0.4)
@@ -81,12 +87,7 @@
     # A call whose connection broke was taken to have arrived, or to be lost.
     async def test(env):
         with open_listener() as listener:
-            env.upstreams["r0"].address = "{}:{}".format(*listener.getsockname())
-            await env.update_entry("r0")
-            await curio.sleep(0.1)
-            caller = await env.connect()
-            await caller.send(READ, "broken", timeout_ms=TIMEOUT_MS)
-            await env.wait_until(lambda: env.gateway.upstreams.by_id["r0"].stats.open_calls)
+            caller = await send_to_stopped_upstream(env, listener, "broken")
             await curio.sleep(0.1)
             await env.add_upstream("r1", "reads")
             await env.wait_until(lambda: "r1" in env.gateway.upstreams.by_id)
