Don't let overlapping restarts of an upstream hang the soak

Only the harness was at fault; the daemons went on serving. An upstream is restarted by one task at a time now, and the processes that were stopped are the ones that are continued.

--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -29,6 +29,12 @@
 """Seconds between checks whether a daemon has ended and must be restarted."""
 
 
+def signal_process(process: subprocess.Popen, number: int) -> None:
+    """Send a signal to a process if it runs."""
+    if process.poll() is None:
+        os.kill(process.pid, number)
+
+
 class Daemon:
     """A daemon process, its settings, and the proxy for its connections to the store."""
 
@@ -64,8 +70,7 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
-        if self.process.poll() is None:
-            os.kill(self.process.pid, number)
+        signal_process(self.process, number)
 
     async def supervise(self) -> None:
         """Restart the process whenever it ends, as the platform does."""
@@ -89,6 +94,7 @@
         super().__init__(**more)
         self.log = log
         self.process: subprocess.Popen | None = None
+        self.is_restarting = False
         self.proxy: Proxy | None = None
         self.seed = more["seed"]
 
@@ -125,8 +131,7 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
-        if self.process.poll() is None:
-            os.kill(self.process.pid, number)
+        signal_process(self.process, number)
 
     async def crash(self) -> None:
         """Kill the process."""
@@ -245,13 +250,20 @@
         await upstream.crash()
 
     async def restart_upstream(self, upstream: UpstreamProcess, delay: float) -> None:
-        """Kill an upstream and start it again under its id after `delay` seconds."""
+        """Kill an upstream and start it again under its id after `delay` seconds.
+
+        Does nothing while the upstream is being restarted already.
+        """
+        if upstream.is_restarting:
+            return
+        upstream.is_restarting = True
         upstream.kill()
         await curio.sleep(delay)
         if upstream.id in self.upstreams:
             upstream.faults = UpstreamFaults()
             await upstream.start()
             await self.store.put("servers", upstream.id, upstream.entry())
+        upstream.is_restarting = False
 
     def read_upstream_logs(self, clock_start: float) -> None:
         """Add what all upstreams logged to the record.
--- a/sequoiabridge/tests/platform/soak/retry_soak.py
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -7,7 +7,7 @@
 import curio
 
 from ..environment import Connection
-from .deployment import Daemon
+from .deployment import Daemon, signal_process
 from .record import APPROVE, MARK, READ
 from .soak import READY_POLL_INTERVAL, Soak
 
@@ -201,11 +201,13 @@
             upstreams = upstreams[: self.random.randint(1, len(upstreams))]
             seconds = self.random.uniform(0.5, MAX_UPSTREAM_STOP)
         self.record_fault(seconds + 1.0, f"stop {len(upstreams)} upstreams")
-        for upstream in upstreams:
-            upstream.signal(signal.SIGSTOP)
+        # An upstream may be restarted meanwhile; the processes that were stopped are continued.
+        processes = [upstream.process for upstream in upstreams]
+        for process in processes:
+            signal_process(process, signal.SIGSTOP)
         await curio.sleep(seconds)
-        for upstream in upstreams:
-            upstream.signal(signal.SIGCONT)
+        for process in processes:
+            signal_process(process, signal.SIGCONT)
 
     async def restart_upstream(self, seconds: float) -> None:
         """Kill an upstream and start it again under its id."""
