--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from ..environment import HOST, SETTINGS, Connection, document, free_port, route
+from ..environment import SETTINGS, Connection, document, free_port, route
 from ..store_emulator import StoreEmulator
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
 from .proxy import Proxy
@@ -279,6 +279,3 @@
         for process in (*self.daemons, *self.started_upstreams):
             process.kill()
         self.folder.cleanup()
-
-
-__all__ = ["HOST", "Daemon", "Deployment"]
