--- a/sequoiabridge/tests/platform/soak/retry_soak.py
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -136,8 +136,8 @@
             self.kill_daemons,
             self.pause_daemon,
             self.stop_daemon,
-            self.stop_upstreams,
-            self.stop_upstreams,
+            self.stop_some_upstreams,
+            self.stop_some_upstreams,
             self.restart_upstream,
             self.disturb_upstream_link,
             self.change_configuration,
@@ -153,7 +153,7 @@
 
     async def stop_upstreams_under_pressure(self, until: float) -> None:
         """Stop all upstreams of the service for most of a window; let them fail afterwards."""
-        await self.stop_upstreams(MAX_UPSTREAM_STOP, 1.0)
+        await self.stop_upstreams(self.service_upstreams(), MAX_UPSTREAM_STOP)
         await self.fail_upstreams(until - self.now(), MAX_PRESSURE)
 
     def service_upstreams(self) -> list:
@@ -194,12 +194,15 @@
             self.signal_daemons(self.random.sample(self.deployment.daemons, count), signal.SIGKILL)
             await curio.sleep(seconds)
 
-    async def stop_upstreams(self, seconds: float, share: float | None = None) -> None:
-        """Stop upstreams of the service by a signal and continue them together."""
+    async def stop_some_upstreams(self, seconds: float) -> None:
+        """Stop some upstreams of the service, for longer than other faults last."""
         upstreams = self.service_upstreams()
-        if share is None:
-            upstreams = upstreams[: self.random.randint(1, len(upstreams))]
-            seconds = self.random.uniform(0.5, MAX_UPSTREAM_STOP)
+        count = self.random.randint(1, len(upstreams))
+        seconds = self.random.uniform(0.5, MAX_UPSTREAM_STOP)
+        await self.stop_upstreams(upstreams[:count], seconds)
+
+    async def stop_upstreams(self, upstreams: list, seconds: float) -> None:
+        """Stop upstreams by a signal and continue them together."""
         self.record_fault(seconds + 1.0, f"stop {len(upstreams)} upstreams")
         # An upstream may be restarted meanwhile; the processes that were stopped are continued.
         processes = [upstream.process for upstream in upstreams]
