Add a failing test of daemons killed while upstreams are stopped

All upstreams of a service are stopped for 22 s, all daemons are killed after 9 s of that, and calls fail once the upstreams continue.

--- a/sequoiabridge/tests/platform/soak/retry_soak.py
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -33,12 +33,18 @@
 """Maximum seconds for which upstreams are stopped; close to the window of the retry limit."""
 
 
+LONG_STOP = 22.0
+"""Seconds for which upstreams are stopped when their daemons are killed meanwhile; over a window
+longer than `MAX_UPSTREAM_STOP`."""
+
+
 class Scenario(Enum):
     """What happens while upstreams fail; `RANDOM` mixes everything in series."""
 
     RANDOM = "random"
     RESTARTS = "restarts"
     STOPPED_UPSTREAMS = "stopped-upstreams"
+    RESTARTS_AT_STOPPED_UPSTREAMS = "restarts-at-stopped-upstreams"
 
 
 class RetrySoak(Soak):
@@ -125,6 +131,8 @@
             await self.restart_under_pressure(until)
         elif self.scenario is Scenario.STOPPED_UPSTREAMS:
             await self.stop_upstreams_under_pressure(until)
+        elif self.scenario is Scenario.RESTARTS_AT_STOPPED_UPSTREAMS:
+            await self.restart_at_stopped_upstreams(until)
         else:
             pressure = await curio.spawn(self.press_in_series, until)
             await super().inject_faults(until)
@@ -156,6 +164,14 @@
         await self.stop_upstreams(self.service_upstreams(), MAX_UPSTREAM_STOP)
         await self.fail_upstreams(until - self.now(), MAX_PRESSURE)
 
+    async def restart_at_stopped_upstreams(self, until: float) -> None:
+        """Kill all daemons while upstreams are stopped, which continue over a window later."""
+        stop = await curio.spawn(self.stop_upstreams, self.service_upstreams(), LONG_STOP)
+        await curio.sleep(MAX_UPSTREAM_STOP)
+        self.signal_daemons(self.deployment.daemons, signal.SIGKILL)
+        await stop.join()
+        await self.fail_upstreams(until - self.now(), MAX_PRESSURE)
+
     def service_upstreams(self) -> list:
         """Return the upstreams of the service, in random order."""
         upstreams = [u for u in self.deployment.upstreams.values() if u.service == SERVICE]
--- a/sequoiabridge/tests/platform/soak/test_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_soak.py
@@ -50,6 +50,11 @@
     assert run_retry_soak(2, 36.0, Scenario.STOPPED_UPSTREAMS) == []
 
 
+def test_calls_of_killed_daemons_at_stopped_upstreams_do_not_exceed_the_retry_limit():
+    # What killed daemons had sent arrives beside the retries of their successors.
+    assert run_retry_soak(2, 50.0, Scenario.RESTARTS_AT_STOPPED_UPSTREAMS) == []
+
+
 def test_the_soak_detects_daemons_without_a_retry_limit():
     soak = RetrySoak(1, 16.0, daemons=2)
     soak.quiet_seconds = 0.0
