--- a/sequoiabridge/balancing/upstream_stats.py
+++ b/sequoiabridge/balancing/upstream_stats.py
@@ -134,7 +134,7 @@
         self.settled_until = float("-inf")
         self.abandoned_calls = 0
 
-    def settle(self, sent_at: float) -> None:
+    def record_settled(self, sent_at: float) -> None:
         """Record that everything sent up to `sent_at` has been read or is lost."""
         if sent_at > self.settled_until:
             self.settled_until = sent_at
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -106,7 +106,7 @@
         self.sent_at = self.clock.now()
         await self.connection.send(request)
         answer = await self.connection.read_head()
-        self.upstream.stats.settle(self.sent_at)
+        self.upstream.stats.record_settled(self.sent_at)
         self.metadata = self.dialect.answer_metadata(answer)
         self.load = self.metadata.load
         if answer.body is not None:
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -100,7 +100,7 @@
             self._record_failure(upstream, f"no answer within {PROBE_TIMEOUT} s")
         except UpstreamFailed as error:
             if error.refused:
-                upstream.stats.settle(sent_at)
+                upstream.stats.record_settled(sent_at)
             self._record_failure(upstream, str(error))
         else:
             self._record_answer(upstream, answer, sent_at)
@@ -141,7 +141,7 @@
                 after=stats.unanswered_probes,
                 abandoned_calls=stats.abandoned_calls,
             )
-        stats.settle(sent_at)
+        stats.record_settled(sent_at)
         if metadata.healthy != stats.healthy:
             self.decisions.event("upstream-health", upstream=upstream.id, healthy=metadata.healthy)
         stats.record_probe_answer(metadata.healthy)
--- a/sequoiabridge/tests/relay/test_unread.py
+++ b/sequoiabridge/tests/relay/test_unread.py
@@ -64,7 +64,7 @@
             budget = env.gateway.sender.dispatch.budgets["reads"]
             upstream = env.gateway.upstreams.by_id["r0"]
             assert budget.unsettled == 1
-            upstream.stats.settle(env.gateway.clock.now())
+            upstream.stats.record_settled(env.gateway.clock.now())
             await env.wait_until(lambda: budget.unsettled == 0, seconds=2.0)
 
     run_in_environment(test, reads=1)
