Show the limits that upstreams name, and the calls sent under them

The record of the limit incident can't tell its hypotheses apart: no VM logs or counts what an upstream says of its limit. The header is decoded now (a value that is no decimal number gets a log line, and the limit known before is kept), and each VM shows limit, age and its own sends by upstream in log, metrics and dump. No call goes elsewhere because of it.

With that, hypothesis 1 (unread) shows as sends that do not fall once a limit is known, hypothesis 2 (counted alone) as sends that are within the limit on each VM and over it in sum, hypothesis 3 (unknown to some) as a limit that some VMs do not show.

--- a/sequoiabridge/balancing/upstream_stats.py
+++ b/sequoiabridge/balancing/upstream_stats.py
@@ -5,6 +5,7 @@
 from math import exp
 
 from .load import UpstreamLoad
+from .request_limit import RequestLimit
 
 FAILURE_DECAY_SECONDS = 4.0
 """Time constant in seconds of the exponential decay of successes and failures."""
@@ -99,6 +100,7 @@
         settled_until: Everything that was sent to the upstream up to this time has been read or
             is lost: it has answered something sent then, or nothing listened at its address.
         abandoned_calls: Number of calls that this VM gave up there without an answer, since then.
+        request_limit: The limit that the upstream named.
     """
 
     __slots__ = (
@@ -116,6 +118,7 @@
         "probe_sent_at",
         "settled_until",
         "abandoned_calls",
+        "request_limit",
     )
 
     def __init__(self) -> None:
@@ -133,6 +136,7 @@
         self.probe_sent_at: float | None = None
         self.settled_until = float("-inf")
         self.abandoned_calls = 0
+        self.request_limit = RequestLimit()
 
     def record_settled(self, sent_at: float) -> None:
         """Record that everything sent up to `sent_at` has been read or is lost."""
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -48,6 +48,7 @@
 from .relay.readiness import READY_LIMITS, SWEEP_INTERVAL, Readiness, ReadyHandler
 from .relay.relay import Relay
 from .relay.reloading import SettingsReloader
+from .relay.request_limits import RequestLimits
 from .relay.sender import Sender
 from .relay.sharing import Sharing
 from .relay.unread import UnreadCalls
@@ -191,7 +192,8 @@
         self.probe_limiter = ProbeRateLimiter(
             self.settings.bounds.probes_per_second, self.started_at
         )
-        self.sharing = Sharing(self.upstreams, self.clock)
+        self.request_limits = RequestLimits(self.upstreams, self.decisions, self.clock)
+        self.sharing = Sharing(self.upstreams, self.request_limits, self.clock)
         address = f"{listen.fleet_ip}:{listen.fleet_ports[-1]}"
         own_hello = Hello(vm.name, address, vm.data_centre, vm.link)
         self.members = Members(
--- a/sequoiabridge/platform/dialect.py
+++ b/sequoiabridge/platform/dialect.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import re
 
 from ..balancing.load import UpstreamLoad
+from ..balancing.request_limit import LimitReport
 from ..exceptions import Refusal
 from ..pipeline.exchange import Answer, BytesBody, RawHeaders, Request, first_value
 from ..relay.dialect import Dialect
@@ -16,6 +18,7 @@
     LOAD,
     MISDIRECTED_REQUEST,
     NOT_RUN,
+    REQUEST_LIMIT,
     RETRY_AFTER,
     SIGNATURE,
     TIMEOUT_MS,
@@ -33,6 +36,8 @@
 MIN_TIMEOUT_MS = 1
 """Minimum timeout sent to an upstream."""
 
+DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+
 OK = 200
 
 
@@ -68,11 +73,15 @@
             genuine=first_value(headers, SIGNATURE) is not None
             and first_value(headers, CONTENT_ENCODING) is None,
             load=parse_load(headers),
+            limit=parse_limit(headers),
         )
 
     def health_metadata(self, answer: Answer) -> HealthMetadata:
         upstream = (first_value(answer.headers, UPSTREAM_ID) or b"").decode("latin-1")
-        return HealthMetadata(answer.status == OK, upstream, parse_load(answer.headers))
+        headers = answer.headers
+        return HealthMetadata(
+            answer.status == OK, upstream, parse_load(headers), parse_limit(headers)
+        )
 
     def refusal(self, refusal: Refusal, call_id: str) -> Answer:
         fields = {"error": str(refusal), "reason": refusal.reason.value, "id": call_id}
@@ -96,3 +105,19 @@
         return None
     slowdown = figures[3] / PERCENT_PER_UNIT if len(figures) > 3 else NO_SLOWDOWN
     return UpstreamLoad(int(figures[0]), int(figures[1]), int(figures[2]), slowdown)
+
+
+def parse_limit(headers: RawHeaders) -> LimitReport:
+    """Return what the headers of an answer say of the upstream's limit on requests.
+
+    Several fields with the same value count as one.
+    """
+    texts = {value.strip() for name, value in headers if name == REQUEST_LIMIT}
+    if not texts:
+        return LimitReport(None)
+    if len(texts) > 1:
+        return LimitReport(None, f"different values: {sorted(texts)[:3]}")
+    text = texts.pop()
+    if DECIMAL_NUMBER.fullmatch(text) is None:
+        return LimitReport(None, f"not a decimal number: {text[:40]}")
+    return LimitReport(float(text))
--- a/sequoiabridge/platform/names.py
+++ b/sequoiabridge/platform/names.py
@@ -15,6 +15,9 @@
 LOAD = b"x-instance-load"
 """Load report: running requests, queued requests, slots, optionally the slowdown in percent."""
 
+REQUEST_LIMIT = b"server-limit"
+"""Requests per second, a decimal number, that the upstream takes from all VMs together."""
+
 NOT_RUN = b"x-not-executed"
 """Set on the answer to a request that did not run and never will."""
 
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -104,15 +104,25 @@
         # From here on, only the upstream can prove that the request did not run.
         self.sent = True
         self.sent_at = self.clock.now()
+        self.sharing.request_limits.record_send(self.upstream)
         await self.connection.send(request)
         answer = await self.connection.read_head()
         self.upstream.stats.record_settled(self.sent_at)
         self.metadata = self.dialect.answer_metadata(answer)
         self.load = self.metadata.load
+        self._record_limit()
         if answer.body is not None:
             await buffer_answer(answer)
         return answer
 
+    def _record_limit(self) -> None:
+        metadata, limits = self.metadata, self.sharing.request_limits
+        if metadata.other_upstream:
+            return
+        # Faulty answers may lack the header although the limit still applies.
+        if metadata.limit.rate is not None or metadata.limit.problem or metadata.genuine:
+            limits.record_answer(self.upstream, metadata.limit, self.sent_at)
+
     async def _connect(self) -> UpstreamConnection:
         address = self.upstream.address
         timeout = max(MIN_CONNECT_TIMEOUT, self.call.deadline - self.clock.now())
--- a/sequoiabridge/relay/metadata.py
+++ b/sequoiabridge/relay/metadata.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..balancing.load import UpstreamLoad
+from ..balancing.request_limit import LimitReport
 
 
 class CallMetadata:
@@ -29,17 +30,24 @@
         genuine: The answer carries the upstream's signature and no content encoding. A successful
             answer that is not genuine must not reach the caller.
         load: The upstream's load, or None.
+        limit: What it says of the upstream's limit on requests.
     """
 
-    __slots__ = ("not_run", "other_upstream", "genuine", "load")
+    __slots__ = ("not_run", "other_upstream", "genuine", "load", "limit")
 
     def __init__(
-        self, not_run: bool, other_upstream: bool, genuine: bool, load: UpstreamLoad | None
+        self,
+        not_run: bool,
+        other_upstream: bool,
+        genuine: bool,
+        load: UpstreamLoad | None,
+        limit: LimitReport,
     ):
         self.not_run = not_run
         self.other_upstream = other_upstream
         self.genuine = genuine
         self.load = load
+        self.limit = limit
 
 
 class HealthMetadata:
@@ -49,11 +57,13 @@
         healthy: The upstream reports that it is healthy and not leaving; calls may still fail.
         upstream: Id of the upstream that answered, "" if not set.
         load: Its load, or None.
+        limit: What it says of its limit on requests.
     """
 
-    __slots__ = ("healthy", "upstream", "load")
+    __slots__ = ("healthy", "upstream", "load", "limit")
 
-    def __init__(self, healthy: bool, upstream: str, load: UpstreamLoad | None):
+    def __init__(self, healthy: bool, upstream: str, load: UpstreamLoad | None, limit: LimitReport):
         self.healthy = healthy
         self.upstream = upstream
         self.load = load
+        self.limit = limit
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -52,6 +52,7 @@
             self.gateway.decisions.written,
         )
         yield from retry_families(self.gateway.sender.dispatch)
+        yield from limit_families(self.gateway)
         for name, about, value in plain_counters(self.gateway):
             yield CounterMetricFamily(name, about, value=value)
         for name, about, value in gauges(self.gateway):
@@ -66,6 +67,14 @@
     return family
 
 
+def labelled_gauge(name: str, about: str, label: str, values: dict[str, float]) -> Metric:
+    """Return a gauge family with one label."""
+    family = GaugeMetricFamily(name, about, labels=(label,))
+    for label_value, value in values.items():
+        family.add_metric((label_value,), value)
+    return family
+
+
 def route_families(counters: Counters) -> Iterator[Metric]:
     """Yield the families of calls by status, calls in time, and latency, each by route."""
     calls = CounterMetricFamily("sequoia_calls", "Calls answered.", labels=("route", "status"))
@@ -111,6 +120,30 @@
     )
 
 
+def limit_families(gateway: Gateway) -> Iterator[Metric]:
+    """Yield the families about limits, each by upstream that has one."""
+    now = gateway.clock.now()
+    limits = {u.id: u.stats.request_limit for u in gateway.request_limits.limited()}
+    yield labelled_gauge(
+        "sequoia_upstream_limit",
+        "Requests per second that the upstream takes from all VMs together.",
+        "upstream",
+        {id: limit.rate for id, limit in limits.items()},
+    )
+    yield labelled_gauge(
+        "sequoia_upstream_limit_age_seconds",
+        "Seconds since the limit was last observed.",
+        "upstream",
+        {id: now - limit.observed_at for id, limit in limits.items()},
+    )
+    yield labelled_counter(
+        "sequoia_limited_sends",
+        "Calls that this VM sent since the upstream named its limit.",
+        "upstream",
+        {id: limit.sends for id, limit in limits.items()},
+    )
+
+
 def plain_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
     """Yield name, help and value of each counter without labels."""
     counters, dispatch = gateway.counters, gateway.sender.dispatch
@@ -129,6 +162,8 @@
     entry_errors = [follower.entry_errors.count for follower in gateway.followers.values()]
     unusable = sum(entry_errors) + gateway.members.entry_errors.count
     yield "sequoia_entries_unusable", "Entries of the store that could not be used.", unusable
+    invalid = gateway.request_limits.invalid
+    yield "sequoia_upstream_limits_invalid", "Limits that could not be read.", invalid
     yield "sequoia_log_omitted", "Lines left out of the log.", gateway.decisions.omitted
 
 
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -96,6 +96,7 @@
             gateway.upstreams,
             gateway.connector,
             gateway.members,
+            gateway.request_limits,
             gateway.sender.dispatch,
             *gateway.followers.values(),
         )
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -147,6 +147,7 @@
         stats.record_probe_answer(metadata.healthy)
         if not metadata.healthy:
             self.upstreams.record_unhealthy(upstream)
+        self.sharing.request_limits.record_health_answer(upstream, metadata.limit)
         if metadata.load is not None:
             self.sharing.record_load_report(upstream, metadata.load)
 
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -26,6 +26,7 @@
     RequestCrashed,
     RequestSurvived,
 )
+from .request_limits import RequestLimits
 from .upstreams import UpstreamList
 
 
@@ -39,8 +40,9 @@
         on_hello: Called with a peer's `Hello`.
     """
 
-    def __init__(self, upstreams: UpstreamList, clock: Clock):
+    def __init__(self, upstreams: UpstreamList, request_limits: RequestLimits, clock: Clock):
         self.upstreams = upstreams
+        self.request_limits = request_limits
         self.clock = clock
         self.channel = Channel(self._handle)
         self.members: Members | None = None
--- a/sequoiabridge/tests/platform/test_dialect.py
+++ b/sequoiabridge/tests/platform/test_dialect.py
@@ -5,7 +5,7 @@
 from ...exceptions import Refusal
 from ...outcome import Outcome, Reason
 from ...pipeline.exchange import Answer, Request
-from ...platform.dialect import PlatformDialect, parse_load
+from ...platform.dialect import PlatformDialect, parse_limit, parse_load
 
 DIALECT = PlatformDialect()
 
@@ -84,3 +84,27 @@
     refusal = Refusal(503, Outcome.NOT_RUN, Reason.QUEUE_FULL, "Try again later.", 0.15)
     answer_sent = DIALECT.refusal(refusal, "c1")
     assert answer_sent.status == 503 and (b"retry-after", b"0.150") in answer_sent.headers
+
+
+@pytest.mark.parametrize(
+    ("values", "rate"),
+    [
+        ([], None),
+        ([b"1.3"], 1.3),
+        ([b"0"], 0.0),
+        ([b" 20 "], 20.0),
+        ([b"2", b"2"], 2.0),
+    ],
+)
+def test_a_limit_is_decoded(values, rate):
+    report = parse_limit([(b"server-limit", value) for value in values])
+    assert report.rate == rate and report.problem == ""
+
+
+@pytest.mark.parametrize(
+    "values",
+    [[b""], [b"-1"], [b"nan"], [b"inf"], [b"1e9"], [b"1,5"], [b"9" * 13], [b"soon"], [b"1", b"2"]],
+)
+def test_a_limit_that_is_no_decimal_number_is_a_problem(values):
+    report = parse_limit([(b"server-limit", value) for value in values])
+    assert report.rate is None and report.problem
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -29,6 +29,8 @@
         hang: Never finish a request.
         health_hangs: Never answer a health check.
         health_status: Status of answers to health checks.
+        limit: Value of the limit named in answers to calls; "" for none.
+        health_limit: The same for answers to health checks.
         crash_path: Path prefix of requests that crash the upstream; "" for none.
     """
 
@@ -48,6 +50,8 @@
         self.hang = False
         self.health_hangs = False
         self.health_status = 200
+        self.limit = ""
+        self.health_limit = ""
         self.crash_path = ""
 
 
@@ -158,12 +162,14 @@
             await curio.sleep(3600)
         status = 503 if self.draining else self.faults.health_status
         headers = [(b"x-instance-id", self.id.encode()), (b"x-instance-load", self.load())]
+        headers += limit_headers(self.faults.health_limit)
         return await connection.answer(status, headers, b"")
 
     def common_headers(self, request: Incoming) -> list:
         return [
             (b"x-attempt-id", request.header(b"x-attempt-id").encode()),
             (b"x-instance-load", self.load()),
+            *limit_headers(self.faults.limit),
         ]
 
     async def run(self, connection: Wire, request: Incoming) -> bool:
@@ -221,3 +227,8 @@
             extra += b"X-Attempt-Id: " + request.header(b"x-attempt-id").encode()
             await connection.sock.sendall(extra + b"\r\nX-Server-Signature: s\r\n\r\nextra")
         return kept
+
+
+def limit_headers(text: str) -> list:
+    """Return the header that names a limit, or none if `text` is empty."""
+    return [(b"server-limit", text.encode())] if text else []
