Reproduce the limit incident with real processes

Daemons and upstreams run as processes; upstreams name limits in their answers 3 s after the callers begin. The oracle counts what each upstream receives from the daemons that have passed on such an answer and were not disturbed, in each window of 4 s, against 1.5 times the limit and 5 more.

--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -15,6 +15,7 @@
 from ..environment import SETTINGS, Connection, document, free_port, route
 from ..store_emulator import StoreEmulator
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
+from .lossy_gateway import LOSS_SUFFIX
 from .proxy import Proxy
 from .record import Record, read_upstream_log
 from .repeats import RETRY_RATIO
@@ -51,6 +52,9 @@
         self.store = store
         self.log = folder / f"{name}.log"
         self.settings = folder / f"{name}.ini"
+        self.loss = folder / f"{name}.ini{LOSS_SUFFIX}"
+        self.module = "sequoiabridge.commands.gateway"
+        self.down_since: float | None = None
         self.callers, self.ready = free_port(), free_port()
         text = SETTINGS.format(store=store.address, port=free_port(), port2=free_port())
         text = text.replace("vm-1", name).replace("= here", f"= {data_centre}")
@@ -64,21 +68,29 @@
 
     def start(self) -> None:
         """Start the process; its output is appended to the log."""
-        command = [sys.executable, "-m", "sequoiabridge.commands.gateway", str(self.settings)]
+        command = [sys.executable, "-m", self.module, str(self.settings)]
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(command, stdout=log, stderr=log)
 
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
+        if number in (signal.SIGTERM, signal.SIGKILL) and self.down_since is None:
+            self.down_since = time.monotonic()
         signal_process(self.process, number)
 
-    async def supervise(self) -> None:
-        """Restart the process whenever it ends, as the platform does."""
+    def set_loss(self, share: float) -> None:
+        """Lose a share of the datagrams that the daemon sends from now on."""
+        self.loss.write_text(str(share))
+
+    async def supervise(self, on_restart) -> None:
+        """Restart the process whenever it ends, as the platform does; call `on_restart` then."""
         while True:
             await curio.sleep(RESTART_DELAY)
             if self.process.poll() is not None:
                 self.starts += 1
                 self.start()
+                on_restart(self)
+                self.down_since = None
 
     def kill(self) -> None:
         """Kill the process and wait for its end."""
@@ -156,6 +168,7 @@
         self.upstream_counts = {"reads": 5, "approvals": 4}
         self.retry_slack = RETRY_SLACK
         self.retry_ratio = RETRY_RATIO
+        self.daemon_module = "sequoiabridge.commands.gateway"
         self.daemons: list[Daemon] = []
         self.upstreams: dict[str, UpstreamProcess] = {}
         self.started_upstreams: list[UpstreamProcess] = []
@@ -184,12 +197,23 @@
             daemon = Daemon(
                 f"vm-{number}", data_centre, proxy, folder, self.retry_slack, self.retry_ratio
             )
+            daemon.module = self.daemon_module
             self.daemons.append(daemon)
             daemon.start()
-            await curio.spawn(daemon.supervise(), daemon=True)
+            await curio.spawn(daemon.supervise(self.record_restart), daemon=True)
         for daemon in self.daemons:
             await self.wait_until_ready(daemon)
 
+    def record_restart(self, daemon: Daemon) -> None:
+        """Record the time from a daemon's signal, if it got one, to its new start."""
+        now = time.monotonic()
+        since = now - RESTART_DELAY if daemon.down_since is None else daemon.down_since
+        self.record.disturbances.append((self.clock() - (now - since), self.clock(), daemon.name))
+
+    def record_disturbance(self, daemon: Daemon, seconds: float) -> None:
+        """Record that a daemon is disturbed from now on for some seconds."""
+        self.record.disturbances.append((self.clock(), self.clock() + seconds, daemon.name))
+
     async def wait_until_ready(self, daemon: Daemon) -> bool:
         """Wait until a daemon is ready; return False after `READY_TIMEOUT`."""
         async with curio.ignore_after(READY_TIMEOUT):
@@ -273,6 +297,10 @@
         """
         for upstream in self.started_upstreams:
             read_upstream_log(self.record, upstream, clock_start)
+        for daemon in self.daemons:
+            if daemon.down_since is not None:
+                began = daemon.down_since - clock_start
+                self.record.disturbances.append((began, float("inf"), daemon.name))
 
     def close(self) -> None:
         """Kill all processes and delete their folder."""
--- /dev/null
+++ b/sequoiabridge/tests/platform/soak/lossy_gateway.py
@@ -0,0 +1,42 @@
+"""The gateway daemon with a share of its datagrams to peers lost; the soak sets that share.
+
+The share is read from the file next to the settings whose name ends with `LOSS_SUFFIX`.
+"""
+
+import sys
+from pathlib import Path
+from random import Random
+
+from ....relay.channel import Channel
+
+LOSS_SUFFIX = ".loss"
+
+
+class LossyChannel(Channel):
+    """A channel that loses datagrams at random.
+
+    Attributes:
+        file: File with the share of lost datagrams; nothing is lost without it.
+    """
+
+    file = Path()
+    random = Random(1)
+
+    def send(self, message, addresses) -> None:
+        share = float(self.file.read_text() or 0.0) if self.file.exists() else 0.0
+        super().send(message, [a for a in addresses if self.random.random() >= share])
+
+
+def main(settings: str) -> int:
+    """Run the daemon of a settings file."""
+    from ....relay import sharing
+
+    LossyChannel.file = Path(settings + LOSS_SUFFIX)
+    sharing.Channel = LossyChannel
+    from ....gateway import run_daemon
+
+    return run_daemon(settings)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- a/sequoiabridge/tests/platform/soak/oracle.py
+++ b/sequoiabridge/tests/platform/soak/oracle.py
@@ -1,5 +1,6 @@
 """Checks what callers and upstreams observed against the daemon's guarantees."""
 
+from .limits import check_limits
 from .record import APPROVE, MARK, UPLOAD, CallRecord, Record, UpstreamRun
 from .repeats import worst_repeats
 
@@ -32,6 +33,7 @@
     violations += check_drains(record)
     violations += check_stops(record)
     violations += check_repeats(record)
+    violations += check_limits(record)
     return violations
 
 
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -5,9 +5,11 @@
 READ, APPROVE, UPLOAD, MARK = "read", "approve", "upload", "mark"
 """Kinds of calls, each with a route of its own; the route of `MARK` alternates between services."""
 
-ARRIVAL, RUN = "arrival", "run"
+ARRIVAL, RUN, LIMIT = "arrival", "run", "limit"
 """Kinds of lines in an upstream's log."""
 
+NO_LIMIT = ""
+
 SETTLE_SECONDS = 3.0
 """Seconds after a fault during which time limits are not checked."""
 
@@ -24,6 +26,7 @@
         self.status = 0
         self.is_complete = False
         self.body = b""
+        self.limit = NO_LIMIT
         self.connected = False
 
 
@@ -41,10 +44,11 @@
 class Arrival:
     """One call that an upstream received, whether it ran or rejected it."""
 
-    def __init__(self, call_id, service, at):
+    def __init__(self, call_id, service, at, upstream=""):
         self.id = call_id
         self.service = service
         self.at = at
+        self.upstream = upstream
 
 
 class Record:
@@ -57,6 +61,9 @@
         route_changes: Time and new service of each change of the alternating route.
         stops: Time and daemon of each graceful stop.
         body_sizes: Bytes of the body of each call, by id.
+        limit_changes: Time, upstream and requests per second (None for no limit) of each change of
+            a limit; a value that is no number is no change.
+        disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
     """
 
     def __init__(self):
@@ -69,6 +76,8 @@
         self.route_changes: list[tuple[float, str]] = []
         self.stops: list[tuple[float, str]] = []
         self.body_sizes: dict[str, int] = {}
+        self.limit_changes: list[tuple[float, str, float | None]] = []
+        self.disturbances: list[tuple[float, float, str]] = []
 
     def is_fault_free(self, at: float, until: float | None = None) -> bool:
         """Return whether no fault was active from `SETTLE_SECONDS` before `at` to `until`."""
@@ -77,6 +86,10 @@
             start <= end and at - SETTLE_SECONDS <= stop for start, stop, _ in self.faults
         )
 
+    def disturbed_daemons(self, start: float, end: float) -> set[str]:
+        """Return the daemons that were disturbed at any time from `start` to `end`."""
+        return {d for begin, stop, d in self.disturbances if begin <= end and start <= stop}
+
 
 def read_upstream_log(record: Record, upstream, clock_start: float) -> None:
     """Add the arrivals and runs in an upstream's log to the record."""
@@ -86,6 +99,15 @@
         at, what, call_id, size = json.loads(line)
         at -= clock_start
         if what == ARRIVAL:
-            record.arrivals.append(Arrival(call_id, upstream.service, at))
+            record.arrivals.append(Arrival(call_id, upstream.service, at, upstream.id))
+        elif what == LIMIT:
+            record_limit(record, upstream.id, at, call_id)
         else:
             record.runs.append(UpstreamRun(call_id, upstream.id, upstream.service, at, size))
+
+
+def record_limit(record: Record, upstream: str, at: float, text: str) -> None:
+    """Add a limit that an upstream named; a daemon ignores one that is no decimal number."""
+    if text != NO_LIMIT and not text.replace(".", "", 1).isdigit():
+        return
+    record.limit_changes.append((at, upstream, float(text) if text else None))
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -172,6 +172,7 @@
         if reply is None:
             return False
         call.status, call.is_complete, call.body = reply.status, reply.is_complete, reply.body
+        call.limit = reply.headers.get(b"server-limit", b"").decode()
         return reply.is_complete and reply.headers.get(b"connection") != b"close"
 
     async def inject_faults(self, until: float) -> None:
@@ -229,6 +230,7 @@
         """Suspend a daemon's process."""
         daemon = self.random.choice(self.deployment.daemons)
         self.record_fault(seconds + 1.0, f"pause {daemon.name}")
+        self.deployment.record_disturbance(daemon, seconds)
         daemon.signal(signal.SIGSTOP)
         await curio.sleep(seconds)
         daemon.signal(signal.SIGCONT)
--- a/sequoiabridge/tests/platform/soak/upstream_process.py
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -15,7 +15,7 @@
 
 from ....selector import LazySelector
 from ..upstream_emulator import UpstreamEmulator
-from .record import ARRIVAL, RUN
+from .record import ARRIVAL, LIMIT, NO_LIMIT, RUN
 
 STDIN = 0
 
@@ -26,6 +26,8 @@
     def __init__(self, log: str, **more):
         super().__init__(**more)
         self.log = os.open(log, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+        self.named_limit = NO_LIMIT
+        self.write_fields(LIMIT, NO_LIMIT, 0)
 
     async def handle(self, connection, request):
         """Log the arrival of a call, then handle it."""
@@ -38,10 +40,21 @@
         self.write(RUN, request)
         return await super().run(connection, request)
 
+    def common_headers(self, request):
+        """Log the limit that the headers name if it has changed."""
+        if self.faults.limit != self.named_limit:
+            self.named_limit = self.faults.limit
+            self.write_fields(LIMIT, self.named_limit, 0)
+        return super().common_headers(request)
+
     def write(self, what: str, request) -> None:
+        """Append a line about a call to the log."""
+        self.write_fields(what, request.header(b"x-attempt-id"), len(request.body))
+
+    def write_fields(self, what: str, text: str, size: int) -> None:
         """Append a line to the log."""
-        fields = (time.monotonic(), what, request.header(b"x-attempt-id"), len(request.body))
-        os.write(self.log, (json.dumps(fields) + "\n").encode())
+        line = json.dumps((time.monotonic(), what, text, size)) + "\n"
+        os.write(self.log, line.encode())
 
     async def read_commands(self) -> None:
         """Apply changes of the faults until standard input ends."""
