Let all VMs together keep the limits that upstreams name

What callers and users saw: an upstream that had named a limit of 1.3 requests a second received 15 in 4 s, where 13 are allowed.

Cause: no daemon read the limit. It is one number for all VMs, so a daemon that keeps it on its own does not help either: with 13 VMs and a limit of 1, one call of each VM in 4 s is too many.

Change: while there are limits, each VM leases its share of them to one VM, the coordinator, for 2 s and to no other meanwhile. That one grants a permit for each call, from a bucket for each upstream. A coordinator without leases of more than half of the VMs spends half of their share, so all together spend at most 1.25 times a limit, whatever messages are lost and whoever starts, stalls or is cut off. Retries, hedges and calls whose connection took long need a permit too. If no permit can be expected in time, the call is refused at once, and refused callers return one after the other.

--- a/sequoiabridge/balancing/attempt_recorder.py
+++ b/sequoiabridge/balancing/attempt_recorder.py
@@ -71,7 +71,7 @@
         elif ending is Ending.CANCELLED:
             if seconds > expected_seconds:
                 stats.record_latency_ratio(seconds / expected_seconds, now)
-        elif ending is Ending.RESTARTED:
+        elif ending in (Ending.RESTARTED, Ending.NO_PERMIT):
             return
         elif attempt.wrong_upstream:
             self.observer.record_replacement(upstream)
--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -23,6 +23,8 @@
     """No connection could be opened; nothing reached the upstream."""
     NOT_RUN = "not-run"
     """The upstream stated that it did not run the call."""
+    NO_PERMIT = "no-permit"
+    """The upstream had named a limit before anything was sent, or the permit was too old."""
     BROKEN = "broken"
     """The call was sent but no usable answer was received; it may have run."""
     CANCELLED = "cancelled"
@@ -31,7 +33,7 @@
     """The upstream restarted during the attempt; the call may have run."""
 
 
-PROVEN_NOT_RUN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN})
+PROVEN_NOT_RUN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN, Ending.NO_PERMIT})
 """Endings after which the call certainly did not run."""
 
 
--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 from ..timers import Clock
@@ -9,9 +10,11 @@
 from .candidates import Candidates
 from .cost_model import CallRequirements, CostEstimate, estimate_cost, lacks_capacity
 from .overload import OverloadTracker
-from .refusals import overloaded
+from .permits import NoPermits, PermitSource
+from .refusals import at_limit, overloaded
+from .return_schedule import ReturnSchedule
 from .route_stats import RouteStats
-from .steps import BackgroundProbe, Probe, Sleep, Steps
+from .steps import BackgroundProbe, Probe, RequestPermit, Sleep, Steps
 from .upstream import Upstream
 from .upstream_stats import PROBE_WAIT
 
@@ -36,22 +39,39 @@
 """Maximum number of cost estimates logged per choice."""
 
 
+Acceptance = Callable[[CostEstimate], bool]
+"""Returns whether a call would be sent to a chosen upstream."""
+
+
+def accept_any(estimate: CostEstimate) -> bool:
+    """Accept every upstream."""
+    return True
+
+
 class Chooser:
     """Chooses upstreams for calls.
 
     Args:
         candidates: Selects the upstreams to choose from.
         route_stats: Estimates a call's work and the cost of transferring it.
+        permits: Tells for which upstreams with limits permits can be expected.
     """
 
     def __init__(
-        self, candidates: Candidates, route_stats: RouteStats, clock: Clock, random: Random
+        self,
+        candidates: Candidates,
+        route_stats: RouteStats,
+        clock: Clock,
+        random: Random,
+        permits: PermitSource | None = None,
     ):
         self.candidates = candidates
         self.route_stats = route_stats
         self.clock = clock
         self.random = random
         self.overload = OverloadTracker()
+        self.permits = permits or NoPermits()
+        self.returns = ReturnSchedule(random)
 
     def choose_or_hold(self, call: Call) -> Steps[CostEstimate | None]:
         """Return an upstream with capacity for a new call, None if the service has no upstream.
@@ -59,31 +79,71 @@
         The call is held for a short time while all upstreams lack capacity.
 
         Raises:
-            Refusal: No upstream had capacity in that time.
+            Refusal: No upstream had capacity in that time, or the limits of all are used up.
         """
         hold_until = call.arrived + call.body_seconds + HOLD_SHARE * call.route.target_latency
-        best = yield from self.choose(call)
-        no_capacity = best is not None and self.lacks_capacity(call, best)
+        best = yield from self.choose_with_capacity(call)
         if not call.prior_wait:
-            self.overload.record(call.service, no_capacity, self.clock.now())
-        while no_capacity:
-            if self.clock.now() >= hold_until:
-                raise overloaded(call)
-            yield Sleep(HOLD_POLL_INTERVAL)
-            best = yield from self.choose(call)
             no_capacity = best is not None and self.lacks_capacity(call, best)
-        return best
+            self.overload.record(call.service, no_capacity, self.clock.now())
+        while True:
+            if best is None:
+                limited = self._limited_candidates(call)
+                if not limited:
+                    return None
+                seconds = self._wait_for_permit(call, limited)
+                if self.clock.now() + seconds >= hold_until:
+                    raise at_limit(self._retry_after(call))
+            elif self.lacks_capacity(call, best):
+                seconds = HOLD_POLL_INTERVAL
+                if self.clock.now() >= hold_until:
+                    raise overloaded(call)
+            else:
+                return best
+            yield Sleep(seconds)
+            best = yield from self.choose_with_capacity(call)
+
+    def choose_with_capacity(self, call: Call) -> Steps[CostEstimate | None]:
+        """Return the best upstream, as `choose`; it needs no permit if it lacks capacity."""
+        return self.choose(call, lambda best: not self.lacks_capacity(call, best))
 
     def lacks_capacity(self, call: Call, estimate: CostEstimate) -> bool:
         """Return whether a chosen upstream lacks capacity for the call."""
         return lacks_capacity(self._requirements(call), estimate)
 
-    def choose(self, call: Call) -> Steps[CostEstimate | None]:
-        """Return the best upstream that the call has not been sent to, None if there is none."""
+    def choose(
+        self, call: Call, is_acceptable: Acceptance = accept_any
+    ) -> Steps[CostEstimate | None]:
+        """Return the best upstream that the call has not been sent to, None if there is none.
+
+        An upstream with a limit is returned with a permit, or without one if it is not acceptable.
+
+        Args:
+            is_acceptable: Returns whether the call would be sent to an upstream.
+        """
+        excluded_ids = call.tried_ids
+        while True:
+            best = yield from self._choose_from_others(call, excluded_ids)
+            if best is None or best.upstream.stats.request_limit.rate is None:
+                return best
+            if not is_acceptable(best):
+                return best
+            requested_at = self.clock.now()
+            granted = yield RequestPermit(best.upstream, call.route.priority)
+            if granted and best.upstream.accepts_calls:
+                best.permit_at = requested_at
+                return best
+            excluded_ids = {*excluded_ids, best.upstream.id}
+
+    def _choose_from_others(self, call: Call, excluded_ids: set[str]) -> Steps[CostEstimate | None]:
+        """Return the best upstream that is not excluded and whose limit, if any, is not used up."""
         candidates = self.candidates.for_service(call.service)
-        tried_ids = call.tried_ids
-        local = [upstream for upstream in candidates.local if upstream.id not in tried_ids]
-        remote = [upstream for upstream in candidates.remote if upstream.id not in tried_ids]
+
+        def usable(upstreams: list[Upstream]) -> list[Upstream]:
+            others = [upstream for upstream in upstreams if upstream.id not in excluded_ids]
+            return [upstream for upstream in others if self._may_send(call, upstream)]
+
+        local, remote = usable(candidates.local), usable(candidates.remote)
         yield from self._probe(local)
         best = self._best(call, local)
         transfer_cost = self.route_stats.transfer_cost(call)
@@ -105,6 +165,27 @@
         if to_probe:
             yield Probe(to_probe, PROBE_WAIT)
 
+    def _may_send(self, call: Call, upstream: Upstream) -> bool:
+        """Return whether the upstream has no limit, or a permit can be expected."""
+        if upstream.stats.request_limit.rate is None:
+            return True
+        return self.permits.may_request(upstream, call.route.priority)
+
+    def _limited_candidates(self, call: Call) -> list[Upstream]:
+        """Return the candidates of the call's service that have a limit."""
+        candidates = self.candidates.for_service(call.service)
+        known = candidates.local + candidates.remote
+        return [u for u in known if u.stats.request_limit.rate is not None]
+
+    def _wait_for_permit(self, call: Call, limited: list[Upstream]) -> float:
+        """Return the seconds after which a permit of any of the upstreams can be requested."""
+        seconds = min(self.permits.wait(u, call.route.priority) for u in limited)
+        return max(HOLD_POLL_INTERVAL, seconds)
+
+    def _retry_after(self, call: Call) -> float:
+        rate = self.permits.rate(call.service)
+        return self.returns.retry_after(call.service, call.route.priority, rate, self.clock.now())
+
     def _requirements(self, call: Call) -> CallRequirements:
         return CallRequirements(
             self.route_stats.work(call),
--- a/sequoiabridge/balancing/cost_model.py
+++ b/sequoiabridge/balancing/cost_model.py
@@ -127,6 +127,7 @@
         displacement_cost: Cost of taking the slot from another call that would be in time, if this
             call is late already.
         saturation_cost: Cost to the calls at the upstream of taking its last slot.
+        permit_at: Time at which a permit to send the call there was requested, None without one.
     """
 
     __slots__ = (
@@ -140,6 +141,7 @@
         "report_age",
         "displacement_cost",
         "saturation_cost",
+        "permit_at",
     )
 
     def __init__(
@@ -165,6 +167,7 @@
         self.report_age = report_age
         self.displacement_cost = displacement_cost
         self.saturation_cost = saturation_cost
+        self.permit_at: float | None = None
 
     def row(self) -> dict:
         """Return the estimate as a log row."""
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -117,7 +117,7 @@
         """Retry the call on another upstream if that is allowed; return whether it was sent."""
         if not self._may_retry(call):
             return False
-        estimate = yield from self.chooser.choose(call)
+        estimate = yield from self.chooser.choose_with_capacity(call)
         if estimate is None or self.chooser.lacks_capacity(call, estimate):
             call.note = "no other upstream has capacity"
             return False
--- a/sequoiabridge/balancing/hedging.py
+++ b/sequoiabridge/balancing/hedging.py
@@ -70,16 +70,13 @@
         remaining = self._remaining_time(call, attempt)
         if remaining <= 0.0:
             return None
-        estimate = yield from self.chooser.choose(call)
-        if (
-            estimate is None
-            or estimate.expected_duration > MAX_HEDGE_RATIO * remaining
-            or estimate.queue_position > 0
-        ):
-            return None
-        if estimate.expected_duration > call.deadline - self.clock.now():
-            return None
-        return estimate
+        max_duration = min(MAX_HEDGE_RATIO * remaining, call.deadline - self.clock.now())
+
+        def is_worthwhile(hedge: CostEstimate) -> bool:
+            return hedge.expected_duration <= max_duration and hedge.queue_position <= 0
+
+        estimate = yield from self.chooser.choose(call, is_worthwhile)
+        return estimate if estimate is not None and is_worthwhile(estimate) else None
 
     def _may_hedge(self, call: Call) -> bool:
         may_run_again = call.route.idempotent and call.replayable
--- a/sequoiabridge/balancing/refusals.py
+++ b/sequoiabridge/balancing/refusals.py
@@ -53,6 +53,16 @@
     return Refusal(503, Outcome.NOT_RUN, Reason.QUEUE_FULL, message, RETRY_AFTER)
 
 
+def at_limit(retry_after: float) -> Refusal:
+    """Return the refusal of a call whose upstreams take no more requests.
+
+    Args:
+        retry_after: Seconds until the caller may find an upstream that does.
+    """
+    message = "The upstreams of the service have limits, which are used up. Come back later."
+    return Refusal(503, Outcome.NOT_RUN, Reason.UPSTREAM_LIMIT, message, retry_after)
+
+
 def internal_error(call: Call) -> Refusal:
     """Return the refusal of a call that failed because of an internal error of the daemon."""
     message = "The daemon failed at this request. Tell its operator the request's id."
--- a/sequoiabridge/balancing/request_limit.py
+++ b/sequoiabridge/balancing/request_limit.py
@@ -28,9 +28,10 @@
         observed_at: Time at which the present `rate` was last true.
         problem: Latest value that could not be read, for the log.
         sends: Number of calls that this VM sent in the present limit period.
+        granted, refused: Numbers of permits that this VM got, and that it was refused.
     """
 
-    __slots__ = ("rate", "named_at", "observed_at", "problem", "sends")
+    __slots__ = ("rate", "named_at", "observed_at", "problem", "sends", "granted", "refused")
 
     def __init__(self) -> None:
         self.rate: float | None = None
@@ -38,6 +39,8 @@
         self.observed_at = float("-inf")
         self.problem = ""
         self.sends = 0
+        self.granted = 0
+        self.refused = 0
 
     def observe(self, rate: float | None, at: float) -> bool:
         """Apply what was true at the time `at`; return whether the limit changed.
--- a/sequoiabridge/balancing/steps.py
+++ b/sequoiabridge/balancing/steps.py
@@ -35,6 +35,20 @@
         self.upstream = upstream
 
 
+class RequestPermit:
+    """Request a permit to send one call to an upstream with a limit; the result is a bool.
+
+    Attributes:
+        priority: Priority of the call; 0 is the most urgent.
+    """
+
+    __slots__ = ("upstream", "priority")
+
+    def __init__(self, upstream: Upstream, priority: int):
+        self.upstream = upstream
+        self.priority = priority
+
+
 class Sleep:
     """Continue after `seconds`."""
 
@@ -71,8 +85,8 @@
         self.attempt = attempt
 
 
-Step = Probe | BackgroundProbe | Sleep | Send | Wait | CancelAttempt
+Step = Probe | BackgroundProbe | RequestPermit | Sleep | Send | Wait | CancelAttempt
 
 Result = TypeVar("Result")
-Steps = Generator[Step, CallAttempt | None, Result]
+Steps = Generator[Step, CallAttempt | bool | None, Result]
 """A decision: yields steps and returns a `Result`."""
--- a/sequoiabridge/exceptions.py
+++ b/sequoiabridge/exceptions.py
@@ -89,6 +89,10 @@
     """This VM's share of connections to an upstream is in use; the upstream has not failed."""
 
 
+class PermitMissing(SequoiaError):
+    """A call was not sent since its upstream has a limit and there is no valid permit for it."""
+
+
 class Refusal(SequoiaError):
     """A final response that the daemon generates itself.
 
--- a/sequoiabridge/experiment/strategies.py
+++ b/sequoiabridge/experiment/strategies.py
@@ -6,7 +6,7 @@
 
 from ..balancing.call import Call
 from ..balancing.candidates import Candidates
-from ..balancing.chooser import Chooser
+from ..balancing.chooser import Acceptance, Chooser, accept_any
 from ..balancing.cost_model import CostEstimate
 from ..balancing.route_stats import RouteStats
 from ..balancing.steps import Probe, Sleep, Steps
@@ -47,7 +47,10 @@
     def lacks_capacity(self, call: Call, estimate: CostEstimate) -> bool:
         return False
 
-    def choose(self, call: Call) -> Steps[CostEstimate | None]:
+    def choose(
+        self, call: Call, is_acceptable: Acceptance = accept_any
+    ) -> Steps[CostEstimate | None]:
+        # The model's upstreams have no limits, so that no permit depends on acceptance.
         upstreams = self.candidates.upstreams.for_service(call.service)
         untried = [upstream for upstream in upstreams if upstream.id not in call.tried_ids]
         if not untried:
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -20,6 +20,7 @@
 from .balancing.chooser import Chooser
 from .balancing.dispatch import Dispatch
 from .balancing.hedging import Hedging
+from .balancing.limit_leases import RENEWAL_INTERVAL
 from .balancing.probe_limiter import ProbeRateLimiter
 from .balancing.retry_budget import RetryBudget, RetryLimit
 from .balancing.route_stats import RouteStats
@@ -44,6 +45,7 @@
 from .relay.messages import Hello
 from .relay.operators import OperatorPort
 from .relay.peer_feeds import PeerReader
+from .relay.permits import Permits
 from .relay.probing import Prober
 from .relay.readiness import READY_LIMITS, SWEEP_INTERVAL, Readiness, ReadyHandler
 from .relay.relay import Relay
@@ -183,7 +185,7 @@
         )
         self.sharing.on_heartbeat = self.watchers.handle_heartbeat
         self.sharing.on_hello = self._handle_hello
-        self.sharing.channel.after_batch = self.watchers.wake_if_behind
+        self.sharing.channel.after_batch = self._after_datagrams
         self.configuration.receives_updates = lambda: self.watchers.is_current
 
     def _build_fleet(self) -> None:
@@ -205,6 +207,15 @@
             vm.first_start,
         )
         self.sharing.members = self.members
+        self.permits = Permits(
+            self.members,
+            self.sharing,
+            self.request_limits,
+            self.decisions,
+            self.clock,
+            self.random,
+            self.started_at,
+        )
 
     def _build_call_path(self) -> None:
         """Build the parts that handle calls."""
@@ -223,7 +234,7 @@
         )
         self.route_stats = RouteStats(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
-        chooser = Chooser(candidates, self.route_stats, clock, self.random)
+        chooser = Chooser(candidates, self.route_stats, clock, self.random, self.permits)
         dispatch = Dispatch(
             chooser,
             Hedging(chooser, self.route_stats, clock),
@@ -240,6 +251,7 @@
             clock,
             CrashGuard(self.connector, self.sharing, self.decisions, clock),
             UnreadCalls(self.prober, self.decisions, clock),
+            self.permits,
         )
         self.relay = Relay(
             self.configuration,
@@ -305,6 +317,7 @@
         self.timers.every(EXPIRY_INTERVAL, "waiting lines", self.log_writer.flush)
         self.timers.every(HEARTBEAT_INTERVAL, "beacons", self.watchers.send_heartbeat)
         self.timers.every(PROBE_SHARE_INTERVAL, "members", self._update_probe_share)
+        self.timers.every(RENEWAL_INTERVAL, "limit leases", self.permits.tick)
         self.timers.every(SETTINGS_POLL_INTERVAL, "settings", self.settings_reloader.poll)
 
     async def _stop(self) -> None:
@@ -339,6 +352,11 @@
         """Tell a daemon that has just started what it needs to know at once."""
         self.watchers.handle_hello(hello)
         self.sender.crash_guard.send_blocked(hello)
+        self.permits.handle_hello(hello)
+
+    async def _after_datagrams(self) -> None:
+        await self.permits.wake_answered()
+        await self.watchers.wake_if_behind()
 
     def _offer_configuration(self, update: Update[RouteTable]) -> None:
         for table in update.entries:
--- a/sequoiabridge/outcome.py
+++ b/sequoiabridge/outcome.py
@@ -33,6 +33,7 @@
     NO_CONNECTION = "no-connection"
     UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_SHED = "upstream-shed"
+    UPSTREAM_LIMIT = "upstream-limit"
     TIMEOUT = "timeout"
     STORE_DOWN = "store-down"
     UPLOAD_CONFLICT = "upload-conflict"
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -6,8 +6,9 @@
 
 from ..balancing.call import CallAttempt, Ending
 from ..balancing.cost_model import CostEstimate
+from ..balancing.permits import PERMIT_SECONDS
 from ..balancing.upstream_stats import OpenCall
-from ..exceptions import CallerGone, Refusal, UpstreamFailed
+from ..exceptions import CallerGone, PermitMissing, Refusal, UpstreamFailed
 from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Answer, Body, BytesBody
 from ..timers import Clock
@@ -81,6 +82,8 @@
         try:
             answer = await self._exchange()
             await self._classify(answer)
+        except PermitMissing as error:
+            self._set_ending(Ending.NO_PERMIT, str(error))
         except UpstreamFailed as error:
             await self._failed(error)
         except (Refusal, CallerGone) as error:
@@ -101,6 +104,7 @@
         """Send the call and return its answer, buffered up to `MAX_BUFFERED_ANSWER`."""
         self.connection = await self._connect()
         request = self._build_request()
+        self._check_permit()
         # From here on, only the upstream can prove that the request did not run.
         self.sent = True
         self.sent_at = self.clock.now()
@@ -115,6 +119,20 @@
             await buffer_answer(answer)
         return answer
 
+    def _check_permit(self) -> None:
+        """Check that the call may still be sent; opening the connection may have taken long.
+
+        Raises:
+            PermitMissing: The upstream has a limit and there is no permit that is still valid.
+        """
+        if self.upstream.stats.request_limit.rate is None:
+            return
+        permit_at = self.estimate.permit_at
+        if permit_at is None:
+            raise PermitMissing("The upstream has named a limit meanwhile; another one is tried.")
+        if self.clock.now() - permit_at > PERMIT_SECONDS:
+            raise PermitMissing("The permit has expired meanwhile; another upstream is tried.")
+
     def _record_limit(self) -> None:
         metadata, limits = self.metadata, self.sharing.request_limits
         if metadata.other_upstream:
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -19,6 +19,8 @@
 
 HELLO, SENT, LOAD, FAILED = "hello", "sent", "load", "failed"
 CRASHED, SURVIVED, HEARTBEAT = "crashed", "survived", "beacon"
+LIMIT, LEASE, RECEIPT = "limit", "lease", "receipt"
+PERMIT_REQUEST, PERMIT_REPLY = "permit?", "permit"
 """Message types: the first element of a datagram, which is a JSON list."""
 
 MAX_DATAGRAM_BYTES = 1200
@@ -34,6 +36,14 @@
 MAX_CRASH_AGE = 86_400.0
 """Maximum number of seconds since a crash that is accepted from a peer."""
 
+MAX_LIMIT_RATE = 1e12
+"""Maximum limit on requests per second that is accepted from a peer."""
+
+MAX_SECONDS = 1e12
+"""Maximum age, wait or clock time in seconds that is accepted from a peer."""
+
+MAX_PRIORITY = 1_000_000
+
 MAX_VERSION = 2**53
 """Maximum version that a JSON number represents exactly."""
 
@@ -181,7 +191,127 @@
         return [HEARTBEAT, self.vm, self.data_centre, self.address, self.versions, self.link]
 
 
-Message = Hello | CallSent | LoadReport | CallFailed | RequestCrashed | RequestSurvived | Heartbeat
+class LimitNamed:
+    """An upstream has named another limit than before, or none any more.
+
+    Attributes:
+        upstream: Name of the upstream's lifetime.
+        rate: Requests per second from all VMs together, None for no limit.
+        age: Seconds since this was last observed.
+    """
+
+    __slots__ = ("upstream", "rate", "age")
+
+    def __init__(self, upstream: str, rate: float | None, age: float):
+        self.upstream = upstream
+        self.rate = rate
+        self.age = age
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [LIMIT, self.upstream, self.rate, round(self.age, 3)]
+
+
+class Lease:
+    """A daemon leases its share of the limits to the receiver, or only asks for a receipt.
+
+    Attributes:
+        hello: The daemon.
+        receipt_at: Time in the latest receipt of the receiver; None if nothing is leased.
+    """
+
+    __slots__ = ("hello", "receipt_at")
+
+    def __init__(self, hello: Hello, receipt_at: float | None):
+        self.hello = hello
+        self.receipt_at = receipt_at
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [LEASE, *self.hello.fields()[1:], self.receipt_at]
+
+
+class LeaseReceipt:
+    """The answer to a `Lease`.
+
+    Attributes:
+        vm: Name of the VM that sends it.
+        at: Time of sending on that VM's clock, in seconds.
+    """
+
+    __slots__ = ("vm", "at")
+
+    def __init__(self, vm: str, at: float):
+        self.vm = vm
+        self.at = at
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [RECEIPT, self.vm, self.at]
+
+
+class PermitRequest:
+    """A daemon asks the coordinator for a permit to send one call.
+
+    Attributes:
+        vm: Name of its VM.
+        number: Number of the request.
+        upstream: Name of the upstream's lifetime.
+        rate: Limit in requests per second that the daemon knows.
+        age: Seconds since it was last observed.
+        priority: Priority of the call; 0 is the most urgent.
+    """
+
+    __slots__ = ("vm", "number", "upstream", "rate", "age", "priority")
+
+    def __init__(self, vm: str, number: int, upstream: str, rate: float, age: float, priority: int):
+        self.vm = vm
+        self.number = number
+        self.upstream = upstream
+        self.rate = rate
+        self.age = age
+        self.priority = priority
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        age = round(self.age, 3)
+        return [PERMIT_REQUEST, self.vm, self.number, self.upstream, self.rate, age, self.priority]
+
+
+class PermitReply:
+    """The coordinator's answer to a `PermitRequest`.
+
+    Attributes:
+        number: Number of the request.
+        granted: Whether the call may be sent.
+        wait: Seconds after which to ask again, if not.
+    """
+
+    __slots__ = ("number", "granted", "wait")
+
+    def __init__(self, number: int, granted: bool, wait: float):
+        self.number = number
+        self.granted = granted
+        self.wait = wait
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [PERMIT_REPLY, self.number, int(self.granted), round(self.wait, 3)]
+
+
+LimitMessage = LimitNamed | Lease | LeaseReceipt | PermitRequest | PermitReply
+"""Messages about the limits of upstreams."""
+
+Message = (
+    Hello
+    | CallSent
+    | LoadReport
+    | CallFailed
+    | RequestCrashed
+    | RequestSurvived
+    | Heartbeat
+    | LimitMessage
+)
 
 
 def encode_message(message: Message) -> bytes:
@@ -248,6 +378,42 @@
     return Heartbeat(_text(fields, 0), _text(fields, 1), address, versions, _link(fields[4]))
 
 
+def _seconds(value: object) -> float:
+    return as_number(value, "a time", 0.0, MAX_SECONDS)
+
+
+def _rate(value: object) -> float:
+    return as_number(value, "the limit", 0.0, MAX_LIMIT_RATE)
+
+
+def _decode_limit_named(fields: list) -> LimitNamed:
+    rate = None if fields[1] is None else _rate(fields[1])
+    return LimitNamed(_text(fields, 0), rate, _seconds(fields[2]))
+
+
+def _decode_lease(fields: list) -> Lease:
+    return Lease(_decode_hello(fields), None if fields[4] is None else _seconds(fields[4]))
+
+
+def _decode_lease_receipt(fields: list) -> LeaseReceipt:
+    return LeaseReceipt(_text(fields, 0), _seconds(fields[1]))
+
+
+def _decode_permit_request(fields: list) -> PermitRequest:
+    number = as_integer(fields[1], "the number", 0, MAX_VERSION)
+    priority = as_integer(fields[5], "the priority", 0, MAX_PRIORITY)
+    name = as_text(fields[2], "a name")
+    return PermitRequest(
+        _text(fields, 0), number, name, _rate(fields[3]), _seconds(fields[4]), priority
+    )
+
+
+def _decode_permit_reply(fields: list) -> PermitReply:
+    number = as_integer(fields[0], "the number", 0, MAX_VERSION)
+    granted = as_integer(fields[1], "the decision", 0, 1)
+    return PermitReply(number, bool(granted), _seconds(fields[2]))
+
+
 DECODERS: dict[str, Callable[[list], Message]] = {
     HELLO: _decode_hello,
     SENT: _decode_call_sent,
@@ -256,5 +422,10 @@
     CRASHED: _decode_request_crashed,
     SURVIVED: _decode_request_survived,
     HEARTBEAT: _decode_heartbeat,
+    LIMIT: _decode_limit_named,
+    LEASE: _decode_lease,
+    RECEIPT: _decode_lease_receipt,
+    PERMIT_REQUEST: _decode_permit_request,
+    PERMIT_REPLY: _decode_permit_reply,
 }
 """Decodes a datagram's elements after the first, by message type."""
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -142,6 +142,12 @@
         "upstream",
         {id: limit.sends for id, limit in limits.items()},
     )
+    for name, about, attribute in (
+        ("sequoia_permits", "Permits that this VM got.", "granted"),
+        ("sequoia_permits_refused", "Permits that this VM was refused.", "refused"),
+    ):
+        counts = {id: getattr(limit, attribute) for id, limit in limits.items()}
+        yield labelled_counter(name, about, "upstream", counts)
 
 
 def plain_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
@@ -164,6 +170,9 @@
     yield "sequoia_entries_unusable", "Entries of the store that could not be used.", unusable
     invalid = gateway.request_limits.invalid
     yield "sequoia_upstream_limits_invalid", "Limits that could not be read.", invalid
+    yield "sequoia_permits_unanswered", "Requests without a reply.", gateway.permits.unanswered
+    to_peers = gateway.permits.granted_to_peers
+    yield "sequoia_permits_to_peers", "Permits granted to other VMs.", to_peers
     yield "sequoia_log_omitted", "Lines left out of the log.", gateway.decisions.omitted
 
 
@@ -176,6 +185,8 @@
     yield "sequoia_calls_in_flight", "Calls under way.", gateway.callers.in_flight
     unread = gateway.sender.unread_calls.count
     yield "sequoia_unread_calls", "Calls given up that an upstream may still read.", unread
+    leases = gateway.permits.register.count(gateway.clock.now())
+    yield "sequoia_limit_leases", "VMs that made this one their coordinator.", leases
     lost = any(follower.store_unavailable for follower in gateway.followers.values())
     yield "sequoia_store_lost", "1 while the store does not answer.", lost
     yield "sequoia_watches_store", "1 if the store is followed here.", gateway.watchers.watching
--- a/sequoiabridge/relay/request_limits.py
+++ b/sequoiabridge/relay/request_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..balancing.request_limit import LimitReport
 from ..balancing.upstream import Upstream
 from ..component import Component
@@ -15,6 +17,7 @@
 
     Attributes:
         invalid: Number of answers whose limit could not be read.
+        on_change: Called with an upstream whose answer to this VM changed its limit.
     """
 
     name = "request_limits"
@@ -24,6 +27,7 @@
         self.decisions = decisions
         self.clock = clock
         self.invalid = 0
+        self.on_change: Callable[[Upstream], None] = lambda upstream: None
 
     def limited(self) -> list[Upstream]:
         """Return the listed upstreams that have a limit."""
@@ -41,16 +45,22 @@
         if report.problem:
             self._record_problem(upstream, report.problem)
         elif report.rate is None:
-            self._observe(upstream, None, sent_at)
+            self._observe_answer(upstream, None, sent_at)
         else:
-            self._observe(upstream, report.rate, self.clock.now())
+            self._observe_answer(upstream, report.rate, self.clock.now())
 
     def record_health_answer(self, upstream: Upstream, report: LimitReport) -> None:
         """Record a limit named in the answer to a health check; without one it says nothing."""
         if report.problem:
             self._record_problem(upstream, report.problem)
         elif report.rate is not None:
-            self._observe(upstream, report.rate, self.clock.now())
+            self._observe_answer(upstream, report.rate, self.clock.now())
+
+    def record_peer_report(self, lifetime: str, rate: float | None, age: float) -> None:
+        """Record what a peer knew of an upstream's limit `age` seconds ago."""
+        upstream = self.upstreams.find_lifetime(lifetime)
+        if upstream is not None:
+            self._observe(upstream, rate, self.clock.now() - age)
 
     def record_send(self, upstream: Upstream) -> None:
         """Count a call that this VM sends to an upstream with a limit."""
@@ -66,10 +76,16 @@
                 "named_seconds_ago": round(now - upstream.stats.request_limit.named_at, 1),
                 "observed_seconds_ago": round(now - upstream.stats.request_limit.observed_at, 1),
                 "sent_here": upstream.stats.request_limit.sends,
+                "permits_granted": upstream.stats.request_limit.granted,
+                "permits_refused": upstream.stats.request_limit.refused,
             }
             for upstream in self.limited()
         }
 
+    def _observe_answer(self, upstream: Upstream, rate: float | None, at: float) -> None:
+        if self._observe(upstream, rate, at):
+            self.on_change(upstream)
+
     def _observe(self, upstream: Upstream, rate: float | None, at: float) -> bool:
         limit = upstream.stats.request_limit
         previous, sends = limit.rate, limit.sends
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -7,7 +7,15 @@
 from ..balancing.call import CallAttempt, Ending
 from ..balancing.cost_model import CostEstimate
 from ..balancing.dispatch import Dispatch
-from ..balancing.steps import BackgroundProbe, CancelAttempt, Probe, Send, Sleep, Step
+from ..balancing.steps import (
+    BackgroundProbe,
+    CancelAttempt,
+    Probe,
+    RequestPermit,
+    Send,
+    Sleep,
+    Step,
+)
 from ..pipeline.exchange import Answer
 from ..timers import Clock
 from ..upstreams.base import Connector
@@ -15,6 +23,7 @@
 from .call import RelayedCall
 from .crash_guard import CrashGuard
 from .dialect import Dialect
+from .permits import Permits
 from .probing import Prober
 from .race import Race
 from .sharing import Sharing
@@ -28,6 +37,7 @@
         dispatch: Yields the steps to take for each call.
         crash_guard: Blocks requests that crash upstreams.
         unread_calls: Waits for calls that were given up but may still be read.
+        permits: Gets permits for calls to upstreams with limits.
     """
 
     def __init__(
@@ -40,6 +50,7 @@
         clock: Clock,
         crash_guard: CrashGuard,
         unread_calls: UnreadCalls,
+        permits: Permits,
     ):
         self.dispatch = dispatch
         self.prober = prober
@@ -49,6 +60,7 @@
         self.clock = clock
         self.crash_guard = crash_guard
         self.unread_calls = unread_calls
+        self.permits = permits
 
     async def send(self, call: RelayedCall) -> Answer:
         """Return the answer that the caller gets.
@@ -93,11 +105,15 @@
                 return end.value.answer
             result = await self._perform(call, race, step)
 
-    async def _perform(self, call: RelayedCall, race: Race, step: Step) -> CallAttempt | None:
+    async def _perform(
+        self, call: RelayedCall, race: Race, step: Step
+    ) -> CallAttempt | bool | None:
         if isinstance(step, Probe):
             await self.prober.probe_all(step.upstreams, step.timeout)
         elif isinstance(step, BackgroundProbe):
             await curio.spawn(self.prober.probe(step.upstream), daemon=True)
+        elif isinstance(step, RequestPermit):
+            return await self.permits.request(step.upstream, step.priority)
         elif isinstance(step, Sleep):
             await curio.sleep(step.seconds)
         elif isinstance(step, Send):
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -21,6 +21,7 @@
     CallSent,
     Heartbeat,
     Hello,
+    LimitMessage,
     LoadReport,
     Message,
     RequestCrashed,
@@ -38,6 +39,7 @@
         on_survival: Called with a peer's `RequestSurvived`.
         on_heartbeat: Called with a peer's `Heartbeat`.
         on_hello: Called with a peer's `Hello`.
+        on_limit_message: Called with a peer's `LimitMessage`.
     """
 
     def __init__(self, upstreams: UpstreamList, request_limits: RequestLimits, clock: Clock):
@@ -49,6 +51,7 @@
         self.on_crash: Callable[[RequestCrashed], object] = lambda message: None
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda message: None
         self.on_hello: Callable[[Hello], None] = lambda message: None
+        self.on_limit_message: Callable[[LimitMessage], None] = lambda message: None
         self.on_survival: Callable[[RequestSurvived], object] = lambda message: None
 
     def record_send(self, upstream: Upstream) -> None:
@@ -94,6 +97,9 @@
                 self.members.add_peer(message)
             self.on_hello(message)
             return
+        if isinstance(message, LimitMessage):
+            self.on_limit_message(message)
+            return
         if isinstance(message, RequestCrashed):
             self.on_crash(message)
             return
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -15,7 +15,7 @@
 from ..environment import SETTINGS, Connection, document, free_port, route
 from ..store_emulator import StoreEmulator
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
-from .lossy_gateway import LOSS_SUFFIX
+from .faulty_gateway import LOSS_SUFFIX
 from .proxy import Proxy
 from .record import Record, read_upstream_log
 from .repeats import RETRY_RATIO
@@ -54,6 +54,7 @@
         self.settings = folder / f"{name}.ini"
         self.loss = folder / f"{name}.ini{LOSS_SUFFIX}"
         self.module = "sequoiabridge.commands.gateway"
+        self.options: list[str] = []
         self.down_since: float | None = None
         self.callers, self.ready = free_port(), free_port()
         text = SETTINGS.format(store=store.address, port=free_port(), port2=free_port())
@@ -68,7 +69,7 @@
 
     def start(self) -> None:
         """Start the process; its output is appended to the log."""
-        command = [sys.executable, "-m", self.module, str(self.settings)]
+        command = [sys.executable, "-m", self.module, str(self.settings), *self.options]
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(command, stdout=log, stderr=log)
 
@@ -169,6 +170,7 @@
         self.retry_slack = RETRY_SLACK
         self.retry_ratio = RETRY_RATIO
         self.daemon_module = "sequoiabridge.commands.gateway"
+        self.daemon_options: list[str] = []
         self.daemons: list[Daemon] = []
         self.upstreams: dict[str, UpstreamProcess] = {}
         self.started_upstreams: list[UpstreamProcess] = []
@@ -197,7 +199,7 @@
             daemon = Daemon(
                 f"vm-{number}", data_centre, proxy, folder, self.retry_slack, self.retry_ratio
             )
-            daemon.module = self.daemon_module
+            daemon.module, daemon.options = self.daemon_module, self.daemon_options
             self.daemons.append(daemon)
             daemon.start()
             await curio.spawn(daemon.supervise(self.record_restart), daemon=True)
--- a/sequoiabridge/tests/platform/soak/lossy_gateway.py
+++ b/sequoiabridge/tests/platform/soak/faulty_gateway.py
@@ -1,6 +1,7 @@
-"""The gateway daemon with a share of its datagrams to peers lost; the soak sets that share.
+"""The gateway daemon with faults: it loses datagrams to peers, or takes no notice of limits.
 
-The share is read from the file next to the settings whose name ends with `LOSS_SUFFIX`.
+The share of lost datagrams is read from the file next to the settings whose name ends with
+`LOSS_SUFFIX`.
 """
 
 import sys
@@ -10,6 +11,7 @@
 from ....relay.channel import Channel
 
 LOSS_SUFFIX = ".loss"
+IGNORE_LIMITS = "--ignore-limits"
 
 
 class LossyChannel(Channel):
@@ -27,9 +29,13 @@
         super().send(message, [a for a in addresses if self.random.random() >= share])
 
 
-def main(settings: str) -> int:
+def main(settings: str, *options: str) -> int:
     """Run the daemon of a settings file."""
     from ....relay import sharing
+    from ....relay.request_limits import RequestLimits
+
+    if IGNORE_LIMITS in options:
+        RequestLimits._observe = lambda *arguments: False
 
     LossyChannel.file = Path(settings + LOSS_SUFFIX)
     sharing.Channel = LossyChannel
@@ -39,4 +45,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1]))
+    sys.exit(main(*sys.argv[1:]))
--- a/sequoiabridge/tests/platform/soak/limit_soak.py
+++ b/sequoiabridge/tests/platform/soak/limit_soak.py
@@ -61,7 +61,7 @@
         self.skew = skew
         self.quiet_seconds = FIRST_LIMIT_AT
         self.deployment.retry_slack = 1000.0
-        self.deployment.daemon_module = "sequoiabridge.tests.platform.soak.lossy_gateway"
+        self.deployment.daemon_module = "sequoiabridge.tests.platform.soak.faulty_gateway"
 
     def check_recovery(self, end: float) -> list[str]:
         """Return no message: refusals are right while upstreams are limited."""
--- a/sequoiabridge/tests/platform/soak/test_limit_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_limit_soak.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ....selector import LazySelector
+from .faulty_gateway import IGNORE_LIMITS
 from .limit_soak import LimitScenario, LimitSoak
 from .limits import check_limits
 from .record import READ, Arrival, CallRecord, Record
@@ -35,6 +36,16 @@
     assert run_limit_soak(1, 30.0, 13, LimitScenario.RANDOM) == []
 
 
+def test_the_soak_detects_daemons_that_take_no_notice_of_limits():
+    soak = LimitSoak(1, 16.0, 4, LimitScenario.ONE)
+    soak.deployment.daemon_options = [IGNORE_LIMITS]
+    try:
+        violations = curio.run(soak.run, selector=LazySelector())
+        assert any("limit allows" in violation for violation in violations)
+    finally:
+        soak.close()
+
+
 def limited_record(arrivals, rate=1.0, until=40.0):
     """Return a record of an upstream with a limit from 10.0 on and of arrivals from two daemons.
 
--- a/sequoiabridge/tests/relay/test_messages.py
+++ b/sequoiabridge/tests/relay/test_messages.py
@@ -8,7 +8,12 @@
     CallFailed,
     CallSent,
     Hello,
+    Lease,
+    LeaseReceipt,
+    LimitNamed,
     LoadReport,
+    PermitReply,
+    PermitRequest,
     decode_message,
     encode_message,
 )
@@ -21,6 +26,14 @@
         CallSent("u1"),
         LoadReport("u1", UpstreamLoad(1, 2, 3, 7.0)),
         CallFailed("u1"),
+        LimitNamed("u1", 1.3, 0.25),
+        LimitNamed("u1", None, 0.0),
+        Lease(Hello("vm-1", "10.0.0.1:7", "here", 10.0), None),
+        Lease(Hello("vm-1", "10.0.0.1:7", "here", 10.0), 12.5),
+        LeaseReceipt("vm-1", 12.5),
+        PermitRequest("vm-1", 7, "u1@5", 1.3, 0.25, 2),
+        PermitReply(7, True, 0.0),
+        PermitReply(8, False, 0.5),
     ],
 )
 def test_a_message_can_be_decoded_again(message):
@@ -30,6 +43,8 @@
     assert type(decoded) is type(message) and decoded.fields() == message.fields()
 
 
-@pytest.mark.parametrize("data", [b"", b"\xff", b"[]", b"{}", b'["load","u"]', b'["new",1]', b"1"])
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", b"[]", b"{}", b'["load","u"]', b'["new",1]', b"1", b'["limit","u",-1,0]']
+)
 def test_invalid_datagrams_are_ignored(data):
     assert decode_message(data) is None
