--- a/sequoiabridge/tests/platform/soak/__main__.py
+++ b/sequoiabridge/tests/platform/soak/__main__.py
@@ -6,6 +6,7 @@
 import defopt
 
 from ....selector import LazySelector
+from .limit_soak import LimitScenario, LimitSoak
 from .retry_soak import RetrySoak, Scenario
 from .soak import Soak
 
@@ -17,6 +18,7 @@
     seconds: float = 20.0,
     daemons: int = 4,
     retries: Scenario | None = None,
+    limits: LimitScenario | None = None,
     reads: int = 5,
     rate: float = 60.0,
 ) -> int:
@@ -27,18 +29,21 @@
     :param seconds: seconds for each seed, including 6 s without new faults at the end
     :param daemons: number of daemon processes
     :param retries: press on the retry limit in this way, instead of mixing all faults
-    :param reads: number of upstreams of the service that fails then
+    :param limits: let upstreams name limits in this way, instead of mixing all faults
+    :param reads: number of upstreams of the service that fails or names limits then
     :param rate: calls per second then
     """
     failed_seeds = 0
     for number in range(seed, seed + seeds):
-        if retries is None:
-            soak = Soak(number, seconds, daemons)
-        else:
+        if limits is not None:
+            soak = LimitSoak(number, seconds, daemons, limits, reads, rate)
+        elif retries is not None:
             soak = RetrySoak(number, seconds, daemons, retries, reads, rate)
+        else:
+            soak = Soak(number, seconds, daemons)
         violations = curio.run(soak.run, selector=LazySelector())
         print(f"seed {number}: {soak.summary()}, violations {len(violations)}", flush=True)
-        print(f"  {soak.repeat_summary()}", flush=True)
+        print(f"  {soak.limit_summary() or soak.repeat_summary()}", flush=True)
         for violation in violations:
             print(f"  VIOLATION {violation}", flush=True)
         if violations:
--- a/sequoiabridge/tests/platform/soak/limit_soak.py
+++ b/sequoiabridge/tests/platform/soak/limit_soak.py
@@ -6,7 +6,7 @@
 import curio
 
 from .deployment import Daemon
-from .limits import LIMIT_WINDOW, STABLE_SECONDS, limit_periods, worst_limits
+from .limits import LIMIT_WINDOW, STABLE_SECONDS, limit_periods
 from .record import READ
 from .retry_soak import RetrySoak
 
@@ -67,11 +67,6 @@
         """Return no message: refusals are right while upstreams are limited."""
         return []
 
-    def limit_summary(self) -> str:
-        """Return the worst window of each upstream with a limit as text."""
-        worst = worst_limits(self.deployment.record)
-        return ", ".join(f"{upstream}: {excess}" for upstream, excess in worst.items())
-
     def shares_of_limits(self) -> list[float]:
         """Return what upstreams received in long times with a limit, as a multiple of it."""
         shares = []
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -10,6 +10,7 @@
 
 from ..environment import Connection
 from .deployment import Daemon, Deployment
+from .limits import worst_limits
 from .oracle import find_violations
 from .proxy import LinkFault
 from .record import APPROVE, MARK, READ, UPLOAD, CallRecord
@@ -108,6 +109,11 @@
         excesses = worst_repeats(self.deployment.record)
         return ", ".join(f"{service}: {worst}" for service, worst in excesses.items())
 
+    def limit_summary(self) -> str:
+        """Return the worst window of each upstream with a limit as text; "" without limits."""
+        worst = worst_limits(self.deployment.record)
+        return ", ".join(f"{upstream}: {excess}" for upstream, excess in worst.items())
+
     def save_logs(self) -> str:
         """Copy the daemons' logs to a new folder that is not deleted; return its path."""
         folder = tempfile.mkdtemp(prefix=f"soak-seed-{self.seed}-")
