Tell a restarted daemon the limits, also if it was their coordinator

What callers would see: after a restart of the coordinator, its new process took an upstream with a limit for one without, and sent it all calls for four seconds.

Cause: only the coordinator told a daemon that had just started; when that was the coordinator itself, nobody did until a new one announced the limits.

Evidence: soak seed 300 (13 daemons): 7 calls in 4 s at an upstream of limit 0, 5 allowed; its log shows the limit unknown to the restarted VM for 4.1 s.

Change: each daemon of the same data centre that knows limits tells them to one that greets it.

--- a/sequoiabridge/relay/permits.py
+++ b/sequoiabridge/relay/permits.py
@@ -151,8 +151,12 @@
         self.denials = {name: one for name, one in self.denials.items() if one.until > now}
 
     def handle_hello(self, hello: Hello) -> None:
-        """Tell a daemon that has just started the limits, as their coordinator."""
-        if self.register.count(self.clock.now()):
+        """Tell a daemon that has just started the limits, as a neighbour or as their coordinator.
+
+        The daemon that starts may itself have been the coordinator.
+        """
+        is_neighbour = hello.data_centre == self.members.own_hello.data_centre
+        if is_neighbour or self.register.count(self.clock.now()):
             self._announce([hello.address])
 
     def handle(self, message: object) -> None:
--- a/sequoiabridge/tests/platform/soak/test_limit_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_limit_soak.py
@@ -31,9 +31,19 @@
     assert run_limit_soak(1, 20.0, 6, LimitScenario.ALL, limit="2.0") == []
 
 
-def test_limits_hold_while_daemons_restart_pause_and_lose_messages_and_limits_change():
+@pytest.mark.parametrize(
+    ("seed", "seconds", "more"),
+    [
+        pytest.param(1, 30.0, {}, id="1"),
+        # Guards against a restarted coordinator that nobody tells the limits.
+        pytest.param(300, 45.0, {"reads": 5, "call_rate": 40.0}, id="300"),
+    ],
+)
+def test_limits_hold_while_daemons_restart_pause_and_lose_messages_and_limits_change(
+    seed, seconds, more
+):
     # As above, for what daemons know of each other.
-    assert run_limit_soak(1, 30.0, 13, LimitScenario.RANDOM) == []
+    assert run_limit_soak(seed, seconds, 13, LimitScenario.RANDOM, **more) == []
 
 
 def test_the_soak_detects_daemons_that_take_no_notice_of_limits():
