Keep the small retry share of a new process while calls of the earlier one can be read

What callers and users saw: once upstreams continue that were stopped for 22 s and whose daemons were killed meanwhile, a service receives 145 repeats in 10 s where 111 are allowed.

Cause: a process holds the retry tokens of calls at stopped upstreams, but they are forgotten when it is killed. The small share of its successor ended 10 s after its start, although the calls could still arrive.

Change: the small share lasts until a window after each upstream that this VM uses has answered something, or has started again; the new process probes those that have not. After 30 s a silent upstream counts as dead, as for the tokens of a running process.

An upstream that is stopped for over 30 s, or whose entry had lapsed before the start, is still not covered.

--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -37,7 +37,7 @@
         hedging: Decides on hedges.
         recorder: Records ended attempts.
         clock: The daemon's clock.
-        new_budget: Creates the retry budget of a service.
+        new_budget: Creates the retry budget of a service, given its name.
 
     Attributes:
         budgets: The retry budgets by service.
@@ -53,7 +53,7 @@
         hedging: Hedging,
         recorder: AttemptRecorder,
         clock: Clock,
-        new_budget: Callable[[], RetryBudget],
+        new_budget: Callable[[str], RetryBudget],
     ):
         self.chooser = chooser
         self.hedging = hedging
@@ -181,5 +181,5 @@
     def _retry_budget(self, call: Call) -> RetryBudget:
         budget = self.budgets.get(call.service)
         if budget is None:
-            budget = self.budgets[call.service] = self.new_budget()
+            budget = self.budgets[call.service] = self.new_budget(call.service)
         return budget
--- a/sequoiabridge/balancing/retry_budget.py
+++ b/sequoiabridge/balancing/retry_budget.py
@@ -8,13 +8,15 @@
 window after the call is settled, that is, after no upstream can receive it any more.
 
 A process that has just started does not know which retries its predecessor sent within the window.
-Until a whole window has passed, it gets nothing but a small share of its own calls, which the
-predecessor left unused.
+Until a whole window has passed since its start, and since no upstream can read a call of the
+predecessor any more, it gets nothing but a small share of its own calls, which the predecessor left
+unused.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 USED_SHARE = 0.75
 """Share of the fleet's ratio that is used. The rest covers calls that fall just outside the window
@@ -54,7 +56,8 @@
 
     Args:
         limit: The limit of the fleet.
-        started_at: Time at which this process started.
+        time_settled: Returns the time since which no upstream can read a call of the earlier
+            process, given the present time.
 
     Attributes:
         calls: Times of the calls in the window.
@@ -66,7 +69,7 @@
 
     __slots__ = (
         "limit",
-        "started_at",
+        "time_settled",
         "calls",
         "settled",
         "unsettled",
@@ -74,9 +77,9 @@
         "refused",
     )
 
-    def __init__(self, limit: RetryLimit, started_at: float):
+    def __init__(self, limit: RetryLimit, time_settled: Callable[[float], float]):
         self.limit = limit
-        self.started_at = started_at
+        self.time_settled = time_settled
         self.calls: deque[float] = deque()
         self.settled: deque[float] = deque()
         self.unsettled = 0
@@ -124,7 +127,7 @@
     def _allowed(self, now: float) -> float:
         """Return the number of retries and hedges that may be sent in the window ending now."""
         limit = self.limit
-        if now - self.started_at < limit.window:
+        if now - self.time_settled(now) < limit.window:
             return NEW_PROCESS_SHARE * limit.ratio * len(self.calls)
         free_retries = max(MIN_FREE_RETRIES, limit.slack / MAX_VM_COUNT)
         return free_retries + USED_SHARE * limit.ratio * len(self.calls)
--- a/sequoiabridge/experiment/vm.py
+++ b/sequoiabridge/experiment/vm.py
@@ -133,7 +133,7 @@
             Hedging(chooser, route_stats, self.scheduler),
             AttemptRecorder(route_stats, self),
             self.scheduler,
-            lambda: RetryBudget(RETRY_LIMIT, started_at),
+            lambda service: RetryBudget(RETRY_LIMIT, lambda now: started_at),
         )
         self.dispatches.append(self.dispatch)
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -21,6 +21,7 @@
 from .balancing.dispatch import Dispatch
 from .balancing.hedging import Hedging
 from .balancing.limit_leases import RENEWAL_INTERVAL
+from .balancing.predecessor_calls import PredecessorCalls
 from .balancing.probe_limiter import ProbeRateLimiter
 from .balancing.retry_budget import RetryBudget, RetryLimit
 from .balancing.route_stats import RouteStats
@@ -53,7 +54,7 @@
 from .relay.request_limits import RequestLimits
 from .relay.sender import Sender
 from .relay.sharing import Sharing
-from .relay.unread import UnreadCalls
+from .relay.unread import PREDECESSOR_PROBE_INTERVAL, UnreadCalls
 from .relay.upstreams import UpstreamList
 from .relay.watchers import HEARTBEAT_INTERVAL, Watchers
 from .selector import LazySelector
@@ -234,14 +235,18 @@
         )
         self.route_stats = RouteStats(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
+        self.predecessor = PredecessorCalls(
+            candidates, self.started_at, self.settings.vm.first_start
+        )
         chooser = Chooser(candidates, self.route_stats, clock, self.random, self.permits)
         dispatch = Dispatch(
             chooser,
             Hedging(chooser, self.route_stats, clock),
             AttemptRecorder(self.route_stats, self.sharing),
             clock,
-            lambda: RetryBudget(self.retry_limit, self.started_at),
+            self._new_retry_budget,
         )
+        self.unread_calls = UnreadCalls(self.prober, self.predecessor, self.decisions, clock)
         self.sender = Sender(
             dispatch,
             self.prober,
@@ -250,7 +255,7 @@
             self.sharing,
             clock,
             CrashGuard(self.connector, self.sharing, self.decisions, clock),
-            UnreadCalls(self.prober, self.decisions, clock),
+            self.unread_calls,
             self.permits,
         )
         self.relay = Relay(
@@ -317,6 +322,11 @@
         self.timers.every(EXPIRY_INTERVAL, "waiting lines", self.log_writer.flush)
         self.timers.every(HEARTBEAT_INTERVAL, "beacons", self.watchers.send_heartbeat)
         self.timers.every(PROBE_SHARE_INTERVAL, "members", self._update_probe_share)
+        self.timers.every(
+            PREDECESSOR_PROBE_INTERVAL,
+            "predecessor's calls",
+            self.unread_calls.probe_predecessor_calls,
+        )
         self.timers.every(RENEWAL_INTERVAL, "limit leases", self.permits.tick)
         self.timers.every(SETTINGS_POLL_INTERVAL, "settings", self.settings_reloader.poll)
 
@@ -389,6 +399,11 @@
         if self.members.peers:
             self.probe_limiter.vm_count = self.members.count
 
+    def _new_retry_budget(self, service: str) -> RetryBudget:
+        return RetryBudget(
+            self.retry_limit, lambda now: self.predecessor.time_settled(service, now)
+        )
+
     def _count_store_call(self, failed: bool) -> None:
         self.counters.store_calls += 1
         self.counters.store_failures += failed
--- a/sequoiabridge/relay/unread.py
+++ b/sequoiabridge/relay/unread.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from ..balancing.predecessor_calls import MAX_UNREAD_SECONDS, PredecessorCalls
 from ..timers import Clock
 from .attempt import Attempt
 from .decisions import DecisionLog
@@ -17,20 +18,25 @@
 POLL_INTERVAL = 0.25
 """Seconds between two checks whether an upstream has answered anything."""
 
-MAX_UNREAD_SECONDS = 30.0
-"""Seconds after which an upstream that answers nothing counts as dead. A longer time would keep
-tokens in use for calls at upstreams that have lost power."""
+PREDECESSOR_PROBE_INTERVAL = 0.5
+"""Seconds between probes of upstreams that may still read calls of the earlier process."""
 
 
 class UnreadCalls:
     """Waits until upstreams have read the calls that were given up, or are dead.
 
+    Args:
+        predecessor: The calls of the earlier process.
+
     Attributes:
         count: Number of calls that may still be read.
     """
 
-    def __init__(self, prober: Prober, decisions: DecisionLog, clock: Clock):
+    def __init__(
+        self, prober: Prober, predecessor: PredecessorCalls, decisions: DecisionLog, clock: Clock
+    ):
         self.prober = prober
+        self.predecessor = predecessor
         self.decisions = decisions
         self.clock = clock
         self.count = 0
@@ -49,6 +55,16 @@
         finally:
             self.count -= 1
 
+    async def probe_predecessor_calls(self) -> None:
+        """Probe the upstreams that may still read calls of the earlier process."""
+        now = self.clock.now()
+        due = [
+            upstream
+            for upstream in self.predecessor.unanswered(now)
+            if upstream.stats.probe_sent_at is None and now >= upstream.stats.next_probe_at
+        ]
+        await self.prober.probe_all(due, 0.0)
+
     async def _probe_if_due(self, attempt: Attempt) -> None:
         """Probe the upstream, as often as any unresponsive one, unless other calls settled it."""
         stats, now = attempt.upstream.stats, self.clock.now()
--- a/sequoiabridge/tests/balancing/test_dispatch.py
+++ b/sequoiabridge/tests/balancing/test_dispatch.py
@@ -48,7 +48,7 @@
             Hedging(chooser, route_stats, self.clock),
             AttemptRecorder(route_stats, NullObserver()),
             self.clock,
-            lambda: RetryBudget(RetryLimit(0.2, 10.0, 1000), self.clock.now() - 10.0),
+            lambda service: RetryBudget(RetryLimit(0.2, 10.0, 1000), lambda now: now - 10.0),
         )
         self.call = Call(self.clock.now())
         route = Route("r", b"/", idempotent, 2.0, 0.5, max_attempts, 1, (Target("s", 1.0),))
--- a/sequoiabridge/tests/balancing/test_retry_budget.py
+++ b/sequoiabridge/tests/balancing/test_retry_budget.py
@@ -17,7 +17,7 @@
 
     def __init__(self, vms, slack=SLACK):
         self.limit = RetryLimit(RATIO, WINDOW, slack)
-        self.budgets = [RetryBudget(self.limit, -WINDOW) for _ in range(vms)]
+        self.budgets = [RetryBudget(self.limit, lambda now: -WINDOW) for _ in range(vms)]
         self.calls = []
         self.retries = []
 
@@ -32,7 +32,7 @@
 
     def restart(self, vm, now):
         """Restart the process of a VM."""
-        self.budgets[vm] = RetryBudget(self.limit, now)
+        self.budgets[vm] = RetryBudget(self.limit, lambda later: now)
 
     def worst_excess(self):
         """Return the largest number of retries in a window beyond the fleet's limit."""
@@ -57,7 +57,7 @@
 
 
 def test_a_vm_with_few_calls_may_send_one_retry_per_window():
-    budget = RetryBudget(RetryLimit(RATIO, WINDOW, SLACK), -WINDOW)
+    budget = RetryBudget(RetryLimit(RATIO, WINDOW, SLACK), lambda now: -WINDOW)
     budget.record_call(1.0)
     assert [budget.take(1.0 + n / 10) for n in range(3)] == [True, False, False]
     budget.settle(1, 1.0)
@@ -79,7 +79,7 @@
 
 
 def test_a_process_may_retry_a_few_calls_at_once_and_all_its_share_after_a_window():
-    budget = RetryBudget(RetryLimit(RATIO, WINDOW, SLACK), 100.0)
+    budget = RetryBudget(RetryLimit(RATIO, WINDOW, SLACK), lambda now: 100.0)
     for step in range(200):
         budget.record_call(100.0 + step / 25)
     assert sum(budget.take(108.0) for _ in range(100)) == 8
--- a/sequoiabridge/tests/platform/environment.py
+++ b/sequoiabridge/tests/platform/environment.py
@@ -162,6 +162,7 @@
         text = SETTINGS.format(store=self.store_address, port=port, port2=port2)
         self.gateway = Gateway(GatewaySettings.parse(text))
         self.gateway.decisions.write = self.log_lines.append
+        self.gateway.predecessor.first_start = True
         self.gateway_task = await curio.spawn(self.gateway.run(), daemon=True)
         await self.wait_until(lambda: self.gateway.ready.address)
 
--- a/sequoiabridge/tests/relay/test_reloading.py
+++ b/sequoiabridge/tests/relay/test_reloading.py
@@ -79,7 +79,7 @@
 def test_a_reload_changes_the_retry_limit_of_budgets_that_are_in_use(tmp_path):
     # A lowered limit was in force only after a restart.
     reloader, file, _, _ = build_reloader(tmp_path)
-    budget = RetryBudget(reloader.retry_limit, started_at=0.0)
+    budget = RetryBudget(reloader.retry_limit, lambda now: 0.0)
     for _ in range(100):
         budget.record_call(20.0)
     assert budget.dump(20.0)["allowed_in_window"] == 16.0
