Let only a living upstream start to drain in the fault matrix

What was seen: `make matrix`, sequence 35: a leaving upstream got a call 14.2 s after its drain started.

Cause: the sequence kills an upstream and, at the same step, lets it start to drain. The trace: it dies at 2.25 s, "drains" from 2.25 s on, is started again at 13.46 s and receives its first request of all, the call of the violation, at 16.46 s. No VM could know. The world's own rule is that what is started in the place of a dead upstream does not leave.

Change: the fault strikes a living upstream, so the check is applied no less often. The sequence is a test of its own, which fails before.

--- a/sequoiabridge/tests/matrix/faults.py
+++ b/sequoiabridge/tests/matrix/faults.py
@@ -73,7 +73,12 @@
 
 
 async def drain(world: World, subject: Subject) -> None:
-    world.leave(world.upstream(subject), incarnation=7)
+    # An upstream that has died cannot start to drain; what is started in its place does not.
+    chosen = [world.upstream(subject), *world.upstreams.values()]
+    living = [upstream for upstream in chosen if upstream.up]
+    if not living:
+        return
+    world.leave(living[0], incarnation=7)
     # VMs hear of it by their calls: without any, the first call would be the one that tells.
     await world.after(0.0, world.traffic, LEAVING_TRAFFIC)
 
--- a/sequoiabridge/tests/matrix/test_sequences.py
+++ b/sequoiabridge/tests/matrix/test_sequences.py
@@ -16,6 +16,12 @@
     assert not play(strikes, group, kind, SEED), (strikes, kind)
 
 
+def test_an_upstream_that_has_died_does_not_start_to_drain():
+    # The fault struck a dead upstream, which told nobody until its first call after a restart.
+    name, broken = played(35)
+    assert not broken, name
+
+
 def test_a_page_under_suspicion_by_chance_is_answered_again_without_an_operator():
     # Two upstreams die 0.3 s apart while all readers ask for one page and no answer comes in time.
     name, broken = played(31)
