--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -211,6 +211,7 @@
         now = time.monotonic()
         since = now - RESTART_DELAY if daemon.down_since is None else daemon.down_since
         self.record.disturbances.append((self.clock() - (now - since), self.clock(), daemon.name))
+        self.record.starts.append((self.clock(), daemon.name))
 
     def record_disturbance(self, daemon: Daemon, seconds: float) -> None:
         """Record that a daemon is disturbed from now on for some seconds."""
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -63,6 +63,8 @@
         body_sizes: Bytes of the body of each call, by id.
         limit_changes: Time, upstream and requests per second (None for no limit) of each change of
             a limit; a value that is no number is no change.
+        unreadable_limits: Time and upstream of each change to a value that is no number.
+        starts: Time and daemon of each start but the first.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
     """
 
@@ -77,6 +79,8 @@
         self.stops: list[tuple[float, str]] = []
         self.body_sizes: dict[str, int] = {}
         self.limit_changes: list[tuple[float, str, float | None]] = []
+        self.unreadable_limits: list[tuple[float, str]] = []
+        self.starts: list[tuple[float, str]] = []
         self.disturbances: list[tuple[float, float, str]] = []
 
     def is_fault_free(self, at: float, until: float | None = None) -> bool:
@@ -109,5 +113,6 @@
 def record_limit(record: Record, upstream: str, at: float, text: str) -> None:
     """Add a limit that an upstream named; a daemon ignores one that is no decimal number."""
     if text != NO_LIMIT and not text.replace(".", "", 1).isdigit():
+        record.unreadable_limits.append((at, upstream))
         return
     record.limit_changes.append((at, upstream, float(text) if text else None))
--- a/sequoiabridge/tests/platform/soak/test_limit_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_limit_soak.py
@@ -113,3 +113,18 @@
     assert check_limits(record) == []
     record.limit_changes.append((13.0, "u1", 1.0))
     assert check_limits(record)
+
+
+def test_the_oracle_expects_no_daemon_to_know_a_limit_that_all_have_forgotten():
+    arrivals = [24.0 + n / 10 for n in range(12)]
+    record = limited_record(TOLD + arrivals)
+    record.unreadable_limits = [(15.0, "u1")]
+    record.starts = [(20.0, "vm-0"), (20.5, "vm-1")]
+    assert check_limits(record) == []
+    record.starts = [(16.0, "vm-0"), (20.5, "vm-1")]
+    assert check_limits(record)
+    record.starts = [(14.0, "vm-0"), (14.5, "vm-1")]
+    assert check_limits(record)
+    record.unreadable_limits = []
+    record.starts = [(20.0, "vm-0"), (20.5, "vm-1")]
+    assert check_limits(record)
