Put back the reasons and figures that the rewording of comments had deleted

Put back in today's names are the facts of the old comments that are still true: in balancing/, relay/ and gateway.py. policy/, store/ and fleet/ were not gone through. No code is changed (compared as syntax trees without docstrings).

--- a/sequoiabridge/balancing/candidates.py
+++ b/sequoiabridge/balancing/candidates.py
@@ -8,11 +8,12 @@
 from .upstream import Upstream
 
 MAX_LOCAL = 8
-"""Maximum number of candidates per service in the VM's own data centre."""
+"""Maximum number of candidates per service in the VM's own data centre. Five are probed before a
+call; some more leave a choice when several are busy or down."""
 
 MAX_REMOTE = 5
 """Maximum number of candidates per service in other data centres; one more for each local candidate
-missing up to this number."""
+missing up to this number. They are probed only when all local ones are bad."""
 
 
 class CandidateSet:
--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -19,21 +19,26 @@
 from .upstream_stats import PROBE_WAIT
 
 MAX_PROBED = 5
-"""Maximum number of upstreams probed before a call."""
+"""Maximum number of upstreams probed before a call. In trials, probing 3 kept 0.978 of the worth of
+a quiet day, 5 kept 0.990 and 8 no more than 5."""
 
 FRESH_REPORT_AGE = 0.02
-"""Age in seconds up to which a load report is used without a new probe."""
+"""Age in seconds up to which a load report is used without a new probe. Calls sent meanwhile are
+counted, and neighbours change only twice a second."""
 
 MIN_REMOTE_GAIN = 0.12
 """Minimum amount by which the cost of the best local upstream must exceed the transfer cost before
-remote upstreams are probed. Probes between data centres have a cost as well."""
+remote upstreams are probed. Probes between data centres have a cost as well. Five of them move some
+2.5 KB, which costs 0.05, and cost 0.02 themselves; with 0.05 here, a quiet day of 14 VMs earned
+0.832, with 0.12 it earned 0.850 (means of three runs)."""
 
 HOLD_SHARE = 0.125
 """Maximum time for which a call is held while no upstream has capacity, as a share of the target
-latency."""
+latency. Waiting longer costs callers more than trying again later."""
 
 HOLD_POLL_INTERVAL = 0.01
-"""Seconds between checks for capacity while a call is held."""
+"""Seconds between checks for capacity while a call is held. A slot becomes free every few
+milliseconds in a service of some dozen upstreams."""
 
 LOGGED_ESTIMATES = 3
 """Maximum number of cost estimates logged per choice."""
--- a/sequoiabridge/balancing/cost_model.py
+++ b/sequoiabridge/balancing/cost_model.py
@@ -10,16 +10,20 @@
 from .upstream import Upstream
 
 LATE_COST = 0.9
-"""Cost of a late answer."""
+"""Cost of a late answer, which is worth a tenth of one in time."""
 
 EXPIRED_COST = 1.0
-"""Cost of a late call whose deadline passes before the upstream answers."""
+"""Cost of a late call whose deadline passes before the upstream answers. It is more than any slot
+is worth to other calls, so such a call is rather refused at once."""
 
 MAX_DISPLACEMENT_COST = 0.45
-"""Maximum displacement cost at which a call that is late already takes a free slot."""
+"""Maximum displacement cost at which a call that is late already takes a free slot. Without this
+bound, late calls took a fifth of the slots on an overloaded day: 5,002 of 9,306 reads were in time,
+5,935 with it (one run each)."""
 
 LOG_DURATION_SPREAD = 0.25
-"""Scale of the distribution of the logarithm of a call's duration around its expected value."""
+"""Scale of the distribution of the logarithm of a call's duration around its expected value. Work
+times spread by 0.3, and reports are some milliseconds old."""
 
 COLD_START_FACTOR = 2.0
 """Slowdown of an upstream that has just started."""
@@ -39,26 +43,34 @@
 """Cost of an upstream that did not answer the latest probe."""
 
 SATURATED_FACTOR = 1.7
-"""Slowdown of an upstream of which all slots are taken."""
+"""Slowdown of an upstream of which all slots are taken. Some upstreams slow down when they are
+nearly full; 1.7 was seen where it shows."""
 
 MIN_OVERLOAD_WEIGHT = 0.15
-"""Lower bound on the overload ratio when computing the saturation cost."""
+"""Lower bound on the overload ratio when computing the saturation cost. The calls at a full
+upstream may also meet a neighbour and be late where capacity is not scarce."""
 
 DEFAULT_SLOWDOWN = 2.5
-"""Slowdown assumed of an upstream without a recent load report."""
+"""Slowdown assumed of an upstream without a recent load report. It is the mean over time where
+neighbours slow an upstream sevenfold for a quarter of it."""
 
 MAX_LATE_PROBABILITY = 0.2
-"""Maximum probability of being late at which a call is sent into a queue."""
+"""Maximum probability of being late at which a call is sent into a queue. With 0.7, 0.4, 0.2 and
+0.05, an overloaded day earned 0.352, 0.389, 0.416 and 0.403 (one run each)."""
 
 MAX_QUEUE_PER_SLOT = 2
-"""Maximum number of queued requests per slot of an upstream."""
+"""Maximum number of queued requests per slot of an upstream. Upstreams have room for 2 to 4 and may
+reset the connection of one more, which leaves open whether that request ran."""
 
 MAX_SLOWDOWN_AGE = 0.5
-"""Maximum age in seconds of a load report of which the slowdown is used."""
+"""Maximum age in seconds of a load report of which the slowdown is used. Neighbours change twice a
+second."""
 
 MAX_OCCUPANCY_AGE = 0.1
 """Maximum age in seconds of a load report on which a call takes the last free slot or queues. By
-then, other VMs may have taken the same slot."""
+then, other VMs may have taken the same slot. In a fleet of 101 VMs, calls sent on older reports
+took 2.0 s where 0.56 s was expected; without them a day with bursts earned 0.652, before 0.566 (one
+run each)."""
 
 NO_REPORT_AGE = float("inf")
 """Report age of an upstream that has not sent a load report."""
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -19,14 +19,16 @@
 from .steps import CancelAttempt, Send, Steps, Wait
 
 MAX_SENDS = 4
-"""Maximum number of attempts per call, including those that upstreams refused."""
+"""Maximum number of attempts per call, including those that upstreams refused. When four have no
+capacity the service has none, and a later try of the caller does better."""
 
 RESTART_POLL_INTERVAL = 0.5
 """Seconds between checks whether the upstream of an open attempt has restarted. Without the check,
 a half-open connection after a network partition would hold the call until its deadline."""
 
 MIN_ATTEMPT_TIME = 0.02
-"""Minimum time in seconds before the deadline at which a retry is started."""
+"""Minimum time in seconds before the deadline at which a retry is started. A round trip and a probe
+take a few milliseconds."""
 
 
 class Dispatch(Component):
--- a/sequoiabridge/balancing/hedging.py
+++ b/sequoiabridge/balancing/hedging.py
@@ -15,7 +15,8 @@
 from .upstream_stats import PROBE_WAIT
 
 FIRST_CHECK_FACTOR = 1.3
-"""Time of the first check after the start of an attempt, as a multiple of its expected duration."""
+"""Time of the first check after the start of an attempt, as a multiple of its expected duration.
+Work times spread by a third around their mean, so most calls have ended by then."""
 
 MIN_FIRST_CHECK_SHARE = 0.2
 """Minimum time before the first check, as a share of the target latency."""
--- a/sequoiabridge/balancing/overload.py
+++ b/sequoiabridge/balancing/overload.py
@@ -5,10 +5,12 @@
 from .upstream_stats import DecayingSum
 
 DECAY_SECONDS = 1.0
-"""Time constant in seconds of the exponential decay of recorded calls."""
+"""Time constant in seconds of the exponential decay of recorded calls. Neighbours change twice a
+second, waves of callers last some seconds."""
 
 PRIOR_CALLS = 2.0
-"""Weight, in calls, of the initial assumption that a service has capacity."""
+"""Weight, in calls, of the initial assumption that a service has capacity. It keeps one call
+without capacity from making a service overloaded."""
 
 
 class OverloadTracker:
--- a/sequoiabridge/balancing/prior_wait.py
+++ b/sequoiabridge/balancing/prior_wait.py
@@ -11,7 +11,8 @@
 may already have used up a few milliseconds."""
 
 SHARE_WEIGHT = 0.02
-"""Weight of a new call in the moving average of the share of calls with the usual timeout."""
+"""Weight of a new call in the moving average of the share of calls with the usual timeout. Some
+fifty calls fix the share."""
 
 MIN_USUAL_SHARE = 0.6
 """Minimum share of calls with the usual timeout for a shorter timeout to count as prior waiting.
--- a/sequoiabridge/balancing/probe_limiter.py
+++ b/sequoiabridge/balancing/probe_limiter.py
@@ -10,7 +10,7 @@
 """Share of the limit that is used. The rest covers uneven load between the VMs."""
 
 BURST_SECONDS = 4.0
-"""Capacity of the token bucket, in seconds of refill."""
+"""Capacity of the token bucket, in seconds of refill. The limit is on the mean of a day."""
 
 DEFAULT_VM_COUNT = 20
 """Number of VMs assumed to share the limit until it is known."""
--- a/sequoiabridge/balancing/refusals.py
+++ b/sequoiabridge/balancing/refusals.py
@@ -7,13 +7,16 @@
 from .call import Call
 
 SHORT_RETRY_AFTER = 0.02
-"""Retry-After in seconds if upstreams refused the call although the service is not overloaded."""
+"""Retry-After in seconds if upstreams refused the call although the service is not overloaded. Each
+further 0.1 s makes more callers late: where 55 calls in 100 were refused for 8 s, 0.759 of the
+worth came in instead of 0.736 (means of three runs)."""
 
 MIN_OVERLOAD_RATIO = 0.05
 """Overload ratio above which a refusal by upstreams is attributed to overload."""
 
 RETRY_AFTER = 0.15
-"""Retry-After in seconds if the service has no capacity or no upstream."""
+"""Retry-After in seconds if the service has no capacity or no upstream. A slot becomes free within
+the time of one piece of work, and callers wait at most a third of the time they have left."""
 
 
 def no_upstream(call: Call) -> Refusal:
--- a/sequoiabridge/balancing/route_stats.py
+++ b/sequoiabridge/balancing/route_stats.py
@@ -7,14 +7,16 @@
 from .call import Call, CallAttempt
 
 INITIAL_WORK_SHARE = 0.35
-"""Initial estimate of a call's work, as a share of the target latency of its route."""
+"""Initial estimate of a call's work, as a share of the target latency of its route. Known target
+latencies are 2.5 to 3.3 times the mean work."""
 
 LEARNING_RATE = 0.1
-"""Weight of a new call in the moving averages."""
+"""Weight of a new call in the moving averages. Some ten calls fix a mean to a tenth."""
 
 MAX_LOG_RATIO = 0.5
 """Bound on the logarithm of the ratio of measured to expected time of one call. Limits the effect
-of calls that a noisy neighbour slowed down."""
+of calls that a noisy neighbour slowed down. Such a call takes seven times as long and says nothing
+about the work."""
 
 MAX_SAMPLED_SLOWDOWN = 1.3
 """Maximum slowdown of an upstream at which a call's duration is a sample of its work."""
--- a/sequoiabridge/balancing/upstream_stats.py
+++ b/sequoiabridge/balancing/upstream_stats.py
@@ -8,10 +8,12 @@
 from .request_limit import RequestLimit
 
 FAILURE_DECAY_SECONDS = 4.0
-"""Time constant in seconds of the exponential decay of successes and failures."""
+"""Time constant in seconds of the exponential decay of successes and failures. Upstreams that fail
+do so for some seconds, and one that has recovered must not stay out of use for long."""
 
 PRIOR_CALLS = 2.0
-"""Weight, in calls, of the prior failure rate."""
+"""Weight, in calls, of the prior failure rate. It keeps one failure alone from condemning an
+upstream."""
 
 PRIOR_FAILURE_RATE = 0.02
 """Failure rate assumed of an upstream without recorded calls."""
@@ -20,7 +22,8 @@
 """Time constant in seconds with which the latency ratio decays towards 1."""
 
 LATENCY_RATIO_WEIGHT = 0.3
-"""Weight of a new call in the moving average of the logarithm of the latency ratio."""
+"""Weight of a new call in the moving average of the logarithm of the latency ratio. Three calls
+that take five times as long show a slow upstream, one alone does not."""
 
 MIN_LATENCY_RATIO, MAX_LATENCY_RATIO = 0.5, 20.0
 """Bounds on the latency ratio of one call, which limit the effect of outliers."""
@@ -30,7 +33,7 @@
 
 PROBE_WAIT = 0.03
 """Seconds that a decision waits for the answers to its probes. An upstream that takes longer counts
-as unresponsive until it answers."""
+as unresponsive until it answers. Upstreams answer within 1 to 5 ms."""
 
 PROBE_TIMEOUT = 0.4
 """Timeout of a probe in seconds; long enough for one retransmission."""
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -73,14 +73,17 @@
 """Interval in seconds at which this VM's share of the fleet's health checks is updated."""
 
 SETTINGS_POLL_INTERVAL = 1.0
-"""Interval in seconds at which the settings file is polled for changes."""
+"""Interval in seconds at which the settings file is polled for changes. No signal need come with a
+change."""
 
 CALLER_POLL_INTERVAL = 0.2
-"""Interval in seconds at which callers are checked for having disconnected."""
+"""Interval in seconds at which callers are checked for having disconnected. The work of a caller
+that has left must end within half a second."""
 
 BALANCER_DELAY = 2.6
 """Seconds for which new connections are still accepted after a planned stop began, until the
-platform's balancer has noticed it."""
+platform's balancer has noticed it. It asks once a second and acts on the second answer that says
+no."""
 
 STOP_MARGIN = 0.4
 """Seconds before the end of the grace period at which open calls are cut off."""
@@ -89,7 +92,9 @@
 """Interval in seconds at which a planned stop checks whether all calls have ended."""
 
 MAX_CONNECTIONS_PER_UPSTREAM = 8
-"""Maximum number of connections from this VM to one upstream, which must bear those of all VMs."""
+"""Maximum number of connections from this VM to one upstream, which must bear those of all VMs. A
+VM needs two for calls and some for probes at a time. A fleet of 100 VMs keeps below the 860 that an
+upstream of its size takes."""
 
 UPSTREAM_IDLE_TIMEOUT = 30.0
 """Seconds after which an idle upstream connection is closed, unless the upstream asks for less."""
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -20,14 +20,16 @@
 
 MAX_BUFFERED_ANSWER = 256 * 1024
 """Maximum number of bytes of an answer that are buffered. A buffered answer that breaks off can be
-replaced by a retry; a longer one is streamed to the caller."""
+replaced by a retry; a longer one is streamed to the caller. Known answers have 30 KB at most."""
 
 MAX_TRUSTED_IDLE = 0.25
 """Maximum number of seconds since a connection last received data for it to carry a non-idempotent
-call; an older connection may be dead."""
+call; an older connection may be dead. A probe has mostly been answered on it some milliseconds
+ago."""
 
 MIN_CONNECT_TIMEOUT = 0.05
-"""Minimum timeout for opening a connection, in seconds, even if the deadline is closer."""
+"""Minimum timeout for opening a connection, in seconds, even if the deadline is closer. A round
+trip between data centres takes a few milliseconds, a lost packet is sent again after 0.2 s."""
 
 
 class Attempt(CallAttempt):
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -26,10 +26,13 @@
 
 MIN_CRASHED_UPSTREAMS = 3
 """Minimum number of distinct upstreams that crashed while running a request before it is blocked.
-With fewer, unrelated crashes could block a harmless request."""
+With fewer, unrelated crashes could block a harmless request. With two, two deaths by chance within
+a second blocked a harmless page; callers bring a harmful request again at once, so a third death
+costs little."""
 
 ALIVE_CHECK_TIMEOUT = 0.1
-"""Timeout in seconds for the connection that checks whether an upstream is alive."""
+"""Timeout in seconds for the connection that checks whether an upstream is alive. An upstream that
+lives needs a few milliseconds."""
 
 MAX_SENT_CRASHES = 60
 """Maximum number of crashes that a daemon which has just started is told by each peer."""
--- a/sequoiabridge/relay/decisions.py
+++ b/sequoiabridge/relay/decisions.py
@@ -14,7 +14,8 @@
 from ..timers import Clock
 
 GOOD_CALL_LIMITS = (10.0, 40.0)
-"""Maximum rate in lines per second, and maximum burst in lines, for calls answered in time."""
+"""Maximum rate in lines per second, and maximum burst in lines, for calls answered in time. They
+allow a line for each call of a VM at 5 to 20 calls a second, and bound the CPU time of a flood."""
 
 BAD_CALL_LIMITS = (40.0, 200.0)
 """Maximum rate and burst for calls that failed or were answered late."""
--- a/sequoiabridge/relay/feeds.py
+++ b/sequoiabridge/relay/feeds.py
@@ -18,22 +18,29 @@
 from .entry_errors import EntryErrorLog
 
 LONG_POLL_TIMEOUT = 25.0
-"""Seconds that a poll waits in the store for a change; the store allows at most 30."""
+"""Seconds that a poll waits in the store for a change; the store allows at most 30. Each
+poll has a price, a waiting one has none."""
 
 SENTINEL_POLL_TIMEOUT = 2.0
-"""Seconds that a sentinel's poll waits; a short one notices soon that the store is unavailable."""
+"""Seconds that a sentinel's poll waits; a short one notices soon that the store is unavailable.
+With long polls alone, all watchers waited for up to 26 s after an outage, with an old configuration
+in force."""
 
 CHANGE_BATCH_INTERVAL = 0.5
-"""Seconds between an answer with changes and the next poll, so that bursts come in one answer."""
+"""Seconds between an answer with changes and the next poll, so that bursts come in one answer. With
+the heartbeat's 0.3 s a change is known everywhere within a second; it must be in force within 2."""
 
 FIRST_RETRY_DELAY, MAX_RETRY_DELAY = 0.1, 0.4
-"""Seconds before a failed call is retried; doubles up to the maximum."""
+"""Seconds before a failed call is retried; doubles up to the maximum. A VM that was cut off must
+know of all upstreams that left within 3 s of its return, 2 of which it may wait for lapsed
+entries."""
 
 MAX_REMOVALS = 200
 """Maximum number of removed rows that are kept to answer peers that ask for changes."""
 
 SLOW_RETRY_FACTOR = 10.0
-"""Factor on the retry delay of daemons that learn of the store's recovery from watchers."""
+"""Factor on the retry delay of daemons that learn of the store's recovery from watchers. Refused
+calls have a price too: all daemons together made over 1,000 of them in 8 seconds."""
 
 DECODING_ERRORS = (BadEntry, ValueError, KeyError, TypeError, AttributeError, ArithmeticError)
 """Errors that decoding raises for a row with invalid content."""
--- a/sequoiabridge/relay/members.py
+++ b/sequoiabridge/relay/members.py
@@ -34,7 +34,8 @@
 
 MAX_SHARING_PEERS = 8
 """Maximum number of peers in this data centre with which each call and load report is shared. With
-more, the datagrams would take more processor time than the calls."""
+more, the datagrams would take more processor time than the calls. With 32 peers there were 40,000 a
+second in one data centre."""
 
 
 class Members(Component):
--- a/sequoiabridge/relay/peer_feeds.py
+++ b/sequoiabridge/relay/peer_feeds.py
@@ -21,10 +21,12 @@
 """Path prefix on the operators' port under which peers read each feed by its name."""
 
 READ_TIMEOUT = 1.0
-"""Seconds that reading a feed from a peer may take."""
+"""Seconds that reading a feed from a peer may take. 16 daemons that read a configuration of 1,680
+routes (16 KB compressed) from one VM on a link of 5 Mbit/s take 0.4 s together."""
 
 COMPRESSION_LEVEL = 3
-"""Level of zlib compression."""
+"""Level of zlib compression. 294 KB of routes become 15 KB in 4 ms; 19 KB at level 1, 14 KB at
+level 6."""
 
 MAX_CACHED_RESPONSES = 8
 """Maximum number of encoded responses that are kept. Peers ask for the same few after each
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -19,18 +19,20 @@
 one, but their entries expire together while the platform is unavailable."""
 
 MASS_LAPSE_MIN_COUNT = 4
-"""Minimum number of upstreams that must be missing at once to count as lapsed."""
+"""Minimum number of upstreams that must be missing at once to count as lapsed. Two or three may
+well leave at once."""
 
 MASS_LAPSE_WINDOW = 1.0
 """Seconds within which entries count as missing at once."""
 
 LAPSE_GRACE = 2.0
-"""Seconds for which an upstream with a lapsed entry is kept; live ones are listed again
-meanwhile."""
+"""Seconds for which an upstream with a lapsed entry is kept; live ones are listed again meanwhile.
+The platform lists live ones again within about 2 s of its return, and those that have left must get
+no calls soon after."""
 
 MAX_REMOVED_BIRTHS = 2000
-"""Maximum number of removed upstreams whose start times are kept, to ignore late entries of
-theirs."""
+"""Maximum number of removed upstreams whose start times are kept, to ignore late entries of theirs.
+The largest known deployments remove some hundreds a day."""
 
 
 class UpstreamList(Component, UpstreamSource):
--- a/sequoiabridge/relay/watchers.py
+++ b/sequoiabridge/relay/watchers.py
@@ -28,50 +28,61 @@
 from .peer_feeds import PeerReader
 
 WATCHERS_PER_DATA_CENTRE = 2
-"""Number of daemons of each data centre that poll the store."""
+"""Number of daemons of each data centre that poll the store. One of them may be cut off, and so may
+a whole data centre, since the others' are heard everywhere."""
 
 HEARTBEAT_INTERVAL = 0.3
 """Seconds between two heartbeats of a watcher."""
 
 CHECK_INTERVAL = 0.3
 """Seconds between two checks of the live watchers. A newer version in a heartbeat triggers a check
-at once."""
+at once. Waking up 150 times a second for nothing cost each of 97 daemons more processor time than
+its calls."""
 
 START_CHECK_INTERVAL, START_PHASE = 0.05, 2.5
 """Seconds between two checks during a daemon's start, and the seconds that the start lasts."""
 
 HEARTBEAT_TIMEOUT = 1.5
-"""Seconds without a heartbeat after which a watcher of this data centre counts as failed."""
+"""Seconds without a heartbeat after which a watcher of this data centre counts as failed. Five
+heartbeats are lost in a row then."""
 
 TAKEOVER_DELAY = 0.4
 """Seconds for which there must be too few live watchers before this daemon becomes one. After a
-stall of this daemon, their heartbeats may still be waiting in its socket."""
+stall of this daemon, their heartbeats may still be waiting in its socket. Without the delay, 62 of
+97 daemons became watchers at some time in the first 12 s of a fleet, with 399 store calls in
+all."""
 
 PEER_READ_DELAY = 0.4
 """Seconds that a watcher waits for a newer version from the store before it asks a peer for it."""
 
 REMOTE_HEARTBEAT_RATIO = 4
-"""Number of heartbeats of which one is sent to the other data centres, where traffic is charged."""
+"""Number of heartbeats of which one is sent to the other data centres, where traffic is charged.
+All of them would be 2 MB in 42 s and cost 0.015 of the worth of a quiet day on 13 VMs (one run)."""
 
 REMOTE_HEARTBEAT_TIMEOUT = 4.0
 """Seconds without a heartbeat after which a watcher of another data centre counts as failed."""
 
 MAX_WATCHERS_WITHOUT_STORE = 4
-"""Maximum number of daemons of each data centre that retry while the store answers no watcher."""
+"""Maximum number of daemons of each data centre that retry while the store answers no watcher. All
+daemons, 97 to 110, made over 1,000 paid calls in 8 s; with two, both may be cut off from a store
+that answers others."""
 
 SENTINEL_FEED = "configuration"
 """Feed that sentinels poll with a short timeout. One is enough, since a store that goes away drops
-the polls of all feeds."""
+the polls of all feeds. Polling both took 134 more store calls on a quiet day of 18 VMs, 0.01 of its
+worth."""
 
 SENTINEL_DATA_CENTRES = 2
-"""Number of data centres whose first watcher is a sentinel."""
+"""Number of data centres whose first watcher is a sentinel. One of them may be cut off itself."""
 
 OVERDUE_MARGIN = 2.0
 """Seconds beyond its timeout after which a poll counts as lost."""
 
 FIRST_START_WAIT, RESTART_WAIT = 2.0, 0.35
 """Seconds for which a daemon that is no default watcher waits for the first heartbeat before it
-reads the store itself: when the whole fleet starts for the first time, and otherwise."""
+reads the store itself: when the whole fleet starts for the first time, and otherwise. Nobody calls
+when the whole fleet starts for the first time; after a restart calls are waiting, but a watcher is
+heard within the time between two heartbeats."""
 
 
 class Watchers:
