Probe an unresponsive upstream again although it has a limit

What callers would see: an upstream with a limit that once did not answer a health check got no more calls from that VM until the limit ended.

Cause: an upstream with a limit gets no permit while it is unresponsive, and the chooser probed only upstreams for which a permit could be expected.

Evidence: read in the code; the new test fails before.

Change: unresponsive upstreams are probed when they are due, whatever their limits.

--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -148,21 +148,28 @@
             others = [upstream for upstream in upstreams if upstream.id not in excluded_ids]
             return [upstream for upstream in others if self._may_send(call, upstream)]
 
-        local, remote = usable(candidates.local), usable(candidates.remote)
+        yield from self._probe_due(candidates.local)
+        local = usable(candidates.local)
         yield from self._probe(local)
         best = self._best(call, local)
         transfer_cost = self.route_stats.transfer_cost(call)
-        if remote and (best is None or best.cost > transfer_cost + MIN_REMOTE_GAIN):
+        if best is None or best.cost > transfer_cost + MIN_REMOTE_GAIN:
+            yield from self._probe_due(candidates.remote)
+            remote = usable(candidates.remote)
             yield from self._probe(remote)
             best = self._best(call, local + remote)
         return best
 
-    def _probe(self, upstreams: list[Upstream]) -> Steps[None]:
-        """Probe a random sample; do not wait for upstreams that are currently unresponsive."""
+    def _probe_due(self, upstreams: list[Upstream]) -> Steps[None]:
+        """Probe unresponsive upstreams that are due, without waiting for them."""
         now = self.clock.now()
         for upstream in upstreams:
             if upstream.stats.is_probe_due(now):
                 yield BackgroundProbe(upstream)
+
+    def _probe(self, upstreams: list[Upstream]) -> Steps[None]:
+        """Probe a random sample; do not wait for upstreams that are currently unresponsive."""
+        now = self.clock.now()
         to_probe = [u for u in upstreams if not u.stats.is_unresponsive(now)]
         to_probe = [u for u in to_probe if now - u.stats.load_reported_at > FRESH_REPORT_AGE]
         if len(to_probe) > MAX_PROBED:
--- a/sequoiabridge/tests/balancing/test_limited_calls.py
+++ b/sequoiabridge/tests/balancing/test_limited_calls.py
@@ -4,7 +4,7 @@
 
 from ...balancing.call import Ending
 from ...balancing.permits import PermitSource
-from ...balancing.steps import RequestPermit, Send, Sleep, Wait
+from ...balancing.steps import BackgroundProbe, RequestPermit, Send, Sleep, Wait
 from ...exceptions import Refusal
 from ...outcome import Reason
 from .test_dispatch import CallDriver
@@ -100,3 +100,15 @@
     second = driver.start()
     assert second.upstream.id != attempt.upstream.id and driver.call.retry_tokens == 0
     assert attempt.upstream.stats.failure_rate(driver.clock.now()) < 0.05
+
+
+def test_an_unresponsive_upstream_with_a_limit_is_probed_again():
+    # It got no permit while it was unresponsive, and no probe without a permit.
+    driver = limited_driver(["u0"], upstreams=2)
+    driver.known.by_id["u0"].stats.record_probe_failure(driver.clock.now())
+    driver.clock.advance(5.0)
+    steps = driver.dispatch.chooser.choose(driver.call)
+    probed = []
+    for step in steps:
+        probed += [step.upstream.id] if isinstance(step, BackgroundProbe) else []
+    assert probed == ["u0"]
