Tell a coordinator that has started again the limits that it does not know

What callers would see: after a restart of nearly all daemons, an upstream with a limit gets calls without permits for some four seconds.

Cause: a daemon that starts is told the limits once, by its neighbours; these messages may be lost. Its coordinator may have started as well, learns a limit only from a request for a permit, and announced it at its next turn, up to 2 s later.

Change: a receipt for a lease says how many limits its sender knows; who knows more tells it, at each renewal. A coordinator announces at once what it learns from a peer. The new test of the permits fails before.

--- a/sequoiabridge/balancing/limit_leases.py
+++ b/sequoiabridge/balancing/limit_leases.py
@@ -123,6 +123,7 @@
 
     Attributes:
         holder: The VM that holds this VM's lease, or is going to, None at first.
+        preferred: The first VM in the common order that answers; it becomes the holder.
         lease_end: Time until which this VM must grant no lease to another one.
     """
 
@@ -131,6 +132,7 @@
         self.started_at = started_at
         self.contacts: dict[str, Contact] = {}
         self.holder: str | None = None
+        self.preferred: str | None = None
         self.lease_end = started_at + LEASE_SECONDS
         self.ticked_at = float("-inf")
 
@@ -144,7 +146,7 @@
             self._forget_silence()
         self.ticked_at = now
         ranked = sorted(vms, key=rank)
-        preferred = self._first_answering(ranked, now)
+        preferred = self.preferred = self._first_answering(ranked, now)
         if preferred != self.holder and now >= self.lease_end:
             self.holder = preferred
         messages = [self._message(preferred, now)]
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -237,17 +237,19 @@
     Attributes:
         vm: Name of the VM that sends it.
         at: Time of sending on that VM's clock, in seconds.
+        limits: Number of limits that it knows.
     """
 
-    __slots__ = ("vm", "at")
+    __slots__ = ("vm", "at", "limits")
 
-    def __init__(self, vm: str, at: float):
+    def __init__(self, vm: str, at: float, limits: int):
         self.vm = vm
         self.at = at
+        self.limits = limits
 
     def fields(self) -> list:
         """Return the datagram's elements."""
-        return [RECEIPT, self.vm, self.at]
+        return [RECEIPT, self.vm, self.at, self.limits]
 
 
 class PermitRequest:
@@ -396,7 +398,8 @@
 
 
 def _decode_lease_receipt(fields: list) -> LeaseReceipt:
-    return LeaseReceipt(_text(fields, 0), _seconds(fields[1]))
+    limits = as_integer(fields[2], "the number of limits", 0, MAX_REQUESTS)
+    return LeaseReceipt(_text(fields, 0), _seconds(fields[1]), limits)
 
 
 def _decode_permit_request(fields: list) -> PermitRequest:
--- a/sequoiabridge/relay/permits.py
+++ b/sequoiabridge/relay/permits.py
@@ -144,7 +144,7 @@
             self._send_lease(message, now)
         if self.choice.holder != before:
             self.decisions.event("limit-coordinator", peer=self.choice.holder, was=before)
-        if self.register.count(now) > 1 and now - self.announced_at >= ANNOUNCE_INTERVAL:
+        if self._is_coordinator(now) and now - self.announced_at >= ANNOUNCE_INTERVAL:
             self.announced_at = now
             self._announce(self.members.all_addresses)
         self.issuer.discard_idle(now)
@@ -162,11 +162,11 @@
     def handle(self, message: object) -> None:
         """Handle a message of a peer."""
         if isinstance(message, LimitNamed):
-            self.limits.record_peer_report(message.upstream, message.rate, message.age)
+            self._record_peer_report(message)
         elif isinstance(message, Lease):
             self._handle_lease(message)
         elif isinstance(message, LeaseReceipt):
-            self.choice.record_receipt(message.vm, message.at, self.clock.now())
+            self._handle_receipt(message)
         elif isinstance(message, PermitRequest):
             self._handle_request(message)
         elif isinstance(message, PermitReply):
@@ -189,6 +189,11 @@
             "unanswered": self.unanswered,
         }
 
+    def _is_coordinator(self, now: float) -> bool:
+        """Return whether this VM is the coordinator of others, or takes itself for the next one."""
+        own = self.members.own_hello.vm
+        return self.register.count(now) > 1 or self.choice.preferred == own
+
     def _vms(self) -> list[str]:
         return [self.members.own_hello.vm, *self.members.peers]
 
@@ -231,7 +236,7 @@
         return self.issuer.request(upstream, limit or 0.0, share, priority, now)
 
     def _handle_request(self, request: PermitRequest) -> None:
-        self.limits.record_peer_report(request.upstream, request.rate, request.age)
+        self._record_peer_report(request)
         known = self.sharing.upstreams.find_lifetime(request.upstream)
         rate = known.stats.request_limit.rate if known is not None else None
         rate = request.rate if rate is None else rate
@@ -240,6 +245,11 @@
         reply = PermitReply(request.number, decision.granted, decision.wait)
         self._send(reply, request.vm)
 
+    def _record_peer_report(self, message: LimitNamed | PermitRequest) -> None:
+        """Record a limit that a peer knows; announce it at the next tick if it is new here."""
+        if self.limits.record_peer_report(message.upstream, message.rate, message.age):
+            self.announced_at = float("-inf")
+
     def _handle_reply(self, reply: PermitReply) -> None:
         opened = self.open_requests.get(reply.number)
         if opened is None:
@@ -254,7 +264,15 @@
         self.members.add_peer(lease.hello)
         if lease.receipt_at is not None:
             self.register.renew(lease.hello.vm, lease.receipt_at, now)
-        self._send(LeaseReceipt(self.members.own_hello.vm, now), lease.hello.vm)
+        known = len(self.limits.limited())
+        self._send(LeaseReceipt(self.members.own_hello.vm, now, known), lease.hello.vm)
+
+    def _handle_receipt(self, receipt: LeaseReceipt) -> None:
+        """Record a receipt; tell its sender the limits if it knows fewer, having just started."""
+        self.choice.record_receipt(receipt.vm, receipt.at, self.clock.now())
+        peer = self.members.peers.get(receipt.vm)
+        if peer is not None and receipt.limits < len(self.limits.limited()):
+            self._announce([peer.address])
 
     def _send_lease(self, message: LeaseMessage, now: float) -> None:
         own = self.members.own_hello
--- a/sequoiabridge/relay/request_limits.py
+++ b/sequoiabridge/relay/request_limits.py
@@ -56,11 +56,11 @@
         elif report.rate is not None:
             self._observe_answer(upstream, report.rate, self.clock.now())
 
-    def record_peer_report(self, lifetime: str, rate: float | None, age: float) -> None:
-        """Record what a peer knew of an upstream's limit `age` seconds ago."""
+    def record_peer_report(self, lifetime: str, rate: float | None, age: float) -> bool:
+        """Record what a peer knew of an upstream's limit `age` seconds ago; return whether that
+        changed the limit."""
         upstream = self.upstreams.find_lifetime(lifetime)
-        if upstream is not None:
-            self._observe(upstream, rate, self.clock.now() - age)
+        return upstream is not None and self._observe(upstream, rate, self.clock.now() - age)
 
     def record_send(self, upstream: Upstream) -> None:
         """Count a call that this VM sends to an upstream with a limit."""
--- a/sequoiabridge/tests/relay/test_messages.py
+++ b/sequoiabridge/tests/relay/test_messages.py
@@ -30,7 +30,7 @@
         LimitNamed("u1", None, 0.0),
         Lease(Hello("vm-1", "10.0.0.1:7", "here", 10.0), None),
         Lease(Hello("vm-1", "10.0.0.1:7", "here", 10.0), 12.5),
-        LeaseReceipt("vm-1", 12.5),
+        LeaseReceipt("vm-1", 12.5, 2),
         PermitRequest("vm-1", 7, "u1@5", 1.3, 0.25, 2),
         PermitReply(7, True, 0.0),
         PermitReply(8, False, 0.5),
--- a/sequoiabridge/tests/relay/test_permits.py
+++ b/sequoiabridge/tests/relay/test_permits.py
@@ -167,3 +167,17 @@
     )
     asking.permits.handle(PermitReply(asking.permits.next_number + 1, True, 0.0))
     assert not asking.request() and asking.permits.unanswered == 1
+
+
+def test_all_daemons_know_a_limit_again_soon_after_all_but_one_have_started_again():
+    # The coordinator learnt it only from a request, and told the others up to 2 s later.
+    fleet = Fleet(6)
+    fleet.vms["vm-0"].observe(2.0)
+    fleet.tick()
+    for name in list(fleet.vms)[1:]:
+        fleet.vms[name] = Vm(name, fleet, fleet.clock.now())
+    for vm in fleet.vms.values():
+        fleet.introduce(vm)
+    seconds = LEASE_SECONDS + 3 * RENEWAL_INTERVAL
+    fleet.tick(round(seconds / RENEWAL_INTERVAL))
+    assert {vm.limit for vm in fleet.vms.values()} == {2.0}
