Take the last answer with a limit for the time from which daemons may forget it

The trace: the last answer that names 1.3 is of 26.3 s; twelve daemons are killed and start between 29.1 and 29.7 s; the thirteenth, the only one that still knows it, is silent from 27.7 s on and starts again at 31.8 s; from 29.7 s on the upstream names only "1,2". The oracle took the first unreadable answer, at 29.7 s, for the beginning of the time in which all daemons have to start for a limit to be forgotten. Nobody can know it after the last readable answer.

It still checks daemons that start more than 3 s apart, that got an answer since, and upstreams that name a readable value; the tests show each.

--- a/sequoiabridge/tests/platform/soak/test_limit_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_limit_soak.py
@@ -119,11 +119,15 @@
     arrivals = [24.0 + n / 10 for n in range(12)]
     record = limited_record(TOLD + arrivals)
     record.unreadable_limits = [(15.0, "u1")]
+    for call in record.calls[len(TOLD) :]:
+        call.limit = "soon"
     record.starts = [(20.0, "vm-0"), (20.5, "vm-1")]
     assert check_limits(record) == []
+    record.starts = [(14.0, "vm-0"), (14.5, "vm-1")]
+    assert check_limits(record) == []
     record.starts = [(16.0, "vm-0"), (20.5, "vm-1")]
     assert check_limits(record)
-    record.starts = [(14.0, "vm-0"), (14.5, "vm-1")]
+    record.starts = [(10.15, "vm-0"), (10.25, "vm-1")]
     assert check_limits(record)
     record.unreadable_limits = []
     record.starts = [(20.0, "vm-0"), (20.5, "vm-1")]
