--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -172,6 +172,7 @@
         self.daemon_module = "sequoiabridge.commands.gateway"
         self.daemon_options: list[str] = []
         self.daemons: list[Daemon] = []
+        self.supervisors: list[curio.Task] = []
         self.upstreams: dict[str, UpstreamProcess] = {}
         self.started_upstreams: list[UpstreamProcess] = []
         self.proxies: dict[str, Proxy] = {}
@@ -202,7 +203,8 @@
             daemon.module, daemon.options = self.daemon_module, self.daemon_options
             self.daemons.append(daemon)
             daemon.start()
-            await curio.spawn(daemon.supervise(self.record_restart), daemon=True)
+            supervisor = await curio.spawn(daemon.supervise(self.record_restart), daemon=True)
+            self.supervisors.append(supervisor)
         for daemon in self.daemons:
             await self.wait_until_ready(daemon)
 
@@ -305,6 +307,13 @@
                 began = daemon.down_since - clock_start
                 self.record.disturbances.append((began, float("inf"), daemon.name))
 
+    async def stop_daemons(self) -> None:
+        """Kill the daemons for good; their connections would start tasks while curio ends."""
+        for supervisor in self.supervisors:
+            await supervisor.cancel()
+        for daemon in self.daemons:
+            daemon.kill()
+
     def close(self) -> None:
         """Kill all processes and delete their folder."""
         for process in (*self.daemons, *self.started_upstreams):
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -83,6 +83,7 @@
         for task in callers:
             await task.join()
         deployment.read_upstream_logs(self.started_at)
+        await deployment.stop_daemons()
         deployment.record.retry_slack = deployment.retry_slack
         return find_violations(deployment.record) + self.check_recovery(end)
 
