--- a/sequoiabridge/tests/platform/soak/limits.py
+++ b/sequoiabridge/tests/platform/soak/limits.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_right
 
+from .excess import Excess
 from .record import CallRecord, Record, is_limit
 
 LIMIT_WINDOW = 4.0
@@ -55,19 +56,9 @@
         return max(rate for _, rate in self.changes[first : last + 1])
 
 
-class LimitExcess:
+class LimitExcess(Excess):
     """The arrivals at an upstream in one window and how many were allowed."""
 
-    def __init__(self, start: float, count: int, allowed: float):
-        self.start = start
-        self.count = count
-        self.allowed = allowed
-
-    @property
-    def excess(self) -> float:
-        """Return how many arrivals were too many; negative if there was room."""
-        return self.count - self.allowed
-
     def __str__(self) -> str:
         return (
             f"{self.count} calls within {LIMIT_WINDOW:.0f} s from {self.start:.2f} on, "
--- a/sequoiabridge/tests/platform/soak/repeats.py
+++ b/sequoiabridge/tests/platform/soak/repeats.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_left
 
+from .excess import Excess
 from .record import APPROVE, READ, UPLOAD, CallRecord, Record
 
 RETRY_RATIO = 0.2
@@ -31,19 +32,9 @@
     return worst
 
 
-class RepeatExcess:
+class RepeatExcess(Excess):
     """The repeats in one window and how many were allowed."""
 
-    def __init__(self, start, count, allowed):
-        self.start = start
-        self.count = count
-        self.allowed = allowed
-
-    @property
-    def excess(self) -> float:
-        """Return how many repeats were too many; negative if there was room."""
-        return self.count - self.allowed
-
     def __str__(self) -> str:
         return (
             f"{self.count} repeats within {RETRY_WINDOW:.0f} s from {self.start:.2f} on, "
