--- a/sequoiabridge/tests/matrix/table.py
+++ b/sequoiabridge/tests/matrix/table.py
@@ -74,6 +74,9 @@
         outcomes = dict(zip(cells, pool.map(cell, cells, chunksize=4), strict=True))
         paired = [result for result in pool.map(pair, drawn, chunksize=4) if result[0]]
         longer = pool.map(played, range(0 if only else sequences), chunksize=4)
+        # Workers may not heed the signal by which the pool ends them otherwise.
+        pool.close()
+        pool.join()
     if not only:
         print_table(outcomes)
     print_reasons(outcomes)
