Let VMs agree on the coordinator of limits at once

Callers saw: when all upstreams of a service named limits at once, nearly all calls were refused for 0.6 s, and a VM that started meanwhile refused all for 2 s.

Cause: VMs leased their shares only at the renewals, each 0.3 s, and asked a coordinator for permits only once their own lease was in force, which a new process may grant after 2 s. A coordinator without a share told them to come back after 2 s.

Change: the first lease follows the coordinator's first answer at once. A VM without a lease of its own asks the preferred VM, which spends only what has been leased to it, so the bound on the sum stays as it was. A coordinator without a share says to ask again after 0.3 s.

The new tests failed before.

--- a/sequoiabridge/balancing/limit_leases.py
+++ b/sequoiabridge/balancing/limit_leases.py
@@ -164,11 +164,33 @@
         contact.received_at = now
         contact.unanswered_since = None
 
+    def first_lease(self, vm: str, now: float) -> LeaseMessage | None:
+        """Return the lease for the preferred VM if it has just answered and no lease is in force.
+
+        The VMs thus agree within a few messages once there is a limit, without waiting for the next
+        renewals.
+        """
+        if vm != self.preferred or now < self.lease_end:
+            return None
+        self.holder = vm
+        message = self._message(vm, now)
+        self._record_message(vm, now)
+        return message if message.receipt_at is not None else None
+
     def coordinator(self, now: float) -> str | None:
-        """Return the VM to ask for permits, None if this VM has leased its share to none."""
-        if self.holder is None or not self.started_at + LEASE_SECONDS <= now < self.lease_end:
+        """Return the VM to ask for permits, None if none is known.
+
+        A VM whose own share is not leased may ask as well: a coordinator spends only what it holds.
+        """
+        is_leased = self.started_at + LEASE_SECONDS <= now < self.lease_end
+        if is_leased and self.holder is not None and not self._contact(self.holder).is_silent(now):
+            return self.holder
+        preferred = self.preferred
+        if preferred is None or preferred == self.own:
             return None
-        return None if self._contact(self.holder).is_silent(now) else self.holder
+        contact = self._contact(preferred)
+        has_answered = now - contact.received_at < LEASE_SECONDS and not contact.is_silent(now)
+        return preferred if has_answered else None
 
     def _message(self, preferred: str, now: float) -> LeaseMessage:
         """Return the lease for the preferred VM, or a ping if it cannot have the lease yet."""
--- a/sequoiabridge/balancing/permits.py
+++ b/sequoiabridge/balancing/permits.py
@@ -23,6 +23,9 @@
 MAX_WAIT = 2.0
 """Maximum number of seconds for which a VM is told not to ask again."""
 
+NO_SHARE_WAIT = 0.3
+"""Seconds after which to ask a coordinator again to which no VM has leased its share yet."""
+
 WAITING_MARGIN = 0.2
 """Seconds beyond its wait for which a refused request of a more urgent call counts as waiting."""
 
@@ -122,7 +125,7 @@
     def _wait(self, rate: float, needed: float, now: float) -> float:
         """Return the seconds until a permit is left over, after those for earlier requests."""
         if rate <= 0.0:
-            return MAX_WAIT
+            return NO_SHARE_WAIT
         first = now + (needed - self.tokens) / rate
         turn = min(max(first, self.next_turn), now + MAX_WAIT)
         self.next_turn = turn + 1.0 / rate
--- a/sequoiabridge/relay/permits.py
+++ b/sequoiabridge/relay/permits.py
@@ -137,8 +137,15 @@
         now = self.clock.now()
         if self.limits.limited():
             self.limited_at = now
-        if now - self.limited_at > LEASES_KEPT_SECONDS or not self.members.joined:
-            return
+        if self._keeps_leases(now):
+            self._renew_lease(now)
+        self.issuer.discard_idle(now)
+        self.denials = {name: one for name, one in self.denials.items() if one.until > now}
+
+    def _keeps_leases(self, now: float) -> bool:
+        return self.members.joined and now - self.limited_at <= LEASES_KEPT_SECONDS
+
+    def _renew_lease(self, now: float) -> None:
         before = self.choice.holder
         for message in self.choice.tick(self._vms(), now):
             self._send_lease(message, now)
@@ -147,8 +154,11 @@
         if self._is_coordinator(now) and now - self.announced_at >= ANNOUNCE_INTERVAL:
             self.announced_at = now
             self._announce(self.members.all_addresses)
-        self.issuer.discard_idle(now)
-        self.denials = {name: one for name, one in self.denials.items() if one.until > now}
+
+    def _start_leases(self) -> None:
+        """Lease this VM's share at once when a limit is named while there were none."""
+        if not self._keeps_leases(self.clock.now()):
+            self.tick()
 
     def handle_hello(self, hello: Hello) -> None:
         """Tell a daemon that has just started the limits, as a neighbour or as their coordinator.
@@ -249,6 +259,7 @@
         """Record a limit that a peer knows; announce it at the next tick if it is new here."""
         if self.limits.record_peer_report(message.upstream, message.rate, message.age):
             self.announced_at = float("-inf")
+            self._start_leases()
 
     def _handle_reply(self, reply: PermitReply) -> None:
         opened = self.open_requests.get(reply.number)
@@ -269,7 +280,7 @@
 
     def _handle_receipt(self, receipt: LeaseReceipt) -> None:
         """Record a receipt; tell its sender the limits if it knows fewer, having just started."""
-        self.choice.record_receipt(receipt.vm, receipt.at, self.clock.now())
+        self._record_receipt(receipt.vm, receipt.at, self.clock.now())
         peer = self.members.peers.get(receipt.vm)
         if peer is not None and receipt.limits < len(self.limits.limited()):
             self._announce([peer.address])
@@ -281,7 +292,13 @@
             return
         if message.receipt_at is not None:
             self.register.renew(own.vm, message.receipt_at, now)
-        self.choice.record_receipt(own.vm, now, now)
+        self._record_receipt(own.vm, now, now)
+
+    def _record_receipt(self, vm: str, at: float, now: float) -> None:
+        self.choice.record_receipt(vm, at, now)
+        lease = self.choice.first_lease(vm, now)
+        if lease is not None:
+            self._send_lease(lease, now)
 
     def _send(self, message: object, vm: str) -> None:
         peer = self.members.peers.get(vm)
@@ -293,6 +310,7 @@
         self.sharing.broadcast(
             LimitNamed(upstream.lifetime, upstream.stats.request_limit.rate, 0.0)
         )
+        self._start_leases()
 
     def _announce(self, addresses: list[str]) -> None:
         """Tell peers all known limits."""
--- a/sequoiabridge/tests/balancing/limit_simulation.py
+++ b/sequoiabridge/tests/balancing/limit_simulation.py
@@ -127,12 +127,19 @@
         if receipt_at is not None:
             coordinator.register.renew(vm.name, receipt_at, self.now)
         if vm is coordinator:
-            vm.choice.record_receipt(vm.name, self.now, self.now)
+            self.receipt(vm, vm.name, self.now)
         else:
             self.send(coordinator, vm, self.receipt, vm, coordinator.name, self.now)
 
     def receipt(self, vm, coordinator, at):
         vm.choice.record_receipt(coordinator, at, self.now)
+        lease = vm.choice.first_lease(coordinator, self.now)
+        if lease is None:
+            return
+        if vm.name == coordinator:
+            self.lease(vm, vm, lease.receipt_at)
+        else:
+            self.send(vm, self.vms[coordinator], self.lease, vm, self.vms[coordinator], at)
 
     def next_call(self):
         self.later(self.random.expovariate(self.calls), self.next_call)
--- a/sequoiabridge/tests/relay/test_permits.py
+++ b/sequoiabridge/tests/relay/test_permits.py
@@ -181,3 +181,39 @@
     seconds = LEASE_SECONDS + 3 * RENEWAL_INTERVAL
     fleet.tick(round(seconds / RENEWAL_INTERVAL))
     assert {vm.limit for vm in fleet.vms.values()} == {2.0}
+
+
+def test_all_vms_have_a_coordinator_as_soon_as_a_limit_is_named():
+    # Calls were refused for two renewals of the leases if all upstreams named limits at once.
+    fleet = Fleet(5)
+    fleet.vms["vm-1"].observe(2.0)
+    now = fleet.clock.now()
+    (coordinator,) = {vm.permits.choice.coordinator(now) for vm in fleet.vms.values()}
+    assert fleet.vms[coordinator].permits.register.share(5, now) == 1.0
+
+
+@pytest.mark.parametrize("restarted", range(5))
+def test_a_daemon_that_starts_again_can_request_permits_at_once(restarted):
+    # It had no coordinator for the length of a lease, and refused calls meanwhile.
+    fleet = Fleet(5)
+    fleet.vms["vm-0"].observe(2.0)
+    fleet.tick()
+    name = f"vm-{restarted}"
+    was_coordinator = fleet.vms[name].permits.choice.coordinator(fleet.clock.now()) == name
+    vm = fleet.vms[name] = Vm(name, fleet, fleet.clock.now())
+    fleet.introduce(vm)
+    for other in fleet.vms.values():
+        if other is not vm:
+            other.permits.handle_hello(vm.members.own_hello)
+    assert (vm.permits.choice.coordinator(fleet.clock.now()) is None) == was_coordinator
+
+
+def test_a_refusal_by_a_coordinator_without_a_share_is_short():
+    fleet = Fleet(5)
+    fleet.vms["vm-0"].observe(2.0)
+    fleet.tick()
+    coordinator = fleet.vms[fleet.vms["vm-0"].permits.choice.coordinator(fleet.clock.now())]
+    coordinator.permits.register.ends.clear()
+    asking = next(vm for vm in fleet.vms.values() if vm is not coordinator)
+    assert not asking.request()
+    assert asking.permits.wait(asking.upstream, 0) <= 2 * RENEWAL_INTERVAL
