--- a/sequoiabridge/tests/platform/environment.py
+++ b/sequoiabridge/tests/platform/environment.py
@@ -1,14 +1,12 @@
 """Test environment in one process: emulated store and upstreams, one daemon, and callers."""
 
-import socket
-from random import SystemRandom
-
 import curio
 import h11
 
 from ...config.gateway_settings import GatewaySettings
 from ...gateway import Gateway
 from ...selector import LazySelector
+from .ports import free_port
 from .store_emulator import StoreEmulator
 from .upstream_emulator import UpstreamEmulator
 
@@ -30,12 +28,6 @@
 
 HOST = "reads.example"
 
-FIRST_PORT, LAST_PORT = 12_000, 32_000
-"""Range of the ports of daemons, below those that the system gives to outgoing connections."""
-
-MAX_PORT_TRIES = 100
-PORTS = SystemRandom()
-
 
 def route(prefix, kind, service, **more):
     """Return a route of the configuration document."""
@@ -205,19 +197,6 @@
         return sum(upstream.runs.count(call_id) for upstream in self.upstreams.values())
 
 
-def free_port() -> int:
-    """Return a port that is currently free and that no outgoing connection will take."""
-    for _ in range(MAX_PORT_TRIES):
-        port = PORTS.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise OSError(f"No port from {FIRST_PORT} to {LAST_PORT} is free; end other test runs.")
-
-
 def run_in_environment(test, configured=True, reads=2, approvals=2):
     """Run `test(env)` with a store, upstreams and a daemon, ready if `configured`."""
 
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -12,7 +12,8 @@
 
 import curio
 
-from ..environment import SETTINGS, Connection, document, free_port, route
+from ..environment import SETTINGS, Connection, document, route
+from ..ports import free_port
 from ..store_emulator import StoreEmulator
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
 from .faulty_gateway import LOSS_SUFFIX
