Read a limit in exponent form

Callers saw nothing yet; found by the question what an operator expects of "Server-Limit: 1e9". It was taken for unreadable, so the limit named before stayed in force, and calls were refused at an upstream that takes them all.

A number in exponent form is a decimal number too. What is more than peers accept (1e12) stays unreadable, is logged and changes nothing.

--- a/sequoiabridge/platform/dialect.py
+++ b/sequoiabridge/platform/dialect.py
@@ -36,7 +36,10 @@
 MIN_TIMEOUT_MS = 1
 """Minimum timeout sent to an upstream."""
 
-DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?([eE][+-]?[0-9]{1,2})?")
+
+MAX_LIMIT_RATE = 1e12
+"""Maximum limit in requests per second; peers accept no higher one either."""
 
 OK = 200
 
@@ -120,4 +123,7 @@
     text = texts.pop()
     if DECIMAL_NUMBER.fullmatch(text) is None:
         return LimitReport(None, f"not a decimal number: {text[:40]}")
-    return LimitReport(float(text))
+    rate = float(text)
+    if rate > MAX_LIMIT_RATE:
+        return LimitReport(None, f"more than {MAX_LIMIT_RATE:.0e} requests per second: {text}")
+    return LimitReport(rate)
