Count VMs no longer as members once they have been removed

Callers would see: after half of the VMs have been replaced, upstreams with limits get at most half of what they take.

Cause: rows of the table of daemons were never removed or dated, so no coordinator of limits had a majority any more.

Change: each daemon writes its row again each 5 to 10 minutes and reads the others. A VM whose row has been unchanged at six reads in a row counts as removed; reads that the store does not answer do not count, so an outage removes nobody. A VM that is heard again is a member again. It costs 110 VMs 0.2 to 0.4 writes and reads a second.

The test failed before, as far as it could: there was nothing to refresh a row. Shown with a daemon and the emulated store for one write; half an hour of processes was not run.

--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -42,7 +42,7 @@
 from .relay.crash_guard import CrashGuard
 from .relay.decisions import STDOUT, DecisionLog, DecisionLogHandler, LineWriter
 from .relay.feeds import Follower, Update
-from .relay.members import Members
+from .relay.members import REFRESH_INTERVAL, Members
 from .relay.messages import Hello
 from .relay.operators import OperatorPort
 from .relay.peer_feeds import PeerReader
@@ -333,6 +333,9 @@
             self.unread_calls.probe_predecessor_calls,
         )
         self.timers.every(RENEWAL_INTERVAL, "limit leases", self.permits.tick)
+        # A random interval spreads the writes of VMs that have started together.
+        interval = REFRESH_INTERVAL * self.random.uniform(0.5, 1.0)
+        self.timers.every(interval, "member row", self.members.refresh)
         self.timers.every(SETTINGS_POLL_INTERVAL, "settings", self.settings_reloader.poll)
 
     async def _stop(self) -> None:
--- a/sequoiabridge/relay/members.py
+++ b/sequoiabridge/relay/members.py
@@ -1,8 +1,8 @@
 """Keeps the list of the fleet's daemons, which find each other in a table of the store.
 
 Each daemon writes its address into the table and sends a hello to the others. A daemon that starts
-again at the same address finds its row and writes none. Rows are never removed, since VMs keep no
-state; each row of a removed VM costs a few datagrams.
+again at the same address finds its row and writes none. Each writes its row again now and then;
+those whose row stays unchanged have been removed, and count no longer as members.
 """
 
 from __future__ import annotations
@@ -32,6 +32,13 @@
 """Bandwidth that is assumed of a daemon that does not report its own; it comes last as a
 watcher."""
 
+REFRESH_INTERVAL = 600.0
+"""Maximum seconds between two times at which a daemon writes its row and reads the others."""
+
+MAX_UNCHANGED_READS = 6
+"""Number of reads in a row after which the VM of an unchanged row counts as removed. Reads that the
+store did not answer do not count, since nobody can write then."""
+
 MAX_SHARING_PEERS = 8
 """Maximum number of peers in this data centre with which each call and load report is shared. With
 more, the datagrams would take more processor time than the calls. With 32 peers there were 40,000 a
@@ -53,6 +60,8 @@
         local_addresses: Addresses of the peers in this data centre.
         remote_addresses: Addresses of the other peers.
         sharing_addresses: Addresses of the peers that get each call and load report.
+        row_versions: Version of each VM's row at the latest read.
+        unchanged_reads: Number of latest reads at which a VM's row had not changed.
     """
 
     name = "members"
@@ -80,6 +89,8 @@
         self.sharing_addresses: list[str] = []
         self.remote_addresses: list[str] = []
         self.all_addresses: list[str] = []
+        self.row_versions: dict[str, int] = {}
+        self.unchanged_reads: dict[str, int] = {}
 
     @property
     def count(self) -> int:
@@ -114,6 +125,28 @@
         self.joined = True
         self.decisions.event("joined", members=self.count, near=len(self.local_addresses))
 
+    async def refresh(self) -> None:
+        """Write this daemon's row again, and drop the VMs that have not done so for long."""
+        if not self.joined:
+            return
+        try:
+            await self.tables.transact([], [self._own_row()])
+            rows = await self.tables.rows(TABLE)
+        except StoreUnavailable as error:
+            self.decisions.event("members-not-refreshed", why=str(error))
+            return
+        for row in rows.rows:
+            self._record_version(row.key, row.version)
+            if self.unchanged_reads[row.key] >= MAX_UNCHANGED_READS:
+                self._remove_peer(row.key)
+            else:
+                self._add_row(row.key, row.value)
+
+    def _record_version(self, vm: str, version: int) -> None:
+        is_unchanged = self.row_versions.get(vm) == version
+        self.unchanged_reads[vm] = self.unchanged_reads.get(vm, 0) + 1 if is_unchanged else 0
+        self.row_versions[vm] = version
+
     def _own_row(self) -> Write:
         own = self.own_hello
         row = {"address": own.address, "data_centre": own.data_centre, "link": own.link}
@@ -135,6 +168,15 @@
         if known is not None and known.address == hello.address:
             return
         self.peers[hello.vm] = hello
+        self._update_addresses()
+
+    def _remove_peer(self, vm: str) -> None:
+        if self.peers.pop(vm, None) is None:
+            return
+        self._update_addresses()
+        self.decisions.event("member-removed", peer=vm, members=self.count)
+
+    def _update_addresses(self) -> None:
         self.all_addresses = [other.address for other in self.peers.values()]
         local = [o for o in self.peers.values() if o.data_centre == self.own_hello.data_centre]
         self.local_addresses = [other.address for other in local]
--- a/sequoiabridge/tests/relay/test_members.py
+++ b/sequoiabridge/tests/relay/test_members.py
@@ -2,7 +2,8 @@
 
 import curio
 
-from ...relay.members import Members
+from ...exceptions import StoreUnavailable
+from ...relay.members import MAX_UNCHANGED_READS, Members
 from ...relay.messages import Hello
 from ...store.rows import Rows, StoredRow
 from .fakes import decision_log
@@ -13,18 +14,30 @@
 
     def __init__(self):
         self.values = {}
+        self.versions = {}
         self.calls = []
+        self.is_down = False
 
     async def rows(self, table):
         self.calls.append("read")
-        found = [StoredRow(table, "", key, value, 1) for key, value in self.values.items()]
+        self.check()
+        versions = self.versions
+        found = [StoredRow(table, "", k, v, versions[k]) for k, v in self.values.items()]
         return Rows(found, 1)
 
     async def transact(self, conditions, writes):
         self.calls.append("write")
+        self.check()
         self.values |= {write.key: write.value for write in writes}
+        for write in writes:
+            self.versions[write.key] = self.versions.get(write.key, 0) + 1
         return 1
 
+    def check(self):
+        """Raise an error while the store is down."""
+        if self.is_down:
+            raise StoreUnavailable("down")
+
 
 def address_of(vm):
     """Return an address of a VM's own."""
@@ -74,3 +87,34 @@
         assert tables.calls == ["read", "write", "read"]
     members, _ = start(tables, "new")
     assert members.peers["a"].address == "10.9.9.9:1"
+
+
+def refresh(*members):
+    """Let several daemons write their rows again and read the others, one after the other."""
+    for one in members:
+        curio.run(one.refresh)
+
+
+def test_a_vm_that_has_been_removed_counts_no_longer_as_a_member():
+    # Half of the rows were those of removed VMs, and no coordinator of limits had a majority.
+    tables = FakeTables()
+    first, second, _ = (start(tables, vm, first_start=True)[0] for vm in "abc")
+    refresh(first, second)
+    for _ in range(MAX_UNCHANGED_READS):
+        assert set(first.peers) | set(second.peers) == {"a", "b", "c"}
+        refresh(first, second)
+    assert first.count == 2 and first.all_addresses == [address_of("b")]
+    start(tables, "c", address="10.9.9.9:1")
+    refresh(first)
+    assert set(first.peers) == {"b", "c"}
+
+
+def test_no_vm_counts_as_removed_because_the_store_did_not_answer():
+    tables = FakeTables()
+    first, second = (start(tables, vm, first_start=True)[0] for vm in "ab")
+    tables.is_down = True
+    for _ in range(2 * MAX_UNCHANGED_READS):
+        refresh(first, second)
+    tables.is_down = False
+    refresh(first, second, first)
+    assert set(first.peers) == {"b"}
