Divide the connections that an upstream accepts between the VMs

Cause: the gateway decoded max_connections of a service and used it nowhere; each VM opened up to eight connections to an upstream. 110 VMs could open 880 where an upstream accepts fewer, and it resets what is beyond.

Change: a VM's share is max_connections divided by the known VMs, at least 2 (a call and a probe) and at most 8 as before. It follows the list of upstreams, the configuration and the members.

--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -38,6 +38,7 @@
 from .platform.dialect import PlatformDialect
 from .platform.feeds import ConfigurationFeed, UpstreamFeed
 from .relay.configuration import Configuration
+from .relay.connection_shares import MAX_CONNECTIONS_PER_UPSTREAM, ConnectionShares
 from .relay.counters import Counters
 from .relay.crash_guard import CrashGuard
 from .relay.decisions import STDOUT, DecisionLog, DecisionLogHandler, LineWriter
@@ -69,8 +70,8 @@
 EXPIRY_INTERVAL = 0.5
 """Interval in seconds at which lapsed upstreams are removed and buffered log lines are written."""
 
-PROBE_SHARE_INTERVAL = 0.5
-"""Interval in seconds at which this VM's share of the fleet's health checks is updated."""
+SHARE_INTERVAL = 0.5
+"""Interval in seconds at which this VM's shares of health checks and connections are updated."""
 
 SETTINGS_POLL_INTERVAL = 1.0
 """Interval in seconds at which the settings file is polled for changes. No signal need come with a
@@ -91,11 +92,6 @@
 STOP_POLL_INTERVAL = 0.05
 """Interval in seconds at which a planned stop checks whether all calls have ended."""
 
-MAX_CONNECTIONS_PER_UPSTREAM = 8
-"""Maximum number of connections from this VM to one upstream, which must bear those of all VMs. A
-VM needs two for calls and some for probes at a time. A fleet of 100 VMs keeps below the 860 that an
-upstream of its size takes."""
-
 UPSTREAM_IDLE_TIMEOUT = 30.0
 """Seconds after which an idle upstream connection is closed, unless the upstream asks for less."""
 
@@ -213,6 +209,9 @@
             vm.first_start,
         )
         self.sharing.members = self.members
+        self.connection_shares = ConnectionShares(
+            self.connector, self.upstreams, self.configuration, self.members
+        )
         self.permits = Permits(
             self.members,
             self.sharing,
@@ -326,7 +325,8 @@
         self.timers.every(EXPIRY_INTERVAL, "lapsed upstreams", self.upstreams.expire)
         self.timers.every(EXPIRY_INTERVAL, "waiting lines", self.log_writer.flush)
         self.timers.every(HEARTBEAT_INTERVAL, "beacons", self.watchers.send_heartbeat)
-        self.timers.every(PROBE_SHARE_INTERVAL, "members", self._update_probe_share)
+        self.timers.every(SHARE_INTERVAL, "members", self._update_probe_share)
+        self.timers.every(SHARE_INTERVAL, "connections", self.connection_shares.update)
         self.timers.every(
             PREDECESSOR_PROBE_INTERVAL,
             "predecessor's calls",
--- a/sequoiabridge/upstreams/connections.py
+++ b/sequoiabridge/upstreams/connections.py
@@ -82,6 +82,12 @@
         if address in self.pools:
             self.pools[address].share = count
 
+    def set_shares(self, shares: dict[str, int]) -> None:
+        """Replace all limits of `set_share`; `shares` holds the new ones by address."""
+        self.shares = shares
+        for address, pool in self.pools.items():
+            pool.share = shares.get(address, self.share)
+
     async def acquire(self, address: str, *, fresh: bool, timeout: float) -> UpstreamConnection:
         pool = self.pools.get(address) or self._add_pool(address)
         while pool.idle and not fresh:
