Move the running of the gateway as a process to a module of its own

It builds, starts and stops the parts; gateway_process.py reads the settings, catches signals and returns the exit code. No behaviour changes; the tests of the command and of real processes pass.

--- a/sequoiabridge/commands/gateway.py
+++ b/sequoiabridge/commands/gateway.py
@@ -23,7 +23,7 @@
         return Invalid.exit_code
     import_curio()
     # Imported here because it imports curio, which `import_curio` must import first.
-    from ..gateway import run_daemon
+    from ..gateway_process import run_daemon
 
     return run_daemon(path)
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -9,8 +9,6 @@
 import gc
 import logging
 import os
-import signal
-import sys
 from random import Random
 
 import curio
@@ -31,8 +29,6 @@
 from .callers.limits import CallerLimits
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
-from .config.problem import Invalid
-from .exceptions import SequoiaError
 from .logs import ROOT_LOGGER, get_log, silence_curio_timeouts
 from .platform.client import PlatformClient
 from .platform.dialect import PlatformDialect
@@ -41,7 +37,7 @@
 from .relay.connection_shares import MAX_CONNECTIONS_PER_UPSTREAM, ConnectionShares
 from .relay.counters import Counters
 from .relay.crash_guard import CrashGuard
-from .relay.decisions import STDOUT, DecisionLog, DecisionLogHandler, LineWriter
+from .relay.decisions import DecisionLog, DecisionLogHandler, LineWriter
 from .relay.feeds import Follower, Update
 from .relay.members import REFRESH_INTERVAL, Members
 from .relay.messages import Hello
@@ -58,7 +54,6 @@
 from .relay.unread import PREDECESSOR_PROBE_INTERVAL, UnreadCalls
 from .relay.upstreams import UpstreamList
 from .relay.watchers import HEARTBEAT_INTERVAL, Watchers
-from .selector import LazySelector
 from .timers import SystemClock, Timers
 from .upstreams.connections import ConnectorLimits, HttpConnector
 
@@ -352,20 +347,6 @@
         self.decisions.event("stopped", cut_off=self.callers.in_flight)
         self.log_writer.flush()
 
-    def catch_signals(self) -> None:
-        """Install signal handlers: SIGTERM and SIGINT stop the daemon, SIGHUP reloads settings."""
-
-        def stop(number: int, frame: object) -> None:
-            self.readiness.stopping = True
-            self.stop_requested.set()
-
-        def reload(number: int, frame: object) -> None:
-            self.settings_reloader.reload_requested = True
-
-        signal.signal(signal.SIGTERM, stop)
-        signal.signal(signal.SIGINT, stop)
-        signal.signal(signal.SIGHUP, reload)
-
     def _handle_hello(self, hello: Hello) -> None:
         """Tell a daemon that has just started what it needs to know at once."""
         self.watchers.handle_hello(hello)
@@ -415,23 +396,3 @@
     def _count_store_call(self, failed: bool) -> None:
         self.counters.store_calls += 1
         self.counters.store_failures += failed
-
-
-def run_daemon(path: str) -> int:
-    """Run the daemon of a settings file until it is stopped; return its exit code.
-
-    Invalid settings and errors that prevent the start are printed to standard error.
-    """
-    try:
-        settings = GatewaySettings.load(path)
-        os.set_blocking(STDOUT, False)
-        gateway = Gateway(settings)
-        gateway.catch_signals()
-        return curio.run(gateway.run, selector=LazySelector()) or 0
-    except Invalid as error:
-        for problem in error.problems:
-            print(problem.text, file=sys.stderr)
-        return error.exit_code
-    except SequoiaError as error:
-        print(f"sequoiabridge: {' '.join(str(error).split())}", file=sys.stderr)
-        return error.exit_code
--- a/sequoiabridge/tests/platform/soak/faulty_gateway.py
+++ b/sequoiabridge/tests/platform/soak/faulty_gateway.py
@@ -39,7 +39,7 @@
 
     LossyChannel.file = Path(settings + LOSS_SUFFIX)
     sharing.Channel = LossyChannel
-    from ....gateway import run_daemon
+    from ....gateway_process import run_daemon
 
     return run_daemon(settings)
 
