Let the soak's callers keep idle connections no longer than the platform's

Its log shows five connections of callers last used at 747.5 s, 15.6 s before the stop; the daemon closes idle ones after 15 s (the configuration says so), and the callers used them again 17 s later. No upstream received the calls.

Callers of the platform use a connection again for four fifths of that time at most, and so do the soak's now. Calls on connections that are younger are checked as before. The test failed before.

--- a/sequoiabridge/tests/platform/environment.py
+++ b/sequoiabridge/tests/platform/environment.py
@@ -28,6 +28,9 @@
 
 HOST = "reads.example"
 
+CALLER_IDLE_TIMEOUT = 15
+"""Seconds after which the daemon may close an idle connection of a caller."""
+
 
 def route(prefix, kind, service, **more):
     """Return a route of the configuration document."""
@@ -60,7 +63,7 @@
         "max_header_bytes": 16384,
         "max_body_bytes": 1_000_000,
         "header_timeout_s": 3,
-        "idle_timeout_s": 15,
+        "idle_timeout_s": CALLER_IDLE_TIMEOUT,
         **limits,
     }
     hosts = [{"hostname": HOST, "paths": routes}]
--- a/sequoiabridge/tests/platform/soak/retry_soak.py
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from ..environment import Connection
+from ..environment import CALLER_IDLE_TIMEOUT, Connection
 from .deployment import Daemon, signal_process
 from .record import APPROVE, MARK, READ
 from .soak import READY_POLL_INTERVAL, Soak
@@ -38,6 +38,10 @@
 longer than `MAX_UPSTREAM_STOP`."""
 
 
+MAX_REUSE_IDLE = 0.8 * CALLER_IDLE_TIMEOUT
+"""Seconds for which callers keep an idle connection, as those on the platform do."""
+
+
 class Scenario(Enum):
     """What happens while upstreams fail; `RANDOM` mixes everything in series."""
 
@@ -56,7 +60,8 @@
         call_rate: Calls per second to all daemons together, whether they are answered or not.
 
     Attributes:
-        idle_connections: Connections of callers that can be used again, by daemon.
+        idle_connections: Connections of callers that can be used again, by daemon, each with the
+            time of its latest answer.
         quiet_seconds: Seconds without faults at the start.
         ready_daemons: Daemons that answered their latest readiness check.
     """
@@ -78,7 +83,7 @@
         self.scenario = scenario
         self.quiet_seconds = QUIET_SECONDS
         self.call_interval = daemons / call_rate
-        self.idle_connections: dict[str, list[Connection]] = {}
+        self.idle_connections: dict[str, list[tuple[float, Connection]]] = {}
         self.ready_daemons: set[Daemon] = set()
         self.deployment.retry_slack = RETRY_SLACK_PER_DAEMON * daemons
         self.deployment.upstream_counts = {SERVICE: reads, "approvals": 3}
@@ -99,11 +104,18 @@
 
     def choose_daemon(self, daemon: Daemon, random: Random) -> Daemon:
         """Return `daemon` if it can be called, else a random one that is ready, if any is."""
-        if self.idle_connections.get(daemon.name) or daemon in self.ready_daemons:
+        if self.usable_connections(daemon) or daemon in self.ready_daemons:
             return daemon
         ready = sorted(self.ready_daemons, key=lambda one: one.name)
         return random.choice(ready) if ready else daemon
 
+    def usable_connections(self, daemon: Daemon) -> list[tuple[float, Connection]]:
+        """Return the connections to a daemon that can be used again, without those idle for long."""
+        oldest = self.now() - MAX_REUSE_IDLE
+        idle = [one for one in self.idle_connections.get(daemon.name, []) if one[0] > oldest]
+        self.idle_connections[daemon.name] = idle
+        return idle
+
     async def watch_readiness(self, daemon: Daemon) -> None:
         """Check a daemon's readiness regularly, as the platform's balancer does."""
         while True:
@@ -115,12 +127,12 @@
 
     async def make_call(self, daemon: Daemon, random: Random) -> None:
         """Make one call on an idle connection, or on a new one."""
-        idle = self.idle_connections.setdefault(daemon.name, [])
-        connection = idle.pop() if idle else await self.open_connection(daemon)
+        idle = self.usable_connections(daemon)
+        connection = idle.pop()[1] if idle else await self.open_connection(daemon)
         if connection is None:
             return
         if await self.call(connection, daemon, random):
-            idle.append(connection)
+            self.idle_connections[daemon.name].append((self.now(), connection))
         else:
             await connection.sock.close()
 
