--- a/sequoiabridge/tests/platform/soak/retry_soak.py
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -110,7 +110,7 @@
         return random.choice(ready) if ready else daemon
 
     def usable_connections(self, daemon: Daemon) -> list[tuple[float, Connection]]:
-        """Return the connections to a daemon that can be used again, without those idle for long."""
+        """Return the connections to a daemon that can be used again; forget those idle for long."""
         oldest = self.now() - MAX_REUSE_IDLE
         idle = [one for one in self.idle_connections.get(daemon.name, []) if one[0] > oldest]
         self.idle_connections[daemon.name] = idle
