Give the soak's upstreams ports that no other run uses

A daemon of each run had the same port for messages between daemons, and daemons read the list of upstreams from their peers.

The upstreams' ports still came from the system: after a restart, a proxy could connect to an upstream of another run that had got the port. Now they are reserved like those of daemons.

--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -120,6 +120,8 @@
             "service": self.service,
             "data-centre": self.data_centre,
             "log": self.log,
+            # A port that the system picks may be one that another run's proxy still connects to.
+            "port": free_port(),
             "seconds": self.processing_time,
             "seed": self.seed,
         }
--- a/sequoiabridge/tests/platform/soak/upstream_process.py
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -69,20 +69,23 @@
                     setattr(self if name == "draining" else self.faults, name, value)
 
 
-async def serve(upstream: LoggingUpstream) -> None:
+async def serve(upstream: LoggingUpstream, port: int) -> None:
     """Serve until standard input ends."""
-    await upstream.start()
+    await upstream.start(f"127.0.0.1:{port}")
     print(upstream.address, flush=True)
     await upstream.read_commands()
 
 
-def main(*, id: str, service: str, data_centre: str, log: str, seconds: float, seed: int) -> None:
+def main(
+    *, id: str, service: str, data_centre: str, log: str, port: int, seconds: float, seed: int
+) -> None:
     """Run one upstream.
 
     :param id: id of the upstream
     :param service: name of its service
     :param data_centre: name of its data centre
     :param log: file to which arrivals and runs are appended
+    :param port: port at which it listens
     :param seconds: processing time of a call
     :param seed: seed of its random faults
     """
@@ -94,7 +97,7 @@
         processing_time=seconds,
         seed=seed,
     )
-    curio.run(serve, upstream, selector=LazySelector())
+    curio.run(serve, upstream, port, selector=LazySelector())
 
 
 if __name__ == "__main__":
