Show the rests that upstreams ask for, and which say that they leave

Decoded and logged now: Retry-After of an upstream's 503, Server-Leaving of any answer, each also in answers to health checks. Log, metrics and dump tell by upstream how long a rest lasts, since when an upstream leaves and who told this VM, and each call that is sent all the same, with whether its upstream was chosen before the answer.

Nothing acts on either yet. Values that cannot be read are logged once an upstream and counted.

--- a/sequoiabridge/balancing/upstream.py
+++ b/sequoiabridge/balancing/upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .departure import Departure
 from .upstream_stats import UpstreamStats
 
 
@@ -67,13 +68,24 @@
         warm_at: Time at which it stops being slow after its start.
         replaced: Whether its address has been assigned to another upstream.
         forget_at: Time at which it is removed because its entry has lapsed; None while listed.
+        departure: Whether it has said that it leaves.
         has_restarted: Whether it has restarted; calls sent to this lifetime will not be answered.
     """
 
-    __slots__ = ("record", "stats", "is_local", "warm_at", "replaced", "forget_at", "has_restarted")
+    __slots__ = (
+        "record",
+        "stats",
+        "is_local",
+        "warm_at",
+        "replaced",
+        "forget_at",
+        "departure",
+        "has_restarted",
+    )
 
     def __init__(self, record: UpstreamRecord, is_local: bool, now: float):
         self.stats = UpstreamStats()
+        self.departure = Departure()
         self.is_local = is_local
         self.replaced = False
         self.has_restarted = False
--- a/sequoiabridge/balancing/upstream_stats.py
+++ b/sequoiabridge/balancing/upstream_stats.py
@@ -6,6 +6,7 @@
 
 from .load import UpstreamLoad
 from .request_limit import RequestLimit
+from .rest import Rest
 
 FAILURE_DECAY_SECONDS = 4.0
 """Time constant in seconds of the exponential decay of successes and failures. Upstreams that fail
@@ -104,6 +105,7 @@
             is lost: it has answered something sent then, or nothing listened at its address.
         abandoned_calls: Number of calls that this VM gave up there without an answer, since then.
         request_limit: The limit that the upstream named.
+        rest: The rests that it asked of this VM.
     """
 
     __slots__ = (
@@ -122,6 +124,7 @@
         "settled_until",
         "abandoned_calls",
         "request_limit",
+        "rest",
     )
 
     def __init__(self) -> None:
@@ -140,6 +143,7 @@
         self.settled_until = float("-inf")
         self.abandoned_calls = 0
         self.request_limit = RequestLimit()
+        self.rest = Rest()
 
     def record_settled(self, sent_at: float) -> None:
         """Record that everything sent up to `sent_at` has been read or is lost."""
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -38,9 +38,11 @@
 from .relay.counters import Counters
 from .relay.crash_guard import CrashGuard
 from .relay.decisions import DecisionLog, DecisionLogHandler, LineWriter
+from .relay.departures import Departures
 from .relay.feeds import Follower, Update
 from .relay.members import REFRESH_INTERVAL, Members
 from .relay.messages import Hello
+from .relay.notices import Notices
 from .relay.operators import OperatorPort
 from .relay.peer_feeds import PeerReader
 from .relay.permits import Permits
@@ -49,6 +51,7 @@
 from .relay.relay import Relay
 from .relay.reloading import SettingsReloader
 from .relay.request_limits import RequestLimits
+from .relay.rests import Rests
 from .relay.sender import Sender
 from .relay.sharing import Sharing
 from .relay.unread import PREDECESSOR_PROBE_INTERVAL, UnreadCalls
@@ -192,7 +195,10 @@
             self.settings.bounds.probes_per_second, self.started_at
         )
         self.request_limits = RequestLimits(self.upstreams, self.decisions, self.clock)
-        self.sharing = Sharing(self.upstreams, self.request_limits, self.clock)
+        self.rests = Rests(self.upstreams, self.decisions, self.clock)
+        self.departures = Departures(self.upstreams, self.decisions, self.clock)
+        self.notices = Notices(self.request_limits, self.rests, self.departures)
+        self.sharing = Sharing(self.upstreams, self.clock)
         address = f"{listen.fleet_ip}:{listen.fleet_ports[-1]}"
         own_hello = Hello(vm.name, address, vm.data_centre, vm.link)
         self.members = Members(
@@ -231,6 +237,7 @@
             self.counters,
             clock,
             self.probe_limiter,
+            self.notices,
         )
         self.route_stats = RouteStats(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
@@ -256,6 +263,7 @@
             CrashGuard(self.connector, self.sharing, self.decisions, clock),
             self.unread_calls,
             self.permits,
+            self.notices,
         )
         self.relay = Relay(
             self.configuration,
--- a/sequoiabridge/platform/dialect.py
+++ b/sequoiabridge/platform/dialect.py
@@ -5,8 +5,10 @@
 import json
 import re
 
+from ..balancing.departure import DepartureReport
 from ..balancing.load import UpstreamLoad
 from ..balancing.request_limit import LimitReport
+from ..balancing.rest import RestReport
 from ..exceptions import Refusal
 from ..pipeline.exchange import Answer, BytesBody, RawHeaders, Request, first_value
 from ..relay.dialect import Dialect
@@ -15,6 +17,7 @@
     CALL_ID,
     CONTENT_ENCODING,
     INTENDED_UPSTREAM,
+    LEAVING,
     LOAD,
     MISDIRECTED_REQUEST,
     NOT_RUN,
@@ -41,7 +44,11 @@
 MAX_LIMIT_RATE = 1e12
 """Maximum limit in requests per second; peers accept no higher one either."""
 
+MAX_REST_SECONDS = 86_400.0
+"""Maximum rest in seconds that is applied; a longer one is taken for this."""
+
 OK = 200
+UNAVAILABLE = 503
 
 
 class PlatformDialect(Dialect):
@@ -77,13 +84,20 @@
             and first_value(headers, CONTENT_ENCODING) is None,
             load=parse_load(headers),
             limit=parse_limit(headers),
+            rest=parse_rest(answer),
+            departure=parse_departure(headers),
         )
 
     def health_metadata(self, answer: Answer) -> HealthMetadata:
         upstream = (first_value(answer.headers, UPSTREAM_ID) or b"").decode("latin-1")
         headers = answer.headers
         return HealthMetadata(
-            answer.status == OK, upstream, parse_load(headers), parse_limit(headers)
+            answer.status == OK,
+            upstream,
+            parse_load(headers),
+            parse_limit(headers),
+            parse_rest(answer),
+            parse_departure(headers),
         )
 
     def refusal(self, refusal: Refusal, call_id: str) -> Answer:
@@ -111,19 +125,48 @@
 
 
 def parse_limit(headers: RawHeaders) -> LimitReport:
-    """Return what the headers of an answer say of the upstream's limit on requests.
-
-    Several fields with the same value count as one.
-    """
-    texts = {value.strip() for name, value in headers if name == REQUEST_LIMIT}
+    """Return what the headers of an answer say of the upstream's limit on requests."""
+    texts = field_values(headers, REQUEST_LIMIT)
     if not texts:
         return LimitReport(None)
-    if len(texts) > 1:
-        return LimitReport(None, f"different values: {sorted(texts)[:3]}")
-    text = texts.pop()
-    if DECIMAL_NUMBER.fullmatch(text) is None:
-        return LimitReport(None, f"not a decimal number: {text[:40]}")
-    rate = float(text)
+    problem = decimal_problem(texts)
+    if problem:
+        return LimitReport(None, problem)
+    rate = float(texts[0])
     if rate > MAX_LIMIT_RATE:
-        return LimitReport(None, f"more than {MAX_LIMIT_RATE:.0e} requests per second: {text}")
+        return LimitReport(None, f"more than {MAX_LIMIT_RATE:.0e} requests per second: {texts[0]}")
     return LimitReport(rate)
+
+
+def parse_rest(answer: Answer) -> RestReport:
+    """Return what an answer says of a rest; only one with status 503 asks for one."""
+    texts = field_values(answer.headers, RETRY_AFTER)
+    if not texts or answer.status != UNAVAILABLE:
+        return RestReport(None)
+    problem = decimal_problem(texts)
+    if problem:
+        return RestReport(None, problem)
+    return RestReport(min(MAX_REST_SECONDS, float(texts[0])))
+
+
+def parse_departure(headers: RawHeaders) -> DepartureReport:
+    """Return what the headers of an answer say of the upstream's leaving."""
+    texts = field_values(headers, LEAVING)
+    if texts == [b"1"]:
+        return DepartureReport(True)
+    problem = f"neither 1 nor absent: {texts[:3]}" if texts and texts != [b"0"] else ""
+    return DepartureReport(False, problem)
+
+
+def field_values(headers: RawHeaders, name: bytes) -> list[bytes]:
+    """Return the different values of a header field, in alphabetical order."""
+    return sorted({value.strip() for field, value in headers if field == name})
+
+
+def decimal_problem(texts: list[bytes]) -> str:
+    """Return why the values of a field are not one decimal number, "" if they are."""
+    if len(texts) > 1:
+        return f"different values: {texts[:3]}"
+    if DECIMAL_NUMBER.fullmatch(texts[0]) is None:
+        return f"not a decimal number: {texts[0][:40]}"
+    return ""
--- a/sequoiabridge/platform/names.py
+++ b/sequoiabridge/platform/names.py
@@ -18,6 +18,9 @@
 REQUEST_LIMIT = b"server-limit"
 """Requests per second, a decimal number, that the upstream takes from all VMs together."""
 
+LEAVING = b"server-leaving"
+"""Set to 1 in all answers of an upstream that leaves."""
+
 NOT_RUN = b"x-not-executed"
 """Set on the answer to a request that did not run and never will."""
 
@@ -25,7 +28,8 @@
 """Id of the upstream that answered; set on answers to health checks and on status 421."""
 
 RETRY_AFTER = b"retry-after"
-"""Seconds until a retry, with fractions."""
+"""Seconds until a retry, with fractions. In an upstream's 503, the time for which it wants no
+request of this VM."""
 
 CONTENT_ENCODING = b"content-encoding"
 """Encoding of a body; nobody requests one, so an encoded body is not the upstream's own."""
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -16,6 +16,7 @@
 from .call import RelayedCall
 from .dialect import Dialect
 from .metadata import AnswerMetadata
+from .notices import Notices
 from .sharing import Sharing
 
 MAX_BUFFERED_ANSWER = 256 * 1024
@@ -46,6 +47,7 @@
         "dialect",
         "clock",
         "sharing",
+        "notices",
         "open_call",
         "connection",
         "answer",
@@ -60,6 +62,7 @@
         dialect: Dialect,
         clock: Clock,
         sharing: Sharing,
+        notices: Notices,
     ):
         super().__init__(estimate, clock.now())
         self.call = call
@@ -67,6 +70,7 @@
         self.dialect = dialect
         self.clock = clock
         self.sharing = sharing
+        self.notices = notices
         self.open_call = OpenCall(self.started, estimate.expected_duration)
         self.connection: UpstreamConnection | None = None
         self.answer: Answer | None = None
@@ -110,13 +114,13 @@
         # From here on, only the upstream can prove that the request did not run.
         self.sent = True
         self.sent_at = self.clock.now()
-        self.sharing.request_limits.record_send(self.upstream)
+        self.notices.record_send(self.upstream, self.call.id, self.started)
         await self.connection.send(request)
         answer = await self.connection.read_head()
         self.upstream.stats.record_settled(self.sent_at)
         self.metadata = self.dialect.answer_metadata(answer)
         self.load = self.metadata.load
-        self._record_limit()
+        self.notices.record_answer(self.upstream, self.metadata, self.sent_at)
         if answer.body is not None:
             await buffer_answer(answer)
         return answer
@@ -135,14 +139,6 @@
         if self.clock.now() - permit_at > PERMIT_SECONDS:
             raise PermitMissing("The permit has expired meanwhile; another upstream is tried.")
 
-    def _record_limit(self) -> None:
-        metadata, limits = self.metadata, self.sharing.request_limits
-        if metadata.other_upstream:
-            return
-        # Faulty answers may lack the header although the limit still applies.
-        if metadata.limit.rate is not None or metadata.limit.problem or metadata.genuine:
-            limits.record_answer(self.upstream, metadata.limit, self.sent_at)
-
     async def _connect(self) -> UpstreamConnection:
         address = self.upstream.address
         timeout = max(MIN_CONNECT_TIMEOUT, self.call.deadline - self.clock.now())
--- a/sequoiabridge/relay/metadata.py
+++ b/sequoiabridge/relay/metadata.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from ..balancing.departure import DepartureReport
 from ..balancing.load import UpstreamLoad
 from ..balancing.request_limit import LimitReport
+from ..balancing.rest import RestReport
 
 
 class CallMetadata:
@@ -31,9 +33,11 @@
             answer that is not genuine must not reach the caller.
         load: The upstream's load, or None.
         limit: What it says of the upstream's limit on requests.
+        rest: What it says of a rest.
+        departure: What it says of the upstream's leaving.
     """
 
-    __slots__ = ("not_run", "other_upstream", "genuine", "load", "limit")
+    __slots__ = ("not_run", "other_upstream", "genuine", "load", "limit", "rest", "departure")
 
     def __init__(
         self,
@@ -42,12 +46,16 @@
         genuine: bool,
         load: UpstreamLoad | None,
         limit: LimitReport,
+        rest: RestReport,
+        departure: DepartureReport,
     ):
         self.not_run = not_run
         self.other_upstream = other_upstream
         self.genuine = genuine
         self.load = load
         self.limit = limit
+        self.rest = rest
+        self.departure = departure
 
 
 class HealthMetadata:
@@ -58,12 +66,24 @@
         upstream: Id of the upstream that answered, "" if not set.
         load: Its load, or None.
         limit: What it says of its limit on requests.
+        rest: What it says of a rest.
+        departure: What it says of its leaving.
     """
 
-    __slots__ = ("healthy", "upstream", "load", "limit")
+    __slots__ = ("healthy", "upstream", "load", "limit", "rest", "departure")
 
-    def __init__(self, healthy: bool, upstream: str, load: UpstreamLoad | None, limit: LimitReport):
+    def __init__(
+        self,
+        healthy: bool,
+        upstream: str,
+        load: UpstreamLoad | None,
+        limit: LimitReport,
+        rest: RestReport,
+        departure: DepartureReport,
+    ):
         self.healthy = healthy
         self.upstream = upstream
         self.load = load
         self.limit = limit
+        self.rest = rest
+        self.departure = departure
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -53,6 +53,8 @@
         )
         yield from retry_families(self.gateway.sender.dispatch)
         yield from limit_families(self.gateway)
+        yield from rest_families(self.gateway)
+        yield from departure_families(self.gateway)
         for name, about, value in plain_counters(self.gateway):
             yield CounterMetricFamily(name, about, value=value)
         for name, about, value in gauges(self.gateway):
@@ -150,6 +152,48 @@
         yield labelled_counter(name, about, "upstream", counts)
 
 
+def rest_families(gateway: Gateway) -> Iterator[Metric]:
+    """Yield the families about rests, each by upstream that has asked for one."""
+    now = gateway.clock.now()
+    rests = {u.id: u.stats.rest for u in gateway.rests.asked()}
+    yield labelled_gauge(
+        "sequoia_upstream_rest_seconds",
+        "Seconds for which the upstream wants no more requests of this VM.",
+        "upstream",
+        {id: rest.seconds_left(now) for id, rest in rests.items()},
+    )
+    yield labelled_counter(
+        "sequoia_upstream_rests",
+        "Answers by which the upstream asked this VM for rest.",
+        "upstream",
+        {id: rest.count for id, rest in rests.items()},
+    )
+    yield labelled_counter(
+        "sequoia_rest_sends",
+        "Calls that this VM sent during a rest.",
+        "upstream",
+        {id: rest.sends for id, rest in rests.items()},
+    )
+
+
+def departure_families(gateway: Gateway) -> Iterator[Metric]:
+    """Yield the families about upstreams that say that they leave."""
+    now = gateway.clock.now()
+    departures = {u.id: u.departure for u in gateway.departures.leaving()}
+    yield labelled_gauge(
+        "sequoia_upstream_leaving_seconds",
+        "Seconds since this VM learnt that the upstream leaves.",
+        "upstream",
+        {id: now - departure.since for id, departure in departures.items()},
+    )
+    yield labelled_counter(
+        "sequoia_leaving_sends",
+        "Calls that this VM sent since then.",
+        "upstream",
+        {id: departure.sends for id, departure in departures.items()},
+    )
+
+
 def plain_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
     """Yield name, help and value of each counter without labels."""
     counters, dispatch = gateway.counters, gateway.sender.dispatch
@@ -170,6 +214,9 @@
     yield "sequoia_entries_unusable", "Entries of the store that could not be used.", unusable
     invalid = gateway.request_limits.invalid
     yield "sequoia_upstream_limits_invalid", "Limits that could not be read.", invalid
+    yield "sequoia_rests_invalid", "Rests that could not be read.", gateway.rests.invalid
+    invalid = gateway.departures.invalid
+    yield "sequoia_departures_invalid", "Departures that could not be read.", invalid
     yield "sequoia_permits_unanswered", "Requests without a reply.", gateway.permits.unanswered
     to_peers = gateway.permits.granted_to_peers
     yield "sequoia_permits_to_peers", "Permits granted to other VMs.", to_peers
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -97,6 +97,7 @@
             gateway.connector,
             gateway.members,
             gateway.request_limits,
+            gateway.notices,
             gateway.permits,
             gateway.sender.dispatch,
             *gateway.followers.values(),
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -17,6 +17,7 @@
 from .counters import Counters
 from .decisions import DecisionLog
 from .dialect import Dialect
+from .notices import Notices
 from .sharing import Sharing
 from .upstreams import UpstreamList
 
@@ -47,6 +48,7 @@
         counters: Counters,
         clock: Clock,
         probe_limiter: ProbeRateLimiter,
+        notices: Notices,
     ):
         self.probe_limiter = probe_limiter
         self.connector = connector
@@ -57,6 +59,7 @@
         self.sharing = sharing
         self.counters = counters
         self.clock = clock
+        self.notices = notices
 
     async def probe_all(self, upstreams: Sequence[Upstream], timeout: float) -> None:
         """Probe `upstreams` and return when all probes have ended, or after `timeout` seconds.
@@ -147,7 +150,7 @@
         stats.record_probe_answer(metadata.healthy)
         if not metadata.healthy:
             self.upstreams.record_unhealthy(upstream)
-        self.sharing.request_limits.record_health_answer(upstream, metadata.limit)
+        self.notices.record_health_answer(upstream, metadata)
         if metadata.load is not None:
             self.sharing.record_load_report(upstream, metadata.load)
 
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -23,6 +23,7 @@
 from .call import RelayedCall
 from .crash_guard import CrashGuard
 from .dialect import Dialect
+from .notices import Notices
 from .permits import Permits
 from .probing import Prober
 from .race import Race
@@ -38,6 +39,7 @@
         crash_guard: Blocks requests that crash upstreams.
         unread_calls: Waits for calls that were given up but may still be read.
         permits: Gets permits for calls to upstreams with limits.
+        notices: Records what upstreams say of the calls that they want.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         crash_guard: CrashGuard,
         unread_calls: UnreadCalls,
         permits: Permits,
+        notices: Notices,
     ):
         self.dispatch = dispatch
         self.prober = prober
@@ -61,6 +64,7 @@
         self.crash_guard = crash_guard
         self.unread_calls = unread_calls
         self.permits = permits
+        self.notices = notices
 
     async def send(self, call: RelayedCall) -> Answer:
         """Return the answer that the caller gets.
@@ -127,7 +131,15 @@
     async def _start_attempt(
         self, call: RelayedCall, race: Race, estimate: CostEstimate
     ) -> Attempt:
-        attempt = Attempt(call, estimate, self.connector, self.dialect, self.clock, self.sharing)
+        attempt = Attempt(
+            call,
+            estimate,
+            self.connector,
+            self.dialect,
+            self.clock,
+            self.sharing,
+            self.notices,
+        )
         await race.start(attempt)
         return attempt
 
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -27,7 +27,6 @@
     RequestCrashed,
     RequestSurvived,
 )
-from .request_limits import RequestLimits
 from .upstreams import UpstreamList
 
 
@@ -42,9 +41,8 @@
         on_limit_message: Called with a peer's `LimitMessage`.
     """
 
-    def __init__(self, upstreams: UpstreamList, request_limits: RequestLimits, clock: Clock):
+    def __init__(self, upstreams: UpstreamList, clock: Clock):
         self.upstreams = upstreams
-        self.request_limits = request_limits
         self.clock = clock
         self.channel = Channel(self._handle)
         self.members: Members | None = None
--- a/sequoiabridge/tests/platform/test_dialect.py
+++ b/sequoiabridge/tests/platform/test_dialect.py
@@ -5,7 +5,13 @@
 from ...exceptions import Refusal
 from ...outcome import Outcome, Reason
 from ...pipeline.exchange import Answer, Request
-from ...platform.dialect import PlatformDialect, parse_limit, parse_load
+from ...platform.dialect import (
+    MAX_REST_SECONDS,
+    PlatformDialect,
+    parse_limit,
+    parse_load,
+    parse_rest,
+)
 
 DIALECT = PlatformDialect()
 
@@ -121,3 +127,51 @@
 def test_a_limit_that_is_no_decimal_number_is_a_problem(values):
     report = parse_limit([(b"server-limit", value) for value in values])
     assert report.rate is None and report.problem
+
+
+@pytest.mark.parametrize(
+    ("status", "values", "seconds"),
+    [
+        (503, [], None),
+        (503, [b"3"], 3.0),
+        (503, [b" 0.25 "], 0.25),
+        (503, [b"0"], 0.0),
+        (503, [b"2", b"2"], 2.0),
+        (503, [b"1e9"], MAX_REST_SECONDS),
+        (200, [b"3"], None),
+        (429, [b"3"], None),
+    ],
+)
+def test_a_rest_is_decoded(status, values, seconds):
+    headers = [(b"retry-after", value) for value in values]
+    for decode in (DIALECT.answer_metadata, DIALECT.health_metadata):
+        report = decode(Answer(status, headers, 0, None)).rest
+        assert report.seconds == seconds and report.problem == ""
+
+
+@pytest.mark.parametrize(
+    "values",
+    [[b""], [b"-1"], [b"nan"], [b"Fri, 04 Dec 2026 10:00:00 GMT"], [b"1,5"], [b"1", b"2"]],
+)
+def test_a_rest_that_is_no_number_of_seconds_is_a_problem(values):
+    report = parse_rest(Answer(503, [(b"retry-after", v) for v in values], 0, None))
+    assert report.seconds is None and report.problem
+
+
+@pytest.mark.parametrize(
+    ("values", "leaving", "is_problem"),
+    [
+        ([], False, False),
+        ([b"1"], True, False),
+        ([b" 1 ", b"1"], True, False),
+        ([b"0"], False, False),
+        ([b"yes"], False, True),
+        ([b""], False, True),
+        ([b"0", b"1"], False, True),
+    ],
+)
+def test_a_departure_is_decoded(values, leaving, is_problem):
+    headers = [(b"server-leaving", value) for value in values]
+    for decode in (DIALECT.answer_metadata, DIALECT.health_metadata):
+        report = decode(Answer(200, headers, 0, None)).departure
+        assert report.leaving == leaving and bool(report.problem) == is_problem
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -31,6 +31,9 @@
         health_status: Status of answers to health checks.
         limit: Value of the limit named in answers to calls; "" for none.
         health_limit: The same for answers to health checks.
+        rest: Value of Retry-After in answers that reject a call; "" for none.
+        rejected: Share of calls that are rejected, with `rest`.
+        leaving: Value of Server-Leaving in all answers; "" for none.
         crash_path: Path prefix of requests that crash the upstream; "" for none.
     """
 
@@ -52,6 +55,9 @@
         self.health_status = 200
         self.limit = ""
         self.health_limit = ""
+        self.rest = ""
+        self.rejected = 0.0
+        self.leaving = ""
         self.crash_path = ""
 
 
@@ -150,26 +156,36 @@
         self.requests.append(request)
         if request.header(b"x-expect-instance") != self.id:
             return await connection.answer(421, [(b"x-instance-id", self.id.encode())], b"")
+        if self.occurs(self.faults.rejected):
+            return await self.reject(connection, request)
         if self.faults.shed or self.running + self.waiting >= self.slots + self.queue:
             return await connection.answer(
                 503, [(b"x-not-executed", b"1"), *self.common_headers(request)], b""
             )
         return await self.run(connection, request)
 
+    async def reject(self, connection: Wire, request: Incoming) -> bool:
+        """Reject a call and ask for rest."""
+        headers = [(b"x-not-executed", b"1"), *self.common_headers(request)]
+        headers += optional_header(b"retry-after", self.faults.rest)
+        return await connection.answer(503, headers, b"")
+
     async def health(self, connection: Wire) -> bool:
         self.probes += 1
         if self.faults.health_hangs:
             await curio.sleep(3600)
         status = 503 if self.draining else self.faults.health_status
         headers = [(b"x-instance-id", self.id.encode()), (b"x-instance-load", self.load())]
-        headers += limit_headers(self.faults.health_limit)
+        headers += optional_header(b"server-limit", self.faults.health_limit)
+        headers += optional_header(b"server-leaving", self.faults.leaving)
         return await connection.answer(status, headers, b"")
 
     def common_headers(self, request: Incoming) -> list:
         return [
             (b"x-attempt-id", request.header(b"x-attempt-id").encode()),
             (b"x-instance-load", self.load()),
-            *limit_headers(self.faults.limit),
+            *optional_header(b"server-limit", self.faults.limit),
+            *optional_header(b"server-leaving", self.faults.leaving),
         ]
 
     async def run(self, connection: Wire, request: Incoming) -> bool:
@@ -229,6 +245,6 @@
         return kept
 
 
-def limit_headers(text: str) -> list:
-    """Return the header that names a limit, or none if `text` is empty."""
-    return [(b"server-limit", text.encode())] if text else []
+def optional_header(name: bytes, text: str) -> list:
+    """Return a list with a header, or an empty one if `text` is empty."""
+    return [(name, text.encode())] if text else []
--- a/sequoiabridge/tests/relay/test_permits.py
+++ b/sequoiabridge/tests/relay/test_permits.py
@@ -25,7 +25,7 @@
         self.upstreams = UpstreamList("here", fleet.clock, log, lambda u: None)
         self.upstreams.update([record("u", born=1)], [], 1)
         self.limits = RequestLimits(self.upstreams, log, fleet.clock)
-        self.sharing = Sharing(self.upstreams, self.limits, fleet.clock)
+        self.sharing = Sharing(self.upstreams, fleet.clock)
         self.sharing.channel.send = lambda message, to: fleet.deliver(message, to)
         own = Hello(name, f"{name}:1", "here", 1.0)
         self.members = Members(own, None, log, None, lambda *a: None, True)
--- a/sequoiabridge/tests/relay/test_sharing.py
+++ b/sequoiabridge/tests/relay/test_sharing.py
@@ -3,7 +3,6 @@
 from ...balancing.load import UpstreamLoad
 from ...relay.members import MAX_SHARING_PEERS, Members
 from ...relay.messages import CallFailed, CallSent, Hello, LoadReport
-from ...relay.request_limits import RequestLimits
 from ...relay.sharing import Sharing
 from ...relay.upstreams import UpstreamList
 from ...timers import ManualClock
@@ -17,7 +16,7 @@
     upstreams = UpstreamList("here", ManualClock(5.0), log, lambda u: None)
     upstreams.update([record("u"), record("far", data_centre="there")], [], 1)
     clock = ManualClock(5.0)
-    sharing, datagrams = Sharing(upstreams, RequestLimits(upstreams, log, clock), clock), []
+    sharing, datagrams = Sharing(upstreams, clock), []
     sharing.channel.send = lambda message, to: datagrams.extend((a, message) for a in to)
     members = Members(Hello("me", "me:1", "here", 1.0), None, log, None, lambda *a: None, True)
     for number in range(peers):
