--- a/sequoiabridge/tests/platform/soak/__main__.py
+++ b/sequoiabridge/tests/platform/soak/__main__.py
@@ -7,6 +7,7 @@
 
 from ....selector import LazySelector
 from .limit_soak import LimitScenario, LimitSoak
+from .notice_soak import NoticeScenario, NoticeSoak
 from .retry_soak import RetrySoak, Scenario
 from .soak import Soak
 
@@ -19,6 +20,7 @@
     daemons: int = 4,
     retries: Scenario | None = None,
     limits: LimitScenario | None = None,
+    notices: NoticeScenario | None = None,
     reads: int = 5,
     rate: float = 60.0,
 ) -> int:
@@ -30,12 +32,15 @@
     :param daemons: number of daemon processes
     :param retries: press on the retry limit in this way, instead of mixing all faults
     :param limits: let upstreams name limits in this way, instead of mixing all faults
+    :param notices: let upstreams ask for rest or leave in this way, instead of mixing all faults
     :param reads: number of upstreams of the service that fails or names limits then
     :param rate: calls per second then
     """
     failed_seeds = 0
     for number in range(seed, seed + seeds):
-        if limits is not None:
+        if notices is not None:
+            soak = NoticeSoak(number, seconds, daemons, notices, reads, rate)
+        elif limits is not None:
             soak = LimitSoak(number, seconds, daemons, limits, reads, rate)
         elif retries is not None:
             soak = RetrySoak(number, seconds, daemons, retries, reads, rate)
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -281,6 +281,13 @@
         await self.store.put("servers", id, None)
         await upstream.crash()
 
+    async def remove_upstream(self, id: str) -> None:
+        """Remove an upstream's entry and end it, if it is still there."""
+        upstream = self.upstreams.pop(id, None)
+        if upstream is not None:
+            await self.store.put("servers", id, None)
+            await upstream.crash()
+
     async def restart_upstream(self, upstream: UpstreamProcess, delay: float) -> None:
         """Kill an upstream and start it again under its id after `delay` seconds.
 
--- a/sequoiabridge/tests/platform/soak/oracle.py
+++ b/sequoiabridge/tests/platform/soak/oracle.py
@@ -1,6 +1,7 @@
 """Checks what callers and upstreams observed against the daemon's guarantees."""
 
 from .limits import check_limits
+from .notices import DRAIN_SECONDS, check_departures, check_rests
 from .record import APPROVE, MARK, UPLOAD, CallRecord, Record, UpstreamRun
 from .repeats import worst_repeats
 
@@ -10,9 +11,6 @@
 MAX_ATTEMPTS = 2
 """Maximum number of upstreams that may run one call."""
 
-DRAIN_SECONDS = 2.0
-"""Seconds after which a draining upstream must get no more calls."""
-
 APPLY_SECONDS = 2.0
 """Seconds after which a new configuration must be in force."""
 
@@ -34,6 +32,8 @@
     violations += check_stops(record)
     violations += check_repeats(record)
     violations += check_limits(record)
+    violations += check_rests(record)
+    violations += check_departures(record)
     return violations
 
 
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -6,6 +6,7 @@
 """Kinds of calls, each with a route of its own; the route of `MARK` alternates between services."""
 
 ARRIVAL, RUN, LIMIT = "arrival", "run", "limit"
+START, REST, LEAVING = "start", "rest", "leaving"
 """Kinds of lines in an upstream's log."""
 
 NO_LIMIT = ""
@@ -51,6 +52,16 @@
         self.upstream = upstream
 
 
+class RestAsked:
+    """An answer by which an upstream rejected a call and asked for rest."""
+
+    def __init__(self, call_id, upstream, at, seconds):
+        self.call_id = call_id
+        self.upstream = upstream
+        self.at = at
+        self.seconds = seconds
+
+
 class Record:
     """Events of one soak run; times are in seconds on one clock.
 
@@ -63,6 +74,9 @@
         body_sizes: Bytes of the body of each call, by id.
         limit_changes: Time, upstream and requests per second (None for no limit) of each change of
             a limit; a value that is no number is no change.
+        rests: The answers that asked for rest; one whose value is no number is none.
+        departures: Time, upstream and call id of each answer of an upstream that leaves.
+        upstream_starts: Time and upstream of each start of an upstream.
         unreadable_limits: Time and upstream of each change to a value that is no number.
         starts: Time and daemon of each start but the first.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
@@ -80,6 +94,9 @@
         self.body_sizes: dict[str, int] = {}
         self.limit_changes: list[tuple[float, str, float | None]] = []
         self.unreadable_limits: list[tuple[float, str]] = []
+        self.rests: list[RestAsked] = []
+        self.departures: list[tuple[float, str, str]] = []
+        self.upstream_starts: list[tuple[float, str]] = []
         self.starts: list[tuple[float, str]] = []
         self.disturbances: list[tuple[float, float, str]] = []
 
@@ -106,6 +123,12 @@
             record.arrivals.append(Arrival(call_id, upstream.service, at, upstream.id))
         elif what == LIMIT:
             record_limit(record, upstream.id, at, call_id)
+        elif what == REST:
+            record_rest(record, upstream.id, at, call_id, size)
+        elif what == LEAVING:
+            record.departures.append((at, upstream.id, call_id))
+        elif what == START:
+            record.upstream_starts.append((at, upstream.id))
         else:
             record.runs.append(UpstreamRun(call_id, upstream.id, upstream.service, at, size))
 
@@ -121,3 +144,9 @@
         record.unreadable_limits.append((at, upstream))
         return
     record.limit_changes.append((at, upstream, float(text) if text else None))
+
+
+def record_rest(record: Record, upstream: str, at: float, call_id: str, text: str) -> None:
+    """Add a rest that an upstream asked for; a daemon ignores one that is no decimal number."""
+    if is_limit(text):
+        record.rests.append(RestAsked(call_id, upstream, at, float(text)))
--- a/sequoiabridge/tests/platform/soak/upstream_process.py
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -15,7 +15,7 @@
 
 from ....selector import LazySelector
 from ..upstream_emulator import UpstreamEmulator
-from .record import ARRIVAL, LIMIT, NO_LIMIT, RUN
+from .record import ARRIVAL, LEAVING, LIMIT, NO_LIMIT, REST, RUN, START
 
 STDIN = 0
 
@@ -27,6 +27,7 @@
         super().__init__(**more)
         self.log = os.open(log, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
         self.named_limit = NO_LIMIT
+        self.write_fields(START, "", 0)
         self.write_fields(LIMIT, NO_LIMIT, 0)
 
     async def handle(self, connection, request):
@@ -45,15 +46,23 @@
         if self.faults.limit != self.named_limit:
             self.named_limit = self.faults.limit
             self.write_fields(LIMIT, self.named_limit, 0)
+        if self.faults.leaving == "1":
+            self.write_fields(LEAVING, request.header(b"x-attempt-id"), 0)
         return super().common_headers(request)
 
+    async def reject(self, connection, request):
+        """Log a rest that the answer asks for, then reject the call."""
+        if self.faults.rest:
+            self.write_fields(REST, request.header(b"x-attempt-id"), self.faults.rest)
+        return await super().reject(connection, request)
+
     def write(self, what: str, request) -> None:
         """Append a line about a call to the log."""
         self.write_fields(what, request.header(b"x-attempt-id"), len(request.body))
 
-    def write_fields(self, what: str, text: str, size: int) -> None:
+    def write_fields(self, what: str, text: str, value: int | str) -> None:
         """Append a line to the log."""
-        line = json.dumps((time.monotonic(), what, text, size)) + "\n"
+        line = json.dumps((time.monotonic(), what, text, value)) + "\n"
         os.write(self.log, line.encode())
 
     async def read_commands(self) -> None:
