Reproduce calls to upstreams that say in their answers that they leave

The daemons logged all of them as chosen after they had been told.

A fault of its own beside the rests: another header, another rule.

--- a/sequoiabridge/tests/platform/soak/test_notice_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_notice_soak.py
@@ -33,6 +33,12 @@
     assert run_notice_soak(1, 18.0, 6, NoticeScenario.REST, **more) == []
 
 
+@pytest.mark.parametrize("affected", [1, 4])
+def test_an_upstream_that_said_that_it_leaves_gets_no_calls(affected):
+    # The daemons did not read it.
+    assert run_notice_soak(1, 16.0, 6, NoticeScenario.LEAVING, affected=affected) == []
+
+
 def rest_record(arrivals, seconds=3.0):
     """Return a record of one upstream that asks vm-0 for rest at 10.0, and of arrivals.
 
