Decide in one place whether an upstream may get a call

Why an upstream gets no call stood in four places: the list of upstreams, the chooser, the permits, and the attempt right before it sends, which knew only permits. A new reason had to be added to each.

SendPolicy knows them all; each choice and each send ask it. What it names is counted by reason, and the line of a call tells why upstreams were passed over. An attempt whose upstream has begun to drain while the connection was opened is withheld as well now and tried elsewhere, at no cost; before, only a missing permit did that.

--- a/sequoiabridge/balancing/attempt_recorder.py
+++ b/sequoiabridge/balancing/attempt_recorder.py
@@ -71,7 +71,7 @@
         elif ending is Ending.CANCELLED:
             if seconds > expected_seconds:
                 stats.record_latency_ratio(seconds / expected_seconds, now)
-        elif ending in (Ending.RESTARTED, Ending.NO_PERMIT):
+        elif ending in (Ending.RESTARTED, Ending.WITHHELD):
             return
         elif attempt.wrong_upstream:
             self.observer.record_replacement(upstream)
--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -23,8 +23,8 @@
     """No connection could be opened; nothing reached the upstream."""
     NOT_RUN = "not-run"
     """The upstream stated that it did not run the call."""
-    NO_PERMIT = "no-permit"
-    """The upstream had named a limit before anything was sent, or the permit was too old."""
+    WITHHELD = "withheld"
+    """The upstream might get no call any more when this one was about to be sent."""
     BROKEN = "broken"
     """The call was sent but no usable answer was received; it may have run."""
     CANCELLED = "cancelled"
@@ -33,7 +33,7 @@
     """The upstream restarted during the attempt; the call may have run."""
 
 
-PROVEN_NOT_RUN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN, Ending.NO_PERMIT})
+PROVEN_NOT_RUN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN, Ending.WITHHELD})
 """Endings after which the call certainly did not run."""
 
 
@@ -129,6 +129,7 @@
         fallback: Attempt that the upstream answered with a failure. Its answer is used if no other
             attempt succeeds.
         considered: Cost estimates of the latest choice, the lowest cost first.
+        excluded: Why upstreams could not be chosen at the latest choice, by their ids.
         note: Reason why the call was not sent again, for the log.
         retry_tokens: Number of tokens that it has taken from the retry budget and not settled.
         recorded_sends: Number of ended attempts that were sent and have been recorded.
@@ -148,6 +149,7 @@
         "open_attempts",
         "fallback",
         "considered",
+        "excluded",
         "note",
         "retry_tokens",
         "recorded_sends",
@@ -167,6 +169,7 @@
         self.open_attempts: list[CallAttempt] = []
         self.fallback: CallAttempt | None = None
         self.considered: list[CostEstimate] = []
+        self.excluded: dict[str, str] = {}
         self.note = ""
         self.retry_tokens = 0
         self.recorded_sends = 0
--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -9,11 +9,12 @@
 from .call import Call
 from .candidates import Candidates
 from .cost_model import CallRequirements, CostEstimate, estimate_cost, lacks_capacity
+from .exclusion import Exclusion
 from .overload import OverloadTracker
-from .permits import NoPermits, PermitSource
 from .refusals import at_limit, overloaded
 from .return_schedule import ReturnSchedule
 from .route_stats import RouteStats
+from .send_policy import SendPolicy
 from .steps import BackgroundProbe, Probe, RequestPermit, Sleep, Steps
 from .upstream import Upstream
 from .upstream_stats import PROBE_WAIT
@@ -59,7 +60,7 @@
     Args:
         candidates: Selects the upstreams to choose from.
         route_stats: Estimates a call's work and the cost of transferring it.
-        permits: Tells for which upstreams with limits permits can be expected.
+        policy: Decides which upstreams may get calls.
     """
 
     def __init__(
@@ -68,14 +69,14 @@
         route_stats: RouteStats,
         clock: Clock,
         random: Random,
-        permits: PermitSource | None = None,
+        policy: SendPolicy | None = None,
     ):
         self.candidates = candidates
         self.route_stats = route_stats
         self.clock = clock
         self.random = random
         self.overload = OverloadTracker()
-        self.permits = permits or NoPermits()
+        self.policy = policy or SendPolicy(clock)
         self.returns = ReturnSchedule(random)
 
     def choose_or_hold(self, call: Call) -> Steps[CostEstimate | None]:
@@ -127,6 +128,7 @@
             is_acceptable: Returns whether the call would be sent to an upstream.
         """
         excluded_ids = call.tried_ids
+        call.excluded = {}
         while True:
             best = yield from self._choose_from_others(call, excluded_ids)
             if best is None or best.upstream.stats.request_limit.rate is None:
@@ -135,9 +137,10 @@
                 return best
             requested_at = self.clock.now()
             granted = yield RequestPermit(best.upstream, call.route.priority)
-            if granted and best.upstream.accepts_calls:
+            if granted and self.policy.exclusion(best.upstream) is None:
                 best.permit_at = requested_at
                 return best
+            self._exclude(call, best.upstream, Exclusion.PERMIT_REFUSED)
             excluded_ids = {*excluded_ids, best.upstream.id}
 
     def _choose_from_others(self, call: Call, excluded_ids: set[str]) -> Steps[CostEstimate | None]:
@@ -178,10 +181,15 @@
             yield Probe(to_probe, PROBE_WAIT)
 
     def _may_send(self, call: Call, upstream: Upstream) -> bool:
-        """Return whether the upstream has no limit, or a permit can be expected."""
-        if upstream.stats.request_limit.rate is None:
-            return True
-        return self.permits.may_request(upstream, call.route.priority)
+        """Return whether the upstream may get the call; record the reason if it may not."""
+        reason = self.policy.why_not(upstream, call.route.priority)
+        if reason is not None:
+            self._exclude(call, upstream, reason)
+        return reason is None
+
+    def _exclude(self, call: Call, upstream: Upstream, reason: Exclusion) -> None:
+        self.policy.count(reason)
+        call.excluded[upstream.id] = reason.value
 
     def _limited_candidates(self, call: Call) -> list[Upstream]:
         """Return the candidates of the call's service that have a limit."""
@@ -191,11 +199,11 @@
 
     def _wait_for_permit(self, call: Call, limited: list[Upstream]) -> float:
         """Return the seconds after which a permit of any of the upstreams can be requested."""
-        seconds = min(self.permits.wait(u, call.route.priority) for u in limited)
+        seconds = min(self.policy.wait(u, call.route.priority) for u in limited)
         return max(HOLD_POLL_INTERVAL, seconds)
 
     def _retry_after(self, call: Call) -> float:
-        rate = self.permits.rate(call.service)
+        rate = self.policy.permits.rate(call.service)
         return self.returns.retry_after(call.service, call.route.priority, rate, self.clock.now())
 
     def _requirements(self, call: Call) -> CallRequirements:
@@ -214,7 +222,7 @@
         estimates = [
             estimate_cost(requirements, upstream, now)
             for upstream in upstreams
-            if upstream.accepts_calls
+            if self.policy.exclusion(upstream) is None
         ]
         estimates.sort(key=lambda one: one.cost)
         call.considered = estimates[:LOGGED_ESTIMATES] or call.considered
--- /dev/null
+++ b/sequoiabridge/balancing/exclusion.py
@@ -0,0 +1,26 @@
+"""The reasons for which an upstream gets no call."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Exclusion(Enum):
+    """Why an upstream gets no call; the values appear in the log and in metrics."""
+
+    LAPSED = "lapsed"
+    """Its entry has lapsed and did not come back."""
+    DRAINING = "draining"
+    """The platform lists it as draining."""
+    REPLACED = "replaced"
+    """Another upstream has its address."""
+    RESTARTED = "restarted"
+    """It has started again; this lifetime has ended."""
+    LIMIT = "limit"
+    """It has a limit, and no permit can be expected now."""
+    PERMIT_REFUSED = "permit-refused"
+    """It has a limit, and the coordinator refused a permit."""
+    PERMIT_MISSING = "permit-missing"
+    """It named a limit after it had been chosen, or the permit is too old."""
+    NO_CONNECTION = "no-connection"
+    """All connections that this VM may open to it are in use."""
--- /dev/null
+++ b/sequoiabridge/balancing/send_policy.py
@@ -0,0 +1,86 @@
+"""Decides whether an upstream may get a call of this VM now, and names the reason if it may not.
+
+Each choice of an upstream asks here, and each attempt asks again right before it sends. No I/O.
+"""
+
+from __future__ import annotations
+
+from ..exceptions import SendWithheld
+from ..timers import Clock
+from .exclusion import Exclusion
+from .permits import PERMIT_SECONDS, NoPermits, PermitSource
+from .upstream import Upstream
+
+
+class SendPolicy:
+    """Knows every reason for which an upstream gets no call.
+
+    Args:
+        permits: Tells for which upstreams with limits permits can be expected.
+
+    Attributes:
+        counts: Number of times that an upstream was passed over or a send withheld, by reason.
+    """
+
+    def __init__(self, clock: Clock, permits: PermitSource | None = None):
+        self.clock = clock
+        self.permits = permits or NoPermits()
+        self.counts: dict[Exclusion, int] = {}
+
+    def exclusion(self, upstream: Upstream) -> Exclusion | None:
+        """Return why an upstream gets no call of any kind, None if there is no reason.
+
+        Limits are not considered, since they are not the same for all calls.
+        """
+        if upstream.exclusion is not None:
+            return upstream.exclusion
+        if upstream.forget_at is not None and upstream.forget_at <= self.clock.now():
+            return Exclusion.LAPSED
+        return None
+
+    def why_not(self, upstream: Upstream, priority: int) -> Exclusion | None:
+        """Return why an upstream cannot be chosen for a call, None if it can.
+
+        Args:
+            priority: Priority of the call; 0 is the most urgent.
+        """
+        reason = self.exclusion(upstream)
+        if reason is not None:
+            return reason
+        if upstream.stats.request_limit.rate is None:
+            return None
+        return None if self.permits.may_request(upstream, priority) else Exclusion.LIMIT
+
+    def wait(self, upstream: Upstream, priority: int) -> float:
+        """Return the seconds until an upstream may be chosen, infinite if that is not known."""
+        if self.exclusion(upstream) is not None:
+            return float("inf")
+        if upstream.stats.request_limit.rate is None:
+            return 0.0
+        return self.permits.wait(upstream, priority)
+
+    def check_send(self, upstream: Upstream, permit_at: float | None) -> None:
+        """Check that a call may still be sent; opening the connection may have taken long.
+
+        Args:
+            permit_at: Time at which a permit for it was requested, None without one.
+
+        Raises:
+            SendWithheld: The upstream may not get the call any more.
+        """
+        reason = self.exclusion(upstream)
+        if reason is None and not self._is_permitted(upstream, permit_at):
+            reason = Exclusion.PERMIT_MISSING
+        if reason is not None:
+            self.count(reason)
+            message = f"withheld: {reason.value}; another upstream is tried"
+            raise SendWithheld(message)
+
+    def count(self, reason: Exclusion) -> None:
+        """Count an upstream that was passed over, or a send that was withheld."""
+        self.counts[reason] = self.counts.get(reason, 0) + 1
+
+    def _is_permitted(self, upstream: Upstream, permit_at: float | None) -> bool:
+        if upstream.stats.request_limit.rate is None:
+            return True
+        return permit_at is not None and self.clock.now() - permit_at <= PERMIT_SECONDS
--- a/sequoiabridge/balancing/upstream.py
+++ b/sequoiabridge/balancing/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .departure import Departure
+from .exclusion import Exclusion
 from .upstream_stats import UpstreamStats
 
 
@@ -108,8 +109,19 @@
 
     @property
     def accepts_calls(self) -> bool:
-        """Return whether the upstream accepts new calls."""
-        return not (self.record.draining or self.replaced or self.has_restarted)
+        """Return whether the upstream accepts new calls of any VM."""
+        return self.exclusion is None
+
+    @property
+    def exclusion(self) -> Exclusion | None:
+        """Return why the upstream accepts no new calls of any VM, None if it does."""
+        if self.has_restarted:
+            return Exclusion.RESTARTED
+        if self.replaced:
+            return Exclusion.REPLACED
+        if self.record.draining:
+            return Exclusion.DRAINING
+        return None
 
     def update_record(self, record: UpstreamRecord, now: float) -> None:
         """Apply the latest entry of the platform's list."""
--- a/sequoiabridge/exceptions.py
+++ b/sequoiabridge/exceptions.py
@@ -89,8 +89,8 @@
     """This VM's share of connections to an upstream is in use; the upstream has not failed."""
 
 
-class PermitMissing(SequoiaError):
-    """A call was not sent since its upstream has a limit and there is no valid permit for it."""
+class SendWithheld(SequoiaError):
+    """A call was not sent since its upstream may get none now; the message names the reason."""
 
 
 class Refusal(SequoiaError):
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -24,6 +24,7 @@
 from .balancing.retry_budget import RetryBudget, RetryLimit
 from .balancing.route_stats import RouteStats
 from .balancing.routes import RouteTable
+from .balancing.send_policy import SendPolicy
 from .balancing.splitting import Splitter
 from .balancing.upstream import Upstream, UpstreamRecord
 from .callers.limits import CallerLimits
@@ -244,7 +245,8 @@
         self.predecessor = PredecessorCalls(
             candidates, self.started_at, self.settings.vm.first_start
         )
-        chooser = Chooser(candidates, self.route_stats, clock, self.random, self.permits)
+        self.send_policy = SendPolicy(clock, self.permits)
+        chooser = Chooser(candidates, self.route_stats, clock, self.random, self.send_policy)
         dispatch = Dispatch(
             chooser,
             Hedging(chooser, self.route_stats, clock),
@@ -264,6 +266,7 @@
             self.unread_calls,
             self.permits,
             self.notices,
+            self.send_policy,
         )
         self.relay = Relay(
             self.configuration,
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -6,9 +6,10 @@
 
 from ..balancing.call import CallAttempt, Ending
 from ..balancing.cost_model import CostEstimate
-from ..balancing.permits import PERMIT_SECONDS
+from ..balancing.exclusion import Exclusion
+from ..balancing.send_policy import SendPolicy
 from ..balancing.upstream_stats import OpenCall
-from ..exceptions import CallerGone, PermitMissing, Refusal, UpstreamFailed
+from ..exceptions import CallerGone, NoFreeConnection, Refusal, SendWithheld, UpstreamFailed
 from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Answer, Body, BytesBody
 from ..timers import Clock
@@ -48,6 +49,7 @@
         "clock",
         "sharing",
         "notices",
+        "policy",
         "open_call",
         "connection",
         "answer",
@@ -63,6 +65,7 @@
         clock: Clock,
         sharing: Sharing,
         notices: Notices,
+        policy: SendPolicy,
     ):
         super().__init__(estimate, clock.now())
         self.call = call
@@ -71,6 +74,7 @@
         self.clock = clock
         self.sharing = sharing
         self.notices = notices
+        self.policy = policy
         self.open_call = OpenCall(self.started, estimate.expected_duration)
         self.connection: UpstreamConnection | None = None
         self.answer: Answer | None = None
@@ -88,8 +92,11 @@
         try:
             answer = await self._exchange()
             await self._classify(answer)
-        except PermitMissing as error:
-            self._set_ending(Ending.NO_PERMIT, str(error))
+        except SendWithheld as error:
+            self._set_ending(Ending.WITHHELD, str(error))
+        except NoFreeConnection as error:
+            self.policy.count(Exclusion.NO_CONNECTION)
+            await self._failed(error)
         except UpstreamFailed as error:
             await self._failed(error)
         except (Refusal, CallerGone) as error:
@@ -110,7 +117,7 @@
         """Send the call and return its answer, buffered up to `MAX_BUFFERED_ANSWER`."""
         self.connection = await self._connect()
         request = self._build_request()
-        self._check_permit()
+        self.policy.check_send(self.upstream, self.estimate.permit_at)
         # From here on, only the upstream can prove that the request did not run.
         self.sent = True
         self.sent_at = self.clock.now()
@@ -125,20 +132,6 @@
             await buffer_answer(answer)
         return answer
 
-    def _check_permit(self) -> None:
-        """Check that the call may still be sent; opening the connection may have taken long.
-
-        Raises:
-            PermitMissing: The upstream has a limit and there is no permit that is still valid.
-        """
-        if self.upstream.stats.request_limit.rate is None:
-            return
-        permit_at = self.estimate.permit_at
-        if permit_at is None:
-            raise PermitMissing("The upstream has named a limit meanwhile; another one is tried.")
-        if self.clock.now() - permit_at > PERMIT_SECONDS:
-            raise PermitMissing("The permit has expired meanwhile; another upstream is tried.")
-
     async def _connect(self) -> UpstreamConnection:
         address = self.upstream.address
         timeout = max(MIN_CONNECT_TIMEOUT, self.call.deadline - self.clock.now())
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -51,6 +51,12 @@
             "event",
             self.gateway.decisions.written,
         )
+        yield labelled_counter(
+            "sequoia_upstreams_excluded",
+            "Upstreams that were passed over for a call, and sends that were withheld.",
+            "reason",
+            {reason.value: count for reason, count in self.gateway.send_policy.counts.items()},
+        )
         yield from retry_families(self.gateway.sender.dispatch)
         yield from limit_families(self.gateway)
         yield from rest_families(self.gateway)
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -164,5 +164,7 @@
         if call.note:
             row["note"] = call.note
         row["attempts"] = [attempt.row() for attempt in call.attempts]
+        if call.excluded:
+            row["excluded"] = call.excluded
         row["considered"] = [estimate.row() for estimate in call.considered]
         return row
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -7,6 +7,7 @@
 from ..balancing.call import CallAttempt, Ending
 from ..balancing.cost_model import CostEstimate
 from ..balancing.dispatch import Dispatch
+from ..balancing.send_policy import SendPolicy
 from ..balancing.steps import (
     BackgroundProbe,
     CancelAttempt,
@@ -40,6 +41,7 @@
         unread_calls: Waits for calls that were given up but may still be read.
         permits: Gets permits for calls to upstreams with limits.
         notices: Records what upstreams say of the calls that they want.
+        policy: Decides whether a call may still be sent.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         unread_calls: UnreadCalls,
         permits: Permits,
         notices: Notices,
+        policy: SendPolicy,
     ):
         self.dispatch = dispatch
         self.prober = prober
@@ -65,6 +68,7 @@
         self.unread_calls = unread_calls
         self.permits = permits
         self.notices = notices
+        self.policy = policy
 
     async def send(self, call: RelayedCall) -> Answer:
         """Return the answer that the caller gets.
@@ -139,6 +143,7 @@
             self.clock,
             self.sharing,
             self.notices,
+            self.policy,
         )
         await race.start(attempt)
         return attempt
--- a/sequoiabridge/tests/balancing/test_limited_calls.py
+++ b/sequoiabridge/tests/balancing/test_limited_calls.py
@@ -32,7 +32,7 @@
     for id in limited:
         driver.known.by_id[id].stats.request_limit.observe(1.0, 99.0)
     if permits is not None:
-        driver.dispatch.chooser.permits = permits
+        driver.dispatch.chooser.policy.permits = permits
     return driver
 
 
@@ -69,7 +69,7 @@
 def test_a_call_waits_for_a_permit_that_is_expected_soon():
     driver = limited_driver(["u0"], ScriptedPermits(0.02), upstreams=1)
     assert driver.run_until(Sleep).seconds == 0.02
-    driver.dispatch.chooser.permits.seconds = 0.0
+    driver.dispatch.chooser.policy.permits.seconds = 0.0
     assert isinstance(driver.run_until(RequestPermit), RequestPermit)
     assert isinstance(driver.resume(True), Send)
 
@@ -96,7 +96,7 @@
     driver = limited_driver([], upstreams=2, idempotent=False)
     attempt = driver.start()
     attempt.sent = False
-    assert driver.end(attempt, Ending.NO_PERMIT) is None
+    assert driver.end(attempt, Ending.WITHHELD) is None
     second = driver.start()
     assert second.upstream.id != attempt.upstream.id and driver.call.retry_tokens == 0
     assert attempt.upstream.stats.failure_rate(driver.clock.now()) < 0.05
--- /dev/null
+++ b/sequoiabridge/tests/balancing/test_send_policy.py
@@ -0,0 +1,57 @@
+"""Every reason for which an upstream gets no call, at its choice and right before the send."""
+
+import pytest
+
+from ...balancing.exclusion import Exclusion
+from ...balancing.permits import PERMIT_SECONDS
+from ...balancing.send_policy import SendPolicy
+from ...exceptions import SendWithheld
+from ...timers import ManualClock
+from ..relay.fakes import record, upstream
+
+
+def drain(one):
+    one.record = record("u", draining=True)
+
+
+def replace(one):
+    one.replaced = True
+
+
+def restart(one):
+    one.has_restarted = True
+
+
+def lapse(one):
+    one.forget_at = 100.0
+
+
+REASONS = [
+    (drain, Exclusion.DRAINING),
+    (replace, Exclusion.REPLACED),
+    (restart, Exclusion.RESTARTED),
+    (lapse, Exclusion.LAPSED),
+]
+
+
+@pytest.mark.parametrize(("change", "reason"), REASONS)
+def test_an_excluded_upstream_is_neither_chosen_nor_sent_to(change, reason):
+    policy, one = SendPolicy(ManualClock(100.0)), upstream()
+    assert policy.why_not(one, 0) is None and policy.wait(one, 0) == 0.0
+    policy.check_send(one, None)
+    change(one)
+    assert policy.why_not(one, 0) is reason
+    with pytest.raises(SendWithheld, match=reason.value):
+        policy.check_send(one, None)
+    assert policy.counts == {reason: 1}
+
+
+def test_an_upstream_with_a_limit_needs_a_recent_permit():
+    clock = ManualClock(100.0)
+    policy, one = SendPolicy(clock), upstream()
+    one.stats.request_limit.observe(1.0, 100.0)
+    assert policy.why_not(one, 0) is Exclusion.LIMIT
+    policy.check_send(one, 100.0)
+    for permit_at in (None, 100.0 - PERMIT_SECONDS - 0.1):
+        with pytest.raises(SendWithheld, match="permit-missing"):
+            policy.check_send(one, permit_at)
