Send nothing to an upstream that has asked this VM for rest

Only a rejection made the upstream look worse to the choice, which does nothing where all upstreams of a service reject calls.

No choice (first send, retry, hedge, held call) takes a resting upstream, and each attempt checks again right before it sends. It gets no health checks either. If all upstreams of a service rest, calls are refused at once and told to return from the earliest end on, one after the other.

--- a/sequoiabridge/balancing/candidates.py
+++ b/sequoiabridge/balancing/candidates.py
@@ -25,6 +25,11 @@
         self.local = local
         self.remote = remote
 
+    @property
+    def all(self) -> list[Upstream]:
+        """Return all candidates, the local ones first."""
+        return self.local + self.remote
+
 
 class UpstreamSource(ABC):
     """Provides the upstreams that accept calls.
--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable
 from random import Random
 
+from ..exceptions import Refusal
 from ..timers import Clock
 from .call import Call
 from .candidates import Candidates
 from .cost_model import CallRequirements, CostEstimate, estimate_cost, lacks_capacity
 from .exclusion import Exclusion
 from .overload import OverloadTracker
-from .refusals import at_limit, overloaded
+from .refusals import at_limit, overloaded, resting
 from .return_schedule import ReturnSchedule
 from .route_stats import RouteStats
 from .send_policy import SendPolicy
@@ -85,7 +86,7 @@
         The call is held for a short time while all upstreams lack capacity.
 
         Raises:
-            Refusal: No upstream had capacity in that time, or the limits of all are used up.
+            Refusal: No upstream had capacity in that time, or none may get calls for longer.
         """
         hold_until = call.arrived + call.body_seconds + HOLD_SHARE * call.route.target_latency
         best = yield from self.choose_with_capacity(call)
@@ -94,12 +95,12 @@
             self.overload.record(call.service, no_capacity, self.clock.now())
         while True:
             if best is None:
-                limited = self._limited_candidates(call)
-                if not limited:
+                later = self._chosen_later(call)
+                if not later:
                     return None
-                seconds = self._wait_for_permit(call, limited)
+                seconds = max(HOLD_POLL_INTERVAL, self._wait(call, later))
                 if self.clock.now() + seconds >= hold_until:
-                    raise at_limit(self._retry_after(call))
+                    raise self._refusal(call, later)
             elif self.lacks_capacity(call, best):
                 seconds = HOLD_POLL_INTERVAL
                 if self.clock.now() >= hold_until:
@@ -187,24 +188,48 @@
             self._exclude(call, upstream, reason)
         return reason is None
 
+    def _is_still_usable(self, call: Call, upstream: Upstream) -> bool:
+        """Return whether nothing has excluded an upstream while it was probed."""
+        reason = self.policy.exclusion(upstream)
+        if reason is not None:
+            self._exclude(call, upstream, reason)
+        return reason is None
+
     def _exclude(self, call: Call, upstream: Upstream, reason: Exclusion) -> None:
         self.policy.count(reason)
         call.excluded[upstream.id] = reason.value
 
-    def _limited_candidates(self, call: Call) -> list[Upstream]:
-        """Return the candidates of the call's service that have a limit."""
-        candidates = self.candidates.for_service(call.service)
-        known = candidates.local + candidates.remote
-        return [u for u in known if u.stats.request_limit.rate is not None]
-
-    def _wait_for_permit(self, call: Call, limited: list[Upstream]) -> float:
-        """Return the seconds after which a permit of any of the upstreams can be requested."""
-        seconds = min(self.policy.wait(u, call.route.priority) for u in limited)
-        return max(HOLD_POLL_INTERVAL, seconds)
+    def refusal_while_excluded(self, call: Call) -> Refusal | None:
+        """Return the refusal of a call while all upstreams rest or have used up their limits.
 
-    def _retry_after(self, call: Call) -> float:
-        rate = self.policy.permits.rate(call.service)
-        return self.returns.retry_after(call.service, call.route.priority, rate, self.clock.now())
+        None if one of them can be chosen now, or none later.
+        """
+        later = self._chosen_later(call)
+        is_any_usable = any(
+            self.policy.why_not(upstream, call.route.priority) is None
+            for upstream in self.candidates.for_service(call.service).all
+        )
+        return self._refusal(call, later) if later and not is_any_usable else None
+
+    def _chosen_later(self, call: Call) -> list[Upstream]:
+        """Return the candidates of the call's service that rest or have a limit."""
+        candidates = self.candidates.for_service(call.service).all
+        return [upstream for upstream in candidates if self.policy.may_be_chosen_later(upstream)]
+
+    def _wait(self, call: Call, upstreams: list[Upstream]) -> float:
+        """Return the seconds after which any of the upstreams may be chosen."""
+        return min(self.policy.wait(upstream, call.route.priority) for upstream in upstreams)
+
+    def _refusal(self, call: Call, upstreams: list[Upstream]) -> Refusal:
+        """Return the refusal of a call whose upstreams may all be chosen only later."""
+        now, priority = self.clock.now(), call.route.priority
+        first = min(upstreams, key=lambda upstream: self.policy.wait(upstream, priority))
+        if not first.stats.rest.is_active(now):
+            rate = self.policy.permits.rate(call.service)
+            return at_limit(self.returns.retry_after(call.service, priority, rate, now))
+        rate = first.record.slots / self.route_stats.work(call)
+        rest = first.stats.rest.seconds_left(now)
+        return resting(self.returns.retry_after(call.service, priority, rate, now, rest))
 
     def _requirements(self, call: Call) -> CallRequirements:
         return CallRequirements(
@@ -222,7 +247,7 @@
         estimates = [
             estimate_cost(requirements, upstream, now)
             for upstream in upstreams
-            if self.policy.exclusion(upstream) is None
+            if self._is_still_usable(call, upstream)
         ]
         estimates.sort(key=lambda one: one.cost)
         call.considered = estimates[:LOGGED_ESTIMATES] or call.considered
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from ..component import Component
+from ..exceptions import Refusal
 from ..timers import Clock
 from .attempt_recorder import AttemptRecorder
 from .call import Call, CallAttempt
@@ -95,14 +96,21 @@
                 continue
             if call.fallback is not None:
                 return call.fallback
-            overload_ratio = self.chooser.overload.ratio(call.service, self.clock.now())
-            raise no_attempt_left(call, attempt.why, overload_ratio)
+            raise self._refusal(call, attempt)
 
     def dump(self) -> dict:
         """Describe the retry budgets for the state dump."""
         now = self.clock.now()
         return {service: budget.dump(now) for service, budget in self.budgets.items()}
 
+    def _refusal(self, call: Call, attempt: CallAttempt) -> Refusal:
+        """Return the refusal of a call that cannot be sent again after an attempt failed."""
+        refusal = None if call.possible_runs else self.chooser.refusal_while_excluded(call)
+        if refusal is not None:
+            return refusal
+        overload_ratio = self.chooser.overload.ratio(call.service, self.clock.now())
+        return no_attempt_left(call, attempt.why, overload_ratio)
+
     def _send_first(self, call: Call) -> Steps[None]:
         estimate = yield from self.chooser.choose_or_hold(call)
         if estimate is None:
--- a/sequoiabridge/balancing/exclusion.py
+++ b/sequoiabridge/balancing/exclusion.py
@@ -16,6 +16,8 @@
     """Another upstream has its address."""
     RESTARTED = "restarted"
     """It has started again; this lifetime has ended."""
+    RESTING = "resting"
+    """It has asked this VM for rest."""
     LIMIT = "limit"
     """It has a limit, and no permit can be expected now."""
     PERMIT_REFUSED = "permit-refused"
--- a/sequoiabridge/balancing/refusals.py
+++ b/sequoiabridge/balancing/refusals.py
@@ -66,6 +66,16 @@
     return Refusal(503, Outcome.NOT_RUN, Reason.UPSTREAM_LIMIT, message, retry_after)
 
 
+def resting(retry_after: float) -> Refusal:
+    """Return the refusal of a call whose upstreams have all asked this VM for rest.
+
+    Args:
+        retry_after: Seconds until the first of them takes calls again.
+    """
+    message = "The upstreams of the service want no requests from this VM now. Come back later."
+    return Refusal(503, Outcome.NOT_RUN, Reason.UPSTREAM_REST, message, retry_after)
+
+
 def internal_error(call: Call) -> Refusal:
     """Return the refusal of a call that failed because of an internal error of the daemon."""
     message = "The daemon failed at this request. Tell its operator the request's id."
--- a/sequoiabridge/balancing/send_policy.py
+++ b/sequoiabridge/balancing/send_policy.py
@@ -34,9 +34,10 @@
         """
         if upstream.exclusion is not None:
             return upstream.exclusion
-        if upstream.forget_at is not None and upstream.forget_at <= self.clock.now():
+        now = self.clock.now()
+        if upstream.forget_at is not None and upstream.forget_at <= now:
             return Exclusion.LAPSED
-        return None
+        return Exclusion.RESTING if upstream.stats.rest.is_active(now) else None
 
     def why_not(self, upstream: Upstream, priority: int) -> Exclusion | None:
         """Return why an upstream cannot be chosen for a call, None if it can.
@@ -53,12 +54,25 @@
 
     def wait(self, upstream: Upstream, priority: int) -> float:
         """Return the seconds until an upstream may be chosen, infinite if that is not known."""
-        if self.exclusion(upstream) is not None:
+        reason = self.exclusion(upstream)
+        if reason is Exclusion.RESTING:
+            return upstream.stats.rest.seconds_left(self.clock.now())
+        if reason is not None:
             return float("inf")
         if upstream.stats.request_limit.rate is None:
             return 0.0
         return self.permits.wait(upstream, priority)
 
+    def may_be_chosen_later(self, upstream: Upstream) -> bool:
+        """Return whether only a rest or a limit can keep calls away from an upstream."""
+        if self.exclusion(upstream) is Exclusion.RESTING:
+            return True
+        return self.exclusion(upstream) is None and upstream.stats.request_limit.rate is not None
+
+    def may_probe(self, upstream: Upstream) -> bool:
+        """Return whether an upstream may get a health check; one that rests wants no requests."""
+        return not upstream.stats.rest.is_active(self.clock.now())
+
     def check_send(self, upstream: Upstream, permit_at: float | None) -> None:
         """Check that a call may still be sent; opening the connection may have taken long.
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -228,6 +228,7 @@
         """Build the parts that handle calls."""
         bounds, clock = self.settings.bounds, self.clock
         self.retry_limit = RetryLimit(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
+        self.send_policy = SendPolicy(clock, self.permits)
         self.prober = Prober(
             self.connector,
             self.dialect,
@@ -239,13 +240,13 @@
             clock,
             self.probe_limiter,
             self.notices,
+            self.send_policy,
         )
         self.route_stats = RouteStats(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
         self.predecessor = PredecessorCalls(
             candidates, self.started_at, self.settings.vm.first_start
         )
-        self.send_policy = SendPolicy(clock, self.permits)
         chooser = Chooser(candidates, self.route_stats, clock, self.random, self.send_policy)
         dispatch = Dispatch(
             chooser,
--- a/sequoiabridge/outcome.py
+++ b/sequoiabridge/outcome.py
@@ -34,6 +34,7 @@
     UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_SHED = "upstream-shed"
     UPSTREAM_LIMIT = "upstream-limit"
+    UPSTREAM_REST = "upstream-rest"
     TIMEOUT = "timeout"
     STORE_DOWN = "store-down"
     UPLOAD_CONFLICT = "upload-conflict"
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -7,6 +7,7 @@
 import curio
 
 from ..balancing.probe_limiter import ProbeRateLimiter
+from ..balancing.send_policy import SendPolicy
 from ..balancing.upstream import Upstream
 from ..balancing.upstream_stats import PROBE_TIMEOUT
 from ..exceptions import NoFreeConnection, UpstreamFailed
@@ -35,6 +36,7 @@
     Args:
         configuration: Provides the health check path of each service.
         probe_limiter: Limits the rate of health checks.
+        policy: Decides which upstreams may get health checks.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         clock: Clock,
         probe_limiter: ProbeRateLimiter,
         notices: Notices,
+        policy: SendPolicy,
     ):
         self.probe_limiter = probe_limiter
         self.connector = connector
@@ -60,6 +63,7 @@
         self.counters = counters
         self.clock = clock
         self.notices = notices
+        self.policy = policy
 
     async def probe_all(self, upstreams: Sequence[Upstream], timeout: float) -> None:
         """Probe `upstreams` and return when all probes have ended, or after `timeout` seconds.
@@ -67,6 +71,7 @@
         Later answers are still recorded. Only the first upstreams are probed if the limit on health
         checks does not allow more.
         """
+        upstreams = [upstream for upstream in upstreams if self.policy.may_probe(upstream)]
         now, known = self.clock.now(), self.upstreams.configured_count
         upstreams = upstreams[: self.probe_limiter.take(len(upstreams), known, now)]
         if not upstreams:
@@ -86,7 +91,9 @@
                 await batch.done.set()
 
     async def probe(self, upstream: Upstream) -> None:
-        """Probe one upstream and record its answer or the failure."""
+        """Probe one upstream, unless it rests, and record its answer or the failure."""
+        if not self.policy.may_probe(upstream):
+            return
         self.counters.probes += 1
         sent_at = self.clock.now()
         upstream.stats.record_probe_sent(sent_at)
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -32,6 +32,7 @@
         limit: Value of the limit named in answers to calls; "" for none.
         health_limit: The same for answers to health checks.
         rest: Value of Retry-After in answers that reject a call; "" for none.
+        health_rest: Value of Retry-After in answers to health checks; "" for none.
         rejected: Share of calls that are rejected, with `rest`.
         leaving: Value of Server-Leaving in all answers; "" for none.
         crash_path: Path prefix of requests that crash the upstream; "" for none.
@@ -56,6 +57,7 @@
         self.limit = ""
         self.health_limit = ""
         self.rest = ""
+        self.health_rest = ""
         self.rejected = 0.0
         self.leaving = ""
         self.crash_path = ""
@@ -177,6 +179,7 @@
         status = 503 if self.draining else self.faults.health_status
         headers = [(b"x-instance-id", self.id.encode()), (b"x-instance-load", self.load())]
         headers += optional_header(b"server-limit", self.faults.health_limit)
+        headers += optional_header(b"retry-after", self.faults.health_rest)
         headers += optional_header(b"server-leaving", self.faults.leaving)
         return await connection.answer(status, headers, b"")
 
