Send nothing to an upstream that says in its answers that it leaves

Cause: no daemon read Server-Leaving. An upstream counted as leaving only once its entry said so or was gone, and some never say so there.

Change: the first answer to a call or a health check that has the header retires the upstream for good: no choice and no send takes it, its connections close when idle. The VM tells its peers and the VMs that start. Only a new lifetime ends it; an entry that says ready does not, since the rule allows no call then either.

--- a/sequoiabridge/balancing/exclusion.py
+++ b/sequoiabridge/balancing/exclusion.py
@@ -12,6 +12,8 @@
     """Its entry has lapsed and did not come back."""
     DRAINING = "draining"
     """The platform lists it as draining."""
+    LEAVING = "leaving"
+    """It says in its answers that it leaves."""
     REPLACED = "replaced"
     """Another upstream has its address."""
     RESTARTED = "restarted"
--- a/sequoiabridge/balancing/upstream.py
+++ b/sequoiabridge/balancing/upstream.py
@@ -121,7 +121,7 @@
             return Exclusion.REPLACED
         if self.record.draining:
             return Exclusion.DRAINING
-        return None
+        return Exclusion.LEAVING if self.departure.since is not None else None
 
     def update_record(self, record: UpstreamRecord, now: float) -> None:
         """Apply the latest entry of the platform's list."""
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -197,9 +197,9 @@
         )
         self.request_limits = RequestLimits(self.upstreams, self.decisions, self.clock)
         self.rests = Rests(self.upstreams, self.decisions, self.clock)
-        self.departures = Departures(self.upstreams, self.decisions, self.clock)
-        self.notices = Notices(self.request_limits, self.rests, self.departures)
         self.sharing = Sharing(self.upstreams, self.clock)
+        self.departures = Departures(self.upstreams, self.sharing, self.decisions, self.clock)
+        self.notices = Notices(self.request_limits, self.rests, self.departures)
         address = f"{listen.fleet_ip}:{listen.fleet_ports[-1]}"
         own_hello = Hello(vm.name, address, vm.data_centre, vm.link)
         self.members = Members(
@@ -364,6 +364,7 @@
         self.watchers.handle_hello(hello)
         self.sender.crash_guard.send_blocked(hello)
         self.permits.handle_hello(hello)
+        self.departures.handle_hello(hello)
 
     async def _after_datagrams(self) -> None:
         await self.permits.wake_answered()
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -20,6 +20,7 @@
 HELLO, SENT, LOAD, FAILED = "hello", "sent", "load", "failed"
 CRASHED, SURVIVED, HEARTBEAT = "crashed", "survived", "beacon"
 LIMIT, LEASE, RECEIPT = "limit", "lease", "receipt"
+LEAVING = "leaving"
 PERMIT_REQUEST, PERMIT_REPLY = "permit?", "permit"
 """Message types: the first element of a datagram, which is a JSON list."""
 
@@ -301,6 +302,23 @@
         return [PERMIT_REPLY, self.number, int(self.granted), round(self.wait, 3)]
 
 
+class UpstreamLeaving:
+    """An upstream has said that it leaves.
+
+    Attributes:
+        upstream: Name of the upstream's lifetime.
+    """
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, upstream: str):
+        self.upstream = upstream
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [LEAVING, self.upstream]
+
+
 LimitMessage = LimitNamed | Lease | LeaseReceipt | PermitRequest | PermitReply
 """Messages about the limits of upstreams."""
 
@@ -312,6 +330,7 @@
     | RequestCrashed
     | RequestSurvived
     | Heartbeat
+    | UpstreamLeaving
     | LimitMessage
 )
 
@@ -402,6 +421,10 @@
     return LeaseReceipt(_text(fields, 0), _seconds(fields[1]), limits)
 
 
+def _decode_upstream_leaving(fields: list) -> UpstreamLeaving:
+    return UpstreamLeaving(_text(fields, 0))
+
+
 def _decode_permit_request(fields: list) -> PermitRequest:
     number = as_integer(fields[1], "the number", 0, MAX_VERSION)
     priority = as_integer(fields[5], "the priority", 0, MAX_PRIORITY)
@@ -428,6 +451,7 @@
     LIMIT: _decode_limit_named,
     LEASE: _decode_lease,
     RECEIPT: _decode_lease_receipt,
+    LEAVING: _decode_upstream_leaving,
     PERMIT_REQUEST: _decode_permit_request,
     PERMIT_REPLY: _decode_permit_reply,
 }
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -26,6 +26,7 @@
     Message,
     RequestCrashed,
     RequestSurvived,
+    UpstreamLeaving,
 )
 from .upstreams import UpstreamList
 
@@ -38,6 +39,7 @@
         on_survival: Called with a peer's `RequestSurvived`.
         on_heartbeat: Called with a peer's `Heartbeat`.
         on_hello: Called with a peer's `Hello`.
+        on_departure: Called with a peer's `UpstreamLeaving`.
         on_limit_message: Called with a peer's `LimitMessage`.
     """
 
@@ -48,6 +50,7 @@
         self.members: Members | None = None
         self.on_crash: Callable[[RequestCrashed], object] = lambda message: None
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda message: None
+        self.on_departure: Callable[[UpstreamLeaving], None] = lambda message: None
         self.on_hello: Callable[[Hello], None] = lambda message: None
         self.on_limit_message: Callable[[LimitMessage], None] = lambda message: None
         self.on_survival: Callable[[RequestSurvived], object] = lambda message: None
@@ -98,6 +101,9 @@
         if isinstance(message, LimitMessage):
             self.on_limit_message(message)
             return
+        if isinstance(message, UpstreamLeaving):
+            self.on_departure(message)
+            return
         if isinstance(message, RequestCrashed):
             self.on_crash(message)
             return
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -165,6 +165,13 @@
         self._remove(upstream, "its entry lapsed, and it says that it is leaving")
         self._rebuild_index()
 
+    def record_departure(self, upstream: Upstream) -> None:
+        """Retire an upstream that says that it leaves, even while its entry says otherwise."""
+        if self.by_id.get(upstream.id) is not upstream:
+            return  # Its lifetime has ended; another one may have its address.
+        self.on_retire(upstream)
+        self._rebuild_index()
+
     def record_replacement(self, upstream: Upstream) -> None:
         """Retire an upstream at whose address another one answered, even while it is listed."""
         if upstream.replaced:
--- a/sequoiabridge/tests/balancing/test_send_policy.py
+++ b/sequoiabridge/tests/balancing/test_send_policy.py
@@ -22,6 +22,10 @@
     one.has_restarted = True
 
 
+def leave(one):
+    one.departure.since = 99.0
+
+
 def lapse(one):
     one.forget_at = 100.0
 
@@ -31,6 +35,7 @@
     (replace, Exclusion.REPLACED),
     (restart, Exclusion.RESTARTED),
     (lapse, Exclusion.LAPSED),
+    (leave, Exclusion.LEAVING),
 ]
 
 
