Check in the soak that daemons heed rests and departures under all faults

The soak's random series now has upstreams that ask for rest, leave by header and name limits, while daemons restart, pause and lose messages and upstreams stop.

--- a/sequoiabridge/tests/platform/soak/faulty_gateway.py
+++ b/sequoiabridge/tests/platform/soak/faulty_gateway.py
@@ -1,4 +1,4 @@
-"""The gateway daemon with faults: it loses datagrams to peers, or takes no notice of limits.
+"""The gateway daemon with faults: it loses datagrams to peers, or ignores what upstreams say.
 
 The share of lost datagrams is read from the file next to the settings whose name ends with
 `LOSS_SUFFIX`.
@@ -12,6 +12,8 @@
 
 LOSS_SUFFIX = ".loss"
 IGNORE_LIMITS = "--ignore-limits"
+IGNORE_RESTS = "--ignore-rests"
+IGNORE_DEPARTURES = "--ignore-departures"
 
 
 class LossyChannel(Channel):
@@ -32,10 +34,16 @@
 def main(settings: str, *options: str) -> int:
     """Run the daemon of a settings file."""
     from ....relay import sharing
+    from ....relay.departures import Departures
     from ....relay.request_limits import RequestLimits
+    from ....relay.rests import Rests
 
     if IGNORE_LIMITS in options:
         RequestLimits._observe = lambda *arguments: False
+    if IGNORE_RESTS in options:
+        Rests.record = lambda *arguments: None
+    if IGNORE_DEPARTURES in options:
+        Departures.record = lambda *arguments: None
 
     LossyChannel.file = Path(settings + LOSS_SUFFIX)
     sharing.Channel = LossyChannel
--- a/sequoiabridge/tests/platform/soak/notice_soak.py
+++ b/sequoiabridge/tests/platform/soak/notice_soak.py
@@ -60,6 +60,12 @@
         self.rest = rest
         self.rejected = rejected
 
+    def limit_summary(self) -> str:
+        """Return the numbers of rests and of answers of leaving upstreams, and the limits."""
+        record = self.deployment.record
+        said = f"{len(record.rests)} rests, {len(record.departures)} answers of leaving upstreams"
+        return f"{said}; {super().limit_summary()}"
+
     async def inject_faults(self, until: float) -> None:
         """Let upstreams say what calls they want until the end."""
         if self.notice_scenario is NoticeScenario.RANDOM:
--- a/sequoiabridge/tests/platform/soak/test_notice_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_notice_soak.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ....selector import LazySelector
+from .faulty_gateway import IGNORE_DEPARTURES, IGNORE_RESTS
 from .notice_soak import NoticeScenario, NoticeSoak
 from .notices import check_departures, check_rests
 from .record import READ, Arrival, CallRecord, Record, RestAsked
@@ -39,6 +40,28 @@
     assert run_notice_soak(1, 16.0, 6, NoticeScenario.LEAVING, affected=affected) == []
 
 
+@pytest.mark.parametrize(
+    ("scenario", "option", "message"),
+    [
+        (NoticeScenario.REST, IGNORE_RESTS, "in a rest of"),
+        (NoticeScenario.LEAVING, IGNORE_DEPARTURES, "that it leaves"),
+    ],
+)
+def test_the_soak_detects_daemons_that_ignore_what_upstreams_say(scenario, option, message):
+    soak = NoticeSoak(1, 16.0, 4, scenario)
+    soak.deployment.daemon_options = [option]
+    try:
+        violations = curio.run(soak.run, selector=LazySelector())
+        assert any(message in violation for violation in violations)
+    finally:
+        soak.close()
+
+
+def test_rests_departures_and_limits_hold_together_under_faults():
+    # As above, for what daemons know after restarts, pauses and lost messages.
+    assert run_notice_soak(1, 30.0, 13, NoticeScenario.RANDOM, call_rate=60.0) == []
+
+
 def rest_record(arrivals, seconds=3.0):
     """Return a record of one upstream that asks vm-0 for rest at 10.0, and of arrivals.
 
