Keep rests and departures of an upstream whose entry comes back

An entry may run out while its upstream lives, and come back. The upstream then counted as a new one, so calls would be sent in a rest, or to an upstream that leaves.

The list remembers a removed upstream that has said either; the same lifetime takes it over, a new one does not. The two tests failed before.

--- a/sequoiabridge/balancing/upstream.py
+++ b/sequoiabridge/balancing/upstream.py
@@ -123,6 +123,16 @@
             return Exclusion.DRAINING
         return Exclusion.LEAVING if self.departure.since is not None else None
 
+    @property
+    def has_said_anything(self) -> bool:
+        """Return whether it has asked for rest or said that it leaves."""
+        return self.departure.since is not None or self.stats.rest.count > 0
+
+    def resume(self, earlier: Upstream) -> None:
+        """Take over what this lifetime said before its entry was gone for some time."""
+        self.departure = earlier.departure
+        self.stats.rest = earlier.stats.rest
+
     def update_record(self, record: UpstreamRecord, now: float) -> None:
         """Apply the latest entry of the platform's list."""
         self.record = record
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -30,9 +30,24 @@
 The platform lists live ones again within about 2 s of its return, and those that have left must get
 no calls soon after."""
 
-MAX_REMOVED_BIRTHS = 2000
-"""Maximum number of removed upstreams whose start times are kept, to ignore late entries of theirs.
-The largest known deployments remove some hundreds a day."""
+MAX_REMOVED = 2000
+"""Maximum number of removed upstreams that are remembered, to ignore late entries of theirs. The
+largest known deployments remove some hundreds a day."""
+
+
+class RemovedUpstream:
+    """What is remembered of a removed upstream.
+
+    Attributes:
+        born: Its start time.
+        said: The upstream, if it had said anything that still holds when its entry comes back.
+    """
+
+    __slots__ = ("born", "said")
+
+    def __init__(self, born: int, said: Upstream | None):
+        self.born = born
+        self.said = said
 
 
 class UpstreamList(Component, UpstreamSource):
@@ -48,7 +63,7 @@
         lapse_window_end: Missing entries count as lapsed until then, in seconds on the clock.
         recently_missing: Times and ids of the latest missing entries of configured services.
         lapsed: Upstreams whose entries have lapsed.
-        removed_births: Start times of removed upstreams, by id.
+        removed: The removed upstreams, by id.
         configured_services: Services that the configuration names, None before it is known.
         configured_count: Number of upstreams of these services.
     """
@@ -73,7 +88,7 @@
         self.lapse_window_end = 0.0
         self.recently_missing: list[tuple[float, str]] = []
         self.lapsed: list[Upstream] = []
-        self.removed_births: OrderedDict[str, int] = OrderedDict()
+        self.removed: OrderedDict[str, RemovedUpstream] = OrderedDict()
         self.configured_services: frozenset[str] | None = None
         self.configured_count = 0
 
@@ -191,7 +206,7 @@
 
     def _apply_record(self, record: UpstreamRecord, now: float) -> None:
         known = self.by_id.get(record.id)
-        latest = known.record.born if known is not None else self.removed_births.get(record.id)
+        latest = known.record.born if known is not None else self._removed_birth(record.id)
         if is_older(record.born, latest):
             self.decisions.event("upstream-entry-old", upstream=record.id, born=record.born)
             return
@@ -211,7 +226,10 @@
 
     def _add(self, record: UpstreamRecord, now: float) -> None:
         is_local = record.data_centre == self.data_centre
-        self.by_id[record.id] = Upstream(record, is_local, now)
+        upstream = self.by_id[record.id] = Upstream(record, is_local, now)
+        removed = self.removed.pop(record.id, None)
+        if removed is not None and removed.born == record.born and removed.said is not None:
+            upstream.resume(removed.said)
         self.decisions.event(
             "upstream-joined", upstream=record.id, service=record.service, born=record.born
         )
@@ -245,7 +263,7 @@
     def _remove(self, upstream: Upstream, why: str) -> None:
         del self.by_id[upstream.id]
         if upstream.record.born is not None:
-            self._remember_birth(upstream.id, upstream.record.born)
+            self._remember(upstream, upstream.record.born)
         self.decisions.event("upstream-gone", upstream=upstream.id, why=why, version=self.version)
         self.on_retire(upstream)
 
@@ -254,11 +272,16 @@
             self.configured_services is None or upstream.record.service in self.configured_services
         )
 
-    def _remember_birth(self, id: str, born: int) -> None:
-        self.removed_births[id] = born
-        self.removed_births.move_to_end(id)
-        if len(self.removed_births) > MAX_REMOVED_BIRTHS:
-            self.removed_births.popitem(last=False)
+    def _removed_birth(self, id: str) -> int | None:
+        removed = self.removed.get(id)
+        return None if removed is None else removed.born
+
+    def _remember(self, upstream: Upstream, born: int) -> None:
+        said = upstream if upstream.has_said_anything else None
+        self.removed[upstream.id] = RemovedUpstream(born, said)
+        self.removed.move_to_end(upstream.id)
+        if len(self.removed) > MAX_REMOVED:
+            self.removed.popitem(last=False)
 
     def _rebuild_index(self) -> None:
         self.generation += 1
--- a/sequoiabridge/tests/relay/test_upstreams.py
+++ b/sequoiabridge/tests/relay/test_upstreams.py
@@ -167,3 +167,26 @@
     assert upstreams.configured_count == 10
     upstreams.update([], [f"x{n}" for n in range(20)] + ["a"], 3)
     assert names(upstreams) == list("bcdefghij"), "one of ten has left"
+
+
+def come_back(upstreams, born=1000):
+    """Let the entry of upstream a go and come back; return the upstream."""
+    upstreams.update([], ["a"], upstreams.version + 1)
+    assert "a" not in upstreams.by_id
+    upstreams.update([record("a", born=born)], [], upstreams.version + 1)
+    return upstreams.by_id["a"]
+
+
+def test_a_rest_lasts_although_the_entry_is_gone_for_some_time():
+    upstreams, clock, _ = build_list_with_births()
+    upstreams.by_id["a"].stats.rest.ask(5.0, clock.now())
+    assert come_back(upstreams).stats.rest.is_active(clock.now())
+    assert come_back(upstreams).stats.rest.is_active(clock.now())
+    assert not come_back(upstreams, born=3000).stats.rest.is_active(clock.now())
+
+
+def test_an_upstream_that_leaves_gets_no_calls_although_its_entry_comes_back():
+    upstreams, clock, _ = build_list_with_births()
+    upstreams.by_id["a"].departure.since = clock.now()
+    assert not come_back(upstreams).accepts_calls
+    assert come_back(upstreams, born=3000).accepts_calls
