Keep the limit of an upstream whose entry comes back

As an upstream with a limit whose entry ran out and came back counted as a new one, this VM sent calls to it without permits until an answer named the limit again. The same lifetime now takes its limit over. The test failed before.

--- a/sequoiabridge/balancing/upstream.py
+++ b/sequoiabridge/balancing/upstream.py
@@ -125,13 +125,15 @@
 
     @property
     def has_said_anything(self) -> bool:
-        """Return whether it has asked for rest or said that it leaves."""
-        return self.departure.since is not None or self.stats.rest.count > 0
+        """Return whether it has asked for rest, said that it leaves, or named a limit."""
+        has_limit = self.stats.request_limit.rate is not None
+        return has_limit or self.departure.since is not None or self.stats.rest.count > 0
 
     def resume(self, earlier: Upstream) -> None:
         """Take over what this lifetime said before its entry was gone for some time."""
         self.departure = earlier.departure
         self.stats.rest = earlier.stats.rest
+        self.stats.request_limit = earlier.stats.request_limit
 
     def update_record(self, record: UpstreamRecord, now: float) -> None:
         """Apply the latest entry of the platform's list."""
--- a/sequoiabridge/tests/relay/test_upstreams.py
+++ b/sequoiabridge/tests/relay/test_upstreams.py
@@ -190,3 +190,10 @@
     upstreams.by_id["a"].departure.since = clock.now()
     assert not come_back(upstreams).accepts_calls
     assert come_back(upstreams, born=3000).accepts_calls
+
+
+def test_a_limit_holds_although_the_entry_is_gone_for_some_time():
+    upstreams, clock, _ = build_list_with_births()
+    upstreams.by_id["a"].stats.request_limit.observe(2.0, clock.now())
+    assert come_back(upstreams).stats.request_limit.rate == 2.0
+    assert come_back(upstreams, born=3000).stats.request_limit.rate is None
