Split the codec of messages, the timers and the building of the gateway

The codec of messages and the periodic work are modules of their own; the configuration's limits on callers are applied by CallerLimits. No behaviour changes. The test that each message can be decoded again covers UpstreamLeaving as well.

--- a/sequoiabridge/callers/limits.py
+++ b/sequoiabridge/callers/limits.py
@@ -1,5 +1,12 @@
 """Limits on callers' connections and requests."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..balancing.routes import CallLimits
+
 KIB = 1024
 MIB = 1024 * KIB
 
@@ -40,3 +47,10 @@
         self.idle_timeout = idle_timeout
         self.head_timeout = head_timeout
         self.body_timeout = body_timeout
+
+    def apply(self, limits: CallLimits) -> None:
+        """Apply the limits of a configuration."""
+        self.max_head = limits.max_head
+        self.max_body = limits.max_body
+        self.head_timeout = limits.head_timeout
+        self.idle_timeout = limits.idle_timeout
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -18,7 +18,6 @@
 from .balancing.chooser import Chooser
 from .balancing.dispatch import Dispatch
 from .balancing.hedging import Hedging
-from .balancing.limit_leases import RENEWAL_INTERVAL
 from .balancing.predecessor_calls import PredecessorCalls
 from .balancing.probe_limiter import ProbeRateLimiter
 from .balancing.retry_budget import RetryBudget, RetryLimit
@@ -30,6 +29,7 @@
 from .callers.limits import CallerLimits
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
+from .gateway_timers import schedule_periodic_work
 from .logs import ROOT_LOGGER, get_log, silence_curio_timeouts
 from .platform.client import PlatformClient
 from .platform.dialect import PlatformDialect
@@ -41,7 +41,7 @@
 from .relay.decisions import DecisionLog, DecisionLogHandler, LineWriter
 from .relay.departures import Departures
 from .relay.feeds import Follower, Update
-from .relay.members import REFRESH_INTERVAL, Members
+from .relay.members import Members
 from .relay.messages import Hello
 from .relay.notices import Notices
 from .relay.operators import OperatorPort
@@ -55,27 +55,14 @@
 from .relay.rests import Rests
 from .relay.sender import Sender
 from .relay.sharing import Sharing
-from .relay.unread import PREDECESSOR_PROBE_INTERVAL, UnreadCalls
+from .relay.unread import UnreadCalls
 from .relay.upstreams import UpstreamList
-from .relay.watchers import HEARTBEAT_INTERVAL, Watchers
+from .relay.watchers import Watchers
 from .timers import SystemClock, Timers
 from .upstreams.connections import ConnectorLimits, HttpConnector
 
 log = get_log("gateway")
 
-IDLE_SWEEP_INTERVAL = 2.0
-"""Interval in seconds at which idle upstream connections are closed."""
-
-EXPIRY_INTERVAL = 0.5
-"""Interval in seconds at which lapsed upstreams are removed and buffered log lines are written."""
-
-SHARE_INTERVAL = 0.5
-"""Interval in seconds at which this VM's shares of health checks and connections are updated."""
-
-SETTINGS_POLL_INTERVAL = 1.0
-"""Interval in seconds at which the settings file is polled for changes. No signal need come with a
-change."""
-
 CALLER_POLL_INTERVAL = 0.2
 """Interval in seconds at which callers are checked for having disconnected. The work of a caller
 that has left must end within half a second."""
@@ -229,19 +216,7 @@
         bounds, clock = self.settings.bounds, self.clock
         self.retry_limit = RetryLimit(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
         self.send_policy = SendPolicy(clock, self.permits)
-        self.prober = Prober(
-            self.connector,
-            self.dialect,
-            self.configuration,
-            self.upstreams,
-            self.decisions,
-            self.sharing,
-            self.counters,
-            clock,
-            self.probe_limiter,
-            self.notices,
-            self.send_policy,
-        )
+        self.prober = self._build_prober()
         self.route_stats = RouteStats(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
         self.predecessor = PredecessorCalls(
@@ -256,19 +231,7 @@
             self._new_retry_budget,
         )
         self.unread_calls = UnreadCalls(self.prober, self.predecessor, self.decisions, clock)
-        self.sender = Sender(
-            dispatch,
-            self.prober,
-            self.connector,
-            self.dialect,
-            self.sharing,
-            clock,
-            CrashGuard(self.connector, self.sharing, self.decisions, clock),
-            self.unread_calls,
-            self.permits,
-            self.notices,
-            self.send_policy,
-        )
+        self.sender = self._build_sender(dispatch)
         self.relay = Relay(
             self.configuration,
             Splitter(self.random),
@@ -280,6 +243,36 @@
             self.readiness.why_not_serving,
         )
 
+    def _build_prober(self) -> Prober:
+        return Prober(
+            self.connector,
+            self.dialect,
+            self.configuration,
+            self.upstreams,
+            self.decisions,
+            self.sharing,
+            self.counters,
+            self.clock,
+            self.probe_limiter,
+            self.notices,
+            self.send_policy,
+        )
+
+    def _build_sender(self, dispatch: Dispatch) -> Sender:
+        return Sender(
+            dispatch,
+            self.prober,
+            self.connector,
+            self.dialect,
+            self.sharing,
+            self.clock,
+            CrashGuard(self.connector, self.sharing, self.decisions, self.clock),
+            self.unread_calls,
+            self.permits,
+            self.notices,
+            self.send_policy,
+        )
+
     def _build_servers(self) -> None:
         """Build the servers of the callers', the readiness and the operators' ports."""
         clock = self.clock
@@ -319,32 +312,13 @@
         self.sharing.channel.bind(self.members.own_hello.address)
         await curio.spawn(self.sharing.channel.run(), daemon=True)
         await curio.spawn(self.members.join(), daemon=True)
-        self._schedule_periodic_work()
+        schedule_periodic_work(self)
         await curio.spawn(self.timers.run(), daemon=True)
         self.decisions.event("start", pid=os.getpid(), callers=settings.listen.callers)
         # Objects made at the start live as long as the daemon; the collector can skip them.
         gc.collect()
         gc.freeze()
 
-    def _schedule_periodic_work(self) -> None:
-        """Register the periodic work with the timers."""
-        self.timers.every(IDLE_SWEEP_INTERVAL, "idle connections", self.connector.close_expired)
-        self.timers.every(EXPIRY_INTERVAL, "lapsed upstreams", self.upstreams.expire)
-        self.timers.every(EXPIRY_INTERVAL, "waiting lines", self.log_writer.flush)
-        self.timers.every(HEARTBEAT_INTERVAL, "beacons", self.watchers.send_heartbeat)
-        self.timers.every(SHARE_INTERVAL, "members", self._update_probe_share)
-        self.timers.every(SHARE_INTERVAL, "connections", self.connection_shares.update)
-        self.timers.every(
-            PREDECESSOR_PROBE_INTERVAL,
-            "predecessor's calls",
-            self.unread_calls.probe_predecessor_calls,
-        )
-        self.timers.every(RENEWAL_INTERVAL, "limit leases", self.permits.tick)
-        # A random interval spreads the writes of VMs that have started together.
-        interval = REFRESH_INTERVAL * self.random.uniform(0.5, 1.0)
-        self.timers.every(interval, "member row", self.members.refresh)
-        self.timers.every(SETTINGS_POLL_INTERVAL, "settings", self.settings_reloader.poll)
-
     async def _stop(self) -> None:
         """Serve until the balancer sends no more callers, then finish the open calls and end."""
         began = self.clock.now()
@@ -380,11 +354,7 @@
     def _apply_configuration(self, table: RouteTable) -> None:
         """Apply the services and the caller limits of a new configuration."""
         self.upstreams.set_services(table.services)
-        limits = table.limits
-        self.caller_limits.max_head = limits.max_head
-        self.caller_limits.max_body = limits.max_body
-        self.caller_limits.head_timeout = limits.head_timeout
-        self.caller_limits.idle_timeout = limits.idle_timeout
+        self.caller_limits.apply(table.limits)
 
     def _replace_upstreams(self, update: Update[UpstreamRecord]) -> None:
         self.upstreams.replace(update.entries, update.version, update.unusable)
@@ -396,11 +366,6 @@
         """Close connections to an upstream that gets no more calls as soon as they are idle."""
         self.connector.retire(upstream.address)
 
-    def _update_probe_share(self) -> None:
-        """Divide the limit on health checks between the known daemons."""
-        if self.members.peers:
-            self.probe_limiter.vm_count = self.members.count
-
     def _new_retry_budget(self, service: str) -> RetryBudget:
         return RetryBudget(
             self.retry_limit, lambda now: self.predecessor.time_settled(service, now)
--- /dev/null
+++ b/sequoiabridge/gateway_timers.py
@@ -0,0 +1,54 @@
+"""The periodic work of the gateway daemon."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from .balancing.limit_leases import RENEWAL_INTERVAL
+from .relay.members import REFRESH_INTERVAL
+from .relay.unread import PREDECESSOR_PROBE_INTERVAL
+from .relay.watchers import HEARTBEAT_INTERVAL
+
+if TYPE_CHECKING:
+    from .gateway import Gateway
+
+IDLE_SWEEP_INTERVAL = 2.0
+"""Interval in seconds at which idle upstream connections are closed."""
+
+EXPIRY_INTERVAL = 0.5
+"""Interval in seconds at which lapsed upstreams are removed and buffered log lines are written."""
+
+SHARE_INTERVAL = 0.5
+"""Interval in seconds at which this VM's shares of health checks and connections are updated."""
+
+SETTINGS_POLL_INTERVAL = 1.0
+"""Interval in seconds at which the settings file is polled for changes. No signal need come with a
+change."""
+
+
+def schedule_periodic_work(gateway: Gateway) -> None:
+    """Register the periodic work with the timers."""
+    timers = gateway.timers
+    timers.every(IDLE_SWEEP_INTERVAL, "idle connections", gateway.connector.close_expired)
+    timers.every(EXPIRY_INTERVAL, "lapsed upstreams", gateway.upstreams.expire)
+    timers.every(EXPIRY_INTERVAL, "waiting lines", gateway.log_writer.flush)
+    timers.every(HEARTBEAT_INTERVAL, "beacons", gateway.watchers.send_heartbeat)
+    timers.every(SHARE_INTERVAL, "members", partial(update_probe_share, gateway))
+    timers.every(SHARE_INTERVAL, "connections", gateway.connection_shares.update)
+    timers.every(
+        PREDECESSOR_PROBE_INTERVAL,
+        "predecessor's calls",
+        gateway.unread_calls.probe_predecessor_calls,
+    )
+    timers.every(RENEWAL_INTERVAL, "limit leases", gateway.permits.tick)
+    # A random interval spreads the writes of VMs that have started together.
+    interval = REFRESH_INTERVAL * gateway.random.uniform(0.5, 1.0)
+    timers.every(interval, "member row", gateway.members.refresh)
+    timers.every(SETTINGS_POLL_INTERVAL, "settings", gateway.settings_reloader.poll)
+
+
+def update_probe_share(gateway: Gateway) -> None:
+    """Divide the limit on health checks between the known daemons."""
+    if gateway.members.peers:
+        gateway.probe_limiter.vm_count = gateway.members.count
--- a/sequoiabridge/relay/channel.py
+++ b/sequoiabridge/relay/channel.py
@@ -8,7 +8,8 @@
 from curio.traps import _read_wait
 
 from ..logs import get_log
-from .messages import MAX_DATAGRAM_BYTES, Message, decode_message, encode_message
+from .message_codec import MAX_DATAGRAM_BYTES, decode_message, encode_message
+from .messages import Message
 
 log = get_log("channel")
 
--- a/sequoiabridge/relay/peer_feeds.py
+++ b/sequoiabridge/relay/peer_feeds.py
@@ -15,7 +15,7 @@
 from ..upstreams.connections import ConnectorLimits, HttpConnector
 from ..upstreams.fetch import fetch
 from .feeds import Follower
-from .messages import MAX_VERSION
+from .message_codec import MAX_VERSION
 
 FEEDS_PATH = b"/feeds/"
 """Path prefix on the operators' port under which peers read each feed by its name."""
--- a/sequoiabridge/tests/platform/test_entries.py
+++ b/sequoiabridge/tests/platform/test_entries.py
@@ -12,7 +12,7 @@
 from ...platform.entries import decode_upstream_record
 from ...platform.feeds import UpstreamFeed
 from ...relay.entry_errors import EntryErrorLog
-from ...relay.messages import MAX_DATAGRAM_BYTES, decode_message
+from ...relay.message_codec import MAX_DATAGRAM_BYTES, decode_message
 from ...relay.peer_feeds import decode_rows
 from ...relay.upstreams import UpstreamList
 from ...store.rows import Rows, StoredRow
--- a/sequoiabridge/tests/relay/test_crash_guard.py
+++ b/sequoiabridge/tests/relay/test_crash_guard.py
@@ -3,12 +3,11 @@
 from types import SimpleNamespace
 
 from ...relay.crash_guard import CrashGuard
+from ...relay.message_codec import decode_message, encode_message
 from ...relay.messages import (
     Hello,
     RequestCrashed,
     RequestSurvived,
-    decode_message,
-    encode_message,
 )
 from ...timers import ManualClock
 from .fakes import decision_log
--- a/sequoiabridge/tests/relay/test_messages.py
+++ b/sequoiabridge/tests/relay/test_messages.py
@@ -3,8 +3,8 @@
 import pytest
 
 from ...balancing.load import UpstreamLoad
+from ...relay.message_codec import MAX_DATAGRAM_BYTES, decode_message, encode_message
 from ...relay.messages import (
-    MAX_DATAGRAM_BYTES,
     CallFailed,
     CallSent,
     Hello,
@@ -14,8 +14,7 @@
     LoadReport,
     PermitReply,
     PermitRequest,
-    decode_message,
-    encode_message,
+    UpstreamLeaving,
 )
 
 
@@ -26,6 +25,7 @@
         CallSent("u1"),
         LoadReport("u1", UpstreamLoad(1, 2, 3, 7.0)),
         CallFailed("u1"),
+        UpstreamLeaving("u1@5"),
         LimitNamed("u1", 1.3, 0.25),
         LimitNamed("u1", None, 0.0),
         Lease(Hello("vm-1", "10.0.0.1:7", "here", 10.0), None),
