Report headers of upstreams that nothing reads

An answer to a call with a header that the daemon does not know is now counted, and logged once for each name, so the next one is seen in the first record that has it.

--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -55,6 +55,7 @@
 from .relay.rests import Rests
 from .relay.sender import Sender
 from .relay.sharing import Sharing
+from .relay.unknown_headers import UnknownHeaders
 from .relay.unread import UnreadCalls
 from .relay.upstreams import UpstreamList
 from .relay.watchers import Watchers
@@ -186,7 +187,9 @@
         self.rests = Rests(self.upstreams, self.decisions, self.clock)
         self.sharing = Sharing(self.upstreams, self.clock)
         self.departures = Departures(self.upstreams, self.sharing, self.decisions, self.clock)
-        self.notices = Notices(self.request_limits, self.rests, self.departures)
+        self.notices = Notices(
+            self.request_limits, self.rests, self.departures, UnknownHeaders(self.decisions)
+        )
         address = f"{listen.fleet_ip}:{listen.fleet_ports[-1]}"
         own_hello = Hello(vm.name, address, vm.data_centre, vm.link)
         self.members = Members(
--- a/sequoiabridge/platform/dialect.py
+++ b/sequoiabridge/platform/dialect.py
@@ -21,13 +21,18 @@
     LOAD,
     MISDIRECTED_REQUEST,
     NOT_RUN,
+    ORDINARY_HEADERS,
     REQUEST_LIMIT,
     RETRY_AFTER,
     SIGNATURE,
     TIMEOUT_MS,
+    UPSTREAM_HEADERS,
     UPSTREAM_ID,
 )
 
+KNOWN_HEADERS = UPSTREAM_HEADERS | ORDINARY_HEADERS
+"""Headers that an answer of an upstream may have without being reported as unknown."""
+
 REPLACED_HEADERS = frozenset({TIMEOUT_MS, INTENDED_UPSTREAM})
 """Request headers that the daemon sets itself on each attempt."""
 
@@ -86,6 +91,7 @@
             limit=parse_limit(headers),
             rest=parse_rest(answer),
             departure=parse_departure(headers),
+            unknown=[name for name, _ in headers if name not in KNOWN_HEADERS],
         )
 
     def health_metadata(self, answer: Answer) -> HealthMetadata:
--- a/sequoiabridge/platform/names.py
+++ b/sequoiabridge/platform/names.py
@@ -34,6 +34,29 @@
 CONTENT_ENCODING = b"content-encoding"
 """Encoding of a body; nobody requests one, so an encoded body is not the upstream's own."""
 
+UPSTREAM_HEADERS = frozenset(
+    {
+        CALL_ID,
+        SIGNATURE,
+        LOAD,
+        REQUEST_LIMIT,
+        LEAVING,
+        NOT_RUN,
+        UPSTREAM_ID,
+        RETRY_AFTER,
+        CONTENT_ENCODING,
+    }
+)
+"""Headers of upstreams' answers that the daemon reads."""
+
+ORDINARY_HEADERS = frozenset(
+    b"accept-ranges age allow cache-control connection content-disposition content-language "
+    b"content-length content-location content-range content-type date etag expires keep-alive "
+    b"last-modified link location pragma server set-cookie trailer transfer-encoding vary via "
+    b"warning www-authenticate".split()
+)
+"""Headers of HTTP that concern the caller or the connection."""
+
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 """Table and key of the row that holds the operator's configuration."""
--- a/sequoiabridge/relay/metadata.py
+++ b/sequoiabridge/relay/metadata.py
@@ -35,9 +35,19 @@
         limit: What it says of the upstream's limit on requests.
         rest: What it says of a rest.
         departure: What it says of the upstream's leaving.
+        unknown: Names of its headers that the dialect does not know.
     """
 
-    __slots__ = ("not_run", "other_upstream", "genuine", "load", "limit", "rest", "departure")
+    __slots__ = (
+        "not_run",
+        "other_upstream",
+        "genuine",
+        "load",
+        "limit",
+        "rest",
+        "departure",
+        "unknown",
+    )
 
     def __init__(
         self,
@@ -48,6 +58,7 @@
         limit: LimitReport,
         rest: RestReport,
         departure: DepartureReport,
+        unknown: list[bytes],
     ):
         self.not_run = not_run
         self.other_upstream = other_upstream
@@ -56,6 +67,7 @@
         self.limit = limit
         self.rest = rest
         self.departure = departure
+        self.unknown = unknown
 
 
 class HealthMetadata:
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -223,6 +223,8 @@
     yield "sequoia_rests_invalid", "Rests that could not be read.", gateway.rests.invalid
     invalid = gateway.departures.invalid
     yield "sequoia_departures_invalid", "Departures that could not be read.", invalid
+    unknown = gateway.notices.unknown_headers.count
+    yield "sequoia_upstream_headers_unknown", "Headers of answers that nothing reads.", unknown
     yield "sequoia_permits_unanswered", "Requests without a reply.", gateway.permits.unanswered
     to_peers = gateway.permits.granted_to_peers
     yield "sequoia_permits_to_peers", "Permits granted to other VMs.", to_peers
--- a/sequoiabridge/relay/notices.py
+++ b/sequoiabridge/relay/notices.py
@@ -9,6 +9,7 @@
 from .metadata import AnswerMetadata, HealthMetadata
 from .request_limits import RequestLimits
 from .rests import Rests
+from .unknown_headers import UnknownHeaders
 
 
 class Notices(Component):
@@ -16,10 +17,17 @@
 
     name = "notices"
 
-    def __init__(self, limits: RequestLimits, rests: Rests, departures: Departures):
+    def __init__(
+        self,
+        limits: RequestLimits,
+        rests: Rests,
+        departures: Departures,
+        unknown_headers: UnknownHeaders,
+    ):
         self.limits = limits
         self.rests = rests
         self.departures = departures
+        self.unknown_headers = unknown_headers
 
     def record_answer(self, upstream: Upstream, metadata: AnswerMetadata, sent_at: float) -> None:
         """Record the answer to a call.
@@ -29,6 +37,8 @@
         """
         if metadata.other_upstream:
             return
+        if metadata.unknown:
+            self.unknown_headers.record(upstream, metadata.unknown)
         self.rests.record(upstream, metadata.rest)
         self.departures.record(upstream, metadata.departure, DepartureSource.ANSWER)
         # Faulty answers may lack the limit although it still applies.
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -35,6 +35,7 @@
         health_rest: Value of Retry-After in answers to health checks; "" for none.
         rejected: Share of calls that are rejected, with `rest`.
         leaving: Value of Server-Leaving in all answers; "" for none.
+        more_headers: Further headers of answers to calls, by name.
         crash_path: Path prefix of requests that crash the upstream; "" for none.
     """
 
@@ -60,6 +61,7 @@
         self.health_rest = ""
         self.rejected = 0.0
         self.leaving = ""
+        self.more_headers: dict[str, str] = {}
         self.crash_path = ""
 
 
@@ -189,6 +191,7 @@
             (b"x-instance-load", self.load()),
             *optional_header(b"server-limit", self.faults.limit),
             *optional_header(b"server-leaving", self.faults.leaving),
+            *((name.encode(), text.encode()) for name, text in self.faults.more_headers.items()),
         ]
 
     async def run(self, connection: Wire, request: Incoming) -> bool:
--- a/sequoiabridge/tests/relay/test_notices.py
+++ b/sequoiabridge/tests/relay/test_notices.py
@@ -61,3 +61,16 @@
         assert env.gateway.rests.invalid >= 5 and env.gateway.departures.invalid >= 5
 
     run_in_environment(test, reads=1)
+
+
+def test_a_header_that_no_part_reads_is_logged_once_and_counted():
+    # Three headers in a row were on the users' pages and read by nobody, and no log showed it.
+    async def test(env):
+        env.upstreams["r0"].faults.more_headers = {"server-mood": "calm", "date": "today"}
+        replies = [await env.call(READ, f"c{n}") for n in range(3)]
+        assert {reply.status for reply in replies} == {200}
+        (event,) = events(env, "upstream-header-unknown")
+        assert event["header"] == "server-mood" and event["upstream"] == "r0"
+        assert env.gateway.notices.unknown_headers.count == 3
+
+    run_in_environment(test, reads=1)
