--- a/sequoiabridge/balancing/routes.py
+++ b/sequoiabridge/balancing/routes.py
@@ -26,8 +26,8 @@
         timeout: Seconds within which the caller gets a final answer.
         target_latency: Seconds after which an answer is late.
         max_attempts: Maximum number of upstreams that may run one call.
-        priority: Priority under overload; 0 is the highest. It is displayed only and does not
-            affect which calls are refused.
+        priority: Priority; 0 is the highest. It decides which calls get permits for upstreams with
+            limits, and in which order refused callers return.
         targets: The services that share the calls; at least one.
     """
 
--- a/sequoiabridge/tests/balancing/test_decisions.py
+++ b/sequoiabridge/tests/balancing/test_decisions.py
@@ -77,6 +77,14 @@
     assert estimate_cost(CALL, bad, 0.01).cost > estimate_cost(CALL, good, 0.01).cost
 
 
+def test_an_upstream_costs_more_while_it_is_slow_after_its_start():
+    cold, warm = upstream("cold", cold=2.0), upstream("warm")
+    assert estimate_cost(CALL, cold, 0.01).cost > estimate_cost(CALL, warm, 0.01).cost
+    cold.stats.record_load_report(cold.stats.load, 2.5)
+    warm.stats.record_load_report(warm.stats.load, 2.5)
+    assert estimate_cost(CALL, cold, 2.51).cost == estimate_cost(CALL, warm, 2.51).cost
+
+
 def test_failures_and_slow_calls_decay_so_that_a_recovered_upstream_is_used_again():
     bad = upstream("bad")
     for _ in range(5):
--- a/sequoiabridge/tests/upstreams/test_connections.py
+++ b/sequoiabridge/tests/upstreams/test_connections.py
@@ -178,3 +178,28 @@
         assert not connector.pools
 
     run_against(answer_hello, test)
+
+
+def keep_alive(field, value):
+    """Return an upstream whose answers have a field about the connection."""
+    return answer_with(*[HELLO.replace(b"\r\n\r\n", b"\r\n%s: %s\r\n\r\n" % (field, value))] * 3)
+
+
+@pytest.mark.parametrize(("idle", "reused"), [(3.9, True), (4.1, False)])
+def test_a_connection_is_not_reused_close_to_the_end_of_the_upstreams_keep_alive(idle, reused):
+    async def test(connector, address, connections):
+        await call(await acquire(connector, address))
+        connector.clock.advance(idle)
+        await call(await acquire(connector, address))
+        assert len(connections) == (1 if reused else 2)
+
+    run_against(keep_alive(b"Keep-Alive", b"timeout=5"), test)
+
+
+def test_a_connection_that_the_upstream_closes_is_not_reused():
+    async def test(connector, address, connections):
+        for _ in range(2):
+            await call(await acquire(connector, address))
+        assert len(connections) == 2
+
+    run_against(keep_alive(b"Connection", b"close"), test)
