Put back reasons that the rewording of comments had deleted

What is still there in other words, and notes on how a value was found, stay out. store/ was gone through as well and had lost none that a reader would miss. Only docstrings change (compared as syntax trees).

--- a/sequoiabridge/fleet/channel.py
+++ b/sequoiabridge/fleet/channel.py
@@ -21,7 +21,7 @@
 log = get_log("fleet")
 
 MAX_CONNECTIONS = 64
-"""Maximum number of open outgoing connections."""
+"""Maximum number of open outgoing connections; all peers in a fleet of 18."""
 SEND_BUFFER_FRAMES = 32
 """Maximum number of frames queued per connection; further frames are dropped."""
 RECONNECT_MIN_MS, RECONNECT_MAX_MS = 100, 2_000
--- a/sequoiabridge/fleet/loads.py
+++ b/sequoiabridge/fleet/loads.py
@@ -14,7 +14,8 @@
 MIN_CHANGE_RATIO = 0.5
 """Minimum relative change of a figure to be published."""
 MIN_IN_FLIGHT_CHANGE = 2
-"""Minimum change of the number of calls in flight to be published."""
+"""Minimum change of the number of calls in flight to be published. An upstream has two slots, so
+one call more or less is noise."""
 SUSPECT_REPEAT_INTERVAL = 5.0
 """Seconds between publications of an upstream that stays suspect."""
 LOAD_TTL = 10.0
--- a/sequoiabridge/fleet/packing.py
+++ b/sequoiabridge/fleet/packing.py
@@ -12,7 +12,7 @@
 MAX_CHANGE_BYTES = 12_000
 """Maximum size of a change that is disseminated, and of a compressed change that is kept."""
 COMPRESSION_LEVEL = 1
-"""bz2 level: blocks of 100 kB, for low memory use."""
+"""bz2 level: blocks of 100 kB, which hold most changes and use little memory."""
 MAX_UNPACKED_BYTES = 4_000_000
 """Maximum size of a decompressed change."""
 
--- a/sequoiabridge/fleet/snapshot.py
+++ b/sequoiabridge/fleet/snapshot.py
@@ -24,7 +24,8 @@
 PIECE_SIZE = 1_000
 """Maximum bytes of the compressed document in one message."""
 REQUEST_TIMEOUT = 0.6
-"""Seconds after which a piece is requested again from the same VM."""
+"""Seconds after which a piece is requested again from the same VM, whose byte bucket may have been
+empty."""
 PROVIDER_TIMEOUT = 5.0
 """Seconds without progress after which the transfer restarts with a VM chosen anew."""
 MAX_RECEIVERS = 2
--- a/sequoiabridge/policy/crashes.py
+++ b/sequoiabridge/policy/crashes.py
@@ -31,7 +31,8 @@
 
 TRIAL_DELAY_SECONDS = 5.0
 """Seconds without a crash before the first trial of a blocked request; doubles with each further
-upstream that crashes."""
+upstream that crashes. A harmful request then costs at most 10 upstreams an hour; a harmless one is
+refused for some seconds."""
 
 MAX_CRASHES = 2000
 """Maximum number of crashes that are kept; the oldest are dropped first."""
--- a/sequoiabridge/policy/ejection.py
+++ b/sequoiabridge/policy/ejection.py
@@ -21,7 +21,7 @@
 """Maximum duration of an ejection, before jitter."""
 
 MIN_CONSECUTIVE_FAILURES = 3
-"""Consecutive failures from which an upstream may be ejected."""
+"""Consecutive failures from which an upstream may be ejected, if its pool does better."""
 
 MIN_FAILURE_SHARE = 0.4
 """Share of failed calls above which an upstream may be ejected."""
--- a/sequoiabridge/policy/pool.py
+++ b/sequoiabridge/policy/pool.py
@@ -18,7 +18,7 @@
 """Maximum number of upstreams for which each choice considers all of them."""
 
 SAMPLE_SIZE = 32
-"""Number of upstreams that a choice in a larger pool samples."""
+"""Number of upstreams that a choice in a larger pool samples, so that its cost stays the same."""
 
 MAX_RECENTLY_PROBED = 5
 """Number of recently probed upstreams that a choice in a larger pool considers too."""
--- a/sequoiabridge/policy/retries.py
+++ b/sequoiabridge/policy/retries.py
@@ -21,7 +21,8 @@
 """Retries that the fleet may make in a window with hardly any successes."""
 
 MIN_PERIOD_RETRIES = 1
-"""Retries that each VM may make in a period, whatever the ratio."""
+"""Retries that each VM may make in a period, whatever the ratio. A little traffic earns hardly any,
+and one retry per second and VM overloads nobody."""
 
 PERIOD_SPEND_SHARE = 0.25
 """Share of the remaining budget that the VMs together may spend in a period.
