Count by upstream what was held back for a rest or a departure

Operators saw what was sent in a rest, and reasons over all upstreams, but not how often one upstream was passed over. sequoia_rest_withheld_total and sequoia_leaving_withheld_total tell it, the dump as well.

--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -196,7 +196,7 @@
         return reason is None
 
     def _exclude(self, call: Call, upstream: Upstream, reason: Exclusion) -> None:
-        self.policy.count(reason)
+        self.policy.count(reason, upstream)
         call.excluded[upstream.id] = reason.value
 
     def refusal_while_excluded(self, call: Call) -> Refusal | None:
--- a/sequoiabridge/balancing/departure.py
+++ b/sequoiabridge/balancing/departure.py
@@ -35,13 +35,15 @@
         since: Time on this VM's clock at which it learnt that the upstream leaves, None before.
         source: Who told it first, None before.
         sends: Number of calls that this VM sent since then.
+        withheld: Number of times that the upstream was passed over, or a call withheld, since then.
         problem: Latest value that could not be read, for the log.
     """
 
-    __slots__ = ("since", "source", "sends", "problem")
+    __slots__ = ("since", "source", "sends", "withheld", "problem")
 
     def __init__(self) -> None:
         self.since: float | None = None
         self.source: DepartureSource | None = None
         self.sends = 0
+        self.withheld = 0
         self.problem = ""
--- a/sequoiabridge/balancing/rest.py
+++ b/sequoiabridge/balancing/rest.py
@@ -27,16 +27,18 @@
         asked_at: Time of the latest answer that asked for one.
         count: Number of answers that asked for one.
         sends: Number of calls that were sent during a rest.
+        withheld: Number of times that the upstream was passed over, or a call withheld, for a rest.
         problem: Latest value that could not be read, for the log.
     """
 
-    __slots__ = ("until", "asked_at", "count", "sends", "problem")
+    __slots__ = ("until", "asked_at", "count", "sends", "withheld", "problem")
 
     def __init__(self) -> None:
         self.until = float("-inf")
         self.asked_at = float("-inf")
         self.count = 0
         self.sends = 0
+        self.withheld = 0
         self.problem = ""
 
     def ask(self, seconds: float, now: float) -> None:
--- a/sequoiabridge/balancing/send_policy.py
+++ b/sequoiabridge/balancing/send_policy.py
@@ -86,13 +86,17 @@
         if reason is None and not self._is_permitted(upstream, permit_at):
             reason = Exclusion.PERMIT_MISSING
         if reason is not None:
-            self.count(reason)
+            self.count(reason, upstream)
             message = f"withheld: {reason.value}; another upstream is tried"
             raise SendWithheld(message)
 
-    def count(self, reason: Exclusion) -> None:
-        """Count an upstream that was passed over, or a send that was withheld."""
+    def count(self, reason: Exclusion, upstream: Upstream) -> None:
+        """Count that an upstream was passed over, or a send to it withheld."""
         self.counts[reason] = self.counts.get(reason, 0) + 1
+        if reason is Exclusion.RESTING:
+            upstream.stats.rest.withheld += 1
+        elif reason is Exclusion.LEAVING:
+            upstream.departure.withheld += 1
 
     def _is_permitted(self, upstream: Upstream, permit_at: float | None) -> bool:
         if upstream.stats.request_limit.rate is None:
--- a/sequoiabridge/relay/departures.py
+++ b/sequoiabridge/relay/departures.py
@@ -72,6 +72,7 @@
                 "known_seconds": round(now - upstream.departure.since, 3),
                 "told_by": upstream.departure.source.value,
                 "sent_since": upstream.departure.sends,
+                "withheld": upstream.departure.withheld,
             }
             for upstream in self.leaving()
         }
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -180,6 +180,12 @@
         "upstream",
         {id: rest.sends for id, rest in rests.items()},
     )
+    yield labelled_counter(
+        "sequoia_rest_withheld",
+        "Times that the upstream was passed over, or a call withheld, for a rest.",
+        "upstream",
+        {id: rest.withheld for id, rest in rests.items()},
+    )
 
 
 def departure_families(gateway: Gateway) -> Iterator[Metric]:
@@ -198,6 +204,12 @@
         "upstream",
         {id: departure.sends for id, departure in departures.items()},
     )
+    yield labelled_counter(
+        "sequoia_leaving_withheld",
+        "Times that the upstream was passed over, or a call withheld, since then.",
+        "upstream",
+        {id: departure.withheld for id, departure in departures.items()},
+    )
 
 
 def plain_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
--- a/sequoiabridge/relay/rests.py
+++ b/sequoiabridge/relay/rests.py
@@ -56,6 +56,7 @@
                 "asked_seconds_ago": round(now - upstream.stats.rest.asked_at, 3),
                 "asked": upstream.stats.rest.count,
                 "sent_in_rest": upstream.stats.rest.sends,
+                "withheld": upstream.stats.rest.withheld,
             }
             for upstream in self.asked()
         }
--- a/sequoiabridge/tests/relay/test_notices.py
+++ b/sequoiabridge/tests/relay/test_notices.py
@@ -26,6 +26,10 @@
         assert 'sequoia_upstream_rest_seconds{upstream="r0"} 29.' in text
         assert 'sequoia_rest_sends_total{upstream="r0"} 0.0' in text
         dumped = json.loads((await operators.call("/dump")).body)["notices"]["rests"]["r0"]
+        await env.call(READ, "second")
+        text = (await operators.call("/metrics")).body.decode()
+        assert 'sequoia_rest_withheld_total{upstream="r0"}' in text
+        assert env.gateway.upstreams.by_id["r0"].stats.rest.withheld >= 1
         assert 29.0 < dumped["seconds_left"] < 30.0 and dumped["sent_in_rest"] == 0
 
     run_in_environment(test, reads=1)
