--- a/Makefile
+++ b/Makefile
@@ -84,12 +84,15 @@
 bench-limits: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.benchmarks.policy_limits
 
-.PHONY: soak-platform soak-retries soak-limits
+.PHONY: soak-platform soak-retries soak-limits soak-notices
 soak-platform: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --seeds 3
 
 soak-limits: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --limits RANDOM --daemons 13 --seconds 45 --seeds 3
 
+soak-notices: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --notices RANDOM --daemons 13 --seconds 30 --seeds 3
+
 soak-retries: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --retries RANDOM --seconds 40 --seeds 3
