Look beyond the subset of a large service when all of it is excluded

A VM uses up to 8 upstreams of its data centre and 5 of others. If all of these rest or have used up their limits, calls were refused although dozens of others would take them. Found by reading; the test failed before.

Then five random others without a limit are asked for their load, and the best of them gets the call.

--- a/sequoiabridge/balancing/candidates.py
+++ b/sequoiabridge/balancing/candidates.py
@@ -17,13 +17,18 @@
 
 
 class CandidateSet:
-    """The candidates of one service: upstreams in this VM's data centre and in others."""
+    """The candidates of one service: upstreams in this VM's data centre and in others.
 
-    __slots__ = ("local", "remote")
+    Attributes:
+        spare: The other upstreams of the service, for calls that no candidate may get.
+    """
+
+    __slots__ = ("local", "remote", "spare")
 
-    def __init__(self, local: list[Upstream], remote: list[Upstream]):
+    def __init__(self, local: list[Upstream], remote: list[Upstream], spare: list[Upstream]):
         self.local = local
         self.remote = remote
+        self.spare = spare
 
     @property
     def all(self) -> list[Upstream]:
@@ -77,7 +82,8 @@
         local = self._subset([u for u in known if u.is_local], MAX_LOCAL)
         max_remote = MAX_REMOTE + max(0, MAX_REMOTE - len(local))
         remote = self._subset([u for u in known if not u.is_local], max_remote)
-        return CandidateSet(local, remote)
+        chosen = {upstream.id for upstream in local + remote}
+        return CandidateSet(local, remote, [u for u in known if u.id not in chosen])
 
     def _subset(self, upstreams: list[Upstream], limit: int) -> list[Upstream]:
         if len(upstreams) <= limit:
--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -162,6 +162,11 @@
             remote = usable(candidates.remote)
             yield from self._probe(remote)
             best = self._best(call, local + remote)
+        if best is None:
+            spare = usable(self._unlimited_spare(call))
+            spare = self.random.sample(spare, min(MAX_PROBED, len(spare)))
+            yield from self._probe(spare)
+            best = self._best(call, spare)
         return best
 
     def _probe_due(self, upstreams: list[Upstream]) -> Steps[None]:
@@ -205,12 +210,21 @@
         None if one of them can be chosen now, or none later.
         """
         later = self._chosen_later(call)
+        candidates = self.candidates.for_service(call.service).all
         is_any_usable = any(
             self.policy.why_not(upstream, call.route.priority) is None
-            for upstream in self.candidates.for_service(call.service).all
+            for upstream in candidates + self._unlimited_spare(call)
         )
         return self._refusal(call, later) if later and not is_any_usable else None
 
+    def _unlimited_spare(self, call: Call) -> list[Upstream]:
+        """Return the upstreams beyond the candidates that have no limit.
+
+        A call asks for permits of the candidates only; there may be many more upstreams.
+        """
+        spare = self.candidates.for_service(call.service).spare
+        return [upstream for upstream in spare if upstream.stats.request_limit.rate is None]
+
     def _chosen_later(self, call: Call) -> list[Upstream]:
         """Return the candidates of the call's service that rest or have a limit."""
         candidates = self.candidates.for_service(call.service).all
--- a/sequoiabridge/tests/balancing/test_resting_upstreams.py
+++ b/sequoiabridge/tests/balancing/test_resting_upstreams.py
@@ -113,3 +113,19 @@
     assert policy.exclusion(driver.known.by_id["u0"]) is Exclusion.RESTING
     driver.known.update([record("u0", born=2)], [], 3)
     assert policy.exclusion(driver.known.by_id["u0"]) is None
+
+
+def test_a_call_goes_beyond_the_candidates_of_a_large_service_if_all_of_them_rest():
+    # A VM uses a subset of a large service, and refused calls although others took them.
+    driver = CallDriver(upstreams=30)
+    chooser = driver.dispatch.chooser
+    candidates = chooser.candidates.for_service("s")
+    assert candidates.spare
+    for one in candidates.local + candidates.remote:
+        one.stats.rest.ask(3.0, driver.clock.now())
+    steps = chooser.choose(driver.call)
+    with pytest.raises(StopIteration) as chosen:
+        while True:
+            next(steps)
+    assert chosen.value.value.upstream in candidates.spare
+    assert chooser.refusal_while_excluded(driver.call) is None
