Count no rest whose answer cannot reach the daemon

Trace: reads-1 was stopped from 3870.08 to 3876.68 s; vm-9 sent it a call, gave the call up at 3876.17 and closed the connection (504 to the caller); reads-1 continued, read the call and asked for rest on the closed connection 0.5 s later. vm-9 logged no rest, since no answer reached it, and no daemon can heed what it is not told.

The soak's upstream logs a rest only if the connection is open when it answers. The new test failed before.

--- a/sequoiabridge/tests/platform/soak/test_upstream_ports.py
+++ b/sequoiabridge/tests/platform/soak/test_upstream_process.py
@@ -5,6 +5,7 @@
 from ....selector import LazySelector
 from ..ports import BLOCK_SIZE, BLOCKS, FIRST_PORT, LAST_PORT
 from .deployment import Deployment
+from .upstream_process import is_closed
 
 
 def test_each_start_of_an_upstream_uses_a_port_that_this_run_has_reserved():
@@ -25,3 +26,17 @@
         port = int(address.rpartition(":")[2])
         assert FIRST_PORT <= port < LAST_PORT
         assert not BLOCKS.reserve(port - (port - FIRST_PORT) % BLOCK_SIZE)
+
+
+def test_an_upstream_notices_that_its_caller_has_closed_the_connection():
+    # An upstream continued and asked a daemon for rest that had given the call up 0.5 s before.
+    async def states():
+        ours, theirs = curio.socket.socketpair()
+        open_state = is_closed(ours)
+        await theirs.sendall(b"x")
+        with_data = is_closed(ours)
+        await ours.recv(1)
+        await theirs.close()
+        return open_state, with_data, is_closed(ours)
+
+    assert curio.run(states) == (False, False, True)
--- a/sequoiabridge/tests/platform/soak/upstream_process.py
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import socket
 import sys
 import time
 
@@ -51,8 +52,11 @@
         return super().common_headers(request)
 
     async def reject(self, connection, request):
-        """Log a rest that the answer asks for, then reject the call."""
-        if self.faults.rest:
+        """Log a rest that the answer asks for, then reject the call.
+
+        An upstream that was stopped may answer on a connection that the daemon closed meanwhile.
+        """
+        if self.faults.rest and not is_closed(connection.sock):
             self.write_fields(REST, request.header(b"x-attempt-id"), self.faults.rest)
         return await super().reject(connection, request)
 
@@ -78,6 +82,18 @@
                     setattr(self if name == "draining" else self.faults, name, value)
 
 
+def is_closed(sock) -> bool:
+    """Return whether the other side has closed a connection."""
+    with sock.blocking() as plain:
+        plain.setblocking(False)
+        try:
+            return plain.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+
 async def serve(upstream: LoggingUpstream, port: int) -> None:
     """Serve until standard input ends."""
     await upstream.start(f"127.0.0.1:{port}")
