Log which name a request has when upstreams crash with it

A call that an upstream left unanswered now has both. The line of a crash says how many upstreams the request is suspected of, its blame, and which other requests were on them; a line says when a suspect is cleared. No decision is changed.

--- a/sequoiabridge/relay/call.py
+++ b/sequoiabridge/relay/call.py
@@ -7,6 +7,7 @@
 from ..exceptions import Refusal
 from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Answer, Request
+from .fingerprints import request_fingerprint
 from .metadata import CallMetadata
 
 
@@ -21,7 +22,7 @@
         refusal: The refusal if the daemon refused the call, else None.
     """
 
-    __slots__ = ("id", "request", "metadata", "version", "answer", "refusal")
+    __slots__ = ("id", "request", "metadata", "version", "answer", "refusal", "_fingerprint")
 
     def __init__(self, call_id: str, request: Request, metadata: CallMetadata, arrived: float):
         super().__init__(arrived)
@@ -32,6 +33,19 @@
         self.version = 0
         self.answer: Answer | None = None
         self.refusal: Refusal | None = None
+        self._fingerprint = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return the fingerprint of the request; its body must have been buffered."""
+        if not self._fingerprint:
+            self._fingerprint = request_fingerprint(self.request)
+        return self._fingerprint
+
+    @property
+    def was_left_unanswered(self) -> bool:
+        """Return whether an upstream may have run the call and gave no answer."""
+        return any(one.may_have_run and not one.status for one in self.attempts)
 
     def apply_route_version(self, route: Route, version: int) -> None:
         """Set the route and its configuration version, and derive the deadline from them."""
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -7,14 +7,11 @@
 
 from __future__ import annotations
 
-from hashlib import blake2b
-
 import curio
 
 from ..balancing.call import Ending
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
-from ..pipeline.buffering import ReplayableBody
 from ..policy.crashes import CrashLedger
 from ..timers import Clock
 from ..upstreams.base import Connector
@@ -40,8 +37,6 @@
 RETRY_AFTER = 1.0
 """Seconds in the Retry-After header of a blocked request."""
 
-HOST = b"host"
-
 
 class CrashGuard:
     """Records which upstreams crashed while running which requests, by request fingerprint."""
@@ -65,7 +60,7 @@
         """
         if not self.ledger.blocked_fingerprints:
             return
-        if not self.ledger.is_blocked(fingerprint(call), self.clock.now()):
+        if not self.ledger.is_blocked(call.fingerprint, self.clock.now()):
             return
         message = "Upstreams died each time they ran this request. It is not sent to more of them."
         raise Refusal(503, Outcome.NOT_RUN, Reason.CRASHES_UPSTREAMS, message, RETRY_AFTER)
@@ -81,7 +76,7 @@
         address = attempt.upstream.address
         if await self.connector.is_reachable(address, ALIVE_CHECK_TIMEOUT):
             return
-        crashed = RequestCrashed(fingerprint(call), attempt.upstream.lifetime)
+        crashed = RequestCrashed(call.fingerprint, attempt.upstream.lifetime)
         if self._record_crash(crashed):
             self.sharing.broadcast(crashed)
 
@@ -99,7 +94,7 @@
     def _report_survival(self, call: RelayedCall) -> None:
         if not self.ledger.by_fingerprint:
             return
-        survived = RequestSurvived(fingerprint(call))
+        survived = RequestSurvived(call.fingerprint)
         if self._record_survival(survived):
             self.sharing.broadcast(survived)
 
@@ -109,28 +104,30 @@
         at = now - crashed.age
         is_new = self.ledger.record_crash(crashed.fingerprint, crashed.upstream, "", at, now)
         if is_new:
-            stopped = crashed.fingerprint in self.ledger.blocked_fingerprints
-            self.decisions.event(
-                "request-crashed",
-                fingerprint=crashed.fingerprint,
-                upstream=crashed.upstream,
-                stopped=stopped,
-            )
+            self._log_crash(crashed)
         return is_new
 
+    def _log_crash(self, crashed: RequestCrashed) -> None:
+        """Log a crash with what speaks for and against the request as its cause."""
+        ledger, name = self.ledger, crashed.fingerprint
+        crashes = ledger.by_fingerprint.get(name, [])
+        others = {other for crash in crashes for other in crash.suspects} - {name}
+        self.decisions.event(
+            "request-crashed",
+            fingerprint=name,
+            upstream=crashed.upstream,
+            upstreams=len({crash.upstream for crash in crashes}),
+            blame=round(ledger.blame(name), 2),
+            others=sorted(others),
+            blocked_others=len(others & ledger.blocked_fingerprints),
+            stopped=name in ledger.blocked_fingerprints,
+        )
+
     def _record_survival(self, survived: RequestSurvived) -> bool:
         """Record that a request was answered; return whether it was suspected of crashes."""
-        return self.ledger.record_answer(survived.fingerprint, self.clock.now())
-
-
-def fingerprint(call: RelayedCall) -> str:
-    """Return a digest of the request and its caller's address, equal for identical requests."""
-    request = call.request
-    caller = request.peer.rpartition(":")[0].encode()
-    body = request.body.whole if isinstance(request.body, ReplayableBody) else b""
-    parts = (request.method, request.header(HOST) or b"", request.target, caller, body)
-    digest = blake2b(digest_size=12)
-    for part in parts:
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    return digest.hexdigest()
+        name = survived.fingerprint
+        was_blocked = name in self.ledger.blocked_fingerprints
+        was_suspect = self.ledger.record_answer(name, self.clock.now())
+        if was_suspect:
+            self.decisions.event("request-cleared", fingerprint=name, was_blocked=was_blocked)
+        return was_suspect
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -163,8 +163,15 @@
             row["why"] = str(call.refusal)
         if call.note:
             row["note"] = call.note
+        if call.was_left_unanswered or refused_as_harmful(call):
+            row["fingerprint"] = call.fingerprint
         row["attempts"] = [attempt.row() for attempt in call.attempts]
         if call.excluded:
             row["excluded"] = call.excluded
         row["considered"] = [estimate.row() for estimate in call.considered]
         return row
+
+
+def refused_as_harmful(call: RelayedCall) -> bool:
+    """Return whether a call was refused because its request crashes upstreams."""
+    return call.refusal is not None and call.refusal.reason is Reason.CRASHES_UPSTREAMS
