Add failing tests of requests that crash upstreams

What callers and upstreams saw: a request that crashes upstreams was sent on after its third crash, up to 67 times more where 3 are allowed. Single daemon: several addresses of one request, a failure taken for a survival, a crash after the head, an address taken by another upstream at once, an end in silence, a second attempt, a hedge and a waiting call.

--- a/sequoiabridge/relay/fingerprints.py
+++ b/sequoiabridge/relay/fingerprints.py
@@ -1,4 +1,4 @@
-"""Names requests, so that all VMs recognize a request that crashes upstreams when it comes again."""
+"""Names requests, so that all VMs recognize one that comes again."""
 
 from __future__ import annotations
 
--- a/sequoiabridge/tests/platform/environment.py
+++ b/sequoiabridge/tests/platform/environment.py
@@ -183,13 +183,15 @@
             while not condition():
                 await curio.sleep(0.005)
 
-    async def connect(self, address="") -> Connection:
+    async def connect(self, address="", source="127.0.0.1") -> Connection:
+        """Open a connection from the address `source`."""
         host, _, port = (address or self.gateway.callers.address).rpartition(":")
-        return Connection(await curio.open_connection(host, int(port)))
+        sock = await curio.open_connection(host, int(port), source_addr=(source, 0))
+        return Connection(sock)
 
-    async def call(self, target, call_id="c1", **more) -> Reply:
-        """Make one call on a new connection."""
-        connection = await self.connect()
+    async def call(self, target, call_id="c1", source="127.0.0.1", **more) -> Reply:
+        """Make one call on a new connection from the address `source`."""
+        connection = await self.connect(source=source)
         try:
             return await connection.call(target, call_id, **more)
         finally:
--- a/sequoiabridge/tests/platform/soak/__main__.py
+++ b/sequoiabridge/tests/platform/soak/__main__.py
@@ -6,6 +6,7 @@
 import defopt
 
 from ....selector import LazySelector
+from .crash_soak import CrashScenario, CrashSoak
 from .limit_soak import LimitScenario, LimitSoak
 from .notice_soak import NoticeScenario, NoticeSoak
 from .retry_soak import RetrySoak, Scenario
@@ -21,6 +22,7 @@
     retries: Scenario | None = None,
     limits: LimitScenario | None = None,
     notices: NoticeScenario | None = None,
+    crashes: CrashScenario | None = None,
     reads: int = 5,
     rate: float = 60.0,
 ) -> int:
@@ -33,12 +35,15 @@
     :param retries: press on the retry limit in this way, instead of mixing all faults
     :param limits: let upstreams name limits in this way, instead of mixing all faults
     :param notices: let upstreams ask for rest or leave in this way, instead of mixing all faults
+    :param crashes: send requests that crash upstreams in this way, instead of mixing all faults
     :param reads: number of upstreams of the service that fails or names limits then
     :param rate: calls per second then
     """
     failed_seeds = 0
     for number in range(seed, seed + seeds):
-        if notices is not None:
+        if crashes is not None:
+            soak = CrashSoak(number, seconds, daemons, crashes, reads)
+        elif notices is not None:
             soak = NoticeSoak(number, seconds, daemons, notices, reads, rate)
         elif limits is not None:
             soak = LimitSoak(number, seconds, daemons, limits, reads, rate)
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -108,6 +108,7 @@
         super().__init__(**more)
         self.log = log
         self.process: subprocess.Popen | None = None
+        self.uses_proxy = True
         self.is_restarting = False
         self.proxy: Proxy | None = None
         self.seed = more["seed"]
@@ -132,6 +133,8 @@
         )
         self.born = int(time.time() * 1000)
         self.proxy.target = (await curio.run_in_thread(self.process.stdout.readline)).strip()
+        if not self.uses_proxy:
+            self.address = self.proxy.target
 
     def set(self, **values) -> None:
         """Set faults of the upstream, or whether it is draining."""
@@ -160,7 +163,12 @@
 
 
 class Deployment:
-    """Store, upstreams, daemons and proxies; `close` stops the processes."""
+    """Store, upstreams, daemons and proxies; `close` stops the processes.
+
+    Attributes:
+        uses_proxies: Whether daemons reach upstreams through proxies.
+        restart_faults: Faults of upstreams that start again.
+    """
 
     def __init__(self, seed: int, daemons: int, clock):
         self.random = Random(seed)
@@ -174,6 +182,8 @@
         self.retry_ratio = RETRY_RATIO
         self.daemon_module = "sequoiabridge.commands.gateway"
         self.daemon_options: list[str] = []
+        self.uses_proxies = True
+        self.restart_faults: dict = {}
         self.daemons: list[Daemon] = []
         self.supervisors: list[curio.Task] = []
         self.upstreams: dict[str, UpstreamProcess] = {}
@@ -262,6 +272,7 @@
             processing_time=0.03,
             seed=self.upstream_count,
         )
+        upstream.uses_proxy = self.uses_proxies
         upstream.proxy = Proxy("", self.random)
         await upstream.proxy.start()
         upstream.address = upstream.proxy.address
@@ -301,6 +312,8 @@
         if upstream.id in self.upstreams:
             upstream.faults = UpstreamFaults()
             await upstream.start()
+            if self.restart_faults:
+                upstream.set(**self.restart_faults)
             await self.store.put("servers", upstream.id, upstream.entry())
         upstream.is_restarting = False
 
--- a/sequoiabridge/tests/platform/soak/faulty_gateway.py
+++ b/sequoiabridge/tests/platform/soak/faulty_gateway.py
@@ -14,6 +14,7 @@
 IGNORE_LIMITS = "--ignore-limits"
 IGNORE_RESTS = "--ignore-rests"
 IGNORE_DEPARTURES = "--ignore-departures"
+IGNORE_CRASHES = "--ignore-crashes"
 
 
 class LossyChannel(Channel):
@@ -33,6 +34,7 @@
 
 def main(settings: str, *options: str) -> int:
     """Run the daemon of a settings file."""
+    from ....policy.crashes import CrashLedger
     from ....relay import sharing
     from ....relay.departures import Departures
     from ....relay.request_limits import RequestLimits
@@ -42,6 +44,8 @@
         RequestLimits._observe = lambda *arguments: False
     if IGNORE_RESTS in options:
         Rests.record = lambda *arguments: None
+    if IGNORE_CRASHES in options:
+        CrashLedger.record_crash = lambda *arguments: False
     if IGNORE_DEPARTURES in options:
         Departures.record = lambda *arguments: None
 
--- a/sequoiabridge/tests/platform/soak/oracle.py
+++ b/sequoiabridge/tests/platform/soak/oracle.py
@@ -1,5 +1,6 @@
 """Checks what callers and upstreams observed against the daemon's guarantees."""
 
+from .crashes import check_crashes
 from .limits import check_limits
 from .notices import DRAIN_SECONDS, check_departures, check_rests
 from .record import APPROVE, MARK, UPLOAD, CallRecord, Record, UpstreamRun
@@ -34,6 +35,7 @@
     violations += check_limits(record)
     violations += check_rests(record)
     violations += check_departures(record)
+    violations += check_crashes(record)
     return violations
 
 
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -6,7 +6,7 @@
 """Kinds of calls, each with a route of its own; the route of `MARK` alternates between services."""
 
 ARRIVAL, RUN, LIMIT = "arrival", "run", "limit"
-START, REST, LEAVING = "start", "rest", "leaving"
+START, REST, LEAVING, CRASH = "start", "rest", "leaving", "crash"
 """Kinds of lines in an upstream's log."""
 
 NO_LIMIT = ""
@@ -18,9 +18,10 @@
 class CallRecord:
     """One call of a caller and its answer."""
 
-    def __init__(self, call_id, kind, daemon, sent_at):
+    def __init__(self, call_id, kind, daemon, sent_at, target=""):
         self.id = call_id
         self.kind = kind
+        self.target = target or f"/{kind}/x"
         self.daemon = daemon
         self.sent_at = sent_at
         self.ended_at = 0.0
@@ -79,6 +80,7 @@
         upstream_starts: Time and upstream of each start of an upstream.
         unreadable_limits: Time and upstream of each change to a value that is no number.
         starts: Time and daemon of each start but the first.
+        crashes: Time and call id of each crash of an upstream because of a request.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
     """
 
@@ -98,6 +100,7 @@
         self.departures: list[tuple[float, str, str]] = []
         self.upstream_starts: list[tuple[float, str]] = []
         self.starts: list[tuple[float, str]] = []
+        self.crashes: list[tuple[float, str]] = []
         self.disturbances: list[tuple[float, float, str]] = []
 
     def is_fault_free(self, at: float, until: float | None = None) -> bool:
@@ -127,6 +130,8 @@
             record_rest(record, upstream.id, at, call_id, size)
         elif what == LEAVING:
             record.departures.append((at, upstream.id, call_id))
+        elif what == CRASH:
+            record.crashes.append((at, call_id))
         elif what == START:
             record.upstream_starts.append((at, upstream.id))
         else:
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -82,11 +82,15 @@
         self.stopping = True
         for task in callers:
             await task.join()
+        await self.end_tasks()
         deployment.read_upstream_logs(self.started_at)
         await deployment.stop_daemons()
         deployment.record.retry_slack = deployment.retry_slack
         return find_violations(deployment.record) + self.check_recovery(end)
 
+    async def end_tasks(self) -> None:
+        """End the tasks that faults have started."""
+
     def check_recovery(self, end: float) -> list[str]:
         """Return a message if too many calls fail long after the last fault."""
         recent_calls = [
--- a/sequoiabridge/tests/platform/soak/upstream_process.py
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -16,10 +16,13 @@
 
 from ....selector import LazySelector
 from ..upstream_emulator import UpstreamEmulator
-from .record import ARRIVAL, LEAVING, LIMIT, NO_LIMIT, REST, RUN, START
+from .record import ARRIVAL, CRASH, LEAVING, LIMIT, NO_LIMIT, REST, RUN, START
 
 STDIN = 0
 
+SILENT_SECONDS = 3.0
+"""Seconds for which an upstream that crashes in silence still holds its connections."""
+
 
 class LoggingUpstream(UpstreamEmulator):
     """An upstream that logs each arrival and each run; times are those of the monotonic clock."""
@@ -42,6 +45,19 @@
         self.write(RUN, request)
         return await super().run(connection, request)
 
+    async def crash_while_running(self, connection, request):
+        """Log the crash, and end the process."""
+        if self.is_silent:
+            return
+        await super().crash_while_running(connection, request)
+        self.write(CRASH, request)
+        if self.is_silent:
+            await curio.sleep(SILENT_SECONDS)
+        os._exit(1)
+
+    async def crash(self):
+        """Do nothing; the process ends at once."""
+
     def common_headers(self, request):
         """Log the limit that the headers name if it has changed."""
         if self.faults.limit != self.named_limit:
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -37,6 +37,9 @@
         leaving: Value of Server-Leaving in all answers; "" for none.
         more_headers: Further headers of answers to calls, by name.
         crash_path: Path prefix of requests that crash the upstream; "" for none.
+        crash_delay: Seconds for which such a request runs before the crash.
+        crash_sends_head: Send the head of an answer before the crash.
+        crash_is_silent: Answer nothing any more instead of closing all connections.
     """
 
     def __init__(self):
@@ -63,6 +66,9 @@
         self.leaving = ""
         self.more_headers: dict[str, str] = {}
         self.crash_path = ""
+        self.crash_delay = 0.0
+        self.crash_sends_head = False
+        self.crash_is_silent = False
 
 
 class UpstreamEmulator:
@@ -76,6 +82,7 @@
         probes: Number of received health checks.
         cancelled: Number of requests whose connection was closed while they ran.
         born: Unix time of its start in milliseconds; None to leave it out of the entry.
+        is_silent: Whether it answers nothing any more.
     """
 
     def __init__(
@@ -101,6 +108,7 @@
         self.address = ""
         self.listener: curio.Task | None = None
         self.connections: set[Wire] = set()
+        self.is_silent = False
 
     def entry(self) -> dict:
         """Return its entry in the platform's list of upstreams."""
@@ -133,6 +141,18 @@
         for connection in list(self.connections):
             abort_connection(connection)
 
+    async def crash_while_running(self, connection: Wire, request: Incoming) -> None:
+        """Crash because of a request that has begun to run."""
+        if self.faults.crash_sends_head:
+            attempt = request.header(b"x-attempt-id").encode()
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\nX-Attempt-Id: " + attempt
+            await connection.sock.sendall(head + b"\r\nX-Server-Signature: s\r\n\r\nbegun")
+        await curio.sleep(self.faults.crash_delay)
+        if self.faults.crash_is_silent:
+            self.is_silent = True
+        else:
+            await self.crash()
+
     async def serve(self, client, peer) -> None:
         connection = Wire(client)
         self.connections.add(connection)
@@ -155,6 +175,8 @@
         return b",".join(b"%d" % figure for figure in figures)
 
     async def handle(self, connection: Wire, request: Incoming) -> bool:
+        if self.is_silent:
+            await curio.sleep(3600)
         if request.target == "/health":
             return await self.health(connection)
         self.requests.append(request)
@@ -204,7 +226,7 @@
         try:
             self.runs.append(request.header(b"x-attempt-id"))
             if self.faults.crash_path and request.target.startswith(self.faults.crash_path):
-                await curio.spawn(self.crash(), daemon=True)
+                await curio.spawn(self.crash_while_running, connection, request, daemon=True)
                 await curio.sleep(3600)
             if not await self.process(connection):
                 return False
--- /dev/null
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -0,0 +1,223 @@
+"""Requests that crash upstreams, sent through a daemon to emulated upstreams and store."""
+
+from itertools import count
+
+import curio
+import pytest
+
+from ...relay.messages import RequestCrashed
+from ..platform.environment import run_in_environment
+from ..platform.upstream_emulator import UpstreamEmulator
+
+CRASHING = "/read/crashing"
+
+MIN_CRASHES = 3
+"""Number of upstreams that a request may crash before it is blocked."""
+
+SETTLE_SECONDS = 0.4
+"""Seconds within which a crash has been noticed."""
+
+
+def set_faults(env, **faults):
+    """Set faults of all upstreams."""
+    for upstream in env.upstreams.values():
+        for name, value in faults.items():
+            setattr(upstream.faults, name, value)
+
+
+def crashed(env, prefix=""):
+    """Return the upstreams that ran a crashing request."""
+    return [u for u in env.upstreams.values() if any(r.startswith("bad" + prefix) for r in u.runs)]
+
+
+async def send_crashing(env, times, settle=SETTLE_SECONDS, **more):
+    """Send the crashing request again and again; return the statuses."""
+    statuses = []
+    for number in range(times):
+        reply = await env.call(CRASHING, f"bad-{number}", **more)
+        statuses.append(reply.status)
+        await curio.sleep(settle)
+    return statuses
+
+
+def block(env, name):
+    """Tell the daemon as a peer that a request has crashed three upstreams."""
+    for number in range(MIN_CRASHES):
+        env.gateway.sharing._handle(RequestCrashed(name, f"elsewhere-{number}"))
+
+
+async def learn_fingerprint(env, target=CRASHING):
+    """Return the fingerprint of a request that crashes one upstream."""
+    events = []
+    log, env.gateway.decisions.event = env.gateway.decisions.event, None
+
+    def record(event, **fields):
+        events.append((event, fields))
+        log(event, **fields)
+
+    env.gateway.decisions.event = record
+    await env.call(target, "bad-learn", timeout_ms=300)
+    await env.wait_until(lambda: any(event == "request-crashed" for event, _ in events))
+    env.gateway.decisions.event = log
+    return next(fields["fingerprint"] for event, fields in events if event == "request-crashed")
+
+
+def test_a_request_from_several_addresses_is_blocked_as_one():
+    # Each address of a caller had to crash three upstreams of its own.
+    async def test(env):
+        set_faults(env, crash_path=CRASHING)
+        for number in range(8):
+            await env.call(CRASHING, f"bad-{number}", source=f"127.0.0.{number + 2}")
+            await curio.sleep(SETTLE_SECONDS)
+        assert len(crashed(env)) in (MIN_CRASHES, MIN_CRASHES + 1)
+
+    run_in_environment(test, reads=10)
+
+
+@pytest.mark.parametrize("body", [b"", b"posting 17"])
+def test_requests_that_differ_are_not_blocked_with_a_crashing_one(body):
+    async def test(env):
+        set_faults(env, crash_path=CRASHING)
+        await send_crashing(env, 5)
+        assert (await env.call("/read/other", "fine")).status == 200
+        if body:
+            target = "/approve/x"
+            assert (await env.call(target, "p", method="POST", body=body)).status == 200
+
+    run_in_environment(test, reads=8)
+
+
+def test_an_answer_that_reports_a_failure_clears_no_suspect():
+    # An upstream that failed a request without running it cleared it of its crashes.
+    async def test(env):
+        set_faults(env, crash_path=CRASHING)
+        await send_crashing(env, 1)
+        before = len(crashed(env))
+        for upstream in env.upstreams.values():
+            upstream.faults.crash_path, upstream.faults.fail = "", 1.0
+        assert (await env.call(CRASHING, "failed")).status == 500
+        set_faults(env, crash_path=CRASHING, fail=0.0)
+        await send_crashing(env, 6)
+        assert before < len(crashed(env)) <= MIN_CRASHES + 1
+
+    run_in_environment(test, reads=12)
+
+
+def test_a_crash_after_the_head_of_the_answer_counts():
+    # Only crashes before the head of the answer counted.
+    async def test(env):
+        set_faults(env, crash_path=CRASHING, crash_sends_head=True, crash_delay=0.05)
+        await send_crashing(env, 8)
+        assert len(crashed(env)) in (MIN_CRASHES, MIN_CRASHES + 1)
+
+    run_in_environment(test, reads=10)
+
+
+def test_a_crash_counts_although_another_upstream_has_the_address_at_once():
+    # An upstream whose address accepted a connection was taken for alive.
+    async def test(env):
+        set_faults(env, crash_path=CRASHING)
+        numbers = count(1)
+
+        async def replace_ended():
+            while True:
+                for id, upstream in list(env.upstreams.items()):
+                    if upstream.runs and upstream.listener.terminated and id in env.upstreams:
+                        new_id = f"n{next(numbers)}"
+                        new = env.upstreams[new_id] = UpstreamEmulator(new_id, "reads", "here")
+                        new.faults.crash_path = CRASHING
+                        await new.start(upstream.address)
+                        ended[id] = env.upstreams.pop(id)
+                        await env.store.put("servers", id, None)
+                        await env.store.put("servers", new_id, new.entry())
+                await curio.sleep(0.001)
+
+        ended = {}
+        task = await curio.spawn(replace_ended, daemon=True)
+        for number in range(10):
+            await env.call(CRASHING, f"bad-{number}")
+            await curio.sleep(1.0)
+        await task.cancel()
+        assert len(ended) in (MIN_CRASHES, MIN_CRASHES + 1)
+
+    run_in_environment(test, reads=4)
+
+
+def test_an_upstream_that_ends_in_silence_counts_as_crashed():
+    # An upstream that answered nothing any more, not even health checks, did not count.
+    async def test(env):
+        set_faults(env, crash_path=CRASHING, crash_is_silent=True)
+        for number in range(8):
+            await env.call(CRASHING, f"bad-{number}", timeout_ms=500)
+            await env.call("/read/page", f"page-{number}")
+            await curio.sleep(0.6)
+        assert len(crashed(env)) <= MIN_CRASHES + 1
+
+    run_in_environment(test, reads=14)
+
+
+def test_a_call_whose_request_is_blocked_meanwhile_is_not_sent_to_a_second_upstream():
+    # Only the first attempt of a call was asked for.
+    async def test(env):
+        first = env.upstreams["r0"]
+        first.faults.crash_path = CRASHING
+        name = await learn_fingerprint(env)
+        await first.start(first.address)
+        first.faults.crash_path, first.faults.crash_delay = CRASHING, 0.3
+        connection = await env.connect()
+        await connection.send(CRASHING, "bad-late")
+        await env.wait_until(lambda: "bad-late" in first.runs)
+        second = await env.add_upstream("r1", "reads")
+        await env.wait_until(lambda: "r1" in env.gateway.upstreams.by_id)
+        block(env, name)
+        assert (await connection.reply()).status == 502
+        assert second.runs == []
+
+    run_in_environment(test, reads=1)
+
+
+def test_a_call_whose_request_is_blocked_meanwhile_is_not_hedged():
+    async def test(env):
+        first = env.upstreams["r0"]
+        first.faults.crash_path = CRASHING
+        name = await learn_fingerprint(env)
+        await first.start(first.address)
+        first.faults.crash_path = ""
+        for number in range(5):
+            assert (await env.call("/read/page", f"page-{number}")).status == 200
+        first.faults.hang = True
+        connection = await env.connect()
+        await connection.send(CRASHING, "bad-late")
+        await env.wait_until(lambda: "bad-late" in first.runs)
+        second = await env.add_upstream("r1", "reads")
+        await env.wait_until(lambda: "r1" in env.gateway.upstreams.by_id)
+        block(env, name)
+        await connection.reply()
+        assert second.runs == []
+
+    run_in_environment(test, reads=1)
+
+
+def test_a_call_that_waits_for_capacity_is_refused_when_its_request_is_blocked():
+    async def test(env):
+        set_faults(env, crash_path=CRASHING)
+        name = await learn_fingerprint(env)
+        for upstream in env.upstreams.values():
+            await upstream.crash()
+        busy = await env.add_upstream("busy", "reads")
+        await env.wait_until(lambda: "busy" in env.gateway.upstreams.by_id)
+        busy.faults.hang = True
+        connections = [await env.connect() for _ in range(8)]
+        for number, connection in enumerate(connections):
+            await connection.send(f"/read/page-{number}", f"page-{number}")
+        await curio.sleep(0.1)
+        waiting = await env.connect()
+        await waiting.send(CRASHING, "bad-late", timeout_ms=1000)
+        await curio.sleep(0.02)
+        block(env, name)
+        busy.faults.hang = False
+        reply = await waiting.reply()
+        assert reply.status == 503 and b"crashes-upstreams" in reply.body
+        assert "bad-late" not in busy.runs
+
+    run_in_environment(test, reads=2)
