Give a request one fingerprint whatever address it comes from

Callers of one crashing request connect from many addresses. Now the fingerprint holds method, host, path, length and body, and of a body that is streamed its length and what is buffered; that part is hashed before it is sent, and keeps uploads to one path apart.

--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -11,9 +11,10 @@
 from ..balancing.upstream_stats import OpenCall
 from ..exceptions import CallerGone, NoFreeConnection, Refusal, SendWithheld, UpstreamFailed
 from ..pipeline.buffering import ReplayableBody
-from ..pipeline.exchange import Answer, Body, BytesBody
+from ..pipeline.exchange import Answer, BytesBody
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
+from .bodies import PrefixedBody
 from .call import RelayedCall
 from .dialect import Dialect
 from .metadata import AnswerMetadata
@@ -226,31 +227,6 @@
         return row
 
 
-class PrefixedBody(Body):
-    """A body whose first bytes have been read and are kept in memory."""
-
-    __slots__ = ("prefix", "rest")
-
-    def __init__(self, prefix: bytes, rest: Body):
-        self.prefix = prefix
-        self.rest = rest
-
-    async def read(self) -> bytes:
-        """Return the prefix first, then chunks of the rest."""
-        if self.prefix:
-            prefix, self.prefix = self.prefix, b""
-            return prefix
-        return await self.rest.read()
-
-    def limit(self, size: int) -> None:
-        """Limit the rest to `size` bytes."""
-        self.rest.limit(size)
-
-    async def close(self) -> None:
-        """Close the rest."""
-        await self.rest.close()
-
-
 async def buffer_answer(answer: Answer) -> None:
     """Read an answer's body into memory, up to `MAX_BUFFERED_ANSWER`; the rest is streamed.
 
--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -1,4 +1,4 @@
-"""Buffers request bodies, so that they can be resent and a slow caller occupies no upstream."""
+"""Buffers bodies; those of requests so that they can be resent and slow callers occupy no upstream."""
 
 from __future__ import annotations
 
@@ -6,14 +6,38 @@
 
 from ..callers.refusals import caller_too_slow
 from ..pipeline.buffering import ReplayableBody
-from ..pipeline.exchange import Request
-from .attempt import PrefixedBody
+from ..pipeline.exchange import Body, Request
 
 MAX_BUFFERED_BODY = 1024 * 1024
 """Maximum number of bytes of a request body that are buffered. A longer body is streamed and can be
 sent only once."""
 
 
+class PrefixedBody(Body):
+    """A body whose first bytes have been read and are kept in memory."""
+
+    __slots__ = ("prefix", "rest")
+
+    def __init__(self, prefix: bytes, rest: Body):
+        self.prefix = prefix
+        self.rest = rest
+
+    async def read(self) -> bytes:
+        """Return the prefix first, then chunks of the rest."""
+        if self.prefix:
+            prefix, self.prefix = self.prefix, b""
+            return prefix
+        return await self.rest.read()
+
+    def limit(self, size: int) -> None:
+        """Limit the rest to `size` bytes."""
+        self.rest.limit(size)
+
+    async def close(self) -> None:
+        """Close the rest."""
+        await self.rest.close()
+
+
 async def buffer_body(request: Request, max_body: int, timeout: float) -> None:
     """Replace a request's body by a buffered one; a long body is buffered in part.
 
--- a/sequoiabridge/relay/call.py
+++ b/sequoiabridge/relay/call.py
@@ -37,7 +37,7 @@
 
     @property
     def fingerprint(self) -> str:
-        """Return the fingerprint of the request; its body must have been buffered."""
+        """Return the fingerprint of the request, known once its body has been buffered."""
         if not self._fingerprint:
             self._fingerprint = request_fingerprint(self.request)
         return self._fingerprint
@@ -57,3 +57,6 @@
         body = self.request.body
         self.body_seconds = now - self.arrived
         self.replayable = body is None or isinstance(body, ReplayableBody)
+        if not self.replayable:
+            # What is buffered of a streamed body is gone once it has been sent.
+            self._fingerprint = request_fingerprint(self.request)
--- a/sequoiabridge/relay/fingerprints.py
+++ b/sequoiabridge/relay/fingerprints.py
@@ -6,6 +6,7 @@
 
 from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Request
+from .bodies import PrefixedBody
 
 HOST = b"host"
 
@@ -13,12 +14,27 @@
 
 
 def request_fingerprint(request: Request) -> str:
-    """Return a digest of a request and its caller's address, equal for identical requests."""
-    caller = request.peer.rpartition(":")[0].encode()
-    body = request.body.whole if isinstance(request.body, ReplayableBody) else b""
-    parts = (request.method, request.header(HOST) or b"", request.target, caller, body)
+    """Return a digest that is equal for identical requests, whatever address they come from.
+
+    Of a body that is streamed, only the length and the first part are known.
+    """
+    parts = (
+        request.method,
+        request.header(HOST) or b"",
+        request.target,
+        b"%d" % (request.length or 0),
+        _known_body(request),
+    )
     digest = blake2b(digest_size=DIGEST_BYTES)
     for part in parts:
         digest.update(b"%d:" % len(part))
         digest.update(part)
     return digest.hexdigest()
+
+
+def _known_body(request: Request) -> bytes:
+    if isinstance(request.body, ReplayableBody):
+        return request.body.whole
+    if isinstance(request.body, PrefixedBody):
+        return request.body.prefix
+    return b""
