Weigh crashes by evidence that other crashes cannot weaken

Each upstream that ended nearby without a request lowered the request's blame, by the square of their number, and each new crash computed it anew: several crashing requests protected each other, and one that had been blocked was let through again while the trouble grew. Now the evidence against a request is the number of distinct upstreams that crashed with it since it was last answered. A crash weighs less only if a request that is blocked already was there too (five of these are enough) or if the request had been answered within the last minute (eight are). A block on enough evidence ends by an answer, an operator or time. The blame remains for the fleet daemon, which blocks after two crashes; it has a bound now, six crashes. Each report no longer goes through all known crashes on the platform.

--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -1,4 +1,4 @@
-"""Buffers bodies; those of requests so that they can be resent and slow callers occupy no upstream."""
+"""Buffers bodies; those of requests so that they can be resent, whatever their callers do."""
 
 from __future__ import annotations
 
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -12,7 +12,7 @@
 from ..balancing.call import Ending
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
-from ..policy.crashes import CrashLedger
+from ..policy.crashes import CRASH_WEIGHT, CrashLedger
 from ..timers import Clock
 from ..upstreams.base import Connector
 from .attempt import Attempt
@@ -48,7 +48,7 @@
         self.sharing = sharing
         self.decisions = decisions
         self.clock = clock
-        self.ledger = CrashLedger(MIN_CRASHED_UPSTREAMS)
+        self.ledger = CrashLedger(MIN_CRASHED_UPSTREAMS, MIN_CRASHED_UPSTREAMS)
         sharing.on_crash = self._record_crash
         sharing.on_survival = self._record_survival
 
@@ -58,7 +58,7 @@
         Raises:
             Refusal: The request has crashed too many upstreams.
         """
-        if not self.ledger.blocked_fingerprints:
+        if not self.ledger.blocks:
             return
         if not self.ledger.is_blocked(call.fingerprint, self.clock.now()):
             return
@@ -86,7 +86,7 @@
         known = [
             RequestCrashed(fingerprint, crash.upstream, max(0.0, now - crash.at))
             for fingerprint in sorted(self.ledger.blocked_fingerprints)
-            for crash in self.ledger.by_fingerprint[fingerprint]
+            for crash in self.ledger.by_fingerprint.get(fingerprint, ())
         ]
         for crashed in known[:MAX_SENT_CRASHES]:
             self.sharing.channel.send(crashed, [hello.address])
@@ -117,7 +117,8 @@
             fingerprint=name,
             upstream=crashed.upstream,
             upstreams=len({crash.upstream for crash in crashes}),
-            blame=round(ledger.blame(name), 2),
+            evidence=ledger.evidence(name),
+            needed=CRASH_WEIGHT * ledger.certain_upstreams,
             others=sorted(others),
             blocked_others=len(others & ledger.blocked_fingerprints),
             stopped=name in ledger.blocked_fingerprints,
--- a/sequoiabridge/tests/policy/test_crashing_requests.py
+++ b/sequoiabridge/tests/policy/test_crashing_requests.py
@@ -6,6 +6,7 @@
 
 from ...config.gateway_settings import GatewaySettings
 from ...gateway import Gateway
+from ...policy.crashes import CrashLedger
 from ..platform.environment import SETTINGS
 
 MIN_CRASHES = 3
@@ -130,3 +131,15 @@
         upstreams.end("crashing")
     upstreams.ledger.record_answer("crashing", sent_at)
     assert upstreams.is_blocked("crashing")
+
+
+def test_the_blame_of_a_fleet_daemon_protects_no_request_for_more_than_six_crashes():
+    # Upstreams that ended nearby lowered the blame without a bound.
+    ledger = CrashLedger()
+    for number in range(6):
+        for other in range(8):
+            ledger.record_crash(
+                f"page-{number}-{other}", f"o{number}-{other}", "vm", number, number
+            )
+        ledger.record_crash("crashing", f"u{number}", "vm", number, number)
+    assert ledger.blocked_fingerprints == {"crashing"}
