Clear a suspect only by a whole answer to a run that was sent after the crash

An upstream's failure, sent perhaps without running the request, and the first part of a streamed answer cleared a request of all its crashes at all VMs. An answer also cleared crashes that came after its run had been sent, and a message that a frozen VM sent late cleared what had happened since. Now only a complete answer below 500 clears, and only crashes before its run was sent; the message to the peers says how long ago that was. A crash is dated by the end of its attempt, not by its detection.

--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -67,16 +67,27 @@
 
     async def attempt_ended(self, call: RelayedCall, attempt: Attempt) -> None:
         """Check after an attempt whether its upstream crashed, or clear a suspected request."""
-        if attempt.ending is Ending.ANSWERED:
-            self._report_survival(call)
+        if attempt.ending is Ending.ANSWERED and not attempt.is_streamed:
+            self._report_survival(call, attempt)
         elif attempt.ending is Ending.BROKEN and attempt.metadata is None:
             await curio.spawn(self._report_if_down(call, attempt), daemon=True)
 
+    async def stream_ended(self, call: RelayedCall, is_complete: bool) -> None:
+        """Record the end of an answer that was streamed to the caller, if it was."""
+        for attempt in call.attempts:
+            if not attempt.is_streamed:
+                continue
+            if is_complete:
+                self._report_survival(call, attempt)
+            else:
+                await curio.spawn(self._report_if_down(call, attempt), daemon=True)
+
     async def _report_if_down(self, call: RelayedCall, attempt: Attempt) -> None:
         address = attempt.upstream.address
         if await self.connector.is_reachable(address, ALIVE_CHECK_TIMEOUT):
             return
-        crashed = RequestCrashed(call.fingerprint, attempt.upstream.lifetime)
+        age = self.clock.now() - attempt.ended_at
+        crashed = RequestCrashed(call.fingerprint, attempt.upstream.lifetime, age)
         if self._record_crash(crashed):
             self.sharing.broadcast(crashed)
 
@@ -91,10 +102,11 @@
         for crashed in known[:MAX_SENT_CRASHES]:
             self.sharing.channel.send(crashed, [hello.address])
 
-    def _report_survival(self, call: RelayedCall) -> None:
-        if not self.ledger.by_fingerprint:
+    def _report_survival(self, call: RelayedCall, attempt: Attempt) -> None:
+        """Record a complete answer; a failure may come from an upstream that did not run it."""
+        if not attempt.is_success:
             return
-        survived = RequestSurvived(call.fingerprint)
+        survived = RequestSurvived(call.fingerprint, self.clock.now() - attempt.sent_at)
         if self._record_survival(survived):
             self.sharing.broadcast(survived)
 
@@ -128,7 +140,7 @@
         """Record that a request was answered; return whether it was suspected of crashes."""
         name = survived.fingerprint
         was_blocked = name in self.ledger.blocked_fingerprints
-        was_suspect = self.ledger.record_answer(name, self.clock.now())
+        was_suspect = self.ledger.record_answer(name, self.clock.now() - survived.age)
         if was_suspect:
             self.decisions.event("request-cleared", fingerprint=name, was_blocked=was_blocked)
         return was_suspect
--- a/sequoiabridge/relay/message_codec.py
+++ b/sequoiabridge/relay/message_codec.py
@@ -124,7 +124,8 @@
 
 
 def _decode_request_survived(fields: list) -> RequestSurvived:
-    return RequestSurvived(_text(fields, 0))
+    age = as_number(fields[1], "the age", 0.0, MAX_CRASH_AGE) if len(fields) > 1 else 0.0
+    return RequestSurvived(_text(fields, 0), age)
 
 
 def _decode_heartbeat(fields: list) -> Heartbeat:
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -114,16 +114,18 @@
 
     Attributes:
         fingerprint: Hash of the request.
+        age: Seconds since the answered run was sent.
     """
 
-    __slots__ = ("fingerprint",)
+    __slots__ = ("fingerprint", "age")
 
-    def __init__(self, fingerprint: str):
+    def __init__(self, fingerprint: str, age: float = 0.0):
         self.fingerprint = fingerprint
+        self.age = age
 
     def fields(self) -> list:
         """Return the datagram's elements."""
-        return [SURVIVED, self.fingerprint]
+        return [SURVIVED, self.fingerprint, round(self.age, 3)]
 
 
 class Heartbeat:
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -36,6 +36,7 @@
         rejected: Share of calls that are rejected, with `rest`.
         leaving: Value of Server-Leaving in all answers; "" for none.
         more_headers: Further headers of answers to calls, by name.
+        answer_size: Minimum size of an answer in bytes.
         crash_path: Path prefix of requests that crash the upstream; "" for none.
         crash_delay: Seconds for which such a request runs before the crash.
         crash_sends_head: Send the head of an answer before the crash.
@@ -65,6 +66,7 @@
         self.rejected = 0.0
         self.leaving = ""
         self.more_headers: dict[str, str] = {}
+        self.answer_size = 0
         self.crash_path = ""
         self.crash_delay = 0.0
         self.crash_sends_head = False
@@ -259,6 +261,7 @@
         if not faults.unsigned:
             headers.append(SIGNATURE)
         body = f"{self.id} {request.header(b'x-attempt-id')} {len(request.body)}".encode()
+        body = body.ljust(faults.answer_size)
         if faults.until_close:
             lines = [b"HTTP/1.1 200 OK"] + [name + b": " + value for name, value in headers]
             await connection.sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n" + body)
--- a/sequoiabridge/tests/relay/test_crashing_requests.py
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -221,3 +221,22 @@
         assert "bad-late" not in busy.runs
 
     run_in_environment(test, reads=2)
+
+
+def test_only_the_whole_of_a_streamed_answer_clears_a_suspect():
+    # An answer cleared the request when its first part had arrived.
+    async def test(env):
+        target, upstream = "/read/large", env.upstreams["r0"]
+        upstream.faults.crash_path = target
+        name = await learn_fingerprint(env, target)
+        suspects = env.gateway.sender.crash_guard.ledger.by_fingerprint
+        await upstream.start(upstream.address)
+        upstream.faults.crash_path, upstream.faults.answer_size = "", 2_000_000
+        upstream.faults.cut = 1.0
+        assert not (await env.call(target, "cut")).is_complete
+        assert name in suspects
+        upstream.faults.cut = 0.0
+        assert (await env.call(target, "whole")).is_complete
+        await env.wait_until(lambda: name not in suspects)
+
+    run_in_environment(test, reads=1)
