Ask at every send whether a request crashes upstreams

Only the beginning of a call asked. A call whose request was blocked while it waited for capacity, or while its first attempt ran, was sent to a second upstream all the same, by a retry or a hedge. The send policy, which each choice of an upstream and each attempt right before its first byte asks, knows the blocks now. A waiting call is refused as soon as the block is known; one whose first attempt may have run gets 502 and is not sent again; an attempt that is running goes on, since its answer may end the block.

--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -127,7 +127,13 @@
 
         Args:
             is_acceptable: Returns whether the call would be sent to an upstream.
+
+        Raises:
+            Refusal: The request has been blocked, and no attempt is open.
         """
+        refusal = self.policy.refusal(call)
+        if refusal is not None and not call.open_attempts:
+            raise refusal
         excluded_ids = call.tried_ids
         call.excluded = {}
         while True:
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -73,6 +73,9 @@
         Raises:
             Refusal: No attempt has one.
         """
+        refusal = self.chooser.policy.refusal(call)
+        if refusal is not None:
+            raise refusal
         self._retry_budget(call).record_call(self.clock.now())
         yield from self._send_first(call)
         while True:
@@ -105,7 +108,9 @@
 
     def _refusal(self, call: Call, attempt: CallAttempt) -> Refusal:
         """Return the refusal of a call that cannot be sent again after an attempt failed."""
-        refusal = None if call.possible_runs else self.chooser.refusal_while_excluded(call)
+        refusal = self.chooser.policy.refusal(call)
+        if refusal is None and not call.possible_runs:
+            refusal = self.chooser.refusal_while_excluded(call)
         if refusal is not None:
             return refusal
         overload_ratio = self.chooser.overload.ratio(call.service, self.clock.now())
@@ -139,7 +144,9 @@
 
     def _may_retry(self, call: Call) -> bool:
         possible_runs = call.possible_runs
-        if possible_runs and not call.route.idempotent:
+        if self.chooser.policy.refusal(call) is not None:
+            call.note = "its request is blocked"
+        elif possible_runs and not call.route.idempotent:
             call.note = "it may have run"
         elif possible_runs >= call.route.max_attempts or len(call.attempts) >= MAX_SENDS:
             call.note = "no attempt left"
--- a/sequoiabridge/balancing/hedging.py
+++ b/sequoiabridge/balancing/hedging.py
@@ -63,7 +63,7 @@
     def find_hedge(self, call: Call, attempt: CallAttempt) -> Steps[CostEstimate | None]:
         """Return the upstream to hedge an attempt with, None if a hedge is not worthwhile."""
         self.postpone_check(call, attempt)
-        if not self._may_hedge(call):
+        if not self._may_hedge(call) or self.chooser.policy.refusal(call) is not None:
             return None
         stats = attempt.upstream.stats
         if not stats.is_unresponsive(self.clock.now()):
--- a/sequoiabridge/balancing/send_policy.py
+++ b/sequoiabridge/balancing/send_policy.py
@@ -1,32 +1,67 @@
-"""Decides whether an upstream may get a call of this VM now, and names the reason if it may not.
+"""Decides whether a call may be sent now, and whether an upstream may get it.
 
 Each choice of an upstream asks here, and each attempt asks again right before it sends. No I/O.
 """
 
 from __future__ import annotations
 
-from ..exceptions import SendWithheld
+from abc import ABC, abstractmethod
+
+from ..exceptions import Refusal, SendWithheld
 from ..timers import Clock
+from .call import Call
 from .exclusion import Exclusion
 from .permits import PERMIT_SECONDS, NoPermits, PermitSource
 from .upstream import Upstream
 
 
+class RequestBlocks(ABC):
+    """Knows the requests that are sent to no upstream."""
+
+    @abstractmethod
+    def refusal(self, call: Call) -> Refusal | None:
+        """Return the refusal of a call whose request is blocked, None if it is not."""
+
+
+class NoBlocks(RequestBlocks):
+    """Blocks no request."""
+
+    def refusal(self, call: Call) -> Refusal | None:
+        """Return None."""
+        return None
+
+
 class SendPolicy:
-    """Knows every reason for which an upstream gets no call.
+    """Knows every reason for which a call is not sent, or an upstream gets no call.
 
     Args:
         permits: Tells for which upstreams with limits permits can be expected.
 
     Attributes:
+        blocks: Tells which requests are blocked.
         counts: Number of times that an upstream was passed over or a send withheld, by reason.
     """
 
     def __init__(self, clock: Clock, permits: PermitSource | None = None):
         self.clock = clock
         self.permits = permits or NoPermits()
+        self.blocks: RequestBlocks = NoBlocks()
         self.counts: dict[Exclusion, int] = {}
 
+    def refusal(self, call: Call) -> Refusal | None:
+        """Return the refusal of a call that no upstream may get, None if one may."""
+        return self.blocks.refusal(call)
+
+    def check_request(self, call: Call) -> None:
+        """Check that a call may still be sent.
+
+        Raises:
+            SendWithheld: Its request has been blocked since the upstream was chosen.
+        """
+        refusal = self.refusal(call)
+        if refusal is not None:
+            raise SendWithheld(f"withheld: {refusal.reason.value}; the request is blocked")
+
     def exclusion(self, upstream: Upstream) -> Exclusion | None:
         """Return why an upstream gets no call of any kind, None if there is no reason.
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -279,7 +279,9 @@
 
     def _build_crash_guard(self) -> CrashGuard:
         detector = CrashDetector(self.connector, self.prober, self.upstreams, self.clock)
-        return CrashGuard(detector, self.sharing, self.decisions, self.clock)
+        guard = CrashGuard(detector, self.sharing, self.decisions, self.clock)
+        self.send_policy.blocks = guard
+        return guard
 
     def _build_servers(self) -> None:
         """Build the servers of the callers', the readiness and the operators' ports."""
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -9,6 +9,7 @@
 import curio
 
 from ..balancing.call import Ending
+from ..balancing.send_policy import RequestBlocks
 from ..exceptions import Refusal
 from ..outcome import Outcome, Reason
 from ..policy.crashes import CRASH_WEIGHT, CrashLedger
@@ -33,10 +34,11 @@
 """Seconds in the Retry-After header of a blocked request."""
 
 
-class CrashGuard:
+class CrashGuard(RequestBlocks):
     """Records which upstreams crashed while running which requests, by request fingerprint.
 
     Attributes:
+        withheld: Number of times that a send was held back because its request is blocked.
         abandoned: Attempts that are still to be checked, with their calls.
     """
 
@@ -48,22 +50,23 @@
         self.decisions = decisions
         self.clock = clock
         self.ledger = CrashLedger(MIN_CRASHED_UPSTREAMS, MIN_CRASHED_UPSTREAMS)
+        self.withheld = 0
         self.abandoned: list[tuple[RelayedCall, Attempt]] = []
         sharing.on_crash = self._record_crash
         sharing.on_survival = self._record_survival
 
-    def check(self, call: RelayedCall) -> None:
-        """Refuse a call if its request is blocked.
-
-        Raises:
-            Refusal: The request has crashed too many upstreams.
-        """
+    def refusal(self, call: RelayedCall) -> Refusal | None:
+        """Return the refusal of a call whose request is blocked, None if it is not."""
         if not self.ledger.blocks:
-            return
+            return None
         if not self.ledger.is_blocked(call.fingerprint, self.clock.now()):
-            return
+            return None
+        self.withheld += 1
+        if call.possible_runs:
+            message = "Upstreams died each time they ran this request, which may have run."
+            return Refusal(502, Outcome.UNKNOWN, Reason.CRASHES_UPSTREAMS, message)
         message = "Upstreams died each time they ran this request. It is not sent to more of them."
-        raise Refusal(503, Outcome.NOT_RUN, Reason.CRASHES_UPSTREAMS, message, RETRY_AFTER)
+        return Refusal(503, Outcome.NOT_RUN, Reason.CRASHES_UPSTREAMS, message, RETRY_AFTER)
 
     async def attempt_ended(self, call: RelayedCall, attempt: Attempt) -> None:
         """Check after an attempt whether its upstream crashed, or clear a suspected request."""
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -37,7 +37,7 @@
 
     Args:
         dispatch: Yields the steps to take for each call.
-        crash_guard: Blocks requests that crash upstreams.
+        crash_guard: Is told how attempts end.
         unread_calls: Waits for calls that were given up but may still be read.
         permits: Gets permits for calls to upstreams with limits.
         notices: Records what upstreams say of the calls that they want.
@@ -76,7 +76,6 @@
         Raises:
             Refusal: No upstream gave a usable answer.
         """
-        self.crash_guard.check(call)
         race = Race()
         try:
             return await self._run_steps(call, race)
--- a/sequoiabridge/tests/balancing/test_send_policy.py
+++ b/sequoiabridge/tests/balancing/test_send_policy.py
@@ -2,10 +2,12 @@
 
 import pytest
 
+from ...balancing.call import Call
 from ...balancing.exclusion import Exclusion
 from ...balancing.permits import PERMIT_SECONDS
-from ...balancing.send_policy import SendPolicy
-from ...exceptions import SendWithheld
+from ...balancing.send_policy import RequestBlocks, SendPolicy
+from ...exceptions import Refusal, SendWithheld
+from ...outcome import Outcome, Reason
 from ...timers import ManualClock
 from ..relay.fakes import record, upstream
 
@@ -60,3 +62,18 @@
     for permit_at in (None, 100.0 - PERMIT_SECONDS - 0.1):
         with pytest.raises(SendWithheld, match="permit-missing"):
             policy.check_send(one, permit_at)
+
+
+def test_a_call_whose_request_is_blocked_is_not_sent():
+    policy, call = SendPolicy(ManualClock(100.0)), Call(100.0)
+    policy.check_request(call)
+    policy.blocks = BlockAll()
+    with pytest.raises(SendWithheld, match="crashes-upstreams"):
+        policy.check_request(call)
+
+
+class BlockAll(RequestBlocks):
+    """Blocks all requests."""
+
+    def refusal(self, call):
+        return Refusal(503, Outcome.NOT_RUN, Reason.CRASHES_UPSTREAMS, "blocked")
--- a/sequoiabridge/tests/relay/test_crashing_requests.py
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -231,6 +231,8 @@
         reply = await waiting.reply()
         assert reply.status == 503 and b"crashes-upstreams" in reply.body
         assert "bad-late" not in busy.runs
+        for connection in connections:
+            await connection.reply()
 
     run_in_environment(test, reads=2)
 
