Take a trial only when its call is about to be sent

A trial was taken from the store before an upstream was chosen, and given back if there was none. VMs that had heard of the count in between did not try again: a wrongly blocked page stayed refused for 18 s in a soak in which all upstreams were away for some time. The trial is taken right before the first byte now, and counts only grow. An upstream that was cancelled at counts as alive only if it has answered something sent within the last 0.2 s; an answer to a health check sent in the 50 ms between the request and the crash hid crashes in silence.

--- a/sequoiabridge/balancing/send_policy.py
+++ b/sequoiabridge/balancing/send_policy.py
@@ -1,6 +1,6 @@
 """Decides whether a call may be sent now, and whether an upstream may get it.
 
-Each choice of an upstream asks here, and each attempt asks again right before it sends. No I/O.
+Each choice of an upstream asks here, and each attempt asks again right before it sends.
 """
 
 from __future__ import annotations
@@ -22,6 +22,10 @@
     def refusal(self, call: Call) -> Refusal | None:
         """Return the refusal of a call whose request is blocked, None if it is not."""
 
+    @abstractmethod
+    async def confirm(self, call: Call) -> None:
+        """Ask, right before a call with a blocked request is sent, whether it still may be."""
+
 
 class NoBlocks(RequestBlocks):
     """Blocks no request."""
@@ -30,6 +34,9 @@
         """Return None."""
         return None
 
+    async def confirm(self, call: Call) -> None:
+        """Do nothing."""
+
 
 class SendPolicy:
     """Knows every reason for which a call is not sent, or an upstream gets no call.
@@ -52,12 +59,13 @@
         """Return the refusal of a call that no upstream may get, None if one may."""
         return self.blocks.refusal(call)
 
-    def check_request(self, call: Call) -> None:
+    async def check_request(self, call: Call) -> None:
         """Check that a call may still be sent.
 
         Raises:
             SendWithheld: Its request has been blocked since the upstream was chosen.
         """
+        await self.blocks.confirm(call)
         refusal = self.refusal(call)
         if refusal is not None:
             raise SendWithheld(f"withheld: {refusal.reason.value}; the request is blocked")
--- a/sequoiabridge/relay/block_table.py
+++ b/sequoiabridge/relay/block_table.py
@@ -90,14 +90,6 @@
         await self._write(fingerprint, version, self.clock.wall() - age, taken + 1)
         return True, taken + 1
 
-    async def give_back_trial(self, fingerprint: str, taken: int) -> None:
-        """Undo a trial that was not sent, if it was the latest."""
-        row = await self._row(fingerprint)
-        block = None if row is None else self._decode(row)
-        if block is not None and block.trials == taken:
-            blocked_at = self.clock.wall() - block.age
-            await self._write(fingerprint, row.version, blocked_at, taken - 1)
-
     async def _row(self, fingerprint: str) -> StoredRow | None:
         rows = (await self.tables.rows(TABLE, start=fingerprint, limit=1)).rows
         return rows[0] if rows and rows[0].key == fingerprint else None
--- a/sequoiabridge/relay/block_trials.py
+++ b/sequoiabridge/relay/block_trials.py
@@ -17,7 +17,7 @@
 of a harmless request still wait; more would crash too many upstreams."""
 
 STORE_RETRY_DELAY = 1.0
-"""Seconds until a trial is attempted again after the store did not answer."""
+"""Seconds until a VM prepares another trial after one was not sent."""
 
 TRIAL_SECONDS = 0.5
 """Seconds in the Retry-After header while a trial is under way."""
@@ -52,28 +52,23 @@
         """Return the seconds after which a caller may find the request unblocked."""
         return min(MAX_RETRY_AFTER, self.seconds_until_due(block) + TRIAL_SECONDS)
 
-    async def take(self, fingerprint: str, block: Block) -> bool:
-        """Return whether a call of a blocked request may be sent now as the fleet's only trial."""
+    def may_begin(self, block: Block) -> bool:
+        """Return whether a call may be prepared as a trial; if so, no other one for some time."""
         if block.trials >= len(TRIAL_DELAYS) or self.seconds_until_due(block) > 0.0:
             return False
-        # Other calls of this VM do not try meanwhile.
         block.not_before = self.clock.now() + STORE_RETRY_DELAY
+        return True
+
+    async def take(self, fingerprint: str, block: Block) -> bool:
+        """Return whether a call that is about to be sent is the fleet's next trial."""
         try:
             is_taken, count = await self.table.take_trial(fingerprint, block.trials)
         except StoreUnavailable as error:
             self.decisions.event("trial-not-taken", fingerprint=fingerprint, why=str(error))
             return False
-        block.record_trials(count, self.clock.now())
+        if count != block.trials:
+            block.trials, block.last_trial_at = count, self.clock.now()
         if is_taken:
             self.taken += 1
             self.decisions.event("trial", fingerprint=fingerprint, number=count)
         return is_taken
-
-    async def give_back(self, fingerprint: str, block: Block) -> None:
-        """Undo a trial whose call was sent nowhere."""
-        try:
-            await self.table.give_back_trial(fingerprint, block.trials)
-        except StoreUnavailable as error:
-            self.decisions.event("trial-not-given-back", fingerprint=fingerprint, why=str(error))
-            return
-        block.trials -= 1
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -91,17 +91,17 @@
         retry_after = self.trials.retry_after(block)
         return Refusal(503, Outcome.NOT_RUN, Reason.CRASHES_UPSTREAMS, message, retry_after)
 
-    async def begin_call(self, call: RelayedCall) -> None:
-        """Let a call run as a trial if its request is blocked and a trial is due."""
+    def begin_call(self, call: RelayedCall) -> None:
+        """Let a call be prepared as a trial if its request is blocked and a trial is due."""
         block = self._block(call)
         if block is not None:
-            call.is_trial = await self.trials.take(call.fingerprint, block)
+            call.is_trial = self.trials.may_begin(block)
 
-    async def end_call(self, call: RelayedCall) -> None:
-        """Give a trial back if its call was sent nowhere."""
-        block = self.ledger.blocks.get(call.fingerprint) if call.is_trial else None
-        if block is not None and not call.was_sent:
-            await self.trials.give_back(call.fingerprint, block)
+    async def confirm(self, call: RelayedCall) -> None:
+        """Take the trial for a call that is about to be sent as one."""
+        block = self._block(call) if call.is_trial else None
+        if block is not None:
+            call.is_trial = await self.trials.take(call.fingerprint, block)
 
     def blocked_here(self, fingerprint: str) -> None:
         """Log a request that this VM has just blocked, and store it soon."""
--- a/sequoiabridge/relay/crash_detection.py
+++ b/sequoiabridge/relay/crash_detection.py
@@ -17,6 +17,10 @@
 """Timeout in seconds for the connection that checks whether an upstream is alive. An upstream that
 lives needs a few milliseconds."""
 
+RECENT_ANSWER_SECONDS = 0.2
+"""Seconds for which an upstream that answers counts as alive. The answer to an older request may
+have come before the crash."""
+
 RESTART_NOTICE_SECONDS = 2.0
 """Seconds within which the platform's list shows that an upstream has started again."""
 
@@ -67,7 +71,7 @@
         if attempt.ending is Ending.BROKEN or attempt.is_streamed:
             if not await self.connector.is_reachable(upstream.address, REACHABLE_TIMEOUT):
                 return True
-        elif upstream.stats.answered_until >= attempt.sent_at:
+        elif upstream.stats.answered_until >= self.clock.now() - RECENT_ANSWER_SECONDS:
             return False
         identity = await self.prober.check_identity(upstream)
         if identity is Identity.NOBODY:
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -76,7 +76,7 @@
         Raises:
             Refusal: No upstream gave a usable answer.
         """
-        await self.crash_guard.blocks.begin_call(call)
+        self.crash_guard.blocks.begin_call(call)
         race = Race()
         try:
             return await self._run_steps(call, race)
@@ -87,7 +87,6 @@
                     self.dispatch.recorder.record(call, attempt)
                 self.crash_guard.attempt_abandoned(call, attempt)
             await self._settle(call)
-            await self.crash_guard.blocks.end_call(call)
 
     async def _settle(self, call: RelayedCall) -> None:
         """Settle the retry tokens of a call, at once or when no upstream can read it any more."""
--- a/sequoiabridge/tests/balancing/test_send_policy.py
+++ b/sequoiabridge/tests/balancing/test_send_policy.py
@@ -1,11 +1,12 @@
 """Every reason for which an upstream gets no call, at its choice and right before the send."""
 
+import curio
 import pytest
 
 from ...balancing.call import Call
 from ...balancing.exclusion import Exclusion
 from ...balancing.permits import PERMIT_SECONDS
-from ...balancing.send_policy import RequestBlocks, SendPolicy
+from ...balancing.send_policy import NoBlocks, SendPolicy
 from ...exceptions import Refusal, SendWithheld
 from ...outcome import Outcome, Reason
 from ...timers import ManualClock
@@ -66,13 +67,13 @@
 
 def test_a_call_whose_request_is_blocked_is_not_sent():
     policy, call = SendPolicy(ManualClock(100.0)), Call(100.0)
-    policy.check_request(call)
+    curio.run(policy.check_request, call)
     policy.blocks = BlockAll()
     with pytest.raises(SendWithheld, match="crashes-upstreams"):
-        policy.check_request(call)
+        curio.run(policy.check_request, call)
 
 
-class BlockAll(RequestBlocks):
+class BlockAll(NoBlocks):
     """Blocks all requests."""
 
     def refusal(self, call):
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -112,7 +112,8 @@
     def call(self, daemon, name):
         """Return whether a call is sent, as a trial or because its request is not blocked."""
         call = SimpleNamespace(fingerprint=name, is_trial=False, possible_runs=0, was_sent=True)
-        curio.run(daemon.begin_call, call)
+        daemon.begin_call(call)
+        curio.run(daemon.confirm, call)
         return daemon.refusal(call) is None
 
 
--- a/sequoiabridge/tests/relay/test_crashing_requests.py
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -302,7 +302,7 @@
     run_in_environment(test, reads=10)
 
 
-def test_a_trial_that_finds_no_upstream_is_given_back():
+def test_a_trial_that_finds_no_upstream_is_not_taken():
     async def test(env):
         set_faults(env, crash_path=CRASHING)
         name = await learn_fingerprint(env)
@@ -311,8 +311,7 @@
             await upstream.crash()
         await curio.sleep(TRIAL_DELAYS[0] + 0.1)
         assert (await env.call(CRASHING, "unsent")).status == 503
-        blocks = env.gateway.blocked_requests.ledger.blocks
-        await env.wait_until(lambda: blocks[name].trials == 0)
+        assert env.gateway.blocked_requests.ledger.blocks[name].trials == 0
 
     run_in_environment(test, reads=2)
 
