Let the soak of crashing requests show divided blame, and count anew after amnesia

Two checks of the oracle: it fails when daemons record no crash, and when only the blame blocks requests, divided among all that crash upstreams as before.

--- a/sequoiabridge/tests/platform/soak/crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/crash_soak.py
@@ -24,6 +24,9 @@
 RARE_SHARE = 0.3
 """Share of reads that ask for a page of their own."""
 
+SAVE_SECONDS = 1.0
+"""Seconds after a fault of the store within which what daemons know has been written to it."""
+
 QUIET_SECONDS = 2.0
 """Seconds without crashing requests at the start."""
 
@@ -54,6 +57,7 @@
     Attributes:
         crash_faults: Faults that say how upstreams crash.
         sources: Addresses from which crashing requests come.
+        store_back_at: Time at which the latest fault of the store ends.
         loops: Tasks that run until the end.
         under_way: Tasks of single calls and starts.
     """
@@ -89,6 +93,7 @@
         }
         many = scenario is CrashScenario.ADDRESSES or (is_random and draw.random() < 0.5)
         self.sources = SOURCE_ADDRESSES if many else SOURCE_ADDRESSES[:1]
+        self.store_back_at = float("-inf")
         self.loops: list[curio.Task] = []
         self.under_way = curio.TaskGroup(wait=all)
         self.deployment.upstream_counts = {"reads": reads, "approvals": 2}
@@ -229,10 +234,17 @@
 
     async def kill_all_daemons(self, seconds: float) -> None:
         """Kill all daemons at the same moment."""
+        if self.now() < self.store_back_at + SAVE_SECONDS:
+            self.deployment.record.amnesias.append(self.now())
         for daemon in self.deployment.daemons:
             self.record_fault(3.0, f"kill {daemon.name}")
             daemon.signal(signal.SIGKILL)
 
+    async def inject_store_fault(self, seconds: float) -> None:
+        """Disturb the store, and remember until when."""
+        self.store_back_at = max(self.store_back_at, self.now() + seconds)
+        await super().inject_store_fault(seconds)
+
     async def lose_datagrams(self, seconds: float) -> None:
         """Lose a share of the datagrams that all daemons send to their peers."""
         share = self.random.uniform(0.05, MAX_LOSS)
--- a/sequoiabridge/tests/platform/soak/faulty_gateway.py
+++ b/sequoiabridge/tests/platform/soak/faulty_gateway.py
@@ -15,6 +15,7 @@
 IGNORE_RESTS = "--ignore-rests"
 IGNORE_DEPARTURES = "--ignore-departures"
 IGNORE_CRASHES = "--ignore-crashes"
+DIVIDE_BLAME = "--divide-blame"
 
 
 class LossyChannel(Channel):
@@ -32,6 +33,12 @@
         super().send(message, [a for a in addresses if self.random.random() >= share])
 
 
+def divide_blame(ledger_class) -> None:
+    """Let only the blame block requests, which is divided among all that crash upstreams."""
+    ledger_class.has_enough_evidence = lambda ledger, fingerprint: False
+    ledger_class._uses_blame = True
+
+
 def main(settings: str, *options: str) -> int:
     """Run the daemon of a settings file."""
     from ....policy.crashes import CrashLedger
@@ -46,6 +53,8 @@
         Rests.record = lambda *arguments: None
     if IGNORE_CRASHES in options:
         CrashLedger.record_crash = lambda *arguments: False
+    if DIVIDE_BLAME in options:
+        divide_blame(CrashLedger)
     if IGNORE_DEPARTURES in options:
         Departures.record = lambda *arguments: None
 
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -80,6 +80,8 @@
         upstream_starts: Time and upstream of each start of an upstream.
         unreadable_limits: Time and upstream of each change to a value that is no number.
         starts: Time and daemon of each start but the first.
+        amnesias: Times at which all daemons ended while the store could not be written, so that
+            nothing of what they knew remained.
         crashes: Time and call id of each crash of an upstream because of a request.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
     """
@@ -100,6 +102,7 @@
         self.departures: list[tuple[float, str, str]] = []
         self.upstream_starts: list[tuple[float, str]] = []
         self.starts: list[tuple[float, str]] = []
+        self.amnesias: list[float] = []
         self.crashes: list[tuple[float, str]] = []
         self.disturbances: list[tuple[float, float, str]] = []
 
--- a/sequoiabridge/tests/platform/soak/test_crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_crash_soak.py
@@ -6,7 +6,7 @@
 
 from .crash_soak import CrashScenario, CrashSoak
 from .crashes import MAX_LATE_SENDS, check_crashes
-from .faulty_gateway import IGNORE_CRASHES
+from .faulty_gateway import DIVIDE_BLAME, IGNORE_CRASHES
 from .record import READ, Arrival, CallRecord, Record
 from .runner import run_soak
 
@@ -46,6 +46,13 @@
     assert any("late sends" in violation for violation in run_soak(soak))
 
 
+def test_the_soak_detects_daemons_that_divide_the_blame_among_all_causes():
+    # Without a bound, crashing requests protected each other.
+    soak = crash_soak(CrashScenario.TOGETHER, 5, 10.0, reads=18, seconds=18.0)
+    soak.deployment.daemon_options = [DIVIDE_BLAME]
+    assert any("late sends" in violation for violation in run_soak(soak))
+
+
 def crash_record(sends):
     """Return a record of a request that crashed three upstreams until 5.0, and was sent again."""
     record = Record()
@@ -65,6 +72,18 @@
     assert violation == "/read/crashing-0: 3 crashes, 4 late sends, 0 refused"
 
 
+def test_the_oracle_counts_anew_once_all_daemons_have_ended_while_the_store_was_away():
+    record = crash_record([8.1, 8.2, 8.3, 9.0])
+    record.amnesias = [6.0]
+    assert check_crashes(record) == []
+    record.crashes += [(6.5, "c3"), (6.6, "c4"), (6.7, "c5")]
+    assert check_crashes(record) == []
+    for number, at in enumerate((9.8, 9.9, 10.0, 10.1)):
+        record.calls.append(CallRecord(f"d{number}", READ, "vm-1", at, "/read/crashing-0"))
+        record.arrivals.append(Arrival(f"d{number}", "reads", at, "u"))
+    assert len(check_crashes(record)) == 1
+
+
 @pytest.mark.parametrize(("last", "violated"), [(24.0, False), (26.0, True)])
 def test_the_oracle_detects_a_harmless_request_that_stays_blocked(last, violated):
     record = crash_record([])
