Clear no suspect of the fleet daemon by a failure, and hedge no blocked call

The fleet daemon uses the same ledger. Any complete answer, also a 500, cleared a request at all VMs, dated by its end instead of its start; and a hedge did not ask whether the request was blocked meanwhile. Still open there: an upstream that ends in silence, or whose address is taken again at once, does not count as crashed.

--- a/sequoiabridge/pipeline/attempt_recorder.py
+++ b/sequoiabridge/pipeline/attempt_recorder.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from ..balancing.call import MIN_FAILURE_STATUS
 from ..exceptions import UpstreamFailed
 from ..operators.steps import AttemptFailed
 from ..policy.base import Failure
@@ -49,8 +50,11 @@
         """Record that an upstream crashed while an upload was being delivered to it."""
 
     @abstractmethod
-    def record_answer(self, exchange: Exchange) -> None:
-        """Record that a call was answered; called only while there are crash suspects."""
+    def record_answer(self, exchange: Exchange, age: float) -> None:
+        """Record an answer to an attempt that started `age` seconds ago.
+
+        Called only while there are crash suspects.
+        """
 
     @abstractmethod
     def record_retry(self, service: str, hedge: bool) -> None:
@@ -139,8 +143,9 @@
         state.pool.record_answer(attempt.upstream, now, status, elapsed, attempt.metadata.load)
         state.retry_budget.record_success(now)
         state.hedging.record_latency(elapsed)
-        if state.ledger.by_fingerprint:
-            self.observer.record_answer(attempt.exchange)
+        # A failure may come from an upstream that did not run the request.
+        if state.ledger.by_fingerprint and status < MIN_FAILURE_STATUS:
+            self.observer.record_answer(attempt.exchange, now - attempt.started)
 
     async def record_failure(
         self, state: ServiceState, attempt: Attempt, error: UpstreamFailed
--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -134,7 +134,9 @@
         attempts = [first]
         upstream = state.pool.choose(self.clock.now(), tried)
         remaining = exchange.deadline - self.clock.now()
-        if upstream is not None and upstream.name not in tried and self._take_retry_token(state):
+        is_usable = upstream is not None and upstream.name not in tried
+        is_blocked = is_request_blocked(state.ledger, exchange, self.clock.now())
+        if is_usable and not is_blocked and self._take_retry_token(state):
             attempts.append(self._start_attempt(exchange, state, upstream, fresh=True))
             tried.append(upstream.name)
             self.observer.record_retry(exchange.service.name, True)
--- a/sequoiabridge/pipeline/sharing.py
+++ b/sequoiabridge/pipeline/sharing.py
@@ -97,12 +97,12 @@
         ledger.record_crash(fingerprint, upstream, self.vm, wall, now)
         self.fleet.publish(CrashItem(fingerprint, upstream, wall), Urgency.CRASH)
 
-    def record_answer(self, exchange: Exchange) -> None:
+    def record_answer(self, exchange: Exchange, age: float) -> None:
         ledger = self.services.state_of(exchange).ledger
-        fingerprint, wall = request_fingerprint(exchange), self.clock.wall()
+        fingerprint, sent_at = request_fingerprint(exchange), self.clock.wall() - age
         # Peers that know of the crashes, or learn of them later, may receive no answer themselves.
-        if ledger.record_answer(fingerprint, wall):
-            self.fleet.publish(CrashItem(fingerprint, "", wall, released=True), Urgency.CRASH)
+        if ledger.record_answer(fingerprint, sent_at):
+            self.fleet.publish(CrashItem(fingerprint, "", sent_at, released=True), Urgency.CRASH)
 
     def record_retry(self, service: str, hedge: bool) -> None:
         self.metrics.retries.add(service, "hedge" if hedge else "retry")
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -142,7 +142,7 @@
     def record_upload_crash(self, service, upload, upstream):
         return None
 
-    def record_answer(self, exchange):
+    def record_answer(self, exchange, age):
         return None
 
     def record_retry(self, service, hedge):
@@ -162,6 +162,9 @@
             request_fingerprint(exchange), upstream, "vm-1", self.clock.wall(), self.clock.now()
         )
 
+    def record_answer(self, exchange, age):
+        self.ledger.record_answer(request_fingerprint(exchange), self.clock.wall() - age)
+
 
 def document(upstreams: int, **rule) -> Document:
     """Return a configuration of one service with one rule and the given number of upstreams."""
--- a/sequoiabridge/tests/pipeline/test_dispatch.py
+++ b/sequoiabridge/tests/pipeline/test_dispatch.py
@@ -93,6 +93,29 @@
     assert scene.services.by_name["s"].ledger.list_suspects(scene.clock.now()) == []
 
 
+def suspected_scene(behaviour, **rule):
+    """Return a scene whose call has crashed two upstreams at other VMs, and its call."""
+    scene = DispatchScene(behaviour, behaviour, **rule)
+    record_crashes_in_ledger(scene)
+    exchange = scene.exchange()
+    for upstream in ("x1", "x2"):
+        scene.dispatch.recorder.observer.record_crash(exchange, upstream)
+    return scene, exchange
+
+
+def test_a_failure_answer_clears_no_suspect():
+    scene, exchange = suspected_scene(Behaviour.FAIL, **NOT_IDEMPOTENT)
+    assert scene.run(exchange).status == 500
+    assert scene.services.by_name["s"].ledger.by_fingerprint
+
+
+def test_a_blocked_call_is_not_hedged():
+    scene, exchange = suspected_scene(Behaviour.NEVER_ANSWER, **HEDGED)
+    exchange.deadline = scene.clock.now() + 0.3
+    assert get_refusal(scene, exchange).reason is Reason.TIMEOUT
+    assert len(scene.connector.received) == 1
+
+
 def test_server_error_of_a_non_idempotent_call_is_not_retried():
     scene = DispatchScene(Behaviour.FAIL, Behaviour.ANSWER, Behaviour.ANSWER, **NOT_IDEMPOTENT)
     for _ in range(8):
--- a/sequoiabridge/tests/pipeline/test_sharing.py
+++ b/sequoiabridge/tests/pipeline/test_sharing.py
@@ -32,7 +32,7 @@
     exchange = local_scene.exchange()
     for upstream in ("u1", "u2"):
         local.record_crash(exchange, upstream)
-    local.record_answer(exchange)
+    local.record_answer(exchange, 0.0)
     # Items may arrive in any order.
     for item in reversed(fleet.pending):
         assert isinstance(item, CrashItem)
