Show suspected and blocked requests in metrics and the state dump

An operator could not see which requests are suspected or blocked, how many trials there were and how many calls a block held back. The dump has upstreams, evidence, seconds, trials and withheld calls by fingerprint; four metrics have the numbers.

--- a/sequoiabridge/policy/crashes.py
+++ b/sequoiabridge/policy/crashes.py
@@ -101,7 +101,7 @@
         trials: Number of trials that are known to have been taken.
         last_trial_at: Time of the latest one, None before the first.
         not_before: Time before which no trial is attempted.
-        withheld: Number of times that a send was held back.
+        withheld: Number of calls that this VM did not send because of it.
     """
 
     __slots__ = (
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -11,6 +11,7 @@
 import curio
 
 from ..balancing.send_policy import RequestBlocks
+from ..component import Component
 from ..exceptions import Refusal, StoreUnavailable
 from ..outcome import Outcome, Reason
 from ..policy.crashes import Block, CrashLedger
@@ -44,18 +45,20 @@
 """Seconds until the table is read again after the store did not answer."""
 
 
-class BlockedRequests(RequestBlocks):
+class BlockedRequests(RequestBlocks, Component):
     """Refuses calls with blocked requests, but for trials, and spreads and stores the blocks.
 
     Args:
         ledger: Knows the blocks.
 
     Attributes:
-        withheld: Number of times that a send was held back.
+        withheld: Number of calls that were not sent, or not again.
         unsaved: Whether each request whose row must be changed is blocked.
         rounds: Number of times that peers were told of blocks.
     """
 
+    name = "blocked_requests"
+
     def __init__(
         self,
         ledger: CrashLedger,
@@ -82,8 +85,6 @@
         block = self._block(call)
         if block is None or (call.is_trial and not call.possible_runs):
             return None
-        self.withheld += 1
-        block.withheld += 1
         if call.possible_runs:
             message = "Upstreams died each time they ran this request, which may have run."
             return Refusal(502, Outcome.UNKNOWN, Reason.CRASHES_UPSTREAMS, message)
@@ -103,6 +104,13 @@
         if block is not None:
             call.is_trial = await self.trials.take(call.fingerprint, block)
 
+    def record_withheld(self, call: RelayedCall) -> None:
+        """Count a call that was refused because its request is blocked."""
+        self.withheld += 1
+        block = self.ledger.blocks.get(call.fingerprint)
+        if block is not None:
+            block.withheld += 1
+
     def blocked_here(self, fingerprint: str) -> None:
         """Log a request that this VM has just blocked, and store it soon."""
         self.unsaved[fingerprint] = True
@@ -185,6 +193,20 @@
                     self._log_block(row.fingerprint, "store")
             return
 
+    def dump(self) -> dict:
+        """Describe suspected and blocked requests for the state dump."""
+        ledger, now = self.ledger, self.clock.now()
+        return {
+            fingerprint: {
+                "upstreams": sorted(
+                    {crash.upstream for crash in ledger.by_fingerprint.get(fingerprint, ())}
+                ),
+                "evidence": ledger.evidence(fingerprint),
+                "blocked": describe(ledger.blocks.get(fingerprint), now),
+            }
+            for fingerprint in {**ledger.by_fingerprint, **ledger.blocks}
+        }
+
     def _block(self, call: RelayedCall) -> Block | None:
         if not self.ledger.blocks:
             return None
@@ -198,3 +220,14 @@
 
     def _log_block(self, fingerprint: str, told_by: str) -> None:
         self.decisions.event("request-blocked", fingerprint=fingerprint, told_by=told_by)
+
+
+def describe(block: Block | None, now: float) -> dict | None:
+    """Return a block's state for the state dump, None without a block."""
+    if block is None:
+        return None
+    return {
+        "seconds": round(now - block.learned_at, 1),
+        "trials": block.trials,
+        "withheld": block.withheld,
+    }
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -240,6 +240,9 @@
     yield "sequoia_permits_unanswered", "Requests without a reply.", gateway.permits.unanswered
     to_peers = gateway.permits.granted_to_peers
     yield "sequoia_permits_to_peers", "Permits granted to other VMs.", to_peers
+    blocks = gateway.blocked_requests
+    yield "sequoia_block_withheld", "Calls refused as crashing upstreams.", blocks.withheld
+    yield "sequoia_block_trials", "Blocked requests that this VM let run.", blocks.trials.taken
     yield "sequoia_log_omitted", "Lines left out of the log.", gateway.decisions.omitted
 
 
@@ -252,6 +255,9 @@
     yield "sequoia_calls_in_flight", "Calls under way.", gateway.callers.in_flight
     unread = gateway.sender.unread_calls.count
     yield "sequoia_unread_calls", "Calls given up that an upstream may still read.", unread
+    ledger = gateway.blocked_requests.ledger
+    yield "sequoia_crash_suspects", "Requests with crashes.", len(ledger.by_fingerprint)
+    yield "sequoia_blocked_requests", "Requests that are blocked.", len(ledger.blocks)
     leases = gateway.permits.register.count(gateway.clock.now())
     yield "sequoia_limit_leases", "VMs that made this one their coordinator.", leases
     lost = any(follower.store_unavailable for follower in gateway.followers.values())
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -99,6 +99,7 @@
             gateway.request_limits,
             gateway.notices,
             gateway.permits,
+            gateway.blocked_requests,
             gateway.sender.dispatch,
             *gateway.followers.values(),
         )
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -17,6 +17,8 @@
     Sleep,
     Step,
 )
+from ..exceptions import Refusal
+from ..outcome import Reason
 from ..pipeline.exchange import Answer
 from ..timers import Clock
 from ..upstreams.base import Connector
@@ -80,6 +82,10 @@
         race = Race()
         try:
             return await self._run_steps(call, race)
+        except Refusal as refusal:
+            if refusal.reason is Reason.CRASHES_UPSTREAMS:
+                self.crash_guard.blocks.record_withheld(call)
+            raise
         finally:
             await race.cancel_all()
             for attempt in call.open_attempts:
--- a/sequoiabridge/tests/test_gateway.py
+++ b/sequoiabridge/tests/test_gateway.py
@@ -310,6 +310,7 @@
         text = (await operators.call("/metrics")).body.decode()
         assert 'sequoia_calls_total{route="read",status="2xx"} 1.0' in text
         assert "sequoia_call_seconds_bucket" in text
+        assert "sequoia_blocked_requests 0.0" in text and "sequoia_block_trials_total 0.0" in text
         dump = json.loads((await operators.call("/dump")).body)
         assert set(dump["upstreams"]["upstreams"]) == {"r0", "r1", "a0", "a1"}
 
