--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -179,3 +179,19 @@
     first.ended("page", block, True)
     curio.run(first.save)
     assert not fleet.table.values
+
+
+def test_a_call_is_no_trial_if_another_vm_took_one_while_it_was_prepared():
+    # It was sent as the second trial at once.
+    fleet = Fleet(1)
+    (daemon,) = fleet.daemons
+    for number in range(MAX_CRASHES):
+        fleet.crash(daemon, "crashing", f"u{number}")
+    fleet.clock.advance(TRIAL_DELAYS[0])
+    call = SimpleNamespace(fingerprint="crashing", is_trial=False, possible_runs=0, was_sent=True)
+    daemon.begin_call(call)
+    assert call.is_trial
+    assert curio.run(daemon.table.take_trial, "crashing", 0) == (True, 1)
+    daemon.handle_block(RequestBlocked("crashing", 1.0, 1))
+    curio.run(daemon.confirm, call)
+    assert not call.is_trial and daemon.refusal(call) is not None
