Store the crashes of a request from the second upstream on

Only blocks were written to the store. The VM that sees a crash of a request with two upstreams or more writes a row for each; processes read the rows when they start, in the call that reads the blocks; the VM that sees the request answered removes them.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 bench-limits: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.benchmarks.policy_limits
 
-.PHONY: soak-platform soak-retries soak-limits soak-notices
+.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes
 soak-platform: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --seeds 3
 
@@ -94,5 +94,8 @@
 soak-notices: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --notices RANDOM --daemons 13 --seconds 30 --seeds 3
 
+soak-crashes: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --crashes RANDOM --daemons 5 --reads 14 --seconds 24 --seeds 3
+
 soak-retries: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --retries RANDOM --seconds 40 --seeds 3
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from random import Random
 
 import curio
@@ -16,7 +17,7 @@
 from ..outcome import Outcome, Reason
 from ..policy.crashes import Block, CrashLedger
 from ..timers import Clock
-from .block_table import BlockTable
+from .block_table import BlockTable, StoredBlock, StoredCrash
 from .block_trials import BlockTrials
 from .call import RelayedCall
 from .decisions import DecisionLog
@@ -41,10 +42,25 @@
 SAVE_INTERVAL = 0.25
 """Seconds between two times at which changes are written to the table."""
 
+MIN_STORED_CRASHES = 2
+"""Number of upstreams that must have crashed with a request before that is stored; most suspects
+have crashed none."""
+
+STORE = "store"
+"""Names the store as the source of a crash or a block."""
+
 LOAD_RETRY_DELAY = 0.5
 """Seconds until the table is read again after the store did not answer."""
 
 
+class Change(Enum):
+    """What is to be written of a request."""
+
+    SUSPECTED = "suspected"
+    BLOCKED = "blocked"
+    CLEARED = "cleared"
+
+
 class BlockedRequests(RequestBlocks, Component):
     """Refuses calls with blocked requests, but for trials, and spreads and stores the blocks.
 
@@ -53,7 +69,8 @@
 
     Attributes:
         withheld: Number of calls that were not sent, or not again.
-        unsaved: Whether each request whose row must be changed is blocked.
+        unsaved: What is to be written to the table, by request.
+        saved_crashes: Crashes of requests in the table, as far as this VM wrote or read them.
         rounds: Number of times that peers were told of blocks.
     """
 
@@ -76,7 +93,8 @@
         self.clock = clock
         self.random = random
         self.withheld = 0
-        self.unsaved: dict[str, bool] = {}
+        self.unsaved: dict[str, Change] = {}
+        self.saved_crashes: dict[str, list[StoredCrash]] = {}
         self.rounds = 0
         sharing.on_block = self.handle_block
 
@@ -113,9 +131,20 @@
 
     def blocked_here(self, fingerprint: str) -> None:
         """Log a request that this VM has just blocked, and store it soon."""
-        self.unsaved[fingerprint] = True
+        self.unsaved[fingerprint] = Change.BLOCKED
         self._log_block(fingerprint, "crashes")
 
+    def suspected_here(self, fingerprint: str) -> None:
+        """Store the crashes of a request of which this VM has seen one, if there are several."""
+        crashes = self.ledger.by_fingerprint.get(fingerprint, ())
+        if len({crash.upstream for crash in crashes}) >= MIN_STORED_CRASHES:
+            self.unsaved[fingerprint] = Change.SUSPECTED
+
+    def cleared_here(self, fingerprint: str) -> None:
+        """Remove the stored crashes of a request that this VM saw answered."""
+        if fingerprint in self.saved_crashes or fingerprint in self.unsaved:
+            self.unsaved[fingerprint] = Change.CLEARED
+
     def blocked_by_peers(self, fingerprint: str) -> None:
         """Log a request that the crashes at other VMs have blocked; these store it."""
         self._log_block(fingerprint, "crashes-at-peers")
@@ -123,7 +152,7 @@
     def ended(self, fingerprint: str, block: Block, was_seen_here: bool) -> None:
         """Log the end of a block; remove it from the table if this VM saw why it ends."""
         if was_seen_here:
-            self.unsaved[fingerprint] = False
+            self.unsaved[fingerprint] = Change.CLEARED
         self.decisions.event(
             "request-unblocked",
             fingerprint=fingerprint,
@@ -164,19 +193,30 @@
 
     async def save(self) -> None:
         """Write changes to the table; called periodically. Changes that fail remain unsaved."""
-        for fingerprint, is_blocked in list(self.unsaved.items()):
-            block = self.ledger.blocks.get(fingerprint)
+        for fingerprint, change in list(self.unsaved.items()):
             try:
-                if not is_blocked:
-                    await self.table.remove(fingerprint)
-                elif block is not None:
-                    await self.table.add(fingerprint, self.clock.now() - block.at)
+                await self._save(fingerprint, change)
             except StoreUnavailable as error:
                 self.decisions.event("block-not-saved", fingerprint=fingerprint, why=str(error))
                 return
-            if self.unsaved.get(fingerprint) is is_blocked:
+            if self.unsaved.get(fingerprint) is change:
                 del self.unsaved[fingerprint]
 
+    async def _save(self, fingerprint: str, change: Change) -> None:
+        now = self.clock.now()
+        if change is Change.CLEARED:
+            await self.table.remove(fingerprint, self.saved_crashes.pop(fingerprint, ()))
+            return
+        block = self.ledger.blocks.get(fingerprint)
+        if change is Change.BLOCKED and block is not None:
+            await self.table.add(fingerprint, now - block.at)
+            return
+        crashes = self.ledger.by_fingerprint.get(fingerprint, ())
+        if crashes:
+            stored = [StoredCrash(fingerprint, one.upstream, now - one.at) for one in crashes]
+            await self.table.add_crashes(stored)
+            self.saved_crashes[fingerprint] = stored
+
     async def load(self) -> None:
         """Read the table; retry until the store answers."""
         while True:
@@ -186,13 +226,27 @@
                 self.decisions.event("blocks-not-loaded", why=str(error))
                 await curio.sleep(LOAD_RETRY_DELAY)
                 continue
-            now = self.clock.now()
-            for row in stored:
-                if self.ledger.record_block(row.fingerprint, now - row.age, now):
-                    self.ledger.blocks[row.fingerprint].record_trials(row.trials, now)
-                    self._log_block(row.fingerprint, "store")
+            for entry in stored:
+                self._record_stored(entry)
             return
 
+    def _record_stored(self, entry: StoredBlock | StoredCrash) -> None:
+        now, name = self.clock.now(), entry.fingerprint
+        at = now - entry.age
+        if isinstance(entry, StoredCrash):
+            self.saved_crashes.setdefault(name, []).append(entry)
+            if self.ledger.record_crash(name, entry.upstream, STORE, at, now):
+                self.decisions.event(
+                    "request-crashed",
+                    fingerprint=name,
+                    upstream=entry.upstream,
+                    seen_by=STORE,
+                    stopped=name in self.ledger.blocks,
+                )
+        elif self.ledger.record_block(name, at, now):
+            self.ledger.blocks[name].record_trials(entry.trials, now)
+            self._log_block(name, STORE)
+
     def dump(self) -> dict:
         """Describe suspected and blocked requests for the state dump."""
         ledger, now = self.ledger, self.clock.now()
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -115,6 +115,8 @@
         self._log_crash(crashed, seen_by)
         if name in self.ledger.blocks and not was_blocked:
             self._block_began(name)
+        elif seen_by == OWN and not was_blocked:
+            self.blocks.suspected_here(name)
         return True
 
     def _block_began(self, name: str) -> None:
@@ -151,4 +153,6 @@
         self.decisions.event("request-cleared", fingerprint=name, seen_by=seen_by)
         if block is not None and name not in self.ledger.blocks:
             self.blocks.ended(name, block, seen_by == OWN)
+        elif seen_by == OWN:
+            self.blocks.cleared_here(name)
         return True
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -195,3 +195,32 @@
     daemon.handle_block(RequestBlocked("crashing", 1.0, 1))
     curio.run(daemon.confirm, call)
     assert not call.is_trial and daemon.refusal(call) is not None
+
+
+def test_a_new_fleet_knows_the_crashes_of_a_request_that_was_not_blocked_yet():
+    # All daemons were killed again and again, and each fleet began to count anew.
+    fleet = Fleet(1)
+    (old,) = fleet.daemons
+    for number in range(MAX_CRASHES - 1):
+        fleet.crash(old, "crashing", f"u{number}")
+        old.suspected_here("crashing")
+        curio.run(old.save)
+    new = fleet.start()
+    curio.run(new.load)
+    now = fleet.clock.now()
+    new.ledger.record_crash("crashing", "u9", "vm", now, now)
+    assert "crashing" in new.ledger.blocks
+
+
+def test_the_stored_crashes_of_a_request_are_removed_when_it_is_answered():
+    fleet = Fleet(1)
+    (daemon,) = fleet.daemons
+    for number in range(MAX_CRASHES - 1):
+        fleet.crash(daemon, "page", f"u{number}")
+    daemon.suspected_here("page")
+    curio.run(daemon.save)
+    assert len(fleet.table.values) == MAX_CRASHES - 1
+    daemon.ledger.record_answer("page", fleet.clock.now())
+    daemon.cleared_here("page")
+    curio.run(daemon.save)
+    assert not fleet.table.values
--- a/sequoiabridge/tests/relay/test_crashing_requests.py
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ...pipeline.exchange import Request
-from ...relay.block_table import TABLE
+from ...relay.block_table import SEPARATOR, TABLE
 from ...relay.block_trials import TRIAL_DELAYS
 from ...relay.fingerprints import request_fingerprint
 from ...relay.messages import RequestCrashed
@@ -305,7 +305,11 @@
         assert state["blocked"]["trials"] == 1 and len(state["upstreams"]) == before + 1
         reply = await env.call(CRASHING, "bad-after")
         assert reply.status == 503 and float(reply.headers[b"retry-after"]) > 5.0
-        rows = [value for key, (value, _) in env.store.rows.items() if key[0] == TABLE]
+        rows = [
+            value
+            for (table, _, key), (value, _) in env.store.rows.items()
+            if table == TABLE and SEPARATOR not in key
+        ]
         assert [json.loads(row)["trials"] for row in rows] == [1]
 
     run_in_environment(test, reads=10)
@@ -332,6 +336,7 @@
         await env.store.put(TABLE, "known", row)
         await env.store.put(TABLE, "expired", old)
         await env.store.put(TABLE, "invalid", {"trials": "many"})
+        await env.store.put(TABLE, "invalid/u1", {"at": None})
         await env.gateway.blocked_requests.load()
         assert set(env.gateway.blocked_requests.ledger.blocks) == {"known"}
         assert [key[2] for key in env.store.rows if key[0] == TABLE] == ["known"]
