--- a/sequoiabridge/tests/relay/test_crashing_requests.py
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -342,3 +342,17 @@
         assert [key[2] for key in env.store.rows if key[0] == TABLE] == ["known"]
 
     run_in_environment(test)
+
+
+def test_the_line_of_a_call_that_an_upstream_left_unanswered_has_its_fingerprint():
+    # The line of a call could not be matched with the lines of the request that crashed upstreams.
+    async def test(env):
+        env.upstreams["r0"].faults.crash_path = CRASHING
+        await env.call(CRASHING, "c1")
+        await env.wait_until(lambda: [x for x in env.log_lines if b"request-crashed" in x])
+        lines = [json.loads(line) for line in env.log_lines]
+        (call,) = [line for line in lines if line["event"] == "call"]
+        (crash,) = [line for line in lines if line["event"] == "request-crashed"]
+        assert call["fingerprint"] == crash["fingerprint"] and crash["upstreams"] == 1
+
+    run_in_environment(test, reads=1)
--- a/sequoiabridge/tests/test_gateway.py
+++ b/sequoiabridge/tests/test_gateway.py
@@ -99,19 +99,6 @@
     run_in_environment(test)
 
 
-def test_the_line_of_a_call_that_an_upstream_left_unanswered_has_its_fingerprint():
-    # The line of a call could not be matched with the lines of the request that crashed upstreams.
-    async def test(env):
-        env.upstreams["r0"].faults.crash_path = READ
-        await env.call(READ, "c1")
-        await env.wait_until(lambda: [x for x in env.log_lines if b"request-crashed" in x])
-        (call,) = calls_of(env)
-        (crash,) = [json.loads(line) for line in env.log_lines if b"request-crashed" in line]
-        assert call["fingerprint"] == crash["fingerprint"] and crash["upstreams"] == 1
-
-    run_in_environment(test, reads=1)
-
-
 def test_a_late_duplicate_answer_is_not_returned_to_another_call():
     async def test(env):
         for upstream in env.upstreams.values():
