Make one call at a time to a store that does not answer

One save runs at a time now, and the next begins 1 s after one that failed. The new test fails on the parent; the test of saving waits that second.

--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -42,6 +42,9 @@
 SAVE_INTERVAL = 0.25
 """Seconds between two times at which changes are written to the table."""
 
+SAVE_RETRY_DELAY = 1.0
+"""Seconds until changes are written again after the store did not answer."""
+
 MIN_STORED_CRASHES = 2
 """Number of upstreams that must have crashed with a request before that is stored; most suspects
 have crashed none."""
@@ -71,6 +74,7 @@
         withheld: Number of calls that were not sent, or not again.
         unsaved: What is to be written to the table, by request.
         saved_crashes: Crashes of requests in the table, as far as this VM wrote or read them.
+        next_save_at: Time before which nothing is written to the table.
         rounds: Number of times that peers were told of blocks.
     """
 
@@ -95,6 +99,7 @@
         self.withheld = 0
         self.unsaved: dict[str, Change] = {}
         self.saved_crashes: dict[str, list[StoredCrash]] = {}
+        self.next_save_at = float("-inf")
         self.rounds = 0
         sharing.on_block = self.handle_block
 
@@ -193,14 +198,27 @@
 
     async def save(self) -> None:
         """Write changes to the table; called periodically. Changes that fail remain unsaved."""
+        if self.clock.now() < self.next_save_at:
+            return
+        # No other call begins while the store does not answer.
+        self.next_save_at = float("inf")
+        delay = SAVE_RETRY_DELAY
+        try:
+            delay = await self._save_all()
+        finally:
+            self.next_save_at = self.clock.now() + delay
+
+    async def _save_all(self) -> float:
+        """Write all changes, or up to the first that fails; return the seconds until the next."""
         for fingerprint, change in list(self.unsaved.items()):
             try:
                 await self._save(fingerprint, change)
             except StoreUnavailable as error:
                 self.decisions.event("block-not-saved", fingerprint=fingerprint, why=str(error))
-                return
+                return SAVE_RETRY_DELAY
             if self.unsaved.get(fingerprint) is change:
                 del self.unsaved[fingerprint]
+        return 0.0
 
     async def _save(self, fingerprint: str, change: Change) -> None:
         now = self.clock.now()
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -9,7 +9,7 @@
 from ...policy.crashes import CrashLedger
 from ...relay.block_table import BlockTable
 from ...relay.block_trials import TRIAL_DELAYS
-from ...relay.blocked_requests import TELL_INTERVAL, BlockedRequests
+from ...relay.blocked_requests import SAVE_RETRY_DELAY, TELL_INTERVAL, BlockedRequests
 from ...relay.message_codec import decode_message, encode_message
 from ...relay.messages import RequestBlocked, RequestSurvived
 from ...store.rows import Rows, StoredRow
@@ -172,6 +172,10 @@
     curio.run(first.save)
     assert first.unsaved and not fleet.table.values
     fleet.table.is_down = False
+    calls = fleet.table.calls
+    curio.run(first.save)
+    assert fleet.table.calls == calls, "it waits before it asks again"
+    fleet.clock.advance(SAVE_RETRY_DELAY)
     curio.run(first.save)
     assert list(fleet.table.values) == ["page"] and not first.unsaved
     block = first.ledger.blocks["page"]
@@ -224,3 +228,27 @@
     daemon.cleared_here("page")
     curio.run(daemon.save)
     assert not fleet.table.values
+
+
+def test_a_store_that_does_not_answer_gets_one_call_at_a_time():
+    # Each turn of the timer began a call of its own.
+    fleet = Fleet(1)
+    (daemon,) = fleet.daemons
+    for number in range(MAX_CRASHES):
+        fleet.crash(daemon, "page", f"u{number}")
+    daemon.blocked_here("page")
+    calls = []
+
+    async def never_answer(*arguments):
+        calls.append(arguments)
+        await curio.sleep(3600)
+
+    async def run():
+        daemon.table.add = never_answer
+        first = await curio.spawn(daemon.save)
+        await curio.sleep(0)
+        await daemon.save()
+        await first.cancel()
+
+    curio.run(run)
+    assert len(calls) == 1
