--- a/sequoiabridge/tests/policy/test_crashing_requests.py
+++ b/sequoiabridge/tests/policy/test_crashing_requests.py
@@ -8,6 +8,7 @@
 from ...gateway import Gateway
 from ...policy.crashes import CrashLedger
 from ..platform.environment import SETTINGS
+from ..platform.soak.faulty_gateway import divide_blame
 
 MIN_CRASHES = 3
 """Number of upstreams that a request may crash before it is blocked."""
@@ -143,3 +144,14 @@
             )
         ledger.record_crash("crashing", f"u{number}", "vm", number, number)
     assert ledger.blocked_fingerprints == {"crashing"}
+
+
+def test_the_checks_detect_a_ledger_that_divides_the_blame_among_all_causes():
+    class DividingLedger(CrashLedger):
+        """Blocks by the blame alone."""
+
+    divide_blame(DividingLedger)
+    upstreams = Upstreams()
+    upstreams.ledger = DividingLedger(MIN_CRASHES, MIN_CRASHES)
+    with pytest.raises(AssertionError):
+        check_crashes_in_turn(upstreams, 5)
