Let a call wait for certain in the test of a waiting call that is blocked

Traced by the call's line: it did not wait. It was tried at the two upstreams that had ended and were still listed, found no connection, and was refused with upstream-shed, since no page had shown before that they were gone. Their entries are removed now, the hold lasts until the test ends it, and the test waits for states instead of 20 ms. The check is the same, and stricter: the call must not have reached the upstream at all.

--- a/sequoiabridge/tests/relay/test_crashing_requests.py
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -7,6 +7,7 @@
 import curio
 import pytest
 
+from ...balancing import chooser
 from ...pipeline.exchange import Request
 from ...relay.block_table import SEPARATOR, TABLE
 from ...relay.block_trials import TRIAL_DELAYS
@@ -226,27 +227,32 @@
     run_in_environment(test, reads=1)
 
 
-def test_a_call_that_waits_for_capacity_is_refused_when_its_request_is_blocked():
+def test_a_call_that_waits_for_capacity_is_refused_when_its_request_is_blocked(monkeypatch):
+    monkeypatch.setattr(chooser, "HOLD_SHARE", 100.0)
+
     async def test(env):
         set_faults(env, crash_path=CRASHING)
         name = await learn_fingerprint(env)
         for upstream in env.upstreams.values():
-            await upstream.crash()
+            await env.store.put("servers", upstream.id, None)
         busy = await env.add_upstream("busy", "reads")
-        await env.wait_until(lambda: "busy" in env.gateway.upstreams.by_id)
+        await env.wait_until(lambda: list(env.gateway.upstreams.by_id) == ["busy"])
         busy.faults.hang = True
-        connections = [await env.connect() for _ in range(8)]
+        connections = [await env.connect() for _ in range(busy.slots + busy.queue)]
         for number, connection in enumerate(connections):
             await connection.send(f"/read/page-{number}", f"page-{number}")
+        await env.wait_until(lambda: busy.running == busy.slots)
+        await env.wait_until(lambda: env.gateway.callers.in_flight == len(connections))
         await curio.sleep(0.1)
         waiting = await env.connect()
         await waiting.send(CRASHING, "bad-late", timeout_ms=1000)
-        await curio.sleep(0.02)
+        await env.wait_until(lambda: env.gateway.callers.in_flight == len(connections) + 1)
+        await curio.sleep(0.1)
         block(env, name)
         busy.faults.hang = False
         reply = await waiting.reply()
         assert reply.status == 503 and b"crashes-upstreams" in reply.body
-        assert "bad-late" not in busy.runs
+        assert "bad-late" not in [one.header(b"x-attempt-id") for one in busy.requests]
         for connection in connections:
             await connection.reply()
 
