Keep the weight of a crash over a restart and at VMs that answered nothing

Cause: a crash shortly after an answer weighs 4, but the time of the answer was known only to the VMs that had answered the request. The rows of the crashes did not have it, so a new fleet read each of them with the full weight of 10: five upstreams, 20 before the restart, 50 after it (trace: the lines request-crashed before and after). The message to the peers did not have it either. Change: rows and messages name the latest answer; each VM remembers the latest one it is told of. Measured: both new tests fail without the change.

--- a/sequoiabridge/policy/crashes.py
+++ b/sequoiabridge/policy/crashes.py
@@ -196,9 +196,15 @@
 
     def record_answer(self, fingerprint: str, at: float) -> bool:
         """Record a complete answer to a run that was sent at `at`; return whether it cleared it."""
-        self._remember_answer(fingerprint, at)
+        self.remember_answer(fingerprint, at)
         return self._clear(fingerprint, at)
 
+    def remember_answer(self, fingerprint: str, at: float) -> None:
+        """Remember that a run that was sent at `at` was answered, without clearing the request."""
+        self.answered_at[fingerprint] = max(at, self.answered_at.pop(fingerprint, at))
+        if len(self.answered_at) > MAX_ANSWERED:
+            self.answered_at.popitem(last=False)
+
     def release(self, fingerprint: str, at: float) -> bool:
         """Clear the request of crashes up to `at`; return whether it was a suspect.
 
@@ -228,6 +234,11 @@
         block.record_trials(block.trials + 1, now)
         return True
 
+    def answered_age(self, fingerprint: str, now: float) -> float | None:
+        """Return the seconds since the latest answered run of a request was sent, or None."""
+        answered_at = self.answered_at.get(fingerprint)
+        return None if answered_at is None else now - answered_at
+
     def evidence(self, fingerprint: str) -> int:
         """Return the weight of the crashes that a request is suspected of."""
         weights: dict[str, int] = {}
@@ -322,11 +333,6 @@
         self._drop(self.crashes[:-MAX_CRASHES])
         return crash
 
-    def _remember_answer(self, fingerprint: str, at: float) -> None:
-        self.answered_at[fingerprint] = max(at, self.answered_at.pop(fingerprint, at))
-        if len(self.answered_at) > MAX_ANSWERED:
-            self.answered_at.popitem(last=False)
-
     def _clear(self, fingerprint: str, at: float) -> bool:
         """Remove a request from all crashes up to `at`; return whether there was any, or a block.
 
--- a/sequoiabridge/relay/block_table.py
+++ b/sequoiabridge/relay/block_table.py
@@ -55,14 +55,16 @@
         fingerprint: Fingerprint of the request.
         upstream: Name of the lifetime of the upstream.
         age: Seconds since the crash.
+        answered_age: Seconds since the latest answered run was sent, None if none is known.
     """
 
-    __slots__ = ("fingerprint", "upstream", "age")
+    __slots__ = ("fingerprint", "upstream", "age", "answered_age")
 
-    def __init__(self, fingerprint: str, upstream: str, age: float):
+    def __init__(self, fingerprint: str, upstream: str, age: float, answered_age: float | None):
         self.fingerprint = fingerprint
         self.upstream = upstream
         self.age = age
+        self.answered_age = answered_age
 
 
 class BlockTable:
@@ -91,9 +93,7 @@
 
     async def add_crashes(self, crashes: Sequence[StoredCrash]) -> None:
         """Add crashes of a request that is not blocked."""
-        writes = [
-            Write(TABLE, "", crash_key(crash), self._encode_time(crash.age)) for crash in crashes
-        ]
+        writes = [Write(TABLE, "", crash_key(one), self._encode_crash(one)) for one in crashes]
         await self.tables.transact([], writes[:MAX_WRITES])
 
     async def add(self, fingerprint: str, age: float) -> None:
@@ -134,28 +134,38 @@
         condition = Condition(TABLE, "", fingerprint, version)
         await self.tables.transact([condition], [Write(TABLE, "", fingerprint, value)])
 
-    def _encode_time(self, age: float) -> bytes:
-        return json.dumps({"at": self.clock.wall() - age}).encode()
+    def _encode_crash(self, crash: StoredCrash) -> bytes:
+        now = self.clock.wall()
+        fields = {"at": now - crash.age}
+        if crash.answered_age is not None:
+            fields["answered_at"] = now - crash.answered_age
+        return json.dumps(fields).encode()
 
     def _decode_crash(self, row: StoredRow) -> StoredCrash | None:
         """Return the crash of a row, None if the row is invalid."""
         fingerprint, _, upstream = row.key.partition(SEPARATOR)
         try:
             fields = as_object(parse_json(row.value or b""), "the row")
-            at = as_number(fields.get("at"), "at", 0.0, MAX_TIME)
+            age = self._age(fields.get("at"), "at")
+            answered_at = fields.get("answered_at")
+            answered_age = None if answered_at is None else self._age(answered_at, "answered_at")
         except BadEntry:
             return None
-        return StoredCrash(fingerprint, upstream, max(0.0, self.clock.wall() - at))
+        return StoredCrash(fingerprint, upstream, age, answered_age)
+
+    def _age(self, value: object, name: str) -> float:
+        """Return the seconds since a Unix time in a row."""
+        return max(0.0, self.clock.wall() - as_number(value, name, 0.0, MAX_TIME))
 
     def _decode(self, row: StoredRow) -> StoredBlock | None:
         """Return the block of a row, None if the row is invalid."""
         try:
             fields = as_object(parse_json(row.value or b""), "the row")
-            blocked_at = as_number(fields.get("blocked_at"), "blocked_at", 0.0, MAX_TIME)
+            age = self._age(fields.get("blocked_at"), "blocked_at")
             trials = as_integer(fields.get("trials"), "trials", 0, MAX_TRIAL_COUNT)
         except BadEntry:
             return None
-        return StoredBlock(row.key, max(0.0, self.clock.wall() - blocked_at), trials)
+        return StoredBlock(row.key, age, trials)
 
 
 def crash_key(crash: StoredCrash) -> str:
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -231,7 +231,11 @@
             return
         crashes = self.ledger.by_fingerprint.get(fingerprint, ())
         if crashes:
-            stored = [StoredCrash(fingerprint, one.upstream, now - one.at) for one in crashes]
+            answered_age = self.ledger.answered_age(fingerprint, now)
+            stored = [
+                StoredCrash(fingerprint, one.upstream, now - one.at, answered_age)
+                for one in crashes
+            ]
             await self.table.add_crashes(stored)
             self.saved_crashes[fingerprint] = stored
 
@@ -253,6 +257,8 @@
         at = now - entry.age
         if isinstance(entry, StoredCrash):
             self.saved_crashes.setdefault(name, []).append(entry)
+            if entry.answered_age is not None:
+                self.ledger.remember_answer(name, now - entry.answered_age)
             if self.ledger.record_crash(name, entry.upstream, STORE, at, now):
                 self.decisions.event(
                     "request-crashed",
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -92,8 +92,10 @@
     async def _report_if_crashed(self, call: RelayedCall, attempt: Attempt) -> None:
         if not await self.detector.has_crashed(attempt):
             return
-        age = self.clock.now() - attempt.ended_at
-        crashed = RequestCrashed(call.fingerprint, attempt.upstream.lifetime, age)
+        now, name = self.clock.now(), call.fingerprint
+        answered_age = self.ledger.answered_age(name, now)
+        lifetime = attempt.upstream.lifetime
+        crashed = RequestCrashed(name, lifetime, now - attempt.ended_at, answered_age)
         if self._record_crash(crashed, OWN):
             self.sharing.broadcast(crashed)
 
@@ -110,6 +112,8 @@
         now, name = self.clock.now(), crashed.fingerprint
         was_blocked = name in self.ledger.blocks
         at = now - crashed.age
+        if crashed.answered_age is not None:
+            self.ledger.remember_answer(name, now - crashed.answered_age)
         if not self.ledger.record_crash(name, crashed.upstream, seen_by, at, now):
             return False
         self._log_crash(crashed, seen_by)
--- a/sequoiabridge/relay/message_codec.py
+++ b/sequoiabridge/relay/message_codec.py
@@ -123,9 +123,12 @@
 
 
 def _decode_request_crashed(fields: list) -> RequestCrashed:
-    # A daemon of an earlier version sends no age.
+    # A daemon of an earlier version sends no ages.
     age = as_number(fields[2], "the age", 0.0, MAX_CRASH_AGE) if len(fields) > 2 else 0.0
-    return RequestCrashed(_text(fields, 0), _text(fields, 1), age)
+    answered_age = fields[3] if len(fields) > 3 else None
+    if answered_age is not None:
+        answered_age = as_number(answered_age, "the age", 0.0, MAX_CRASH_AGE)
+    return RequestCrashed(_text(fields, 0), _text(fields, 1), age, answered_age)
 
 
 def _decode_request_survived(fields: list) -> RequestSurvived:
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -95,18 +95,27 @@
         fingerprint: Hash of the request.
         upstream: Name of the upstream's lifetime.
         age: Seconds since the upstream died.
+        answered_age: Seconds since the latest answered run was sent, None if none is known.
     """
 
-    __slots__ = ("fingerprint", "upstream", "age")
+    __slots__ = ("fingerprint", "upstream", "age", "answered_age")
 
-    def __init__(self, fingerprint: str, upstream: str, age: float = 0.0):
+    def __init__(
+        self,
+        fingerprint: str,
+        upstream: str,
+        age: float = 0.0,
+        answered_age: float | None = None,
+    ):
         self.fingerprint = fingerprint
         self.upstream = upstream
         self.age = age
+        self.answered_age = answered_age
 
     def fields(self) -> list:
         """Return the datagram's elements."""
-        return [CRASHED, self.fingerprint, self.upstream, round(self.age, 1)]
+        answered_age = None if self.answered_age is None else round(self.answered_age, 3)
+        return [CRASHED, self.fingerprint, self.upstream, round(self.age, 1), answered_age]
 
 
 class RequestSurvived:
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -216,6 +216,23 @@
     assert "crashing" in new.ledger.blocks
 
 
+def test_a_new_fleet_knows_that_a_request_was_answered_shortly_before_its_crashes():
+    # Crashes read from the store had full weight: a page that had just been answered was blocked.
+    fleet = Fleet(1)
+    (old,) = fleet.daemons
+    old.ledger.record_answer("page", fleet.clock.now())
+    fleet.clock.advance(5.0)
+    for number in range(MAX_CRASHES):
+        fleet.crash(old, "page", f"u{number}")
+    old.suspected_here("page")
+    curio.run(old.save)
+    fleet.clock.advance(2.0)
+    new = fleet.start()
+    curio.run(new.load)
+    assert new.ledger.evidence("page") == old.ledger.evidence("page")
+    assert "page" not in new.ledger.blocks
+
+
 def test_the_stored_crashes_of_a_request_are_removed_when_it_is_answered():
     fleet = Fleet(1)
     (daemon,) = fleet.daemons
--- a/sequoiabridge/tests/relay/test_crash_guard.py
+++ b/sequoiabridge/tests/relay/test_crash_guard.py
@@ -70,3 +70,12 @@
     old = fleet.start("old", 500.0)
     old._record_crash(RequestCrashed("f", "u1"))
     assert not fleet.start("new", 3.0).ledger.by_fingerprint
+
+
+def test_a_daemon_learns_from_its_peers_that_a_request_was_answered_before_it_crashed():
+    # A daemon that had not answered the request itself blocked it, and told all others.
+    guard = Fleet().start("new", 500.0)
+    for number in range(3):
+        message = RequestCrashed("page", f"u{number}", 1.0, answered_age=30.0)
+        guard._record_crash(decode_message(encode_message(message)))
+    assert "page" not in guard.ledger.blocks
--- a/sequoiabridge/tests/relay/test_messages.py
+++ b/sequoiabridge/tests/relay/test_messages.py
@@ -14,6 +14,7 @@
     LoadReport,
     PermitReply,
     PermitRequest,
+    RequestCrashed,
     UpstreamLeaving,
 )
 
@@ -26,6 +27,8 @@
         LoadReport("u1", UpstreamLoad(1, 2, 3, 7.0)),
         CallFailed("u1"),
         UpstreamLeaving("u1@5"),
+        RequestCrashed("f", "u1@5", 0.2),
+        RequestCrashed("f", "u1@5", 0.2, 12.5),
         LimitNamed("u1", 1.3, 0.25),
         LimitNamed("u1", None, 0.0),
         Lease(Hello("vm-1", "10.0.0.1:7", "here", 10.0), None),
