Withdraw the crash of an upstream that answers again in the same lifetime

Cause: an upstream that answers nothing counts as crashed, and nothing took that back when it answered again. Change: VMs that saw such a crash probe its upstream while it is listed. The rest of the evidence still counts, and late reports of the withdrawn crash are ignored. A VM that missed this is told when it speaks of its block: that message now names its sender; before, three random peers were told instead. Rows of the table are read before they are written, so that none of an ended block stays; a block is stored with the crashes behind it.

--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -42,6 +42,7 @@
 from .relay.counters import Counters
 from .relay.crash_detection import CrashDetector
 from .relay.crash_guard import MIN_CRASHED_UPSTREAMS, CrashGuard
+from .relay.crash_withdrawals import CrashWithdrawals
 from .relay.decisions import DecisionLog, DecisionLogHandler, LineWriter
 from .relay.departures import Departures
 from .relay.feeds import Follower, Update
@@ -291,6 +292,16 @@
             self.clock,
             self.random,
         )
+        self.crash_withdrawals = CrashWithdrawals(
+            ledger,
+            self.upstreams,
+            self.prober,
+            self.blocked_requests,
+            self.sharing,
+            self.decisions,
+            self.clock,
+            lambda: self.watchers.is_current,
+        )
         return CrashGuard(
             ledger, detector, self.blocked_requests, self.sharing, self.decisions, self.clock
         )
--- a/sequoiabridge/gateway_timers.py
+++ b/sequoiabridge/gateway_timers.py
@@ -7,6 +7,7 @@
 
 from .balancing.limit_leases import RENEWAL_INTERVAL
 from .relay.blocked_requests import SAVE_INTERVAL, TELL_INTERVAL
+from .relay.crash_withdrawals import WITHDRAWAL_CHECK_INTERVAL
 from .relay.members import REFRESH_INTERVAL
 from .relay.unread import PREDECESSOR_PROBE_INTERVAL
 from .relay.watchers import HEARTBEAT_INTERVAL
@@ -46,6 +47,7 @@
         gateway.unread_calls.probe_predecessor_calls,
     )
     timers.every(CRASH_CHECK_INTERVAL, "crash checks", gateway.sender.crash_guard.check_abandoned)
+    timers.every(WITHDRAWAL_CHECK_INTERVAL, "crash withdrawals", gateway.crash_withdrawals.check)
     timers.every(SAVE_INTERVAL, "saving blocks", gateway.blocked_requests.save)
     timers.every(TELL_INTERVAL, "telling blocks", gateway.blocked_requests.tell_some_peers)
     timers.every(RENEWAL_INTERVAL, "limit leases", gateway.permits.tick)
--- a/sequoiabridge/policy/crashes.py
+++ b/sequoiabridge/policy/crashes.py
@@ -130,6 +130,21 @@
             self.last_trial_at = now
 
 
+class Withdrawal:
+    """An upstream that had counted as crashed has answered again, so that it was alive till then.
+
+    Attributes:
+        until: Time at which what it has answered was sent.
+        suspects: Requests that had been suspected of its crash.
+    """
+
+    __slots__ = ("until", "suspects")
+
+    def __init__(self, until: float):
+        self.until = until
+        self.suspects: set[str] = set()
+
+
 class CrashLedger:
     """Crashes of the upstreams of one service, and the requests blocked because of them.
 
@@ -144,6 +159,8 @@
         by_fingerprint: The crashes that each request is suspected of.
         blocks: The blocked requests, by fingerprint.
         answered_at: Time at which the latest answered run of a request was sent.
+        withdrawals: Upstreams that turned out to be alive after a crash had been recorded.
+        unblocked_at: Time up to which blocks of a request have ended although it was not answered.
     """
 
     def __init__(
@@ -156,6 +173,8 @@
         self.by_fingerprint: dict[str, list[Crash]] = {}
         self.released_at: dict[str, float] = {}
         self.answered_at: OrderedDict[str, float] = OrderedDict()
+        self.withdrawals: OrderedDict[str, Withdrawal] = OrderedDict()
+        self.unblocked_at: OrderedDict[str, float] = OrderedDict()
         self.blocks: dict[str, Block] = {}
 
     @property
@@ -172,6 +191,8 @@
         self._drop_expired(now)
         if at <= self.released_at.get(fingerprint, float("-inf")):
             return False
+        if upstream in self.withdrawals and at <= self.withdrawals[upstream].until:
+            return False
         crash = self._find_or_add_crash(upstream, at, now)
         crash.vms.add(vm)
         if fingerprint in crash.suspects:
@@ -188,6 +209,7 @@
         cleared_at = max(
             self.released_at.get(fingerprint, float("-inf")),
             self.answered_at.get(fingerprint, float("-inf")),
+            self.unblocked_at.get(fingerprint, float("-inf")),
         )
         if at <= cleared_at or fingerprint in self.blocks:
             return False
@@ -215,6 +237,44 @@
             del self.released_at[next(iter(self.released_at))]
         return self._clear(fingerprint, at)
 
+    def withdraw_crashes(self, upstream: str, until: float, now: float) -> dict[str, Block | None]:
+        """Forget that an upstream crashed up to `until`, since it has answered something later.
+
+        A block of which this daemon was told without enough evidence of its own is kept.
+
+        Returns:
+            The requests that were suspected of the crashes, each with the block that has ended.
+        """
+        crashes = [crash for crash in self.by_upstream.get(upstream, ()) if crash.at <= until]
+        suspects = {fingerprint for crash in crashes for fingerprint in crash.suspects}
+        proved = {one for one in suspects if one in self.blocks and self.has_enough_evidence(one)}
+        self._drop(crashes)
+        self._remember_withdrawal(upstream, until).suspects |= suspects
+        return {one: self.unblock(one, now) if one in proved else None for one in suspects}
+
+    def unblock(self, fingerprint: str, at: float) -> Block | None:
+        """End a block that began up to `at`, unless the evidence is enough; return it if it ended.
+
+        The crashes of the request still count.
+        """
+        if self.has_enough_evidence(fingerprint):
+            return None
+        self.unblocked_at[fingerprint] = max(at, self.unblocked_at.pop(fingerprint, at))
+        if len(self.unblocked_at) > MAX_CRASHES:
+            self.unblocked_at.popitem(last=False)
+        block = self.blocks.get(fingerprint)
+        if block is None or block.at > at:
+            return None
+        return self.blocks.pop(fingerprint)
+
+    def withdrawn_upstreams(self, fingerprint: str) -> dict[str, Withdrawal]:
+        """Return the upstreams that did not crash although a request was suspected of it."""
+        return {
+            upstream: withdrawal
+            for upstream, withdrawal in self.withdrawals.items()
+            if fingerprint in withdrawal.suspects
+        }
+
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Return whether requests with the fingerprint are blocked."""
         if fingerprint not in self.blocks:
@@ -333,6 +393,13 @@
         self._drop(self.crashes[:-MAX_CRASHES])
         return crash
 
+    def _remember_withdrawal(self, upstream: str, until: float) -> Withdrawal:
+        withdrawal = self.withdrawals.setdefault(upstream, Withdrawal(until))
+        withdrawal.until = max(until, withdrawal.until)
+        if len(self.withdrawals) > MAX_CRASHES:
+            self.withdrawals.popitem(last=False)
+        return withdrawal
+
     def _clear(self, fingerprint: str, at: float) -> bool:
         """Remove a request from all crashes up to `at`; return whether there was any, or a block.
 
--- a/sequoiabridge/relay/block_table.py
+++ b/sequoiabridge/relay/block_table.py
@@ -2,8 +2,8 @@
 
 A blocked request has a row with the time of the block and the number of trials that were taken. A
 trial is taken by a conditional write, so that the whole fleet takes no more than intended. A
-request that has crashed two upstreams has a row for each of them, so that the third crash blocks
-it even if all daemons have started again.
+request that has crashed two upstreams or more has a row for each of them, so that a fleet whose
+daemons have all started again weighs the same evidence.
 """
 
 from __future__ import annotations
@@ -23,6 +23,9 @@
 SEPARATOR = "/"
 """Stands between fingerprint and upstream in the key of a crash."""
 
+AFTER_SEPARATOR = chr(ord(SEPARATOR) + 1)
+"""Ends the range of the keys of a request and its crashes."""
+
 MAX_WRITES = 100
 """Maximum number of rows that the platform changes in one transaction."""
 
@@ -91,10 +94,13 @@
             await self.tables.transact([], ended[:MAX_WRITES])
         return known
 
-    async def add_crashes(self, crashes: Sequence[StoredCrash]) -> None:
-        """Add crashes of a request that is not blocked."""
-        writes = [Write(TABLE, "", crash_key(one), self._encode_crash(one)) for one in crashes]
-        await self.tables.transact([], writes[:MAX_WRITES])
+    async def set_crashes(self, fingerprint: str, crashes: Sequence[StoredCrash]) -> None:
+        """Store the crashes of a request instead of those that are stored."""
+        rows = {crash_key(one): self._encode_crash(one) for one in crashes}
+        outdated = {key for key in await self._keys(fingerprint) if key != fingerprint} - set(rows)
+        writes = [Write(TABLE, "", key, rows.get(key)) for key in (*outdated, *rows)]
+        if writes:
+            await self.tables.transact([], writes[:MAX_WRITES])
 
     async def add(self, fingerprint: str, age: float) -> None:
         """Add a request that was blocked `age` seconds ago, unless it is there."""
@@ -103,11 +109,11 @@
         except ConditionFailed:
             return  # Another VM has added it.
 
-    async def remove(self, fingerprint: str, crashes: Sequence[StoredCrash]) -> None:
-        """Remove a request that was answered, and its crashes."""
-        keys = [fingerprint, *map(crash_key, crashes)]
-        writes = [Write(TABLE, "", key, None) for key in keys]
-        await self.tables.transact([], writes[:MAX_WRITES])
+    async def remove(self, fingerprint: str) -> None:
+        """Remove a request that is not blocked any more, and its crashes."""
+        writes = [Write(TABLE, "", key, None) for key in await self._keys(fingerprint)]
+        if writes:
+            await self.tables.transact([], writes[:MAX_WRITES])
 
     async def take_trial(self, fingerprint: str, known: int) -> tuple[bool, int]:
         """Take a trial of a blocked request if the fleet has taken `known` ones so far.
@@ -125,6 +131,11 @@
         await self._write(fingerprint, version, self.clock.wall() - age, taken + 1)
         return True, taken + 1
 
+    async def _keys(self, fingerprint: str) -> list[str]:
+        """Return the keys of the rows of a request and of its crashes."""
+        end = fingerprint + AFTER_SEPARATOR
+        return [row.key for row in (await self.tables.rows(TABLE, start=fingerprint, end=end)).rows]
+
     async def _row(self, fingerprint: str) -> StoredRow | None:
         rows = (await self.tables.rows(TABLE, start=fingerprint, limit=1)).rows
         return rows[0] if rows and rows[0].key == fingerprint else None
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -21,7 +21,14 @@
 from .block_trials import BlockTrials
 from .call import RelayedCall
 from .decisions import DecisionLog
-from .messages import Hello, RequestBlocked, RequestSurvived
+from .messages import (
+    CrashWithdrawn,
+    Hello,
+    Message,
+    RequestBlocked,
+    RequestSurvived,
+    RequestUnblocked,
+)
 from .sharing import Sharing
 
 TELL_INTERVAL = 1.0
@@ -73,7 +80,6 @@
     Attributes:
         withheld: Number of calls that were not sent, or not again.
         unsaved: What is to be written to the table, by request.
-        saved_crashes: Crashes of requests in the table, as far as this VM wrote or read them.
         next_save_at: Time before which nothing is written to the table.
         rounds: Number of times that peers were told of blocks.
     """
@@ -98,10 +104,10 @@
         self.random = random
         self.withheld = 0
         self.unsaved: dict[str, Change] = {}
-        self.saved_crashes: dict[str, list[StoredCrash]] = {}
         self.next_save_at = float("-inf")
         self.rounds = 0
         sharing.on_block = self.handle_block
+        sharing.on_unblock = self.handle_unblock
 
     def refusal(self, call: RelayedCall) -> Refusal | None:
         """Return the refusal of a call whose request is blocked, None if it may be sent."""
@@ -146,9 +152,13 @@
             self.unsaved[fingerprint] = Change.SUSPECTED
 
     def cleared_here(self, fingerprint: str) -> None:
-        """Remove the stored crashes of a request that this VM saw answered."""
-        if fingerprint in self.saved_crashes or fingerprint in self.unsaved:
-            self.unsaved[fingerprint] = Change.CLEARED
+        """Remove what is stored of a request that this VM saw answered."""
+        self.unsaved[fingerprint] = Change.CLEARED
+
+    def withdrawn_here(self, fingerprint: str) -> None:
+        """Store anew what remains of a request of which this VM has withdrawn a crash."""
+        is_blocked = fingerprint in self.ledger.blocks
+        self.unsaved[fingerprint] = Change.BLOCKED if is_blocked else Change.CLEARED
 
     def blocked_by_peers(self, fingerprint: str) -> None:
         """Log a request that the crashes at other VMs have blocked; these store it."""
@@ -176,11 +186,16 @@
         if block is not None:
             block.record_trials(message.trials, now)
             return
-        # The peer has missed the answer that cleared the request.
-        answered_at = self.ledger.answered_at.get(name)
-        if answered_at is not None:
-            survived = RequestSurvived(name, now - answered_at)
-            self.sharing.send_to_some(survived, TOLD_PEERS, self.random)
+        # The peer has missed why the block ended.
+        if message.reply_to:
+            for reason in self._reasons_unblocked(name):
+                self.sharing.channel.send(reason, [message.reply_to])
+
+    def handle_unblock(self, message: RequestUnblocked) -> None:
+        """End a block of which a peer says that it has ended."""
+        block = self.ledger.unblock(message.fingerprint, self.clock.now() - message.age)
+        if block is not None:
+            self.ended(message.fingerprint, block, False)
 
     def tell_new_daemon(self, hello: Hello) -> None:
         """Tell a daemon that has just started which requests are blocked."""
@@ -223,21 +238,18 @@
     async def _save(self, fingerprint: str, change: Change) -> None:
         now = self.clock.now()
         if change is Change.CLEARED:
-            await self.table.remove(fingerprint, self.saved_crashes.pop(fingerprint, ()))
+            await self.table.remove(fingerprint)
+            self.suspected_here(fingerprint)
             return
         block = self.ledger.blocks.get(fingerprint)
         if change is Change.BLOCKED and block is not None:
             await self.table.add(fingerprint, now - block.at)
-            return
-        crashes = self.ledger.by_fingerprint.get(fingerprint, ())
-        if crashes:
-            answered_age = self.ledger.answered_age(fingerprint, now)
-            stored = [
-                StoredCrash(fingerprint, one.upstream, now - one.at, answered_age)
-                for one in crashes
-            ]
-            await self.table.add_crashes(stored)
-            self.saved_crashes[fingerprint] = stored
+        answered_age = self.ledger.answered_age(fingerprint, now)
+        crashes = [
+            StoredCrash(fingerprint, one.upstream, now - one.at, answered_age)
+            for one in self.ledger.by_fingerprint.get(fingerprint, ())
+        ]
+        await self.table.set_crashes(fingerprint, crashes)
 
     async def load(self) -> None:
         """Read the table; retry until the store answers."""
@@ -256,7 +268,6 @@
         now, name = self.clock.now(), entry.fingerprint
         at = now - entry.age
         if isinstance(entry, StoredCrash):
-            self.saved_crashes.setdefault(name, []).append(entry)
             if entry.answered_age is not None:
                 self.ledger.remember_answer(name, now - entry.answered_age)
             if self.ledger.record_crash(name, entry.upstream, STORE, at, now):
@@ -292,9 +303,22 @@
             return None
         return self.ledger.blocks[call.fingerprint]
 
+    def _reasons_unblocked(self, name: str) -> list[Message]:
+        """Return messages that tell why a request is not blocked any more."""
+        ledger, now = self.ledger, self.clock.now()
+        messages: list[Message] = []
+        if name in ledger.answered_at:
+            messages.append(RequestSurvived(name, now - ledger.answered_at[name]))
+        for upstream, withdrawal in ledger.withdrawn_upstreams(name).items():
+            messages.append(CrashWithdrawn(upstream, now - withdrawal.until))
+        if name in ledger.unblocked_at:
+            messages.append(RequestUnblocked(name, now - ledger.unblocked_at[name]))
+        return messages
+
     def _message(self, fingerprint: str) -> RequestBlocked:
         block = self.ledger.blocks[fingerprint]
-        return RequestBlocked(fingerprint, max(0.0, self.clock.now() - block.at), block.trials)
+        age = max(0.0, self.clock.now() - block.at)
+        return RequestBlocked(fingerprint, age, block.trials, self.sharing.own_address)
 
     def _log_block(self, fingerprint: str, told_by: str) -> None:
         self.decisions.event("request-blocked", fingerprint=fingerprint, told_by=told_by)
--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -12,7 +12,7 @@
 from ..policy.crashes import CRASH_WEIGHT, CrashLedger
 from ..timers import Clock
 from .attempt import Attempt
-from .blocked_requests import BlockedRequests
+from .blocked_requests import MIN_STORED_CRASHES, BlockedRequests
 from .call import RelayedCall
 from .crash_detection import CrashDetector
 from .decisions import DecisionLog
@@ -152,11 +152,13 @@
         """Record that a request was answered; return whether that cleared it."""
         name = survived.fingerprint
         block = self.ledger.blocks.get(name)
+        crashes = self.ledger.by_fingerprint.get(name, ())
+        was_stored = len({crash.upstream for crash in crashes}) >= MIN_STORED_CRASHES
         if not self.ledger.record_answer(name, self.clock.now() - survived.age):
             return False
         self.decisions.event("request-cleared", fingerprint=name, seen_by=seen_by)
         if block is not None and name not in self.ledger.blocks:
             self.blocks.ended(name, block, seen_by == OWN)
-        elif seen_by == OWN:
+        elif seen_by == OWN and was_stored:
             self.blocks.cleared_here(name)
         return True
--- a/sequoiabridge/relay/message_codec.py
+++ b/sequoiabridge/relay/message_codec.py
@@ -31,8 +31,11 @@
     RECEIPT,
     SENT,
     SURVIVED,
+    UNBLOCKED,
+    WITHDRAWN,
     CallFailed,
     CallSent,
+    CrashWithdrawn,
     Heartbeat,
     Hello,
     Lease,
@@ -45,6 +48,7 @@
     RequestBlocked,
     RequestCrashed,
     RequestSurvived,
+    RequestUnblocked,
     UpstreamLeaving,
 )
 
@@ -138,7 +142,18 @@
 
 def _decode_request_blocked(fields: list) -> RequestBlocked:
     age = as_number(fields[1], "the age", 0.0, MAX_CRASH_AGE)
-    return RequestBlocked(_text(fields, 0), age, as_integer(fields[2], "trials", 0, MAX_TRIALS))
+    trials = as_integer(fields[2], "trials", 0, MAX_TRIALS)
+    # A daemon of an earlier version sends no address.
+    reply_to = as_address(fields[3], "the address") if len(fields) > 3 and fields[3] else ""
+    return RequestBlocked(_text(fields, 0), age, trials, reply_to)
+
+
+def _decode_crash_withdrawn(fields: list) -> CrashWithdrawn:
+    return CrashWithdrawn(_text(fields, 0), as_number(fields[1], "the age", 0.0, MAX_CRASH_AGE))
+
+
+def _decode_request_unblocked(fields: list) -> RequestUnblocked:
+    return RequestUnblocked(_text(fields, 0), as_number(fields[1], "the age", 0.0, MAX_CRASH_AGE))
 
 
 def _decode_heartbeat(fields: list) -> Heartbeat:
@@ -200,6 +215,8 @@
     CRASHED: _decode_request_crashed,
     SURVIVED: _decode_request_survived,
     BLOCKED: _decode_request_blocked,
+    WITHDRAWN: _decode_crash_withdrawn,
+    UNBLOCKED: _decode_request_unblocked,
     HEARTBEAT: _decode_heartbeat,
     LIMIT: _decode_limit_named,
     LEASE: _decode_lease,
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -6,6 +6,7 @@
 
 HELLO, SENT, LOAD, FAILED = "hello", "sent", "load", "failed"
 CRASHED, SURVIVED, BLOCKED, HEARTBEAT = "crashed", "survived", "blocked", "beacon"
+WITHDRAWN, UNBLOCKED = "withdrawn", "unblocked"
 LIMIT, LEASE, RECEIPT = "limit", "lease", "receipt"
 LEAVING = "leaving"
 PERMIT_REQUEST, PERMIT_REPLY = "permit?", "permit"
@@ -137,6 +138,44 @@
         return [SURVIVED, self.fingerprint, round(self.age, 3)]
 
 
+class CrashWithdrawn:
+    """An upstream that counted as crashed has answered again.
+
+    Attributes:
+        upstream: Name of the upstream's lifetime.
+        age: Seconds since what it has answered was sent.
+    """
+
+    __slots__ = ("upstream", "age")
+
+    def __init__(self, upstream: str, age: float):
+        self.upstream = upstream
+        self.age = age
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [WITHDRAWN, self.upstream, round(self.age, 3)]
+
+
+class RequestUnblocked:
+    """The block of a request has ended, since upstreams that counted as crashed answered again.
+
+    Attributes:
+        fingerprint: Hash of the request.
+        age: Seconds since the block ended.
+    """
+
+    __slots__ = ("fingerprint", "age")
+
+    def __init__(self, fingerprint: str, age: float = 0.0):
+        self.fingerprint = fingerprint
+        self.age = age
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [UNBLOCKED, self.fingerprint, round(self.age, 3)]
+
+
 class RequestBlocked:
     """A request is blocked because it crashes upstreams.
 
@@ -144,18 +183,20 @@
         fingerprint: Hash of the request.
         age: Seconds since it was blocked.
         trials: Number of trials that were taken since.
+        reply_to: "IP:port" of the sender, which is told if the block has ended; "" for none.
     """
 
-    __slots__ = ("fingerprint", "age", "trials")
+    __slots__ = ("fingerprint", "age", "trials", "reply_to")
 
-    def __init__(self, fingerprint: str, age: float, trials: int):
+    def __init__(self, fingerprint: str, age: float, trials: int, reply_to: str = ""):
         self.fingerprint = fingerprint
         self.age = age
         self.trials = trials
+        self.reply_to = reply_to
 
     def fields(self) -> list:
         """Return the datagram's elements."""
-        return [BLOCKED, self.fingerprint, round(self.age, 3), self.trials]
+        return [BLOCKED, self.fingerprint, round(self.age, 3), self.trials, self.reply_to]
 
 
 class Heartbeat:
@@ -312,6 +353,9 @@
         return [LEAVING, self.upstream]
 
 
+CrashMessage = RequestCrashed | RequestSurvived | RequestBlocked | CrashWithdrawn | RequestUnblocked
+"""Messages about requests that crash upstreams."""
+
 LimitMessage = LimitNamed | Lease | LeaseReceipt | PermitRequest | PermitReply
 """Messages about the limits of upstreams."""
 
@@ -320,10 +364,8 @@
     | CallSent
     | LoadReport
     | CallFailed
-    | RequestCrashed
-    | RequestSurvived
-    | RequestBlocked
     | Heartbeat
     | UpstreamLeaving
+    | CrashMessage
     | LimitMessage
 )
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -20,6 +20,8 @@
 from .messages import (
     CallFailed,
     CallSent,
+    CrashMessage,
+    CrashWithdrawn,
     Heartbeat,
     Hello,
     LimitMessage,
@@ -28,6 +30,7 @@
     RequestBlocked,
     RequestCrashed,
     RequestSurvived,
+    RequestUnblocked,
     UpstreamLeaving,
 )
 from .upstreams import UpstreamList
@@ -40,6 +43,8 @@
         on_crash: Called with a peer's `RequestCrashed`.
         on_survival: Called with a peer's `RequestSurvived`.
         on_block: Called with a peer's `RequestBlocked`.
+        on_withdrawal: Called with a peer's `CrashWithdrawn`.
+        on_unblock: Called with a peer's `RequestUnblocked`.
         on_heartbeat: Called with a peer's `Heartbeat`.
         on_hello: Called with a peer's `Hello`.
         on_departure: Called with a peer's `UpstreamLeaving`.
@@ -53,12 +58,19 @@
         self.members: Members | None = None
         self.on_crash: Callable[[RequestCrashed], object] = lambda message: None
         self.on_block: Callable[[RequestBlocked], object] = lambda message: None
+        self.on_withdrawal: Callable[[CrashWithdrawn], object] = lambda message: None
+        self.on_unblock: Callable[[RequestUnblocked], object] = lambda message: None
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda message: None
         self.on_departure: Callable[[UpstreamLeaving], None] = lambda message: None
         self.on_hello: Callable[[Hello], None] = lambda message: None
         self.on_limit_message: Callable[[LimitMessage], None] = lambda message: None
         self.on_survival: Callable[[RequestSurvived], object] = lambda message: None
 
+    @property
+    def own_address(self) -> str:
+        """Return the "IP:port" at which this daemon receives messages, "" if it has no peers."""
+        return "" if self.members is None else self.members.own_hello.address
+
     def record_send(self, upstream: Upstream) -> None:
         """Record that this daemon sends a call."""
         upstream.stats.record_send()
@@ -114,14 +126,8 @@
         if isinstance(message, UpstreamLeaving):
             self.on_departure(message)
             return
-        if isinstance(message, RequestCrashed):
-            self.on_crash(message)
-            return
-        if isinstance(message, RequestSurvived):
-            self.on_survival(message)
-            return
-        if isinstance(message, RequestBlocked):
-            self.on_block(message)
+        if isinstance(message, CrashMessage):
+            self._handle_crash_message(message)
             return
         upstream = self.upstreams.find_lifetime(message.upstream)
         if upstream is None:
@@ -132,3 +138,13 @@
             upstream.stats.record_load_report(message.load, self.clock.now())
         elif isinstance(message, CallFailed):
             upstream.stats.record_failure(self.clock.now(), PEER_FAILURE_WEIGHT)
+
+    def _handle_crash_message(self, message: CrashMessage) -> None:
+        handlers = {
+            RequestCrashed: self.on_crash,
+            RequestSurvived: self.on_survival,
+            RequestBlocked: self.on_block,
+            CrashWithdrawn: self.on_withdrawal,
+            RequestUnblocked: self.on_unblock,
+        }
+        handlers[type(message)](message)
--- a/sequoiabridge/tests/policy/test_crashing_requests.py
+++ b/sequoiabridge/tests/policy/test_crashing_requests.py
@@ -134,6 +134,44 @@
     assert upstreams.is_blocked("crashing")
 
 
+def test_a_block_ends_when_an_upstream_of_its_evidence_turns_out_to_be_alive():
+    # An upstream that had only been stopped counted as crashed until a trial was answered.
+    upstreams = Upstreams()
+    for _ in range(MIN_CRASHES):
+        upstreams.end("page")
+    suspects = upstreams.ledger.withdraw_crashes("u1", upstreams.now, upstreams.now)
+    assert list(suspects) == ["page"] and suspects["page"] is not None
+    assert not upstreams.is_blocked("page")
+    assert not upstreams.ledger.record_block("page", upstreams.now - 1.0, upstreams.now)
+    upstreams.end("page")
+    assert upstreams.is_blocked("page"), "the other crashes still count"
+
+
+def test_a_withdrawn_crash_ends_no_block_that_has_enough_other_evidence():
+    upstreams = Upstreams()
+    for _ in range(MIN_CRASHES + 1):
+        upstreams.end("crashing")
+    upstreams.ledger.withdraw_crashes("u1", upstreams.now, upstreams.now)
+    assert upstreams.is_blocked("crashing")
+    assert not upstreams.ledger.unblock("crashing", upstreams.now)
+
+
+def test_a_withdrawn_crash_ends_no_block_whose_evidence_is_not_known_here():
+    upstreams = Upstreams()
+    upstreams.end("crashing")
+    upstreams.ledger.record_block("crashing", upstreams.now, upstreams.now)
+    upstreams.ledger.withdraw_crashes("u1", upstreams.now, upstreams.now)
+    assert upstreams.is_blocked("crashing")
+
+
+def test_a_crash_after_the_answer_of_an_upstream_is_not_withdrawn():
+    upstreams = Upstreams()
+    for _ in range(MIN_CRASHES):
+        upstreams.end("crashing")
+    upstreams.ledger.withdraw_crashes("u1", 999.0, upstreams.now)
+    assert upstreams.is_blocked("crashing")
+
+
 def test_the_blame_of_a_fleet_daemon_protects_no_request_for_more_than_six_crashes():
     # Upstreams that ended nearby lowered the blame without a bound.
     ledger = CrashLedger()
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -1,5 +1,6 @@
 """How VMs that miss messages learn of blocks, and how they share the trials."""
 
+from itertools import count
 from random import Random
 from types import SimpleNamespace
 
@@ -7,11 +8,16 @@
 
 from ...exceptions import ConditionFailed, StoreUnavailable
 from ...policy.crashes import CrashLedger
-from ...relay.block_table import BlockTable
+from ...relay.block_table import SEPARATOR, BlockTable
 from ...relay.block_trials import TRIAL_DELAYS
 from ...relay.blocked_requests import SAVE_RETRY_DELAY, TELL_INTERVAL, BlockedRequests
 from ...relay.message_codec import decode_message, encode_message
-from ...relay.messages import RequestBlocked, RequestSurvived
+from ...relay.messages import (
+    CrashWithdrawn,
+    RequestBlocked,
+    RequestSurvived,
+    RequestUnblocked,
+)
 from ...store.rows import Rows, StoredRow
 from ...timers import ManualClock
 from .fakes import decision_log
@@ -31,9 +37,10 @@
         self.calls = 0
         self.is_down = False
 
-    async def rows(self, table, start="", limit=0):
+    async def rows(self, table, start="", end="", limit=0):
         self.count_call()
-        keys = [key for key in sorted(self.values) if key >= start][: limit or None]
+        keys = [key for key in sorted(self.values) if start <= key and (not end or key < end)]
+        keys = keys[: limit or None]
         found = [StoredRow(table, "", k, self.values[k], self.versions[k]) for k in keys]
         return Rows(found, self.version)
 
@@ -59,19 +66,24 @@
 class Fleet:
     """Daemons with one clock and one table, whose datagrams are lost at random."""
 
-    def __init__(self, count, loss=0.0):
+    def __init__(self, size, loss=0.0):
         self.clock = ManualClock(1000.0)
         self.table = MemoryTable()
         self.random = Random(1)
         self.loss = loss
         self.sent = 0
-        self.daemons = [self.start() for _ in range(count)]
+        self.ports = count(1)
+        self.daemons = [self.start() for _ in range(size)]
 
     def start(self):
         blocks = BlockedRequests(
             CrashLedger(MAX_CRASHES, MAX_CRASHES),
             BlockTable(self.table, self.clock),
-            SimpleNamespace(send_to_some=self.send_to_some),
+            SimpleNamespace(
+                send_to_some=self.send_to_some,
+                own_address=f"127.0.0.1:{next(self.ports)}",
+                channel=SimpleNamespace(send=self.send),
+            ),
             decision_log(self.clock)[0],
             self.clock,
             Random(self.random.random()),
@@ -80,8 +92,14 @@
         return blocks
 
     def send_to_some(self, message, count, random):
-        data = encode_message(message)
         for daemon in random.sample(self.daemons, count):
+            self.send(message, [daemon.sharing.own_address])
+
+    def send(self, message, addresses):
+        data = encode_message(message)
+        for daemon in self.daemons:
+            if daemon.sharing.own_address not in addresses:
+                continue
             self.sent += 1
             if self.random.random() >= self.loss:
                 self.deliver(daemon, decode_message(data))
@@ -89,6 +107,11 @@
     def deliver(self, daemon, message):
         if isinstance(message, RequestBlocked):
             daemon.handle_block(message)
+        elif isinstance(message, RequestUnblocked):
+            daemon.handle_unblock(message)
+        elif isinstance(message, CrashWithdrawn):
+            until = self.clock.now() - message.age
+            daemon.ledger.withdraw_crashes(message.upstream, until, self.clock.now())
         else:
             assert isinstance(message, RequestSurvived)
             daemon.ledger.record_answer(message.fingerprint, self.clock.now() - message.age)
@@ -162,6 +185,22 @@
     assert fleet.blocked_count("page") == 0
 
 
+def test_110_vms_that_lose_messages_all_learn_of_the_end_of_a_block():
+    fleet = Fleet(VMS, loss=0.2)
+    for number in range(MAX_CRASHES):
+        fleet.crash(fleet.daemons[number], "page", f"u{number}")
+    fleet.pass_seconds(4.0)
+    assert fleet.blocked_count("page") == VMS
+    now = fleet.clock.now()
+    for daemon in fleet.daemons:
+        if fleet.random.random() >= fleet.loss:
+            daemon.ledger.withdraw_crashes("u0", now, now)
+            daemon.handle_unblock(RequestUnblocked("page"))
+    assert 0 < fleet.blocked_count("page") < VMS
+    fleet.pass_seconds(10.0)
+    assert fleet.blocked_count("page") == 0
+
+
 def test_a_block_is_saved_once_the_store_is_back_and_removed_when_it_ends():
     fleet = Fleet(2)
     first = fleet.daemons[0]
@@ -177,7 +216,8 @@
     assert fleet.table.calls == calls, "it waits before it asks again"
     fleet.clock.advance(SAVE_RETRY_DELAY)
     curio.run(first.save)
-    assert list(fleet.table.values) == ["page"] and not first.unsaved
+    assert [key for key in fleet.table.values if SEPARATOR not in key] == ["page"]
+    assert len(fleet.table.values) == 1 + MAX_CRASHES and not first.unsaved
     block = first.ledger.blocks["page"]
     first.ledger.record_answer("page", fleet.clock.now())
     first.ended("page", block, True)
--- a/sequoiabridge/tests/relay/test_crash_guard.py
+++ b/sequoiabridge/tests/relay/test_crash_guard.py
@@ -27,7 +27,9 @@
         """Start a daemon whose clock shows `now`, and let it greet its peers."""
         clock = ManualClock(now)
         sharing = SimpleNamespace(
-            channel=SimpleNamespace(send=self.deliver), broadcast=lambda message: None
+            channel=SimpleNamespace(send=self.deliver),
+            broadcast=lambda message: None,
+            own_address="127.0.0.1:1",
         )
         log, ledger = decision_log(clock)[0], CrashLedger(MIN_CRASHED_UPSTREAMS, 3)
         blocks = BlockedRequests(ledger, None, sharing, log, clock, Random(1))
--- a/sequoiabridge/tests/relay/test_messages.py
+++ b/sequoiabridge/tests/relay/test_messages.py
@@ -7,6 +7,7 @@
 from ...relay.messages import (
     CallFailed,
     CallSent,
+    CrashWithdrawn,
     Hello,
     Lease,
     LeaseReceipt,
@@ -14,7 +15,9 @@
     LoadReport,
     PermitReply,
     PermitRequest,
+    RequestBlocked,
     RequestCrashed,
+    RequestUnblocked,
     UpstreamLeaving,
 )
 
@@ -27,6 +30,10 @@
         LoadReport("u1", UpstreamLoad(1, 2, 3, 7.0)),
         CallFailed("u1"),
         UpstreamLeaving("u1@5"),
+        CrashWithdrawn("u1@5", 0.25),
+        RequestUnblocked("f", 0.25),
+        RequestBlocked("f", 0.25, 1, "10.0.0.1:7"),
+        RequestBlocked("f", 0.25, 1),
         RequestCrashed("f", "u1@5", 0.2),
         RequestCrashed("f", "u1@5", 0.2, 12.5),
         LimitNamed("u1", 1.3, 0.25),
