Send no trial to an upstream that does not answer

What callers saw: a wrong block of a page lasted until the third trial, a minute later. Change: right before the send, a trial is not taken if the upstream did not answer its latest health check; the call is refused at once and another one tries a second later. The new test fails without it.

--- a/sequoiabridge/balancing/send_policy.py
+++ b/sequoiabridge/balancing/send_policy.py
@@ -23,7 +23,7 @@
         """Return the refusal of a call whose request is blocked, None if it is not."""
 
     @abstractmethod
-    async def confirm(self, call: Call) -> None:
+    async def confirm(self, call: Call, upstream: Upstream) -> None:
         """Ask, right before a call with a blocked request is sent, whether it still may be."""
 
 
@@ -34,7 +34,7 @@
         """Return None."""
         return None
 
-    async def confirm(self, call: Call) -> None:
+    async def confirm(self, call: Call, upstream: Upstream) -> None:
         """Do nothing."""
 
 
@@ -59,13 +59,13 @@
         """Return the refusal of a call that no upstream may get, None if one may."""
         return self.blocks.refusal(call)
 
-    async def check_request(self, call: Call) -> None:
-        """Check that a call may still be sent.
+    async def check_request(self, call: Call, upstream: Upstream) -> None:
+        """Check that a call may still be sent to the upstream that was chosen for it.
 
         Raises:
             SendWithheld: Its request has been blocked since the upstream was chosen.
         """
-        await self.blocks.confirm(call)
+        await self.blocks.confirm(call, upstream)
         refusal = self.refusal(call)
         if refusal is not None:
             raise SendWithheld(f"withheld: {refusal.reason.value}; the request is blocked")
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -118,7 +118,7 @@
         """Send the call and return its answer, buffered up to `MAX_BUFFERED_ANSWER`."""
         self.connection = await self._connect()
         request = self._build_request()
-        await self.policy.check_request(self.call)
+        await self.policy.check_request(self.call, self.upstream)
         self.policy.check_send(self.upstream, self.estimate.permit_at)
         # From here on, only the upstream can prove that the request did not run.
         self.sent = True
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -12,6 +12,7 @@
 import curio
 
 from ..balancing.send_policy import RequestBlocks
+from ..balancing.upstream import Upstream
 from ..component import Component
 from ..exceptions import Refusal, StoreUnavailable
 from ..outcome import Outcome, Reason
@@ -127,11 +128,18 @@
         if block is not None:
             call.is_trial = self.trials.may_begin(block)
 
-    async def confirm(self, call: RelayedCall) -> None:
-        """Take the trial for a call that is about to be sent as one."""
+    async def confirm(self, call: RelayedCall, upstream: Upstream) -> None:
+        """Take the trial for a call that is about to be sent as one.
+
+        No trial is taken at an upstream that does not answer this VM: it would prove nothing.
+        """
         block = self._block(call) if call.is_trial else None
-        if block is not None:
-            call.is_trial = await self.trials.take(call.fingerprint, block)
+        if block is None:
+            return
+        if upstream.stats.is_unresponsive(self.clock.now()):
+            call.is_trial = False
+            return
+        call.is_trial = await self.trials.take(call.fingerprint, block)
 
     def record_withheld(self, call: RelayedCall) -> None:
         """Count a call that was refused because its request is blocked."""
--- a/sequoiabridge/tests/balancing/test_send_policy.py
+++ b/sequoiabridge/tests/balancing/test_send_policy.py
@@ -67,10 +67,10 @@
 
 def test_a_call_whose_request_is_blocked_is_not_sent():
     policy, call = SendPolicy(ManualClock(100.0)), Call(100.0)
-    curio.run(policy.check_request, call)
+    curio.run(policy.check_request, call, upstream())
     policy.blocks = BlockAll()
     with pytest.raises(SendWithheld, match="crashes-upstreams"):
-        curio.run(policy.check_request, call)
+        curio.run(policy.check_request, call, upstream())
 
 
 class BlockAll(NoBlocks):
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from ...balancing.upstream_stats import UpstreamStats
 from ...exceptions import ConditionFailed, StoreUnavailable
 from ...policy.crashes import CrashLedger
 from ...relay.block_table import SEPARATOR, BlockTable
@@ -26,6 +27,9 @@
 
 MAX_CRASHES = 3
 
+ANSWERING = SimpleNamespace(stats=UpstreamStats())
+"""An upstream that answers."""
+
 
 class MemoryTable:
     """Rows of one table with their versions."""
@@ -136,7 +140,7 @@
         """Return whether a call is sent, as a trial or because its request is not blocked."""
         call = SimpleNamespace(fingerprint=name, is_trial=False, possible_runs=0, was_sent=True)
         daemon.begin_call(call)
-        curio.run(daemon.confirm, call)
+        curio.run(daemon.confirm, call, ANSWERING)
         return daemon.refusal(call) is None
 
 
@@ -237,7 +241,7 @@
     assert call.is_trial
     assert curio.run(daemon.table.take_trial, "crashing", 0) == (True, 1)
     daemon.handle_block(RequestBlocked("crashing", 1.0, 1))
-    curio.run(daemon.confirm, call)
+    curio.run(daemon.confirm, call, ANSWERING)
     assert not call.is_trial and daemon.refusal(call) is not None
 
 
--- a/sequoiabridge/tests/relay/test_crash_withdrawals.py
+++ b/sequoiabridge/tests/relay/test_crash_withdrawals.py
@@ -61,6 +61,23 @@
     run_in_environment(test, reads=UPSTREAMS)
 
 
+def test_no_trial_is_sent_to_an_upstream_that_does_not_answer(monkeypatch):
+    # Two of three trials were spent on upstreams that were known to be silent.
+    monkeypatch.setattr(block_trials, "TRIAL_DELAYS", (0.1,))
+
+    async def test(env):
+        await give_start_times(env)
+        await block_by_silence(env)
+        await curio.sleep(1.0)
+        before = env.gateway.blocked_requests.trials.taken
+        for number in range(3):
+            assert (await env.call(PAGE, f"refused-{number}")).status == 503
+            await curio.sleep(block_trials.STORE_RETRY_DELAY)
+        assert env.gateway.blocked_requests.trials.taken == before == 0
+
+    run_in_environment(test, reads=UPSTREAMS)
+
+
 def test_an_upstream_that_answers_in_a_new_lifetime_has_crashed(monkeypatch):
     monkeypatch.setattr(block_trials, "TRIAL_DELAYS", (1000.0,))
 
