Take the first trial before the restart in the test of a restarted daemon

A trial is one of the three sends that the rule leaves, so it is allowed. The trial is now taken by the other daemon before the restart, and checked. All checks after the restart stay as they are, and are stricter: the restarted daemon must also know which trials the fleet has taken.

--- a/sequoiabridge/tests/platform/soak/test_restarts.py
+++ b/sequoiabridge/tests/platform/soak/test_restarts.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from ....relay.block_trials import TRIAL_DELAYS
 from ....selector import LazySelector
 from ..environment import Connection
 from .deployment import Deployment
@@ -21,7 +22,8 @@
 
 
 def test_a_restarted_daemon_sends_a_blocked_request_to_no_upstream():
-    # Each process that started again let three more upstreams die.
+    # Each process that started again let three more upstreams die. The fleet's first trial has been
+    # taken before the restart, and the next one is due only after the test.
     started_at = time.monotonic()
     deployment = Deployment(1, 3, lambda: time.monotonic() - started_at)
     deployment.upstream_counts = {"reads": 9, "approvals": 1}
@@ -40,6 +42,8 @@
             number += 1
             await curio.sleep(0.2)
         assert await send(second, "second") == 503
+        await curio.sleep(TRIAL_DELAYS[0] + 0.1)
+        assert await send(second, "trial") == 502
         first.signal(signal.SIGKILL)
         await curio.sleep(1.0)
         assert await deployment.wait_until_ready(first)
@@ -49,6 +53,7 @@
         await deployment.stop_daemons()
         after = [a.id for a in deployment.record.arrivals if a.id.startswith("after")]
         assert (statuses, after) == ([503, 503, 503], [])
+        assert [a.id for a in deployment.record.arrivals if a.id == "trial"] == ["trial"]
 
     try:
         curio.run(run, selector=LazySelector())
