Suspend upstreams in the random soak of crashing requests

No run had both: upstreams that were only suspended, which count as crashed until they answer again, and requests that crash them. The stopping of upstreams moves from the soak of retries to the base class.

--- a/sequoiabridge/tests/platform/soak/crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/crash_soak.py
@@ -154,6 +154,7 @@
             self.lose_datagrams,
             self.fail_requests,
             self.end_some_upstreams,
+            self.suspend_some_upstreams,
             self.change_configuration,
             self.reload_settings,
             self.inject_store_fault,
@@ -232,6 +233,11 @@
         for upstream in self.random.sample(running, len(running) // 3):
             upstream.signal(signal.SIGKILL)
 
+    async def suspend_some_upstreams(self, seconds: float) -> None:
+        """Suspend a share of the upstreams, for up to three times as long as other faults last."""
+        running = [u for u in self.deployment.upstreams.values() if u.process.poll() is None]
+        await self.stop_upstreams(self.random.sample(running, len(running) // 3), 3 * seconds)
+
     async def kill_all_daemons(self, seconds: float) -> None:
         """Kill all daemons at the same moment."""
         if self.now() < self.store_back_at + SAVE_SECONDS:
--- a/sequoiabridge/tests/platform/soak/retry_soak.py
+++ b/sequoiabridge/tests/platform/soak/retry_soak.py
@@ -7,7 +7,7 @@
 import curio
 
 from ..environment import CALLER_IDLE_TIMEOUT, Connection
-from .deployment import Daemon, signal_process
+from .deployment import Daemon
 from .record import APPROVE, MARK, READ
 from .soak import READY_POLL_INTERVAL, Soak
 
@@ -229,17 +229,6 @@
         seconds = self.random.uniform(0.5, MAX_UPSTREAM_STOP)
         await self.stop_upstreams(upstreams[:count], seconds)
 
-    async def stop_upstreams(self, upstreams: list, seconds: float) -> None:
-        """Stop upstreams by a signal and continue them together."""
-        self.record_fault(seconds + 1.0, f"stop {len(upstreams)} upstreams")
-        # An upstream may be restarted meanwhile; the processes that were stopped are continued.
-        processes = [upstream.process for upstream in upstreams]
-        for process in processes:
-            signal_process(process, signal.SIGSTOP)
-        await curio.sleep(seconds)
-        for process in processes:
-            signal_process(process, signal.SIGCONT)
-
     async def restart_upstream(self, seconds: float) -> None:
         """Kill an upstream and start it again under its id."""
         upstream = self.service_upstreams()[0]
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -9,7 +9,7 @@
 import curio
 
 from ..environment import Connection
-from .deployment import Daemon, Deployment
+from .deployment import Daemon, Deployment, signal_process
 from .limits import worst_limits
 from .oracle import find_violations
 from .proxy import LinkFault
@@ -305,6 +305,17 @@
         await curio.sleep(seconds)
         faults.refuse, faults.delay, faults.lose_answers = 0, 0.0, 0
 
+    async def stop_upstreams(self, upstreams: list, seconds: float) -> None:
+        """Stop upstreams by a signal and continue them together."""
+        self.record_fault(seconds + 1.0, f"stop {len(upstreams)} upstreams")
+        # An upstream may be restarted meanwhile; the processes that were stopped are continued.
+        processes = [upstream.process for upstream in upstreams]
+        for process in processes:
+            signal_process(process, signal.SIGSTOP)
+        await curio.sleep(seconds)
+        for process in processes:
+            signal_process(process, signal.SIGCONT)
+
     async def inject_upstream_fault(self, seconds: float) -> None:
         """Set a random fault of one upstream."""
         upstream = self.random.choice(list(self.deployment.upstreams.values()))
