Divide the returns after a rest between the VMs that share its upstreams

Cause: each VM counted on one whole upstream, the first that is free, and all began to count at the same moment. The new test fails without the change for 13 and 4.

--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -13,7 +13,7 @@
 from .exclusion import Exclusion
 from .overload import OverloadTracker
 from .refusals import at_limit, overloaded, resting
-from .return_schedule import ReturnSchedule
+from .return_schedule import MAX_RETURN_SECONDS, ReturnSchedule
 from .route_stats import RouteStats
 from .send_policy import SendPolicy
 from .steps import BackgroundProbe, Probe, RequestPermit, Sleep, Steps
@@ -62,6 +62,9 @@
         candidates: Selects the upstreams to choose from.
         route_stats: Estimates a call's work and the cost of transferring it.
         policy: Decides which upstreams may get calls.
+
+    Attributes:
+        vm_count: Number of VMs that share the upstreams.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         self.overload = OverloadTracker()
         self.policy = policy or SendPolicy(clock)
         self.returns = ReturnSchedule(random)
+        self.vm_count = 1
 
     def choose_or_hold(self, call: Call) -> Steps[CostEstimate | None]:
         """Return an upstream with capacity for a new call, None if the service has no upstream.
@@ -247,10 +251,20 @@
         if not first.stats.rest.is_active(now):
             rate = self.policy.permits.rate(call.service)
             return at_limit(self.returns.retry_after(call.service, priority, rate, now))
-        rate = first.record.slots / self.route_stats.work(call)
         rest = first.stats.rest.seconds_left(now)
+        rate = self._rate_after_rest(call, upstreams, rest)
         return resting(self.returns.retry_after(call.service, priority, rate, now, rest))
 
+    def _rate_after_rest(self, call: Call, upstreams: list[Upstream], rest: float) -> float:
+        """Return this VM's share of the calls per second that upstreams can run after a rest.
+
+        Upstreams whose rests end about then count; other VMs that they have turned away return too.
+        """
+        end = rest + MAX_RETURN_SECONDS
+        back = [u for u in upstreams if self.policy.wait(u, call.route.priority) <= end]
+        slots = sum(upstream.record.slots for upstream in back)
+        return slots / self.route_stats.work(call) / max(1, self.vm_count)
+
     def _requirements(self, call: Call) -> CallRequirements:
         return CallRequirements(
             self.route_stats.work(call),
--- a/sequoiabridge/balancing/return_schedule.py
+++ b/sequoiabridge/balancing/return_schedule.py
@@ -42,7 +42,11 @@
         interval = min(MAX_RETURN_SECONDS, 1.0 / rate) if rate > 0.0 else MAX_RETURN_SECONDS
         delay = min(MAX_DELAY, delay)
         first = now + delay
-        at = max(first, self.next_return.get(key, first)) + interval
+        latest = max(first, self.next_return.get(key, first))
+        if delay > 0.0 and latest == first:
+            # All VMs count from the same time, and must not begin together.
+            latest -= interval * self.random.random()
+        at = latest + interval
         if at - first > MAX_RETURN_SECONDS:
             return delay + self.random.uniform(MAX_RETURN_SECONDS / 2, MAX_RETURN_SECONDS)
         self.next_return[key] = at
--- a/sequoiabridge/gateway_timers.py
+++ b/sequoiabridge/gateway_timers.py
@@ -22,7 +22,8 @@
 """Interval in seconds at which lapsed upstreams are removed and buffered log lines are written."""
 
 SHARE_INTERVAL = 0.5
-"""Interval in seconds at which this VM's shares of health checks and connections are updated."""
+"""Interval in seconds at which this VM's shares of health checks, connections and returns after
+rests are updated."""
 
 CRASH_CHECK_INTERVAL = 0.25
 """Interval in seconds at which the upstreams of abandoned attempts are checked for crashes."""
@@ -39,7 +40,7 @@
     timers.every(EXPIRY_INTERVAL, "lapsed upstreams", gateway.upstreams.expire)
     timers.every(EXPIRY_INTERVAL, "waiting lines", gateway.log_writer.flush)
     timers.every(HEARTBEAT_INTERVAL, "beacons", gateway.watchers.send_heartbeat)
-    timers.every(SHARE_INTERVAL, "members", partial(update_probe_share, gateway))
+    timers.every(SHARE_INTERVAL, "members", partial(update_vm_count, gateway))
     timers.every(SHARE_INTERVAL, "connections", gateway.connection_shares.update)
     timers.every(
         PREDECESSOR_PROBE_INTERVAL,
@@ -57,7 +58,8 @@
     timers.every(SETTINGS_POLL_INTERVAL, "settings", gateway.settings_reloader.poll)
 
 
-def update_probe_share(gateway: Gateway) -> None:
-    """Divide the limit on health checks between the known daemons."""
+def update_vm_count(gateway: Gateway) -> None:
+    """Divide the limit on health checks, and returns after rests, between the known daemons."""
     if gateway.members.peers:
         gateway.probe_limiter.vm_count = gateway.members.count
+        gateway.sender.dispatch.chooser.vm_count = gateway.members.count
--- a/sequoiabridge/tests/balancing/test_resting_upstreams.py
+++ b/sequoiabridge/tests/balancing/test_resting_upstreams.py
@@ -1,9 +1,12 @@
 """Tests of calls to upstreams that asked for rest, driven step by step without a network."""
 
+from random import Random
+
 import pytest
 
 from ...balancing.call import Ending
 from ...balancing.exclusion import Exclusion
+from ...balancing.return_schedule import ReturnSchedule
 from ...balancing.steps import BackgroundProbe, Probe, Send, Sleep, Wait
 from ...exceptions import Refusal, SendWithheld
 from ...outcome import Reason
@@ -43,6 +46,27 @@
     assert len(set(times)) == 20 and min(times) >= 3.0
 
 
+@pytest.mark.parametrize(("vms", "upstreams"), [(13, 4), (13, 13), (4, 8)])
+def test_callers_of_all_vms_return_after_a_rest_no_faster_than_upstreams_can_run_them(
+    vms, upstreams
+):
+    # Each VM counted on one whole upstream: 13 of them sent 48 callers within 0.1 s.
+    times, seconds, crowd = [], 3.0, 10
+    for vm in range(vms):
+        driver = resting_driver([f"u{n}" for n in range(upstreams)], seconds, upstreams=upstreams)
+        chooser = driver.dispatch.chooser
+        chooser.vm_count = vms
+        chooser.returns = ReturnSchedule(Random(vm))
+        known = driver.known.by_id.values()
+        rate = sum(one.record.slots for one in known) / chooser.route_stats.work(driver.call)
+        times += [chooser.refusal_while_excluded(driver.call).retry_after for _ in range(crowd)]
+    window = 0.5
+    for start in range(60):
+        first = seconds + start / 10
+        # All VMs may begin with a caller at the same time.
+        assert sum(first <= at < first + window for at in times) <= 1.3 * rate * window + vms
+
+
 def test_a_call_waits_for_a_rest_that_ends_soon():
     driver = resting_driver(["u0"], seconds=0.05, upstreams=1)
     assert driver.run_until(Sleep).seconds == pytest.approx(0.05)
