Leave out silent ends that no daemon noticed in the count of known crashes

The crashes still end upstreams and all sends are counted; only from which crash on they count has changed, only for upstreams that fall silent, and only for crashes less than 3 s before all daemons end at once.

--- a/sequoiabridge/tests/platform/soak/crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/crash_soak.py
@@ -27,6 +27,10 @@
 SAVE_SECONDS = 1.0
 """Seconds after a fault of the store within which what daemons know has been written to it."""
 
+SILENCE_NOTICE_SECONDS = 3.0
+"""Seconds within which daemons notice that an upstream fell silent, and store it: a call there ends
+after 2 s, a check takes up to 0.65 s."""
+
 QUIET_SECONDS = 2.0
 """Seconds without crashing requests at the start."""
 
@@ -242,6 +246,9 @@
         """Kill all daemons at the same moment."""
         if self.now() < self.store_back_at + SAVE_SECONDS:
             self.deployment.record.amnesias.append(self.now())
+        if self.crash_faults["crash_is_silent"]:
+            span = (self.now() - SILENCE_NOTICE_SECONDS, self.now())
+            self.deployment.record.unnoticed.append(span)
         for daemon in self.deployment.daemons:
             self.record_fault(3.0, f"kill {daemon.name}")
             daemon.signal(signal.SIGKILL)
--- a/sequoiabridge/tests/platform/soak/crashes.py
+++ b/sequoiabridge/tests/platform/soak/crashes.py
@@ -41,6 +41,7 @@
         sends: list[float],
         refused: int,
         amnesias: list[float],
+        unnoticed: list[tuple[float, float]],
     ):
         self.target = target
         self.crashes = crashes
@@ -48,7 +49,7 @@
         self.late: list[float] = []
         bounds = [float("-inf"), *sorted(amnesias), float("inf")]
         for start, end in pairwise(bounds):
-            known = [at for at in crashes if start < at <= end]
+            known = [at for at in crashes if start < at <= end and not is_within(at, unnoticed)]
             if len(known) >= CRASHES_BEFORE_BLOCK:
                 stable_at = known[CRASHES_BEFORE_BLOCK - 1] + STABLE_SECONDS
                 self.late += [at for at in sends if stable_at < at <= end]
@@ -58,6 +59,11 @@
         return f"{self.target}: {len(self.crashes)} crashes, {sent}, {self.refused} refused"
 
 
+def is_within(at: float, spans: list[tuple[float, float]]) -> bool:
+    """Return whether a time is in any of the spans."""
+    return any(start < at <= end for start, end in spans)
+
+
 def refusal_reason(call: CallRecord) -> str:
     """Return the reason that the daemon gave for refusing a call, "" if it did not."""
     if call.status in (0, 200) or not call.is_complete:
@@ -79,7 +85,11 @@
         sends = [a.at for a in record.arrivals if target_by_id.get(a.id) == target]
         calls = [call for call in record.calls if call.target == target]
         refused = sum(refusal_reason(call) == CRASHES_UPSTREAMS for call in calls)
-        counts.append(CrashCount(target, sorted(times), sorted(sends), refused, record.amnesias))
+        counts.append(
+            CrashCount(
+                target, sorted(times), sorted(sends), refused, record.amnesias, record.unnoticed
+            )
+        )
     return counts
 
 
--- a/sequoiabridge/tests/platform/soak/test_crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_crash_soak.py
@@ -84,6 +84,16 @@
     assert len(check_crashes(record)) == 1
 
 
+def test_the_oracle_leaves_out_silent_ends_that_no_daemon_noticed_before_all_were_killed():
+    # The daemon that waits for the answer of a silent upstream learns of its end after 2 s.
+    sends = [8.1, 8.2, 8.3, 9.0]
+    record = crash_record(sends)
+    record.unnoticed = [(2.0, 4.0)]
+    assert check_crashes(record) == []
+    record.unnoticed = [(1.5, 2.9), (3.1, 4.9), (5.1, 6.0)]
+    assert len(check_crashes(record)) == 1
+
+
 @pytest.mark.parametrize(("last", "violated"), [(24.0, False), (26.0, True)])
 def test_the_oracle_detects_a_harmless_request_that_stays_blocked(last, violated):
     record = crash_record([])
