Store a block although the VMs that saw the crashes do not know enough

Cause: only a VM that had seen a crash itself stored a block. Change: of the VMs that know the evidence from messages only, three on average store the block too.

--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -47,6 +47,9 @@
 MAX_TOLD_BLOCKS = 100
 """Maximum number of blocks of which a daemon that has just started is told."""
 
+STORING_PEERS = 3
+"""Mean number of VMs that store a block for which they know the evidence but have seen no crash."""
+
 SAVE_INTERVAL = 0.25
 """Seconds between two times at which changes are written to the table."""
 
@@ -169,8 +172,13 @@
         self.unsaved[fingerprint] = Change.BLOCKED if is_blocked else Change.CLEARED
 
     def blocked_by_peers(self, fingerprint: str) -> None:
-        """Log a request that the crashes at other VMs have blocked; these store it."""
+        """Log a request that crashes at other VMs have blocked.
+
+        Those VMs may not know of each other's crashes, so that some others store the block too.
+        """
         self._log_block(fingerprint, "crashes-at-peers")
+        if self.random.random() * self.sharing.peer_count < STORING_PEERS:
+            self.unsaved[fingerprint] = Change.BLOCKED
 
     def ended(self, fingerprint: str, block: Block, was_seen_here: bool) -> None:
         """Log the end of a block; remove it from the table if this VM saw why it ends."""
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -71,6 +71,11 @@
         """Return the "IP:port" at which this daemon receives messages, "" if it has no peers."""
         return "" if self.members is None else self.members.own_hello.address
 
+    @property
+    def peer_count(self) -> int:
+        """Return the number of peers."""
+        return 0 if self.members is None else len(self.members.all_addresses)
+
     def record_send(self, upstream: Upstream) -> None:
         """Record that this daemon sends a call."""
         upstream.stats.record_send()
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import curio
+import pytest
 
 from ...balancing.upstream_stats import UpstreamStats
 from ...exceptions import ConditionFailed, StoreUnavailable
@@ -77,6 +78,7 @@
         self.loss = loss
         self.sent = 0
         self.ports = count(1)
+        self.size = size
         self.daemons = [self.start() for _ in range(size)]
 
     def start(self):
@@ -86,6 +88,7 @@
             SimpleNamespace(
                 send_to_some=self.send_to_some,
                 own_address=f"127.0.0.1:{next(self.ports)}",
+                peer_count=self.size - 1,
                 channel=SimpleNamespace(send=self.send),
             ),
             decision_log(self.clock)[0],
@@ -277,6 +280,24 @@
     assert "page" not in new.ledger.blocks
 
 
+@pytest.mark.parametrize("size", [5, VMS])
+def test_a_block_is_stored_although_the_vms_that_saw_the_crashes_do_not_know_enough(size):
+    # A VM that had just started saw the last crash; only others knew the earlier ones.
+    fleet = Fleet(size)
+    for daemon in fleet.daemons[1:]:
+        now = fleet.clock.now()
+        for number in range(MAX_CRASHES):
+            daemon.ledger.record_crash("crashing", f"u{number}", "peer", now, now)
+        daemon.blocked_by_peers("crashing")
+    writers = [daemon for daemon in fleet.daemons if daemon.unsaved]
+    assert 0 < len(writers) <= 10
+    for daemon in writers:
+        curio.run(daemon.save)
+    new = fleet.start()
+    curio.run(new.load)
+    assert "crashing" in new.ledger.blocks
+
+
 def test_the_stored_crashes_of_a_request_are_removed_when_it_is_answered():
     fleet = Fleet(1)
     (daemon,) = fleet.daemons
--- a/sequoiabridge/tests/relay/test_crash_guard.py
+++ b/sequoiabridge/tests/relay/test_crash_guard.py
@@ -30,6 +30,7 @@
             channel=SimpleNamespace(send=self.deliver),
             broadcast=lambda message: None,
             own_address="127.0.0.1:1",
+            peer_count=1,
         )
         log, ledger = decision_log(clock)[0], CrashLedger(MIN_CRASHED_UPSTREAMS, 3)
         blocks = BlockedRequests(ledger, None, sharing, log, clock, Random(1))
