--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -243,6 +243,8 @@
     blocks = gateway.blocked_requests
     yield "sequoia_block_withheld", "Calls refused as crashing upstreams.", blocks.withheld
     yield "sequoia_block_trials", "Blocked requests that this VM let run.", blocks.trials.taken
+    withdrawn = gateway.crash_withdrawals.withdrawn
+    yield "sequoia_crashes_withdrawn", "Upstreams found alive after a crash.", withdrawn
     yield "sequoia_log_omitted", "Lines left out of the log.", gateway.decisions.omitted
 
 
