Do not count the time in which the soak's own process stood still as a caller's wait

The soak now records the times in which that process stands still for over 0.2 s, and takes only these off the wait of a refused caller.

--- a/sequoiabridge/tests/platform/soak/crashes.py
+++ b/sequoiabridge/tests/platform/soak/crashes.py
@@ -123,6 +123,7 @@
             violations.append(f"{target}: harmless, refused as crashing for {last - first:.1f} s")
     for call in record.calls:
         seconds = call.ended_at - call.sent_at
+        seconds -= record.stalled_seconds(call.sent_at, call.ended_at)
         is_late = call.status == 503 and seconds > MAX_REFUSAL_SECONDS
         if (
             is_late
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -85,6 +85,7 @@
         notice_seconds: Seconds within which the daemon that waits for an answer learns that the
             upstream has crashed.
         kills: Time and daemon of each kill.
+        stalls: Start and end of the times in which the process of callers and store stood still.
         crashes: Time and call id of each crash of an upstream because of a request.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
     """
@@ -108,6 +109,7 @@
         self.amnesias: list[float] = []
         self.notice_seconds = 0.0
         self.kills: list[tuple[float, str]] = []
+        self.stalls: list[tuple[float, float]] = []
         self.crashes: list[tuple[float, str]] = []
         self.disturbances: list[tuple[float, float, str]] = []
 
@@ -118,6 +120,10 @@
             start <= end and at - SETTLE_SECONDS <= stop for start, stop, _ in self.faults
         )
 
+    def stalled_seconds(self, start: float, end: float) -> float:
+        """Return how long the process of callers and store stood still between two times."""
+        return sum(max(0.0, min(end, stop) - max(start, begin)) for begin, stop in self.stalls)
+
     def disturbed_daemons(self, start: float, end: float) -> set[str]:
         """Return the daemons that were disturbed at any time from `start` to `end`."""
         return {d for begin, stop, d in self.disturbances if begin <= end and start <= stop}
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -40,6 +40,12 @@
 MEAN_FAULT_INTERVAL = 0.4
 """Mean seconds between the starts of two faults; shorter than most faults, so that they overlap."""
 
+STALL_CHECK_INTERVAL = 0.05
+"""Seconds between checks whether this process stands still."""
+
+MIN_STALL = 0.2
+"""Minimum seconds of delay that count as standing still."""
+
 CALL_TIMEOUT_MS = 2000
 UPLOAD_SIZE = 70_000
 """Bytes of the body of an upload."""
@@ -69,6 +75,7 @@
         """Run the soak; return a message for each violation."""
         deployment = self.deployment
         await deployment.start()
+        stall_watch = await curio.spawn(self.watch_stalls)
         callers = [
             await curio.spawn(self.run_caller(daemon, Random(self.random.random())))
             for daemon in deployment.daemons
@@ -83,11 +90,20 @@
         for task in callers:
             await task.join()
         await self.end_tasks()
+        await stall_watch.cancel()
         deployment.read_upstream_logs(self.started_at)
         await deployment.stop_daemons()
         deployment.record.retry_slack = deployment.retry_slack
         return find_violations(deployment.record) + self.check_recovery(end)
 
+    async def watch_stalls(self) -> None:
+        """Record the times in which this process, which serves the store too, stood still."""
+        while True:
+            began = self.now()
+            await curio.sleep(STALL_CHECK_INTERVAL)
+            if self.now() - began > STALL_CHECK_INTERVAL + MIN_STALL:
+                self.deployment.record.stalls.append((began, self.now()))
+
     async def end_tasks(self) -> None:
         """End the tasks that faults have started."""
 
--- a/sequoiabridge/tests/platform/soak/test_crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_crash_soak.py
@@ -116,3 +116,7 @@
     record.calls.append(call)
     (violation,) = check_crashes(record)
     assert violation == "c9: refused as crashing only after 0.70 s"
+    record.stalls = [(9.0, 10.1), (10.65, 11.0)]
+    assert len(check_crashes(record)) == 1
+    record.stalls = [(9.9, 10.3)]
+    assert check_crashes(record) == []
