Count a crash although no other upstream has answered since the send

Cause: an upstream that ends may accept a connection and reset it. Its end then counted only if another upstream had answered something sent after the call, at the one moment of the check, some 60 ms after the send; on a busy machine none had. A check that could not be sent, since the limit on health checks was used up, dropped a crash as well.

--- a/sequoiabridge/relay/crash_detection.py
+++ b/sequoiabridge/relay/crash_detection.py
@@ -73,11 +73,24 @@
                 return True
         elif upstream.stats.answered_until >= self.clock.now() - RECENT_ANSWER_SECONDS:
             return False
-        identity = await self.prober.check_identity(upstream)
-        if identity is Identity.NOBODY:
+        return await self._is_gone(upstream, attempt.sent_at)
+
+    async def _is_gone(self, upstream: Upstream, sent_at: float) -> bool:
+        """Return whether health checks show that an upstream's lifetime has ended."""
+        end = self.clock.now() + RESTART_NOTICE_SECONDS
+        while not has_ended(upstream):
+            identity = await self.prober.check_identity(upstream)
+            if identity is Identity.ANOTHER:
+                return True
             # Without another upstream's answer, this VM may have lost its network.
-            return self._has_other_answered(upstream, attempt.sent_at)
-        return identity is Identity.ANOTHER or await self._ends_soon(upstream)
+            if identity is Identity.NOBODY and self._has_other_answered(upstream, sent_at):
+                return True
+            if identity is Identity.SAME:
+                return await self._ends_soon(upstream)
+            if self.clock.now() >= end:
+                return False
+            await curio.sleep(RESTART_POLL_INTERVAL)
+        return True
 
     def _has_other_answered(self, upstream: Upstream, since: float) -> bool:
         """Return whether another upstream has answered something sent later than `since`."""
--- a/sequoiabridge/tests/relay/test_crashing_requests.py
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -172,6 +172,42 @@
     run_in_environment(test, reads=0)
 
 
+class ClosingUpstream(UpstreamEmulator):
+    """An upstream whose port still accepts connections while it ends, and resets them."""
+
+    is_ending = False
+
+    async def crash(self):
+        self.is_ending = True
+        for connection in list(self.connections):
+            abort_connection(connection)
+
+    async def serve(self, client, peer):
+        if self.is_ending:
+            await client.close()
+            return
+        await super().serve(client, peer)
+
+
+def test_a_crash_counts_although_no_other_upstream_has_answered_since_the_send():
+    # The connection was accepted and reset, and no other answer came in the 60 ms since the send.
+    async def test(env):
+        for number in range(8):
+            upstream = env.upstreams[f"c{number}"] = ClosingUpstream(f"c{number}", "reads", "here")
+            upstream.faults.crash_path = CRASHING
+            await upstream.start()
+            await env.update_entry(upstream.id)
+        await env.wait_until(lambda: len(env.gateway.upstreams.for_service("reads")) == 8)
+        for number in range(8):
+            await env.call(CRASHING, f"bad-{number}")
+            await curio.sleep(0.5)
+            await env.call("/approve/x", f"other-{number}", method="POST", body=b"x")
+            await curio.sleep(0.5)
+        assert crash_count(env) in (MIN_CRASHES, MIN_CRASHES + 1)
+
+    run_in_environment(test, reads=0)
+
+
 def test_an_upstream_that_ends_in_silence_counts_as_crashed():
     # An upstream that answered nothing any more, not even health checks, did not count.
     async def test(env):
