Store the crashes of a request on every VM that has seen one of them

Cause: a VM stored the crashes of a request only if it saw the second one itself. Change: each VM that has seen one of the crashes stores them, whoever tells it of the next. The new test fails without it.

--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -119,13 +119,16 @@
         self._log_crash(crashed, seen_by)
         if name in self.ledger.blocks and not was_blocked:
             self._block_began(name)
-        elif seen_by == OWN and not was_blocked:
+        elif not was_blocked and self._has_seen_crash(name):
             self.blocks.suspected_here(name)
         return True
 
+    def _has_seen_crash(self, name: str) -> bool:
+        """Return whether this VM has seen an upstream crash with a request."""
+        return any(OWN in crash.vms for crash in self.ledger.by_fingerprint.get(name, ()))
+
     def _block_began(self, name: str) -> None:
-        crashes = self.ledger.by_fingerprint.get(name, ())
-        if any(OWN in crash.vms for crash in crashes):
+        if self._has_seen_crash(name):
             self.blocks.blocked_here(name)
         else:
             self.blocks.blocked_by_peers(name)
--- a/sequoiabridge/tests/relay/test_crash_guard.py
+++ b/sequoiabridge/tests/relay/test_crash_guard.py
@@ -82,3 +82,13 @@
         message = RequestCrashed("page", f"u{number}", 1.0, answered_age=30.0)
         guard._record_crash(decode_message(encode_message(message)))
     assert "page" not in guard.ledger.blocks
+
+
+def test_two_vms_that_saw_one_crash_each_store_both():
+    # Each knew of two crashes, but stored them only if it had seen the second one itself.
+    fleet = Fleet()
+    first, second = fleet.start("first", 500.0), fleet.start("second", 500.0)
+    first._record_crash(RequestCrashed("f", "u1"), "own")
+    second._record_crash(RequestCrashed("f", "u2"), "own")
+    first._record_crash(RequestCrashed("f", "u2"))
+    assert list(first.blocks.unsaved) == ["f"] and not second.blocks.unsaved
