--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -29,20 +29,15 @@
 from .callers.limits import CallerLimits
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
+from .gateway_crashes import build_crash_parts
 from .gateway_timers import schedule_periodic_work
 from .logs import ROOT_LOGGER, get_log, silence_curio_timeouts
 from .platform.client import PlatformClient
 from .platform.dialect import PlatformDialect
 from .platform.feeds import ConfigurationFeed, UpstreamFeed
-from .policy.crashes import CrashLedger
-from .relay.block_table import BlockTable
-from .relay.blocked_requests import BlockedRequests
 from .relay.configuration import Configuration
 from .relay.connection_shares import MAX_CONNECTIONS_PER_UPSTREAM, ConnectionShares
 from .relay.counters import Counters
-from .relay.crash_detection import CrashDetector
-from .relay.crash_guard import MIN_CRASHED_UPSTREAMS, CrashGuard
-from .relay.crash_withdrawals import CrashWithdrawals
 from .relay.decisions import DecisionLog, DecisionLogHandler, LineWriter
 from .relay.departures import Departures
 from .relay.feeds import Follower, Update
@@ -267,6 +262,8 @@
         )
 
     def _build_sender(self, dispatch: Dispatch) -> Sender:
+        crash_guard, self.blocked_requests, self.crash_withdrawals = build_crash_parts(self)
+        self.send_policy.blocks = self.blocked_requests
         return Sender(
             dispatch,
             self.prober,
@@ -274,38 +271,13 @@
             self.dialect,
             self.sharing,
             self.clock,
-            self._build_crash_guard(),
+            crash_guard,
             self.unread_calls,
             self.permits,
             self.notices,
             self.send_policy,
         )
 
-    def _build_crash_guard(self) -> CrashGuard:
-        detector = CrashDetector(self.connector, self.prober, self.upstreams, self.clock)
-        ledger = CrashLedger(MIN_CRASHED_UPSTREAMS, MIN_CRASHED_UPSTREAMS)
-        self.blocked_requests = self.send_policy.blocks = BlockedRequests(
-            ledger,
-            BlockTable(self.store, self.clock),
-            self.sharing,
-            self.decisions,
-            self.clock,
-            self.random,
-        )
-        self.crash_withdrawals = CrashWithdrawals(
-            ledger,
-            self.upstreams,
-            self.prober,
-            self.blocked_requests,
-            self.sharing,
-            self.decisions,
-            self.clock,
-            lambda: self.watchers.is_current,
-        )
-        return CrashGuard(
-            ledger, detector, self.blocked_requests, self.sharing, self.decisions, self.clock
-        )
-
     def _build_servers(self) -> None:
         """Build the servers of the callers', the readiness and the operators' ports."""
         clock = self.clock
--- a/sequoiabridge/relay/block_trials.py
+++ b/sequoiabridge/relay/block_trials.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from ..exceptions import StoreUnavailable
-from ..policy.crashes import CRASH_RETENTION_SECONDS, Block
+from ..policy.crash_records import Block
+from ..policy.crashes import CRASH_RETENTION_SECONDS
 from ..timers import Clock
 from .block_table import BlockTable
 from .decisions import DecisionLog
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -16,7 +16,8 @@
 from ..component import Component
 from ..exceptions import Refusal, StoreUnavailable
 from ..outcome import Outcome, Reason
-from ..policy.crashes import Block, CrashLedger
+from ..policy.crash_records import Block
+from ..policy.crashes import CrashLedger
 from ..timers import Clock
 from .block_table import BlockTable, StoredBlock, StoredCrash
 from .block_trials import BlockTrials
--- a/sequoiabridge/relay/crash_withdrawals.py
+++ b/sequoiabridge/relay/crash_withdrawals.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 
 from ..balancing.upstream import Upstream
-from ..policy.crashes import Block, CrashLedger
+from ..policy.crash_records import Block
+from ..policy.crashes import CrashLedger
 from ..timers import Clock
 from .blocked_requests import STORE, BlockedRequests
 from .crash_detection import RESTART_NOTICE_SECONDS
