Let a VM remove only the stored crashes that have been withdrawn

Found by reading, with a test that failed: since the change that withdraws crashes, a VM replaced all rows of a request by the crashes it knew. One that had missed a message so removed the row of a crash that another VM had stored, and a new fleet counted two upstreams instead of three. Rows are only added now; those of withdrawn crashes are removed, and the row of a block only by a VM that knows that it has ended.

--- a/sequoiabridge/relay/block_table.py
+++ b/sequoiabridge/relay/block_table.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from ..exceptions import BadEntry, ConditionFailed
 from ..policy.crashes import CRASH_RETENTION_SECONDS
@@ -94,14 +94,23 @@
             await self.tables.transact([], ended[:MAX_WRITES])
         return known
 
-    async def set_crashes(self, fingerprint: str, crashes: Sequence[StoredCrash]) -> None:
-        """Store the crashes of a request instead of those that are stored."""
-        rows = {crash_key(one): self._encode_crash(one) for one in crashes}
-        outdated = {key for key in await self._keys(fingerprint) if key != fingerprint} - set(rows)
-        writes = [Write(TABLE, "", key, rows.get(key)) for key in (*outdated, *rows)]
+    async def add_crashes(self, crashes: Sequence[StoredCrash]) -> None:
+        """Add crashes of a request to those that are stored."""
+        writes = [
+            Write(TABLE, "", crash_key(one.fingerprint, one.upstream), self._encode_crash(one))
+            for one in crashes
+        ]
         if writes:
             await self.tables.transact([], writes[:MAX_WRITES])
 
+    async def withdraw_crashes(
+        self, fingerprint: str, upstreams: Iterable[str], ends_block: bool
+    ) -> None:
+        """Remove the crashes of some upstreams, and the block of the request if it has ended."""
+        keys = [crash_key(fingerprint, upstream) for upstream in upstreams]
+        keys += [fingerprint] if ends_block else []
+        await self.tables.transact([], [Write(TABLE, "", key, None) for key in keys[:MAX_WRITES]])
+
     async def add(self, fingerprint: str, age: float) -> None:
         """Add a request that was blocked `age` seconds ago, unless it is there."""
         try:
@@ -179,6 +188,6 @@
         return StoredBlock(row.key, age, trials)
 
 
-def crash_key(crash: StoredCrash) -> str:
+def crash_key(fingerprint: str, upstream: str) -> str:
     """Return the key of the row of a crash."""
-    return f"{crash.fingerprint}{SEPARATOR}{crash.upstream}"
+    return f"{fingerprint}{SEPARATOR}{upstream}"
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -73,6 +73,7 @@
 
     SUSPECTED = "suspected"
     BLOCKED = "blocked"
+    WITHDRAWN = "withdrawn"
     CLEARED = "cleared"
 
 
@@ -168,9 +169,8 @@
         self.unsaved[fingerprint] = Change.CLEARED
 
     def withdrawn_here(self, fingerprint: str) -> None:
-        """Store anew what remains of a request of which this VM has withdrawn a crash."""
-        is_blocked = fingerprint in self.ledger.blocks
-        self.unsaved[fingerprint] = Change.BLOCKED if is_blocked else Change.CLEARED
+        """Remove a crash that this VM has withdrawn, and the block that has ended, if any."""
+        self.unsaved[fingerprint] = Change.WITHDRAWN
 
     def blocked_by_peers(self, fingerprint: str) -> None:
         """Log a request that crashes at other VMs have blocked.
@@ -256,9 +256,13 @@
         now = self.clock.now()
         if change is Change.CLEARED:
             await self.table.remove(fingerprint)
-            self.suspected_here(fingerprint)
             return
         block = self.ledger.blocks.get(fingerprint)
+        withdrawn = self.ledger.withdrawn_upstreams(fingerprint)
+        if withdrawn:
+            has_ended = block is None and fingerprint in self.ledger.unblocked_at
+            ends_block = change is Change.WITHDRAWN and has_ended
+            await self.table.withdraw_crashes(fingerprint, withdrawn, ends_block)
         if change is Change.BLOCKED and block is not None:
             await self.table.add(fingerprint, now - block.at)
         answered_age = self.ledger.answered_age(fingerprint, now)
@@ -266,7 +270,7 @@
             StoredCrash(fingerprint, one.upstream, now - one.at, answered_age)
             for one in self.ledger.by_fingerprint.get(fingerprint, ())
         ]
-        await self.table.set_crashes(fingerprint, crashes)
+        await self.table.add_crashes(crashes)
 
     async def load(self) -> None:
         """Read the table; retry until the store answers."""
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -298,6 +298,33 @@
     assert "crashing" in new.ledger.blocks
 
 
+def test_a_vm_that_missed_a_crash_removes_no_row_of_it():
+    fleet = Fleet(2)
+    now = fleet.clock.now()
+    for daemon, seen in zip(fleet.daemons, [("u0", "u1"), ("u1", "u2")], strict=True):
+        for upstream in seen:
+            daemon.ledger.record_crash("crashing", upstream, "vm", now, now)
+        daemon.suspected_here("crashing")
+        curio.run(daemon.save)
+    new = fleet.start()
+    curio.run(new.load)
+    assert "crashing" in new.ledger.blocks
+
+
+def test_only_the_row_of_a_withdrawn_crash_is_removed():
+    fleet = Fleet(1)
+    (daemon,) = fleet.daemons
+    now = fleet.clock.now()
+    for number in range(MAX_CRASHES):
+        fleet.crash(daemon, "page", f"u{number}")
+    daemon.blocked_here("page")
+    curio.run(daemon.save)
+    daemon.ledger.withdraw_crashes("u0", now, now)
+    daemon.withdrawn_here("page")
+    curio.run(daemon.save)
+    assert sorted(fleet.table.values) == ["page/u1", "page/u2"]
+
+
 def test_the_stored_crashes_of_a_request_are_removed_when_it_is_answered():
     fleet = Fleet(1)
     (daemon,) = fleet.daemons
