Count the wait of a refused caller from the block of its request

Traced: they waited at or for one of two upstreams when their request was blocked (the line request-blocked at 172.501 s of one VM, the refusals at 172.502 and 172.505 s); none could be refused before. The oracle now takes the time of the block from the daemon's log, for that daemon and that request, if it is later than the call.

--- a/sequoiabridge/tests/platform/soak/crashes.py
+++ b/sequoiabridge/tests/platform/soak/crashes.py
@@ -122,8 +122,9 @@
         if last - first > MAX_WRONG_BLOCK:
             violations.append(f"{target}: harmless, refused as crashing for {last - first:.1f} s")
     for call in record.calls:
-        seconds = call.ended_at - call.sent_at
-        seconds -= record.stalled_seconds(call.sent_at, call.ended_at)
+        # A call may have waited for an upstream before its request was blocked.
+        since = max(call.sent_at, record.blocked_at(call))
+        seconds = call.ended_at - since - record.stalled_seconds(since, call.ended_at)
         is_late = call.status == 503 and seconds > MAX_REFUSAL_SECONDS
         if (
             is_late
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -18,7 +18,7 @@
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
 from .faulty_gateway import LOSS_SUFFIX
 from .proxy import Proxy
-from .record import Record, read_upstream_log
+from .record import Record, read_daemon_log, read_upstream_log
 from .repeats import RETRY_RATIO
 
 READY_TIMEOUT = 15.0
@@ -320,8 +320,8 @@
             await self.store.put("servers", upstream.id, upstream.entry())
         upstream.is_restarting = False
 
-    def read_upstream_logs(self, clock_start: float) -> None:
-        """Add what all upstreams logged to the record.
+    def read_logs(self, clock_start: float) -> None:
+        """Add what all upstreams and daemons logged to the record.
 
         Args:
             clock_start: Time of the monotonic clock at which the clock of the record began.
@@ -329,6 +329,7 @@
         for upstream in self.started_upstreams:
             read_upstream_log(self.record, upstream, clock_start)
         for daemon in self.daemons:
+            read_daemon_log(self.record, daemon, clock_start)
             if daemon.down_since is not None:
                 began = daemon.down_since - clock_start
                 self.record.disturbances.append((began, float("inf"), daemon.name))
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -85,6 +85,8 @@
         notice_seconds: Seconds within which the daemon that waits for an answer learns that the
             upstream has crashed.
         kills: Time and daemon of each kill.
+        blocks: Time of each block by its daemon and the fingerprint of its request.
+        fingerprints: Fingerprint of the request of a call, by id, as far as daemons logged it.
         stalls: Start and end of the times in which the process of callers and store stood still.
         crashes: Time and call id of each crash of an upstream because of a request.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
@@ -109,6 +111,8 @@
         self.amnesias: list[float] = []
         self.notice_seconds = 0.0
         self.kills: list[tuple[float, str]] = []
+        self.blocks: dict[tuple[str, str], list[float]] = {}
+        self.fingerprints: dict[str, str] = {}
         self.stalls: list[tuple[float, float]] = []
         self.crashes: list[tuple[float, str]] = []
         self.disturbances: list[tuple[float, float, str]] = []
@@ -124,6 +128,11 @@
         """Return how long the process of callers and store stood still between two times."""
         return sum(max(0.0, min(end, stop) - max(start, begin)) for begin, stop in self.stalls)
 
+    def blocked_at(self, call: CallRecord) -> float:
+        """Return the time at which a call's daemon last blocked its request, at most its end."""
+        times = self.blocks.get((call.daemon, self.fingerprints.get(call.id, "")), ())
+        return max((at for at in times if at <= call.ended_at), default=float("-inf"))
+
     def disturbed_daemons(self, start: float, end: float) -> set[str]:
         """Return the daemons that were disturbed at any time from `start` to `end`."""
         return {d for begin, stop, d in self.disturbances if begin <= end and start <= stop}
@@ -152,6 +161,20 @@
             record.runs.append(UpstreamRun(call_id, upstream.id, upstream.service, at, size))
 
 
+def read_daemon_log(record: Record, daemon, clock_start: float) -> None:
+    """Add the blocks and fingerprints in a daemon's log to the record."""
+    for line in daemon.log.read_text(errors="replace").splitlines():
+        try:
+            event = json.loads(line)
+        except ValueError:
+            continue  # A traceback, or a line that a kill cut short.
+        if event.get("event") == "request-blocked":
+            key = (daemon.name, event["fingerprint"])
+            record.blocks.setdefault(key, []).append(event["up"] - clock_start)
+        elif event.get("event") == "call" and "fingerprint" in event:
+            record.fingerprints[event["id"]] = event["fingerprint"]
+
+
 def is_limit(text: str) -> bool:
     """Return whether a daemon can read a value as a limit."""
     return text.replace(".", "", 1).isdigit()
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -91,7 +91,7 @@
             await task.join()
         await self.end_tasks()
         await stall_watch.cancel()
-        deployment.read_upstream_logs(self.started_at)
+        deployment.read_logs(self.started_at)
         await deployment.stop_daemons()
         deployment.record.retry_slack = deployment.retry_slack
         return find_violations(deployment.record) + self.check_recovery(end)
--- a/sequoiabridge/tests/platform/soak/test_crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_crash_soak.py
@@ -120,3 +120,8 @@
     assert len(check_crashes(record)) == 1
     record.stalls = [(9.9, 10.3)]
     assert check_crashes(record) == []
+    record.stalls, record.fingerprints = [], {"c9": "f"}
+    record.blocks = {("vm-2", "f"): [10.5], ("vm-1", "f"): [10.1, 10.8]}
+    assert len(check_crashes(record)) == 1
+    record.blocks["vm-1", "f"].append(10.3)
+    assert check_crashes(record) == []
--- a/sequoiabridge/tests/platform/soak/test_restarts.py
+++ b/sequoiabridge/tests/platform/soak/test_restarts.py
@@ -49,7 +49,7 @@
         assert await deployment.wait_until_ready(first)
         await curio.sleep(0.5)
         statuses = [await send(first, f"after-{n}") for n in range(3)]
-        deployment.read_upstream_logs(started_at)
+        deployment.read_logs(started_at)
         await deployment.stop_daemons()
         after = [a.id for a in deployment.record.arrivals if a.id.startswith("after")]
         assert (statuses, after) == ([503, 503, 503], [])
