Count the delay before a trial from the last trial, not from a restart

Cause: neither the row of a block nor the message to peers named the time of the latest trial, so that each new process counted the 10 s before the next one from its own start. All daemons were killed 2 and 8 s after the first trial; the second came 18 s after it. Change: row and message name that time. The new test fails without it.

--- a/sequoiabridge/policy/crash_records.py
+++ b/sequoiabridge/policy/crash_records.py
@@ -62,11 +62,15 @@
         self.not_before = float("-inf")
         self.withheld = 0
 
-    def record_trials(self, count: int, now: float) -> None:
-        """Record that `count` trials have been taken in all, the latest one now if it is new."""
+    def record_trials(self, count: int, last_at: float) -> None:
+        """Record that `count` trials have been taken in all, the latest one at `last_at`."""
         if count > self.trials:
             self.trials = count
-            self.last_trial_at = now
+            self.last_trial_at = last_at
+
+    def trial_age(self, now: float) -> float:
+        """Return the seconds since the latest trial, 0 before the first."""
+        return 0.0 if self.last_trial_at is None else now - self.last_trial_at
 
 
 class Withdrawal:
--- a/sequoiabridge/relay/block_table.py
+++ b/sequoiabridge/relay/block_table.py
@@ -41,14 +41,16 @@
         fingerprint: Fingerprint of the request.
         age: Seconds since the block.
         trials: Number of trials that were taken.
+        trial_age: Seconds since the latest one, 0 if the row does not tell.
     """
 
-    __slots__ = ("fingerprint", "age", "trials")
+    __slots__ = ("fingerprint", "age", "trials", "trial_age")
 
-    def __init__(self, fingerprint: str, age: float, trials: int):
+    def __init__(self, fingerprint: str, age: float, trials: int, trial_age: float):
         self.fingerprint = fingerprint
         self.age = age
         self.trials = trials
+        self.trial_age = trial_age
 
 
 class StoredCrash:
@@ -150,7 +152,10 @@
         return rows[0] if rows and rows[0].key == fingerprint else None
 
     async def _write(self, fingerprint: str, version: int, blocked_at: float, trials: int) -> None:
-        value = json.dumps({"blocked_at": blocked_at, "trials": trials}).encode()
+        fields = {"blocked_at": blocked_at, "trials": trials}
+        if trials:
+            fields["tried_at"] = self.clock.wall()
+        value = json.dumps(fields).encode()
         condition = Condition(TABLE, "", fingerprint, version)
         await self.tables.transact([condition], [Write(TABLE, "", fingerprint, value)])
 
@@ -183,9 +188,11 @@
             fields = as_object(parse_json(row.value or b""), "the row")
             age = self._age(fields.get("blocked_at"), "blocked_at")
             trials = as_integer(fields.get("trials"), "trials", 0, MAX_TRIAL_COUNT)
+            tried_at = fields.get("tried_at")
+            trial_age = 0.0 if tried_at is None else self._age(tried_at, "tried_at")
         except BadEntry:
             return None
-        return StoredBlock(row.key, age, trials)
+        return StoredBlock(row.key, age, trials, trial_age)
 
 
 def crash_key(fingerprint: str, upstream: str) -> str:
--- a/sequoiabridge/relay/blocked_requests.py
+++ b/sequoiabridge/relay/blocked_requests.py
@@ -201,7 +201,7 @@
             self._log_block(name, "peer")
         block = self.ledger.blocks.get(name)
         if block is not None:
-            block.record_trials(message.trials, now)
+            block.record_trials(message.trials, now - message.trial_age)
             return
         # The peer has missed why the block ended.
         if message.reply_to:
@@ -300,7 +300,7 @@
                     stopped=name in self.ledger.blocks,
                 )
         elif self.ledger.record_block(name, at, now):
-            self.ledger.blocks[name].record_trials(entry.trials, now)
+            self.ledger.blocks[name].record_trials(entry.trials, now - entry.trial_age)
             self._log_block(name, STORE)
 
     def dump(self) -> dict:
@@ -338,8 +338,10 @@
 
     def _message(self, fingerprint: str) -> RequestBlocked:
         block = self.ledger.blocks[fingerprint]
-        age = max(0.0, self.clock.now() - block.at)
-        return RequestBlocked(fingerprint, age, block.trials, self.sharing.own_address)
+        now = self.clock.now()
+        age, trial_age = max(0.0, now - block.at), block.trial_age(now)
+        own_address = self.sharing.own_address
+        return RequestBlocked(fingerprint, age, block.trials, own_address, trial_age)
 
     def _log_block(self, fingerprint: str, told_by: str) -> None:
         self.decisions.event("request-blocked", fingerprint=fingerprint, told_by=told_by)
--- a/sequoiabridge/relay/message_codec.py
+++ b/sequoiabridge/relay/message_codec.py
@@ -143,9 +143,10 @@
 def _decode_request_blocked(fields: list) -> RequestBlocked:
     age = as_number(fields[1], "the age", 0.0, MAX_CRASH_AGE)
     trials = as_integer(fields[2], "trials", 0, MAX_TRIALS)
-    # A daemon of an earlier version sends no address.
+    # A daemon of an earlier version sends neither an address nor the age of a trial.
     reply_to = as_address(fields[3], "the address") if len(fields) > 3 and fields[3] else ""
-    return RequestBlocked(_text(fields, 0), age, trials, reply_to)
+    trial_age = as_number(fields[4], "the age", 0.0, MAX_CRASH_AGE) if len(fields) > 4 else 0.0
+    return RequestBlocked(_text(fields, 0), age, trials, reply_to, trial_age)
 
 
 def _decode_crash_withdrawn(fields: list) -> CrashWithdrawn:
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -184,19 +184,29 @@
         age: Seconds since it was blocked.
         trials: Number of trials that were taken since.
         reply_to: "IP:port" of the sender, which is told if the block has ended; "" for none.
+        trial_age: Seconds since the latest trial, 0 before the first.
     """
 
-    __slots__ = ("fingerprint", "age", "trials", "reply_to")
+    __slots__ = ("fingerprint", "age", "trials", "reply_to", "trial_age")
 
-    def __init__(self, fingerprint: str, age: float, trials: int, reply_to: str = ""):
+    def __init__(
+        self,
+        fingerprint: str,
+        age: float,
+        trials: int,
+        reply_to: str = "",
+        trial_age: float = 0.0,
+    ):
         self.fingerprint = fingerprint
         self.age = age
         self.trials = trials
         self.reply_to = reply_to
+        self.trial_age = trial_age
 
     def fields(self) -> list:
         """Return the datagram's elements."""
-        return [BLOCKED, self.fingerprint, round(self.age, 3), self.trials, self.reply_to]
+        age, trial_age = round(self.age, 3), round(self.trial_age, 3)
+        return [BLOCKED, self.fingerprint, age, self.trials, self.reply_to, trial_age]
 
 
 class Heartbeat:
--- a/sequoiabridge/tests/relay/test_blocked_requests.py
+++ b/sequoiabridge/tests/relay/test_blocked_requests.py
@@ -298,6 +298,27 @@
     assert "crashing" in new.ledger.blocks
 
 
+def test_restarts_do_not_put_off_the_next_trial():
+    # Each new fleet waited anew, and a page stayed blocked for 21 s.
+    fleet = Fleet(1)
+    (old,) = fleet.daemons
+    for number in range(MAX_CRASHES):
+        fleet.crash(old, "page", f"u{number}")
+    old.blocked_here("page")
+    curio.run(old.save)
+    fleet.clock.advance(TRIAL_DELAYS[0])
+    assert fleet.call(old, "page")
+    fleet.clock.advance(TRIAL_DELAYS[1] - 1.0)
+    new, told = fleet.start(), fleet.start()
+    curio.run(new.load)
+    told.handle_block(decode_message(encode_message(new._message("page"))))
+    for daemon in (new, told):
+        assert not fleet.call(daemon, "page")
+    fleet.clock.advance(1.1)
+    assert told.trials.seconds_until_due(told.ledger.blocks["page"]) == 0.0
+    assert fleet.call(new, "page")
+
+
 def test_a_vm_that_missed_a_crash_removes_no_row_of_it():
     fleet = Fleet(2)
     now = fleet.clock.now()
--- a/sequoiabridge/tests/relay/test_messages.py
+++ b/sequoiabridge/tests/relay/test_messages.py
@@ -34,6 +34,7 @@
         RequestUnblocked("f", 0.25),
         RequestBlocked("f", 0.25, 1, "10.0.0.1:7"),
         RequestBlocked("f", 0.25, 1),
+        RequestBlocked("f", 5.0, 1, "10.0.0.1:7", 3.5),
         RequestCrashed("f", "u1@5", 0.2),
         RequestCrashed("f", "u1@5", 0.2, 12.5),
         LimitNamed("u1", 1.3, 0.25),
