Soak with daemons that lose their paths to upstreams, peers or the store; it fails

Until now each upstream had one proxy that all daemons shared, so no daemon could be cut off alone. Each daemon now reaches each upstream through a proxy of its own, which can hang, reset, refuse new connections, or lose what goes one way. The oracle compares calls at daemons without paths with those at the others, asks for refusals at once while nobody has a path, and for no report of a crash that did not happen.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 bench-limits: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.benchmarks.policy_limits
 
-.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes
+.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes soak-paths
 soak-platform: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --seeds 3
 
@@ -97,5 +97,8 @@
 soak-crashes: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --crashes RANDOM --daemons 5 --reads 14 --seconds 24 --seeds 3
 
+soak-paths: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --paths RANDOM --daemons 6 --reads 8 --seconds 40 --seeds 3
+
 soak-retries: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --retries RANDOM --seconds 40 --seeds 3
--- a/sequoiabridge/tests/platform/soak/__main__.py
+++ b/sequoiabridge/tests/platform/soak/__main__.py
@@ -9,6 +9,7 @@
 from .crash_soak import CrashScenario, CrashSoak
 from .limit_soak import LimitScenario, LimitSoak
 from .notice_soak import NoticeScenario, NoticeSoak
+from .path_soak import PathScenario, PathSoak
 from .retry_soak import RetrySoak, Scenario
 from .soak import Soak
 
@@ -23,6 +24,7 @@
     limits: LimitScenario | None = None,
     notices: NoticeScenario | None = None,
     crashes: CrashScenario | None = None,
+    paths: PathScenario | None = None,
     reads: int = 5,
     rate: float = 60.0,
 ) -> int:
@@ -36,12 +38,15 @@
     :param limits: let upstreams name limits in this way, instead of mixing all faults
     :param notices: let upstreams ask for rest or leave in this way, instead of mixing all faults
     :param crashes: send requests that crash upstreams in this way, instead of mixing all faults
+    :param paths: let daemons lose their paths in this way, instead of mixing all faults
     :param reads: number of upstreams of the service that fails or names limits then
     :param rate: calls per second then
     """
     failed_seeds = 0
     for number in range(seed, seed + seeds):
-        if crashes is not None:
+        if paths is not None:
+            soak = PathSoak(number, seconds, daemons, paths, reads=reads)
+        elif crashes is not None:
             soak = CrashSoak(number, seconds, daemons, crashes, reads)
         elif notices is not None:
             soak = NoticeSoak(number, seconds, daemons, notices, reads, rate)
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -16,7 +16,8 @@
 from ..ports import free_port
 from ..store_emulator import StoreEmulator
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
-from .faulty_gateway import LOSS_SUFFIX
+from .faulty_gateway import LOSS_SUFFIX, UNREACHABLE_SUFFIX, UPSTREAMS_AT
+from .path_proxy import UPSTREAM_HOST, PathProxy, daemon_host
 from .proxy import Proxy
 from .record import Record, read_daemon_log, read_upstream_log
 from .repeats import RETRY_RATIO
@@ -54,11 +55,16 @@
         self.log = folder / f"{name}.log"
         self.settings = folder / f"{name}.ini"
         self.loss = folder / f"{name}.ini{LOSS_SUFFIX}"
+        self.unreachable = folder / f"{name}.ini{UNREACHABLE_SUFFIX}"
         self.module = "sequoiabridge.commands.gateway"
         self.options: list[str] = []
+        self.paths: dict[str, PathProxy] = {}
         self.down_since: float | None = None
         self.callers, self.ready = free_port(), free_port()
-        text = SETTINGS.format(store=store.address, port=free_port(), port2=free_port())
+        operators, peers = free_port(), free_port()
+        self.peer_address = f"127.0.0.1:{peers}"
+        self.operators_address = f"127.0.0.1:{operators}"
+        text = SETTINGS.format(store=store.address, port=operators, port2=peers)
         text = text.replace("vm-1", name).replace("= here", f"= {data_centre}")
         text = text.replace("callers = 127.0.0.1:0", f"callers = 127.0.0.1:{self.callers}")
         text = text.replace("ready = 127.0.0.1:0", f"ready = 127.0.0.1:{self.ready}")
@@ -84,6 +90,10 @@
         """Lose a share of the datagrams that the daemon sends from now on."""
         self.loss.write_text(str(share))
 
+    def set_unreachable(self, addresses: list[str]) -> None:
+        """Let nothing that the daemon sends reach these addresses of peers from now on."""
+        self.unreachable.write_text("\n".join(addresses))
+
     async def supervise(self, on_restart) -> None:
         """Restart the process whenever it ends, as the platform does; call `on_restart` then."""
         while True:
@@ -151,6 +161,12 @@
         except BrokenPipeError:
             return  # It has been killed meanwhile.
 
+    def find_target(self) -> str:
+        """Return the address of the process, "" while it does not run."""
+        if self.process is None or self.process.poll() is not None:
+            return ""
+        return self.proxy.target
+
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
         signal_process(self.process, number)
@@ -170,6 +186,7 @@
 
     Attributes:
         uses_proxies: Whether daemons reach upstreams through proxies.
+        uses_paths: Whether each daemon reaches each upstream through a proxy of its own.
         restart_faults: Faults of upstreams that start again.
     """
 
@@ -186,6 +203,7 @@
         self.daemon_module = "sequoiabridge.commands.gateway"
         self.daemon_options: list[str] = []
         self.uses_proxies = True
+        self.uses_paths = False
         self.restart_faults: dict = {}
         self.daemons: list[Daemon] = []
         self.supervisors: list[curio.Task] = []
@@ -216,8 +234,12 @@
             daemon = Daemon(
                 f"vm-{number}", data_centre, proxy, folder, self.retry_slack, self.retry_ratio
             )
-            daemon.module, daemon.options = self.daemon_module, self.daemon_options
+            daemon.module, daemon.options = self.daemon_module, list(self.daemon_options)
             self.daemons.append(daemon)
+            if self.uses_paths:
+                daemon.options.append(UPSTREAMS_AT + daemon_host(number))
+                for upstream in self.upstreams.values():
+                    await self.add_path(number, upstream)
             daemon.start()
             supervisor = await curio.spawn(daemon.supervise(self.record_restart), daemon=True)
             self.supervisors.append(supervisor)
@@ -279,12 +301,23 @@
         upstream.proxy = Proxy("", self.random)
         await upstream.proxy.start()
         upstream.address = upstream.proxy.address
+        if self.uses_paths:
+            upstream.address = f"{UPSTREAM_HOST}:{upstream.proxy.address.rpartition(':')[2]}"
+            for number in range(len(self.daemons)):
+                await self.add_path(number, upstream)
         self.started_upstreams.append(upstream)
         await upstream.start()
         self.upstreams[id], self.proxies[id] = upstream, upstream.proxy
         await self.store.put("servers", id, upstream.entry())
         return id
 
+    async def add_path(self, number: int, upstream: UpstreamProcess) -> None:
+        """Start the proxy between a daemon and an upstream."""
+        port = int(upstream.address.rpartition(":")[2])
+        path = PathProxy(daemon_host(number), port, upstream.find_target)
+        self.daemons[number].paths[upstream.id] = path
+        await curio.spawn(path.run, daemon=True)
+
     async def drain_upstream(self, id: str) -> None:
         """List an upstream as draining; remove and stop it 4 s later."""
         upstream = self.upstreams.pop(id)
--- a/sequoiabridge/tests/platform/soak/faulty_gateway.py
+++ b/sequoiabridge/tests/platform/soak/faulty_gateway.py
@@ -1,16 +1,24 @@
 """The gateway daemon with faults: it loses datagrams to peers, or ignores what upstreams say.
 
 The share of lost datagrams is read from the file next to the settings whose name ends with
-`LOSS_SUFFIX`.
+`LOSS_SUFFIX`. The peers that it cannot reach are listed in the file whose name ends with
+`UNREACHABLE_SUFFIX`, one "IP:port" a line.
 """
 
+import socket
 import sys
 from pathlib import Path
 from random import Random
 
 from ....relay.channel import Channel
+from .path_proxy import UPSTREAM_HOST
 
 LOSS_SUFFIX = ".loss"
+UNREACHABLE_SUFFIX = ".unreachable"
+UPSTREAMS_AT = "--upstreams-at="
+"""Option that names the host at which the daemon's paths to the upstreams begin."""
+SILENT_ADDRESS = ("127.0.9.2", 1)
+"""Address at which nothing answers; a test keeps a full listener there."""
 IGNORE_LIMITS = "--ignore-limits"
 IGNORE_RESTS = "--ignore-rests"
 IGNORE_DEPARTURES = "--ignore-departures"
@@ -30,7 +38,35 @@
 
     def send(self, message, addresses) -> None:
         share = float(self.file.read_text() or 0.0) if self.file.exists() else 0.0
-        super().send(message, [a for a in addresses if self.random.random() >= share])
+        unreachable = read_unreachable()
+        reached = [a for a in addresses if a not in unreachable]
+        super().send(message, [a for a in reached if self.random.random() >= share])
+
+
+class UnreachablePeers:
+    """The file that lists the peers which the daemon cannot reach."""
+
+    file = Path()
+
+
+def read_unreachable() -> set[str]:
+    """Return the addresses of the peers that the daemon cannot reach."""
+    file = UnreachablePeers.file
+    return set(file.read_text().split()) if file.exists() else set()
+
+
+def redirect_connections(host: str) -> None:
+    """Let connections to upstreams go to `host`, and those to unreachable peers to silence."""
+    connect_ex = socket.socket.connect_ex
+
+    def redirected(sock, address):
+        if address[0] == UPSTREAM_HOST:
+            address = (host, address[1])
+        elif f"{address[0]}:{address[1]}" in read_unreachable():
+            address = SILENT_ADDRESS
+        return connect_ex(sock, address)
+
+    socket.socket.connect_ex = redirected
 
 
 def divide_blame(ledger_class) -> None:
@@ -58,7 +94,11 @@
     if IGNORE_DEPARTURES in options:
         Departures.record = lambda *arguments: None
 
+    for option in options:
+        if option.startswith(UPSTREAMS_AT):
+            redirect_connections(option.removeprefix(UPSTREAMS_AT))
     LossyChannel.file = Path(settings + LOSS_SUFFIX)
+    UnreachablePeers.file = Path(settings + UNREACHABLE_SUFFIX)
     sharing.Channel = LossyChannel
     from ....gateway_process import run_daemon
 
--- a/sequoiabridge/tests/platform/soak/oracle.py
+++ b/sequoiabridge/tests/platform/soak/oracle.py
@@ -3,6 +3,7 @@
 from .crashes import check_crashes
 from .limits import check_limits
 from .notices import DRAIN_SECONDS, check_departures, check_rests
+from .paths import check_paths
 from .record import APPROVE, MARK, UPLOAD, CallRecord, Record, UpstreamRun
 from .repeats import worst_repeats
 
@@ -36,6 +37,7 @@
     violations += check_rests(record)
     violations += check_departures(record)
     violations += check_crashes(record)
+    violations += check_paths(record)
     return violations
 
 
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -89,6 +89,11 @@
         fingerprints: Fingerprint of the request of a call, by id, as far as daemons logged it.
         stalls: Start and end of the times in which the process of callers and store stood still.
         crashes: Time and call id of each crash of an upstream because of a request.
+        cuts: The times in which daemons had no path to any upstream (`paths.Cut`).
+        checks_paths: Whether the service of daemons without paths is checked.
+        daemon_count: Number of daemons.
+        reported_crashes: Time, daemon and upstream of each crash that the daemon itself saw.
+        upstream_ends: Time and upstream of each end of an upstream's process.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
     """
 
@@ -116,6 +121,11 @@
         self.stalls: list[tuple[float, float]] = []
         self.crashes: list[tuple[float, str]] = []
         self.disturbances: list[tuple[float, float, str]] = []
+        self.cuts: list = []
+        self.checks_paths = False
+        self.daemon_count = 0
+        self.reported_crashes: list[tuple[float, str, str]] = []
+        self.upstream_ends: list[tuple[float, str]] = []
 
     def is_fault_free(self, at: float, until: float | None = None) -> bool:
         """Return whether no fault was active from `SETTLE_SECONDS` before `at` to `until`."""
@@ -171,6 +181,9 @@
         if event.get("event") == "request-blocked":
             key = (daemon.name, event["fingerprint"])
             record.blocks.setdefault(key, []).append(event["up"] - clock_start)
+        elif event.get("event") == "request-crashed" and event["seen_by"] == "own":
+            at = event["up"] - clock_start
+            record.reported_crashes.append((at, daemon.name, event["upstream"].partition("@")[0]))
         elif event.get("event") == "call" and "fingerprint" in event:
             record.fingerprints[event["id"]] = event["fingerprint"]
 
--- /dev/null
+++ b/sequoiabridge/tests/platform/soak/test_path_soak.py
@@ -0,0 +1,77 @@
+"""Short soak runs in which daemons lose their paths to the upstreams."""
+
+import pytest
+
+from .path_proxy import PathState
+from .path_soak import PathScenario, PathSoak
+from .paths import Cut, check_paths
+from .record import READ, CallRecord, Record
+from .runner import run_soak
+
+
+@pytest.mark.parametrize("state", [PathState.HANGS, PathState.RESETS, PathState.LOSES_ANSWERS])
+def test_callers_of_daemons_without_paths_are_served(state):
+    # There was one way only to an upstream.
+    assert run_soak(PathSoak(1, 18.0, 5, PathScenario.SOME, state)) == []
+
+
+def test_callers_of_daemons_without_paths_to_one_service_are_served():
+    # Only a loss of all paths could have been noticed.
+    assert run_soak(PathSoak(1, 18.0, 5, PathScenario.SERVICE, PathState.HANGS)) == []
+
+
+def test_callers_are_refused_at_once_if_no_daemon_has_a_path():
+    # Each call waited for a connection until its time limit.
+    assert run_soak(PathSoak(1, 18.0, 4, PathScenario.ALL, PathState.HANGS)) == []
+
+
+def test_daemons_that_start_without_paths_serve_their_callers():
+    assert run_soak(PathSoak(1, 20.0, 5, PathScenario.STARTS, PathState.HANGS)) == []
+
+
+def path_record(served, failed, others):
+    """Return a record of a cut from 1.0 to 9.0 with calls at the cut daemon and at another."""
+    record = Record()
+    record.checks_paths, record.daemon_count = True, 2
+    record.cuts = [Cut(1.0, frozenset({"vm-1"}))]
+    record.cuts[0].end = 9.0
+    statuses = [("vm-1", 200)] * served + [("vm-1", 503)] * failed + [("vm-2", 200)] * others
+    for number, (daemon, status) in enumerate(statuses):
+        call = CallRecord(f"c{number}", READ, daemon, 4.1)
+        call.status, call.is_complete, call.ended_at = status, True, 4.2
+        record.calls.append(call)
+    return record
+
+
+@pytest.mark.parametrize(
+    ("served", "failed", "violated"),
+    [(40, 21, True), (42, 20, False), (0, 11, False), (0, 14, True), (60, 0, False)],
+)
+def test_the_oracle_compares_daemons_without_paths_with_the_others(served, failed, violated):
+    record = path_record(served, failed, 140)
+    assert bool(check_paths(record)) == violated
+    record.disturbances = [(2.0, 5.0, "vm-1")]
+    assert check_paths(record) == []
+
+
+def test_the_oracle_leaves_out_the_first_seconds_of_a_cut():
+    record = path_record(0, 50, 100)
+    record.cuts[0].start = 1.2
+    assert check_paths(record) == []
+
+
+@pytest.mark.parametrize(("waited", "violated"), [(0.6, True), (0.4, False)])
+def test_the_oracle_detects_late_refusals_while_nobody_has_a_path(waited, violated):
+    record = path_record(0, 11, 0)
+    record.daemon_count = 1
+    for call in record.calls:
+        call.ended_at = call.sent_at + waited
+    assert bool(check_paths(record)) == violated
+
+
+@pytest.mark.parametrize(("ended_at", "violated"), [(4.0, False), (6.0, True)])
+def test_the_oracle_detects_reports_of_crashes_that_did_not_happen(ended_at, violated):
+    record = path_record(0, 0, 0)
+    record.reported_crashes = [(5.0, "vm-1", "reads-1")]
+    record.upstream_ends = [(4.0, "reads-2"), (ended_at, "reads-1")]
+    assert bool(check_paths(record)) == violated
