Reach upstreams through peers when this VM has lost its own paths to them

Callers of VMs without a path were hardly served, though peers reached all upstreams: there was one way only to an upstream, and an upstream that did not answer took all of a call's time.

`balancing/paths.py` decides by which way each connection is opened: directly, and if that fails for 0.1 s, through peers; peers come first once one of them has reached what this VM cannot. A peer opens the connection to an upstream that it lists itself and forwards the bytes. All decisions about the call stay at the VM that took it. The peer serves CONNECT requests that carry the fleet's key, which lies in the store, and answers others with an error and a log line. It resets the connection if it ends or the upstream's breaks off, so that an answer without a length does not look complete. Failed direct paths are checked from 0.25 s on, with growing pauses; open connections that were silent since, and those through peers once the direct path is back, are not used again.

--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -54,6 +54,7 @@
         is_streamed: Whether the answer is being streamed and can no longer be replaced.
         load: Load report in the answer, or None.
         wrong_upstream: Whether another upstream answered at the address.
+        via: VM of the peer through which it was sent, "" if it was sent directly.
         next_check_at: Time of the next check whether to hedge the attempt.
     """
 
@@ -71,6 +72,7 @@
         "is_streamed",
         "load",
         "wrong_upstream",
+        "via",
         "next_check_at",
     )
 
@@ -88,6 +90,7 @@
         self.is_streamed = False
         self.load: UpstreamLoad | None = None
         self.wrong_upstream = False
+        self.via = ""
         self.next_check_at = 0.0
 
     @property
--- a/sequoiabridge/exceptions.py
+++ b/sequoiabridge/exceptions.py
@@ -89,6 +89,22 @@
     """This VM's share of connections to an upstream is in use; the upstream has not failed."""
 
 
+class PeerFailed(UpstreamFailed):
+    """A peer opened no connection to an upstream; `status` is its answer, None without one."""
+
+    def __init__(self, message: str, status: int | None = None, *, refused: bool = False):
+        super().__init__(message, sent=False, refused=refused)
+        self.status = status
+
+
+class PeerRequestRejected(SequoiaError):
+    """A request for a connection that came from a peer is answered with this status."""
+
+    def __init__(self, status: int, message: str):
+        super().__init__(message)
+        self.status = status
+
+
 class SendWithheld(SequoiaError):
     """A call was not sent since its upstream may get none now; the message names the reason."""
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -30,6 +30,7 @@
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
 from .gateway_crashes import build_crash_parts
+from .gateway_paths import build_path_table, build_paths
 from .gateway_timers import schedule_periodic_work
 from .logs import ROOT_LOGGER, get_log, silence_curio_timeouts
 from .platform.client import PlatformClient
@@ -45,6 +46,8 @@
 from .relay.messages import Hello
 from .relay.notices import Notices
 from .relay.operators import OperatorPort
+from .relay.paths.fleet_key import FleetKey
+from .relay.paths.opener import PathOpener
 from .relay.peer_feeds import PeerReader
 from .relay.permits import Permits
 from .relay.probing import Prober
@@ -121,13 +124,12 @@
     def _build_store_followers(self) -> None:
         """Build the parts that follow the store: the configuration and the list of upstreams."""
         settings = self.settings
-        limits = ConnectorLimits(idle_timeout=UPSTREAM_IDLE_TIMEOUT, allow_until_close=True)
-        self.connector = HttpConnector(self.clock, limits, MAX_CONNECTIONS_PER_UPSTREAM)
         self.store = PlatformClient(settings.store.address, self.clock, self._count_store_call)
         self.configuration = Configuration(self.decisions, self._apply_configuration)
         self.upstreams = UpstreamList(
             settings.vm.data_centre, self.clock, self.decisions, self._retire_connections
         )
+        self._build_connector()
         self._build_fleet()
         self.readiness = Readiness(self.configuration, self.upstreams)
         self.followers = {
@@ -136,6 +138,16 @@
         }
         self._build_watchers()
 
+    def _build_connector(self) -> None:
+        """Build the connections to upstreams and the part that chooses their ways."""
+        self.path_table = build_path_table(self)
+        self.fleet_key = FleetKey(self.store, self.decisions, self.clock)
+        self.path_opener = PathOpener(self.path_table, self.fleet_key, self.clock)
+        limits = ConnectorLimits(idle_timeout=UPSTREAM_IDLE_TIMEOUT, allow_until_close=True)
+        self.connector = HttpConnector(
+            self.clock, limits, MAX_CONNECTIONS_PER_UPSTREAM, self.path_opener
+        )
+
     def _configuration_follower(self) -> Follower:
         return Follower(
             ConfigurationFeed(self.store),
@@ -219,6 +231,7 @@
         bounds, clock = self.settings.bounds, self.clock
         self.retry_limit = RetryLimit(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
         self.send_policy = SendPolicy(clock, self.permits)
+        self.paths = build_paths(self)
         self.prober = self._build_prober()
         self.route_stats = RouteStats(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
@@ -259,6 +272,7 @@
             self.probe_limiter,
             self.notices,
             self.send_policy,
+            self.path_table,
         )
 
     def _build_sender(self, dispatch: Dispatch) -> Sender:
@@ -276,6 +290,7 @@
             self.permits,
             self.notices,
             self.send_policy,
+            self.path_table,
         )
 
     def _build_servers(self) -> None:
@@ -317,6 +332,7 @@
         self.sharing.channel.bind(self.members.own_hello.address)
         await curio.spawn(self.sharing.channel.run(), daemon=True)
         await curio.spawn(self.members.join(), daemon=True)
+        await self.paths.start(self.members.own_hello.address)
         if not settings.vm.first_start:
             await curio.spawn(self.blocked_requests.load(), daemon=True)
         schedule_periodic_work(self)
@@ -331,21 +347,26 @@
         began = self.clock.now()
         self.decisions.event("stop", in_flight=self.callers.in_flight)
         self.callers.announce_stop()
-        await curio.sleep(BALANCER_DELAY)
+        await self.paths.announce_stop(BALANCER_DELAY)
         await self.callers.stop_accepting()
         end = began + self.settings.bounds.grace - STOP_MARGIN
-        while self.callers.open_connections and self.clock.now() < end:
+        while self._is_in_use() and self.clock.now() < end:
             await curio.sleep(STOP_POLL_INTERVAL)
         await self.connector.close()
         self.decisions.event("stopped", cut_off=self.callers.in_flight)
         self.log_writer.flush()
 
+    def _is_in_use(self) -> bool:
+        """Return whether callers, or peers whose calls this VM forwards, still have connections."""
+        return bool(self.callers.open_connections or self.paths.port.tunnels)
+
     def _handle_hello(self, hello: Hello) -> None:
         """Tell a daemon that has just started what it needs to know at once."""
         self.watchers.handle_hello(hello)
         self.blocked_requests.tell_new_daemon(hello)
         self.permits.handle_hello(hello)
         self.departures.handle_hello(hello)
+        self.paths.handle_hello(hello)
 
     async def _after_datagrams(self) -> None:
         await self.permits.wake_answered()
--- a/sequoiabridge/gateway_timers.py
+++ b/sequoiabridge/gateway_timers.py
@@ -9,6 +9,7 @@
 from .relay.blocked_requests import SAVE_INTERVAL, TELL_INTERVAL
 from .relay.crash_withdrawals import WITHDRAWAL_CHECK_INTERVAL
 from .relay.members import REFRESH_INTERVAL
+from .relay.paths.path_checks import CHECK_INTERVAL, UPDATE_INTERVAL
 from .relay.unread import PREDECESSOR_PROBE_INTERVAL
 from .relay.watchers import HEARTBEAT_INTERVAL
 
@@ -48,6 +49,8 @@
         gateway.unread_calls.probe_predecessor_calls,
     )
     timers.every(CRASH_CHECK_INTERVAL, "crash checks", gateway.sender.crash_guard.check_abandoned)
+    timers.every(CHECK_INTERVAL, "lost paths", gateway.paths.checks.check)
+    timers.every(UPDATE_INTERVAL, "path peers", gateway.paths.checks.update)
     timers.every(WITHDRAWAL_CHECK_INTERVAL, "crash withdrawals", gateway.crash_withdrawals.check)
     timers.every(SAVE_INTERVAL, "saving blocks", gateway.blocked_requests.save)
     timers.every(TELL_INTERVAL, "telling blocks", gateway.blocked_requests.tell_some_peers)
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -7,6 +7,7 @@
 from ..balancing.call import CallAttempt, Ending
 from ..balancing.cost_model import CostEstimate
 from ..balancing.exclusion import Exclusion
+from ..balancing.paths import PathTable
 from ..balancing.send_policy import SendPolicy
 from ..balancing.upstream_stats import OpenCall
 from ..exceptions import CallerGone, NoFreeConnection, Refusal, SendWithheld, UpstreamFailed
@@ -51,6 +52,7 @@
         "sharing",
         "notices",
         "policy",
+        "paths",
         "open_call",
         "connection",
         "answer",
@@ -67,8 +69,10 @@
         sharing: Sharing,
         notices: Notices,
         policy: SendPolicy,
+        paths: PathTable,
     ):
         super().__init__(estimate, clock.now())
+        self.paths = paths
         self.call = call
         self.connector = connector
         self.dialect = dialect
@@ -117,6 +121,7 @@
     async def _exchange(self) -> Answer:
         """Send the call and return its answer, buffered up to `MAX_BUFFERED_ANSWER`."""
         self.connection = await self._connect()
+        self.via = self.connection.via
         request = self._build_request()
         await self.policy.check_request(self.call, self.upstream)
         self.policy.check_send(self.upstream, self.estimate.permit_at)
@@ -131,6 +136,7 @@
             self.upstream.stats.record_settled(self.sent_at)
         else:
             self.upstream.stats.record_answered(self.sent_at)
+        self.paths.record_answer(self.upstream.address, not self.via, self.sent_at)
         self.load = self.metadata.load
         self.notices.record_answer(self.upstream, self.metadata, self.sent_at)
         if answer.body is not None:
@@ -224,6 +230,8 @@
         }
         if self.sent:
             row["sent_ms"] = round((self.sent_at - self.started) * 1000, 1)
+        if self.via:
+            row["via"] = self.via
         if self.answer is not None:
             row["status"] = self.answer.status
         if self.why:
--- a/sequoiabridge/relay/message_codec.py
+++ b/sequoiabridge/relay/message_codec.py
@@ -30,6 +30,7 @@
     PERMIT_REQUEST,
     RECEIPT,
     SENT,
+    STOPPING,
     SURVIVED,
     UNBLOCKED,
     WITHDRAWN,
@@ -43,6 +44,7 @@
     LimitNamed,
     LoadReport,
     Message,
+    PeerStopping,
     PermitReply,
     PermitRequest,
     RequestBlocked,
@@ -202,6 +204,10 @@
     )
 
 
+def _decode_peer_stopping(fields: list) -> PeerStopping:
+    return PeerStopping(_text(fields, 0))
+
+
 def _decode_permit_reply(fields: list) -> PermitReply:
     number = as_integer(fields[0], "the number", 0, MAX_VERSION)
     granted = as_integer(fields[1], "the decision", 0, 1)
@@ -223,6 +229,7 @@
     LEASE: _decode_lease,
     RECEIPT: _decode_lease_receipt,
     LEAVING: _decode_upstream_leaving,
+    STOPPING: _decode_peer_stopping,
     PERMIT_REQUEST: _decode_permit_request,
     PERMIT_REPLY: _decode_permit_reply,
 }
--- a/sequoiabridge/relay/messages.py
+++ b/sequoiabridge/relay/messages.py
@@ -9,6 +9,7 @@
 WITHDRAWN, UNBLOCKED = "withdrawn", "unblocked"
 LIMIT, LEASE, RECEIPT = "limit", "lease", "receipt"
 LEAVING = "leaving"
+STOPPING = "stopping"
 PERMIT_REQUEST, PERMIT_REPLY = "permit?", "permit"
 """Message types: the first element of a datagram, which is a JSON list."""
 
@@ -363,6 +364,23 @@
         return [LEAVING, self.upstream]
 
 
+class PeerStopping:
+    """A daemon stops, and opens no more connections for its peers.
+
+    Attributes:
+        vm: Name of its VM.
+    """
+
+    __slots__ = ("vm",)
+
+    def __init__(self, vm: str):
+        self.vm = vm
+
+    def fields(self) -> list:
+        """Return the datagram's elements."""
+        return [STOPPING, self.vm]
+
+
 CrashMessage = RequestCrashed | RequestSurvived | RequestBlocked | CrashWithdrawn | RequestUnblocked
 """Messages about requests that crash upstreams."""
 
@@ -376,6 +394,7 @@
     | CallFailed
     | Heartbeat
     | UpstreamLeaving
+    | PeerStopping
     | CrashMessage
     | LimitMessage
 )
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -61,6 +61,12 @@
         yield from limit_families(self.gateway)
         yield from rest_families(self.gateway)
         yield from departure_families(self.gateway)
+        yield labelled_counter(
+            "sequoia_peer_requests_rejected",
+            "Requests for a connection that were rejected at the port for peers.",
+            "status",
+            self.gateway.paths.port.rejected,
+        )
         for name, about, value in plain_counters(self.gateway):
             yield CounterMetricFamily(name, about, value=value)
         for name, about, value in gauges(self.gateway):
@@ -245,9 +251,18 @@
     yield "sequoia_block_trials", "Blocked requests that this VM let run.", blocks.trials.taken
     withdrawn = gateway.crash_withdrawals.withdrawn
     yield "sequoia_crashes_withdrawn", "Upstreams found alive after a crash.", withdrawn
+    yield from path_counters(gateway)
     yield "sequoia_log_omitted", "Lines left out of the log.", gateway.decisions.omitted
 
 
+def path_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
+    """Yield name, help and value of each counter about paths to upstreams."""
+    through_peers = gateway.path_opener.opened_through_peers
+    yield "sequoia_connections_through_peers", "Connections that peers opened.", through_peers
+    for_peers = gateway.paths.port.opened
+    yield "sequoia_connections_for_peers", "Connections opened for peers.", for_peers
+
+
 def gauges(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
     """Yield name, help and value of each gauge."""
     yield "sequoia_uptime_seconds", "Seconds since the start.", gateway.uptime
@@ -264,4 +279,10 @@
     yield "sequoia_limit_leases", "VMs that made this one their coordinator.", leases
     lost = any(follower.store_unavailable for follower in gateway.followers.values())
     yield "sequoia_store_lost", "1 while the store does not answer.", lost
+    table = gateway.path_table
+    lost = table.lost_since is not None
+    yield "sequoia_paths_lost", "1 while all direct paths count as lost.", lost
+    yield "sequoia_paths_isolated", "1 while no way leads to any upstream.", table.was_isolated
+    tunnels = gateway.paths.port.tunnels
+    yield "sequoia_peer_connections", "Connections served for peers now.", tunnels
     yield "sequoia_watches_store", "1 if the store is followed here.", gateway.watchers.watching
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -95,6 +95,7 @@
             gateway.configuration,
             gateway.upstreams,
             gateway.connector,
+            gateway.path_table,
             gateway.members,
             gateway.request_limits,
             gateway.notices,
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from ..balancing.paths import PathTable
 from ..balancing.probe_limiter import ProbeRateLimiter
 from ..balancing.send_policy import SendPolicy
 from ..balancing.upstream import Upstream
@@ -48,6 +49,7 @@
         configuration: Provides the health check path of each service.
         probe_limiter: Limits the rate of health checks.
         policy: Decides which upstreams may get health checks.
+        paths: Is told which upstreams answer.
     """
 
     def __init__(
@@ -63,7 +65,9 @@
         probe_limiter: ProbeRateLimiter,
         notices: Notices,
         policy: SendPolicy,
+        paths: PathTable,
     ):
+        self.paths = paths
         self.probe_limiter = probe_limiter
         self.connector = connector
         self.dialect = dialect
@@ -124,6 +128,7 @@
                 upstream.stats.record_settled(sent_at)
             self._record_failure(upstream, str(error))
         else:
+            self.paths.record_answer(upstream.address, not connection.via, sent_at)
             self._record_answer(upstream, answer, sent_at)
         finally:
             if connection is not None:
@@ -151,6 +156,7 @@
         finally:
             if connection is not None:
                 await self.connector.release(connection)
+        self.paths.record_answer(upstream.address, not connection.via, now)
         self._record_answer(upstream, answer, now)
         return Identity.ANOTHER if upstream.replaced else Identity.SAME
 
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -7,6 +7,7 @@
 from ..balancing.call import CallAttempt, Ending
 from ..balancing.cost_model import CostEstimate
 from ..balancing.dispatch import Dispatch
+from ..balancing.paths import PathTable
 from ..balancing.send_policy import SendPolicy
 from ..balancing.steps import (
     BackgroundProbe,
@@ -44,6 +45,7 @@
         permits: Gets permits for calls to upstreams with limits.
         notices: Records what upstreams say of the calls that they want.
         policy: Decides whether a call may still be sent.
+        paths: Is told which upstreams answer.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         permits: Permits,
         notices: Notices,
         policy: SendPolicy,
+        paths: PathTable,
     ):
+        self.paths = paths
         self.dispatch = dispatch
         self.prober = prober
         self.connector = connector
@@ -151,6 +155,7 @@
             self.sharing,
             self.notices,
             self.policy,
+            self.paths,
         )
         await race.start(attempt)
         return attempt
--- a/sequoiabridge/relay/sharing.py
+++ b/sequoiabridge/relay/sharing.py
@@ -27,6 +27,7 @@
     LimitMessage,
     LoadReport,
     Message,
+    PeerStopping,
     RequestBlocked,
     RequestCrashed,
     RequestSurvived,
@@ -48,6 +49,7 @@
         on_heartbeat: Called with a peer's `Heartbeat`.
         on_hello: Called with a peer's `Hello`.
         on_departure: Called with a peer's `UpstreamLeaving`.
+        on_peer_stopping: Called with a peer's `PeerStopping`.
         on_limit_message: Called with a peer's `LimitMessage`.
     """
 
@@ -62,6 +64,7 @@
         self.on_unblock: Callable[[RequestUnblocked], object] = lambda message: None
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda message: None
         self.on_departure: Callable[[UpstreamLeaving], None] = lambda message: None
+        self.on_peer_stopping: Callable[[PeerStopping], None] = lambda message: None
         self.on_hello: Callable[[Hello], None] = lambda message: None
         self.on_limit_message: Callable[[LimitMessage], None] = lambda message: None
         self.on_survival: Callable[[RequestSurvived], object] = lambda message: None
@@ -128,6 +131,9 @@
         if isinstance(message, LimitMessage):
             self.on_limit_message(message)
             return
+        if isinstance(message, PeerStopping):
+            self.on_peer_stopping(message)
+            return
         if isinstance(message, UpstreamLeaving):
             self.on_departure(message)
             return
--- a/sequoiabridge/upstreams/base.py
+++ b/sequoiabridge/upstreams/base.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from ..pipeline.exchange import Answer, Body, RawHeaders
+from .link import Link
 
 
 class UpstreamRequest:
@@ -42,6 +43,7 @@
     be returned with `Connector.release`, which closes it unless it `is_reusable`.
 
     Attributes:
+        via: VM of the peer through which it was opened, "" for a direct connection.
         opened_at: Time at which it was opened, in seconds on the daemon's clock.
         last_received_at: Time of the last byte from the upstream, on the same clock.
         requests: Number of requests sent on it.
@@ -70,6 +72,22 @@
         """Close immediately; this also cancels the request in flight."""
 
 
+class LinkOpener(ABC):
+    """Opens links to upstreams, and decides whether idle ones may be used again."""
+
+    @abstractmethod
+    async def open(self, address: str, timeout: float) -> Link:
+        """Open a link to `address` ("IP:port") within `timeout` seconds.
+
+        Raises:
+            UpstreamFailed: It could not be opened; `sent` is false.
+        """
+
+    @abstractmethod
+    def may_reuse(self, link: Link) -> bool:
+        """Return whether an idle link may carry another request."""
+
+
 class Connector(ABC):
     """A pool of connections, limited to this daemon's share for each upstream."""
 
--- a/sequoiabridge/upstreams/connections.py
+++ b/sequoiabridge/upstreams/connections.py
@@ -6,7 +6,7 @@
 from ..component import Component
 from ..exceptions import NoFreeConnection, UpstreamFailed
 from ..timers import Clock
-from .base import Connector, UpstreamConnection
+from .base import Connector, LinkOpener, UpstreamConnection
 from .exchange import HttpConnection
 from .link import Link, open_link
 
@@ -56,18 +56,39 @@
         self.min_opened_at = NO_MIN_OPENED_AT
 
 
+class DirectOpener(LinkOpener):
+    """Opens links without any detour."""
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+
+    async def open(self, address: str, timeout: float) -> Link:
+        return await open_link(address, self.clock, timeout)
+
+    def may_reuse(self, link: Link) -> bool:
+        return True
+
+
 class HttpConnector(Connector, Component):
     """Connections to upstreams over HTTP/1.1.
 
     Args:
         clock: Source of time.
         limits: Limits on each connection.
+        opener: Opens the links; directly if None.
         share: Maximum number of connections to an upstream for which `set_share` was not called.
     """
 
     name = "connector"
 
-    def __init__(self, clock: Clock, limits: ConnectorLimits, share: int = DEFAULT_SHARE):
+    def __init__(
+        self,
+        clock: Clock,
+        limits: ConnectorLimits,
+        share: int = DEFAULT_SHARE,
+        opener: LinkOpener | None = None,
+    ):
+        self.opener = opener or DirectOpener(clock)
         self.clock = clock
         self.limits = limits
         self.share = share
@@ -121,7 +142,7 @@
 
     async def is_reachable(self, address: str, timeout: float) -> bool:
         try:
-            link = await open_link(address, self.clock, timeout)
+            link = await self.opener.open(address, timeout)
         except UpstreamFailed:
             return False
         await link.close()
@@ -134,6 +155,7 @@
             link.prepare_for_reuse()
             and link.opened_at >= pool.min_opened_at
             and pool.count <= pool.share
+            and self.opener.may_reuse(link)
         ):
             pool.idle.append(link)
             return
@@ -144,6 +166,7 @@
         now, limit = self.clock.now(), self.limits.idle_timeout
         for address, pool in list(self.pools.items()):
             await self._close_where(pool, partial(is_expired, now, limit, pool.min_opened_at))
+            await self._close_where(pool, lambda link: not self.opener.may_reuse(link))
             if not pool.count:
                 del self.pools[address]
 
@@ -166,7 +189,7 @@
         idle_for = self.clock.now() - link.last_received_at
         if idle_for > min(self.limits.idle_timeout, link.keep_alive_timeout):
             return False
-        return link.is_unused()
+        return self.opener.may_reuse(link) and link.is_unused()
 
     def _add_pool(self, address: str) -> AddressPool:
         pool = AddressPool(self.shares.get(address, self.share))
@@ -177,7 +200,7 @@
         pool.count += 1
         link = None
         try:
-            link = await open_link(address, self.clock, timeout)
+            link = await self.opener.open(address, timeout)
         finally:
             if link is None:
                 pool.count -= 1
--- a/sequoiabridge/upstreams/exchange.py
+++ b/sequoiabridge/upstreams/exchange.py
@@ -60,6 +60,11 @@
         self.is_answer = None
         self.is_released = False
 
+    @property
+    def via(self) -> str:
+        """VM of the peer through which the connection was opened, "" for a direct one."""
+        return self.link.via
+
     @property
     def opened_at(self) -> float:
         """Time at which the connection was opened."""
--- a/sequoiabridge/upstreams/link.py
+++ b/sequoiabridge/upstreams/link.py
@@ -22,15 +22,18 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 """Seconds between TCP keep-alive probes."""
 KEEPALIVE_MAX_PROBES = 2
-"""Number of unanswered TCP keep-alive probes after which the connection fails."""
+"""Number of unanswered TCP keep-alive probes after which the connection fails, where no
+TCP_USER_TIMEOUT decides."""
 UNACKNOWLEDGED_MS = 3000
-"""Milliseconds after which a connection with unacknowledged data fails (TCP_USER_TIMEOUT)."""
+"""Milliseconds after which a connection with unacknowledged data fails (TCP_USER_TIMEOUT). Linux
+also ends keep-alive probes by it, whatever their number."""
 
 
 class Link:
     """A connection to an upstream: its socket, input buffer and the state of its current request.
 
     Attributes:
+        via: VM of the peer through which it was opened, "" for a direct connection.
         opened_at: Time at which it was opened, in seconds on the daemon's clock.
         last_received_at: Time of the last byte from the upstream, on the same clock.
         requests: Number of requests sent on it.
@@ -52,6 +55,7 @@
         "descriptor",
         "received",
         "clock",
+        "via",
         "opened_at",
         "last_received_at",
         "requests",
@@ -72,6 +76,7 @@
         self.sock = sock
         self.descriptor = Descriptor(sock.fileno())
         self.clock = clock
+        self.via = ""
         self.opened_at = clock.now()
         self.last_received_at = self.opened_at
         self.requests = 0
@@ -245,7 +250,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
-async def open_link(address: str, clock: Clock, timeout: float) -> Link:
+async def open_socket(address: str, timeout: float) -> socket.socket:
     """Open a connection to `address` ("IP:port") within `timeout` seconds.
 
     Raises:
@@ -267,7 +272,7 @@
         if error:
             raise OSError(error, "connect failed")
         opened = True
-        return Link(address, sock, clock)
+        return sock
     except curio.TaskTimeout as late:
         message = f"{address}: No connection within {timeout:.3f} s. Try another upstream."
         raise UpstreamFailed(message, sent=False, timed_out=True) from late
@@ -279,3 +284,8 @@
         if not opened:
             await _io_release(sock)
             sock.close()
+
+
+async def open_link(address: str, clock: Clock, timeout: float) -> Link:
+    """Open a link to `address`; see `open_socket`."""
+    return Link(address, await open_socket(address, timeout), clock)
