Do not take a lost path for an upstream that crashed

A connection that could not be opened at once was proof enough, and so was the answer of another upstream to something sent before the cut.

An upstream now counts as crashed only if it cannot be reached by any way, and another upstream accepts a connection after that.

--- a/sequoiabridge/gateway_crashes.py
+++ b/sequoiabridge/gateway_crashes.py
@@ -24,7 +24,9 @@
     ledger = CrashLedger(MIN_CRASHED_UPSTREAMS, MIN_CRASHED_UPSTREAMS)
     table = BlockTable(gateway.store, clock)
     blocks = BlockedRequests(ledger, table, sharing, decisions, clock, gateway.random)
-    detector = CrashDetector(gateway.connector, gateway.prober, gateway.upstreams, clock)
+    detector = CrashDetector(
+        gateway.connector, gateway.prober, gateway.upstreams, clock, gateway.random
+    )
     withdrawals = CrashWithdrawals(
         ledger,
         gateway.upstreams,
--- a/sequoiabridge/relay/crash_detection.py
+++ b/sequoiabridge/relay/crash_detection.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import curio
 
 from ..balancing.call import Ending
+from ..balancing.paths import CONNECT_TIMEOUT
 from ..balancing.upstream import Upstream
 from ..timers import Clock
 from ..upstreams.base import Connector
@@ -13,9 +16,8 @@
 from .probing import Identity, Prober
 from .upstreams import UpstreamList
 
-REACHABLE_TIMEOUT = 0.1
-"""Timeout in seconds for the connection that checks whether an upstream is alive. An upstream that
-lives needs a few milliseconds."""
+MAX_OTHERS_TRIED = 3
+"""Maximum number of other upstreams that are tried to find out whether this VM reaches any."""
 
 RECENT_ANSWER_SECONDS = 0.2
 """Seconds for which an upstream that answers counts as alive. The answer to an older request may
@@ -40,8 +42,16 @@
         checks: Number of checks under way.
     """
 
-    def __init__(self, connector: Connector, prober: Prober, upstreams: UpstreamList, clock: Clock):
+    def __init__(
+        self,
+        connector: Connector,
+        prober: Prober,
+        upstreams: UpstreamList,
+        clock: Clock,
+        random: Random,
+    ):
         self.connector = connector
+        self.random = random
         self.prober = prober
         self.upstreams = upstreams
         self.clock = clock
@@ -69,21 +79,24 @@
         if has_ended(upstream):
             return True
         if attempt.ending is Ending.BROKEN or attempt.is_streamed:
-            if not await self.connector.is_reachable(upstream.address, REACHABLE_TIMEOUT):
-                return True
+            if not await self.connector.is_reachable(upstream.address, CONNECT_TIMEOUT):
+                return await self._reaches_another(upstream)
         elif upstream.stats.answered_until >= self.clock.now() - RECENT_ANSWER_SECONDS:
             return False
-        return await self._is_gone(upstream, attempt.sent_at)
+        return await self._is_gone(upstream)
 
-    async def _is_gone(self, upstream: Upstream, sent_at: float) -> bool:
-        """Return whether health checks show that an upstream's lifetime has ended."""
+    async def _is_gone(self, upstream: Upstream) -> bool:
+        """Return whether health checks show that an upstream's lifetime has ended.
+
+        A check that fails by all ways shows it only if another upstream accepts a connection after
+        it; else this VM may have lost its paths.
+        """
         end = self.clock.now() + RESTART_NOTICE_SECONDS
         while not has_ended(upstream):
             identity = await self.prober.check_identity(upstream)
             if identity is Identity.ANOTHER:
                 return True
-            # Without another upstream's answer, this VM may have lost its network.
-            if identity is Identity.NOBODY and self._has_other_answered(upstream, sent_at):
+            if identity is Identity.NOBODY and await self._reaches_another(upstream):
                 return True
             if identity is Identity.SAME:
                 return await self._ends_soon(upstream)
@@ -92,10 +105,13 @@
             await curio.sleep(RESTART_POLL_INTERVAL)
         return True
 
-    def _has_other_answered(self, upstream: Upstream, since: float) -> bool:
-        """Return whether another upstream has answered something sent later than `since`."""
-        others = (other for other in self.upstreams.by_id.values() if other is not upstream)
-        return any(other.stats.answered_until >= since for other in others)
+    async def _reaches_another(self, upstream: Upstream) -> bool:
+        """Return whether another upstream accepts a new connection now."""
+        others = [other for other in self.upstreams.by_id.values() if other is not upstream]
+        for other in self.random.sample(others, min(MAX_OTHERS_TRIED, len(others))):
+            if await self.connector.is_reachable(other.address, CONNECT_TIMEOUT):
+                return True
+        return False
 
     async def _ends_soon(self, upstream: Upstream) -> bool:
         """Return whether the lifetime of an upstream turns out to have ended."""
