Tell peers of an upstream's failure only when the upstream has failed

Each connection that failed under a call counted as a failure of its upstream and was told to all peers, which then sent it fewer calls. With most VMs of a site cut off, the rest believed them.

Failures in an upstream's answer count at once, as before.

--- a/sequoiabridge/balancing/attempt_recorder.py
+++ b/sequoiabridge/balancing/attempt_recorder.py
@@ -75,7 +75,7 @@
             return
         elif attempt.wrong_upstream:
             self.observer.record_replacement(upstream)
-        elif attempt.error is None:
+        elif attempt.error is None and not attempt.connection_failed:
             self.observer.record_failure(upstream)
 
     def _count_send(self, call: Call) -> None:
--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -55,6 +55,8 @@
         load: Load report in the answer, or None.
         wrong_upstream: Whether another upstream answered at the address.
         via: VM of the peer through which it was sent, "" if it was sent directly.
+        connection_failed: Whether its connection failed before any answer, which may be the path's
+            fault; another part decides whether it counts as a failure of the upstream.
         next_check_at: Time of the next check whether to hedge the attempt.
     """
 
@@ -73,6 +75,7 @@
         "load",
         "wrong_upstream",
         "via",
+        "connection_failed",
         "next_check_at",
     )
 
@@ -91,6 +94,7 @@
         self.load: UpstreamLoad | None = None
         self.wrong_upstream = False
         self.via = ""
+        self.connection_failed = False
         self.next_check_at = 0.0
 
     @property
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -291,6 +291,7 @@
             self.notices,
             self.send_policy,
             self.path_table,
+            self.paths.failures,
         )
 
     def _build_servers(self) -> None:
--- a/sequoiabridge/gateway_paths.py
+++ b/sequoiabridge/gateway_paths.py
@@ -9,6 +9,7 @@
 from .balancing.path_peers import PathPeers
 from .balancing.paths import PathTable
 from .relay.messages import Hello, PeerStopping
+from .relay.paths.connection_failures import ConnectionFailures
 from .relay.paths.fleet_key import MAX_START_DELAY
 from .relay.paths.path_checks import PathChecks
 from .relay.paths.peer_port import PeerPort
@@ -25,6 +26,7 @@
 
     Attributes:
         checks: Checks paths that have failed.
+        failures: Judges connections that failed.
         port: Serves peers that have lost their paths.
     """
 
@@ -33,6 +35,7 @@
         table, opener = gateway.path_table, gateway.path_opener
         decisions, clock = gateway.decisions, gateway.clock
         self.checks = PathChecks(table, opener, gateway.members, clock)
+        self.failures = ConnectionFailures(table, opener, gateway.sharing, decisions, clock)
         self.port = PeerPort(
             opener, gateway.fleet_key, self._is_listed, self._why_unable, decisions
         )
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -103,6 +103,7 @@
             self.policy.count(Exclusion.NO_CONNECTION, self.upstream)
             await self._failed(error)
         except UpstreamFailed as error:
+            self.connection_failed = self.metadata is None
             await self._failed(error)
         except (Refusal, CallerGone) as error:
             self.error = error
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -261,6 +261,8 @@
     yield "sequoia_connections_through_peers", "Connections that peers opened.", through_peers
     for_peers = gateway.paths.port.opened
     yield "sequoia_connections_for_peers", "Connections opened for peers.", for_peers
+    of_paths = gateway.paths.failures.of_paths
+    yield "sequoia_path_failures", "Connections that failed by the path's fault.", of_paths
 
 
 def gauges(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
--- a/sequoiabridge/relay/sender.py
+++ b/sequoiabridge/relay/sender.py
@@ -28,6 +28,7 @@
 from .crash_guard import CrashGuard
 from .dialect import Dialect
 from .notices import Notices
+from .paths.connection_failures import ConnectionFailures
 from .permits import Permits
 from .probing import Prober
 from .race import Race
@@ -46,6 +47,7 @@
         notices: Records what upstreams say of the calls that they want.
         policy: Decides whether a call may still be sent.
         paths: Is told which upstreams answer.
+        failures: Decides whether connections that failed count against their upstreams.
     """
 
     def __init__(
@@ -62,8 +64,10 @@
         notices: Notices,
         policy: SendPolicy,
         paths: PathTable,
+        failures: ConnectionFailures,
     ):
         self.paths = paths
+        self.failures = failures
         self.dispatch = dispatch
         self.prober = prober
         self.connector = connector
@@ -166,4 +170,6 @@
         attempt = await race.next_ended(until - self.clock.now())
         if attempt is not None:
             await self.crash_guard.attempt_ended(call, attempt)
+            if attempt.connection_failed:
+                await curio.spawn(self.failures.judge, attempt, daemon=True)
         return attempt
