Refuse calls at once while no way leads to the upstreams

Without a path at any VM, callers waited for a connection until their time was over (60 calls over 0.5 s in the soak) and were told of an overload. One that may have run is answered 502.

--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -145,7 +145,7 @@
     def _may_retry(self, call: Call) -> bool:
         possible_runs = call.possible_runs
         if self.chooser.policy.refusal(call) is not None:
-            call.note = "its request is blocked"
+            call.note = "it is refused by now"
         elif possible_runs and not call.route.idempotent:
             call.note = "it may have run"
         elif possible_runs >= call.route.max_attempts or len(call.attempts) >= MAX_SENDS:
--- a/sequoiabridge/balancing/refusals.py
+++ b/sequoiabridge/balancing/refusals.py
@@ -18,6 +18,19 @@
 """Retry-After in seconds if the service has no capacity or no upstream. A slot becomes free within
 the time of one piece of work, and callers wait at most a third of the time they have left."""
 
+NO_PATH_RETRY_AFTER = 0.3
+"""Retry-After in seconds while no way leads to the upstreams. Paths are lost for seconds; a later
+try reaches another VM, which may have one."""
+
+
+def no_path(call: Call) -> Refusal:
+    """Return the refusal of a call whose upstreams neither this VM nor its peers can reach."""
+    if call.possible_runs:
+        message = "The connection to the upstream was lost. The request may have run."
+        return Refusal(502, Outcome.UNKNOWN, Reason.NO_PATH, message)
+    message = "Neither this VM nor a peer that it asked reaches an upstream now. Try another VM."
+    return Refusal(503, Outcome.NOT_RUN, Reason.NO_PATH, message, NO_PATH_RETRY_AFTER)
+
 
 def no_upstream(call: Call) -> Refusal:
     """Return the refusal of a call whose service has no upstream that accepts calls."""
--- a/sequoiabridge/balancing/send_policy.py
+++ b/sequoiabridge/balancing/send_policy.py
@@ -38,6 +38,22 @@
         """Do nothing."""
 
 
+class Reach(ABC):
+    """Knows the services to whose upstreams no way leads."""
+
+    @abstractmethod
+    def refusal(self, call: Call) -> Refusal | None:
+        """Return the refusal of a call whose upstreams cannot be reached, None if one can."""
+
+
+class FullReach(Reach):
+    """Reaches all upstreams."""
+
+    def refusal(self, call: Call) -> Refusal | None:
+        """Return None."""
+        return None
+
+
 class SendPolicy:
     """Knows every reason for which a call is not sent, or an upstream gets no call.
 
@@ -46,6 +62,7 @@
 
     Attributes:
         blocks: Tells which requests are blocked.
+        reach: Tells which upstreams can be reached.
         counts: Number of times that an upstream was passed over or a send withheld, by reason.
     """
 
@@ -53,11 +70,12 @@
         self.clock = clock
         self.permits = permits or NoPermits()
         self.blocks: RequestBlocks = NoBlocks()
+        self.reach: Reach = FullReach()
         self.counts: dict[Exclusion, int] = {}
 
     def refusal(self, call: Call) -> Refusal | None:
         """Return the refusal of a call that no upstream may get, None if one may."""
-        return self.blocks.refusal(call)
+        return self.blocks.refusal(call) or self.reach.refusal(call)
 
     async def check_request(self, call: Call, upstream: Upstream) -> None:
         """Check that a call may still be sent to the upstream that was chosen for it.
--- a/sequoiabridge/gateway_paths.py
+++ b/sequoiabridge/gateway_paths.py
@@ -13,6 +13,7 @@
 from .relay.paths.fleet_key import MAX_START_DELAY
 from .relay.paths.path_checks import PathChecks
 from .relay.paths.peer_port import PeerPort
+from .relay.paths.upstream_reach import UpstreamReach
 
 if TYPE_CHECKING:
     from .gateway import Gateway
@@ -28,6 +29,7 @@
         checks: Checks paths that have failed.
         failures: Judges connections that failed.
         port: Serves peers that have lost their paths.
+        reach: Refuses calls while there is no way.
     """
 
     def __init__(self, gateway: Gateway):
@@ -39,6 +41,8 @@
         self.port = PeerPort(
             opener, gateway.fleet_key, self._is_listed, self._why_unable, decisions
         )
+        self.reach = UpstreamReach(table, gateway.upstreams, clock)
+        gateway.send_policy.reach = self.reach
         gateway.sharing.on_peer_stopping = self._handle_stop
 
     async def start(self, address: str) -> None:
--- a/sequoiabridge/outcome.py
+++ b/sequoiabridge/outcome.py
@@ -31,6 +31,7 @@
     CALLER_SHARE = "caller-share"
     NO_UPSTREAM = "no-upstream"
     NO_CONNECTION = "no-connection"
+    NO_PATH = "no-path"
     UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_SHED = "upstream-shed"
     UPSTREAM_LIMIT = "upstream-limit"
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -263,6 +263,8 @@
     yield "sequoia_connections_for_peers", "Connections opened for peers.", for_peers
     of_paths = gateway.paths.failures.of_paths
     yield "sequoia_path_failures", "Connections that failed by the path's fault.", of_paths
+    refused = gateway.paths.reach.refused
+    yield "sequoia_no_path_refusals", "Calls refused since no way led to upstreams.", refused
 
 
 def gauges(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
