Send no call on an old connection to an upstream that leaves a probe unanswered

An idempotent call was sent on any idle connection, also on one that had fallen silent, and waited there for a hedge. While a probe is unanswered, it now takes a connection that has just received data, or a new one, as calls that may not run twice always did.

--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -28,8 +28,8 @@
 
 MAX_TRUSTED_IDLE = 0.25
 """Maximum number of seconds since a connection last received data for it to carry a non-idempotent
-call; an older connection may be dead. A probe has mostly been answered on it some milliseconds
-ago."""
+call, or any call while the upstream leaves a probe unanswered; an older connection may be dead. A
+probe has mostly been answered on it some milliseconds ago."""
 
 MIN_CONNECT_TIMEOUT = 0.05
 """Minimum timeout for opening a connection, in seconds, even if the deadline is closer. A round
@@ -148,8 +148,10 @@
         address = self.upstream.address
         timeout = max(MIN_CONNECT_TIMEOUT, self.call.deadline - self.clock.now())
         connection = await self.connector.acquire(address, fresh=False, timeout=timeout)
-        idle = self.clock.now() - connection.last_received_at
-        if self.call.route.idempotent or idle <= MAX_TRUSTED_IDLE:
+        now = self.clock.now()
+        is_trusted = now - connection.last_received_at <= MAX_TRUSTED_IDLE
+        may_be_dead = self.upstream.stats.is_unresponsive(now) or not self.call.route.idempotent
+        if is_trusted or not may_be_dead:
             return connection
         await self.connector.release(connection)
         return await self.connector.acquire(address, fresh=True, timeout=timeout)
