Confirm a crash by a second health check and by most others

A check without an answer is now confirmed by a second one on a connection of its own, which goes through a peer by then, and two of three other upstreams must accept connections, not one.

--- a/sequoiabridge/relay/crash_detection.py
+++ b/sequoiabridge/relay/crash_detection.py
@@ -9,6 +9,7 @@
 from ..balancing.call import Ending
 from ..balancing.paths import CONNECT_TIMEOUT
 from ..balancing.upstream import Upstream
+from ..balancing.upstream_stats import PROBE_TIMEOUT
 from ..timers import Clock
 from ..upstreams.base import Connector
 from .attempt import Attempt
@@ -17,7 +18,7 @@
 from .upstreams import UpstreamList
 
 MAX_OTHERS_TRIED = 3
-"""Maximum number of other upstreams that are tried to find out whether this VM reaches any."""
+"""Maximum number of other upstreams that are tried to find out whether this VM has its paths."""
 
 RECENT_ANSWER_SECONDS = 0.2
 """Seconds for which an upstream that answers counts as alive. The answer to an older request may
@@ -28,6 +29,10 @@
 
 RESTART_POLL_INTERVAL = 0.25
 
+CONFIRMATION_TIMEOUT = 0.2
+"""Seconds to wait for the answer to a second health check; an upstream that lives needs a few
+milliseconds."""
+
 MAX_CHECKS = 200
 """Maximum number of attempts that are checked at the same time."""
 
@@ -80,7 +85,7 @@
             return True
         if attempt.ending is Ending.BROKEN or attempt.is_streamed:
             if not await self.connector.is_reachable(upstream.address, CONNECT_TIMEOUT):
-                return await self._reaches_another(upstream)
+                return await self._reaches_most_others(upstream)
         elif upstream.stats.answered_until >= self.clock.now() - RECENT_ANSWER_SECONDS:
             return False
         return await self._is_gone(upstream)
@@ -88,28 +93,40 @@
     async def _is_gone(self, upstream: Upstream) -> bool:
         """Return whether health checks show that an upstream's lifetime has ended.
 
-        A check that fails by all ways shows it only if another upstream accepts a connection after
-        it; else this VM may have lost its paths.
+        Two checks in a row without an answer show it, if most others accept connections after
+        them; else this VM may have lost its paths, maybe in the middle of the first check.
         """
-        end = self.clock.now() + RESTART_NOTICE_SECONDS
+        end, unanswered = self.clock.now() + RESTART_NOTICE_SECONDS, 0
         while not has_ended(upstream):
-            identity = await self.prober.check_identity(upstream)
+            timeout = CONFIRMATION_TIMEOUT if unanswered else PROBE_TIMEOUT
+            identity = await self.prober.check_identity(upstream, timeout)
             if identity is Identity.ANOTHER:
                 return True
-            if identity is Identity.NOBODY and await self._reaches_another(upstream):
-                return True
             if identity is Identity.SAME:
                 return await self._ends_soon(upstream)
+            if identity is Identity.NOBODY:
+                unanswered += 1
+                if unanswered == 1:
+                    continue
+                if await self._reaches_most_others(upstream):
+                    return True
             if self.clock.now() >= end:
                 return False
             await curio.sleep(RESTART_POLL_INTERVAL)
         return True
 
-    async def _reaches_another(self, upstream: Upstream) -> bool:
-        """Return whether another upstream accepts a new connection now."""
+    async def _reaches_most_others(self, upstream: Upstream) -> bool:
+        """Return whether most of some other upstreams accept a new connection now.
+
+        If most do not, paths are lost rather than one upstream; one may be left that can be
+        reached.
+        """
         others = [other for other in self.upstreams.by_id.values() if other is not upstream]
-        for other in self.random.sample(others, min(MAX_OTHERS_TRIED, len(others))):
-            if await self.connector.is_reachable(other.address, CONNECT_TIMEOUT):
+        tried = self.random.sample(others, min(MAX_OTHERS_TRIED, len(others)))
+        reached = 0
+        for other in tried:
+            reached += await self.connector.is_reachable(other.address, CONNECT_TIMEOUT)
+            if 2 * reached > len(tried):
                 return True
         return False
 
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -134,7 +134,7 @@
             if connection is not None:
                 await self.connector.release(connection)
 
-    async def check_identity(self, upstream: Upstream) -> Identity:
+    async def check_identity(self, upstream: Upstream, timeout: float = PROBE_TIMEOUT) -> Identity:
         """Return who answers a health check on a new connection to an upstream's address."""
         if not self.policy.may_probe(upstream):
             return Identity.UNKNOWN
@@ -144,9 +144,9 @@
         self.counters.probes += 1
         connection = None
         try:
-            async with curio.timeout_after(PROBE_TIMEOUT):
+            async with curio.timeout_after(timeout):
                 connection = await self.connector.acquire(
-                    upstream.address, fresh=True, timeout=PROBE_TIMEOUT
+                    upstream.address, fresh=True, timeout=timeout
                 )
                 answer = await self._exchange(connection, upstream)
         except NoFreeConnection:
