Ask other upstreams for an answer before an upstream counts as crashed

Other upstreams now have to answer something sent after the check, a health check if nothing else; a connection alone counts only while no health check may be sent.

--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -30,7 +30,7 @@
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
 from .gateway_crashes import build_crash_parts
-from .gateway_paths import build_path_table, build_paths
+from .gateway_paths import Paths, build_path_table
 from .gateway_timers import schedule_periodic_work
 from .logs import ROOT_LOGGER, get_log, silence_curio_timeouts
 from .platform.client import PlatformClient
@@ -231,7 +231,7 @@
         bounds, clock = self.settings.bounds, self.clock
         self.retry_limit = RetryLimit(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
         self.send_policy = SendPolicy(clock, self.permits)
-        self.paths = build_paths(self)
+        self.paths = Paths(self)
         self.prober = self._build_prober()
         self.route_stats = RouteStats(self.settings.choice.far_megabyte)
         candidates = Candidates(self.settings.vm.name, self.upstreams)
--- a/sequoiabridge/gateway_paths.py
+++ b/sequoiabridge/gateway_paths.py
@@ -87,11 +87,6 @@
     )
 
 
-def build_paths(gateway: Gateway) -> Paths:
-    """Return the parts that use the table of paths."""
-    return Paths(gateway)
-
-
 def listed_addresses(gateway: Gateway) -> set[str]:
     """Return the addresses of all listed upstreams."""
     return {upstream.address for upstream in gateway.upstreams.by_id.values()}
--- a/sequoiabridge/relay/crash_detection.py
+++ b/sequoiabridge/relay/crash_detection.py
@@ -84,8 +84,9 @@
         if has_ended(upstream):
             return True
         if attempt.ending is Ending.BROKEN or attempt.is_streamed:
-            if not await self.connector.is_reachable(upstream.address, CONNECT_TIMEOUT):
-                return await self._reaches_most_others(upstream)
+            is_reachable = await self.connector.is_reachable(upstream.address, CONNECT_TIMEOUT)
+            if not is_reachable and await self._hears_most_others(upstream):
+                return True
         elif upstream.stats.answered_until >= self.clock.now() - RECENT_ANSWER_SECONDS:
             return False
         return await self._is_gone(upstream)
@@ -93,8 +94,8 @@
     async def _is_gone(self, upstream: Upstream) -> bool:
         """Return whether health checks show that an upstream's lifetime has ended.
 
-        Two checks in a row without an answer show it, if most others accept connections after
-        them; else this VM may have lost its paths, maybe in the middle of the first check.
+        Two checks in a row without an answer show it, if most others answer after them;
+        else this VM may have lost its paths, maybe in the middle of the first check.
         """
         end, unanswered = self.clock.now() + RESTART_NOTICE_SECONDS, 0
         while not has_ended(upstream):
@@ -108,28 +109,41 @@
                 unanswered += 1
                 if unanswered == 1:
                     continue
-                if await self._reaches_most_others(upstream):
+                if await self._hears_most_others(upstream):
                     return True
             if self.clock.now() >= end:
                 return False
             await curio.sleep(RESTART_POLL_INTERVAL)
         return True
 
-    async def _reaches_most_others(self, upstream: Upstream) -> bool:
-        """Return whether most of some other upstreams accept a new connection now.
+    async def _hears_most_others(self, upstream: Upstream) -> bool:
+        """Return whether most of some other upstreams answer this VM now.
 
         If most do not, paths are lost rather than one upstream; one may be left that can be
         reached.
         """
+        since = self.clock.now()
         others = [other for other in self.upstreams.by_id.values() if other is not upstream]
         tried = self.random.sample(others, min(MAX_OTHERS_TRIED, len(others)))
-        reached = 0
+        heard = 0
         for other in tried:
-            reached += await self.connector.is_reachable(other.address, CONNECT_TIMEOUT)
-            if 2 * reached > len(tried):
+            heard += await self._is_heard(other, since)
+            if 2 * heard > len(tried):
                 return True
         return False
 
+    async def _is_heard(self, upstream: Upstream, since: float) -> bool:
+        """Return whether an upstream answers something that is sent after `since`.
+
+        If no health check may be sent, it must accept a connection.
+        """
+        if upstream.stats.answered_until >= since:
+            return True
+        identity = await self.prober.check_identity(upstream, CONFIRMATION_TIMEOUT)
+        if identity is Identity.UNKNOWN:
+            return await self.connector.is_reachable(upstream.address, CONNECT_TIMEOUT)
+        return identity is not Identity.NOBODY
+
     async def _ends_soon(self, upstream: Upstream) -> bool:
         """Return whether the lifetime of an upstream turns out to have ended."""
         end = self.clock.now() + RESTART_NOTICE_SECONDS
--- a/sequoiabridge/relay/paths/path_checks.py
+++ b/sequoiabridge/relay/paths/path_checks.py
@@ -21,13 +21,18 @@
 
 
 class PathChecks:
-    """Checks paths, and keeps the table of paths in line with the members and the upstreams."""
+    """Checks paths, and keeps the table of paths in line with the members and the upstreams.
+
+    Attributes:
+        applied: The list of the members' addresses that the table's peers were last derived from.
+    """
 
     def __init__(self, table: PathTable, opener: PathOpener, members: Members, clock: Clock):
         self.table = table
         self.opener = opener
         self.members = members
         self.clock = clock
+        self.applied: list[str] | None = None
 
     async def check(self) -> None:
         """Check some paths that have failed; called by a timer."""
@@ -36,6 +41,9 @@
 
     def update(self) -> None:
         """Take over changes of the members and of the listed upstreams; called by a timer."""
+        self.table.retain_listed()
+        if self.members.all_addresses is self.applied:
+            return
+        self.applied = self.members.all_addresses
         peers = self.members.peers.values()
         self.table.peers.update(PathPeer(hello.vm, hello.address) for hello in peers)
-        self.table.retain_listed()
--- a/sequoiabridge/relay/paths/peer_port.py
+++ b/sequoiabridge/relay/paths/peer_port.py
@@ -40,6 +40,9 @@
 MAX_TUNNELS = 400
 """Maximum number of connections served at a time; each needs two descriptors."""
 
+MAX_CONNECTIONS = 600
+"""Maximum number of connections, with those that have not sent a request; more are closed."""
+
 CLOSE_TIMEOUT = 10.0
 """Seconds for which a peer may go on reading once the upstream has ended its answer."""
 
@@ -112,6 +115,10 @@
             except OSError as error:
                 log.debug("No connection was accepted: %s.", error)
                 continue
+            if self.tunnels >= MAX_CONNECTIONS:
+                self._count("too-many")
+                sock.close()
+                continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             enable_keepalive(sock)
@@ -185,11 +192,14 @@
             status = PeerStatus.REFUSED if error.refused else PeerStatus.TIMED_OUT
             raise PeerRequestRejected(status, str(error)) from error
 
+    def _count(self, status: str) -> None:
+        self.rejected[status] = self.rejected.get(status, 0) + 1
+
     async def _reject(self, sock: Socket, peer: str, error: PeerRequestRejected) -> None:
         """Answer a rejected request, and log it if no daemon of the fleet would send it."""
         status = PeerStatus(error.status)
         name = status.name.lower().replace("_", "-")
-        self.rejected[name] = self.rejected.get(name, 0) + 1
+        self._count(name)
         if status in (PeerStatus.MALFORMED, PeerStatus.FORBIDDEN):
             self.decisions.event("peer-request-rejected", peer=peer, status=name, why=str(error))
         try:
--- a/sequoiabridge/tests/relay/paths/test_peer_port.py
+++ b/sequoiabridge/tests/relay/paths/test_peer_port.py
@@ -244,6 +244,21 @@
     run_scene(test, echo)
 
 
+def test_connections_that_ask_for_nothing_do_not_pile_up(monkeypatch):
+    monkeypatch.setattr(peer_port, "MAX_CONNECTIONS", 3)
+
+    async def test(scene):
+        host, _, port = scene.address.rpartition(":")
+        socks = [await curio.open_connection(host, int(port)) for _ in range(5)]
+        while scene.port.rejected.get("too-many") != 2:
+            await curio.sleep(0.01)
+        assert scene.port.tunnels == 3
+        for sock in socks:
+            await sock.close()
+
+    run_scene(test, echo)
+
+
 def test_an_upstream_that_refuses_the_peer_counts_as_refusing():
     async def test(scene):
         scene.listed.add(UNREACHABLE)
--- a/sequoiabridge/tests/relay/test_crashing_requests.py
+++ b/sequoiabridge/tests/relay/test_crashing_requests.py
@@ -131,6 +131,22 @@
     run_in_environment(test, reads=10)
 
 
+def test_pages_stay_served_while_a_share_of_the_reads_crashes_upstreams():
+    # The small form of the day under deploy/days/deadly.toml.
+    async def test(env):
+        set_faults(env, crash_path=CRASHING)
+        served = 0
+        for number in range(100):
+            if number % 33 == 0:
+                await env.call(CRASHING, f"bad-{number}")
+            served += (await env.call(f"/read/page-{number % 7}", f"page-{number}")).status == 200
+            await curio.sleep(0.02)
+        assert served == 100
+        assert crash_count(env) <= MIN_CRASHES + 1
+
+    run_in_environment(test, reads=12)
+
+
 class SucceededUpstream(UpstreamEmulator):
     """An upstream at whose address another one listens before its connections are reset.
 
