Do not count an upstream whose process stood still as a path taken for a crash

At a load of 34 the soak reported crashes of upstreams that ran on. Such an upstream is silent for all and may count as crashed until it answers (crashing requests, accepted there).

--- a/sequoiabridge/tests/platform/soak/test_path_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_path_soak.py
@@ -91,3 +91,20 @@
     record.reported_crashes = [(5.0, "vm-1", "reads-1")]
     record.upstream_ends = [(4.0, "reads-2"), (ended_at, "reads-1")]
     assert bool(check_paths(record)) == violated
+
+
+@pytest.mark.parametrize(
+    ("stall", "violated"),
+    [
+        ((4.0, 4.6, "reads-1"), False),
+        ((4.0, 4.6, "reads-2"), True),
+        ((1.0, 3.0, "reads-1"), True),
+        ((5.1, 6.0, "reads-1"), True),
+    ],
+)
+def test_the_oracle_leaves_out_reports_of_upstreams_that_stood_still(stall, violated):
+    # They were silent for all daemons; no path was lost.
+    record = path_record(0, 0, 0)
+    record.reported_crashes = [(5.0, "vm-1", "reads-1")]
+    record.upstream_stalls = [stall]
+    assert bool(check_paths(record)) == violated
