Prove membership of the fleet by a token for one peer and upstream, not by the key itself

The request for a connection carried the fleet's key. Peers are also learnt from datagrams, which nobody signs: whoever sent one could pass for a peer and would have been sent the key by the first VM without paths. Found by reading. The request now carries an HMAC of the peer's and the upstream's address under the key, which no other peer accepts (test).

--- a/sequoiabridge/relay/paths/fleet_key.py
+++ b/sequoiabridge/relay/paths/fleet_key.py
@@ -1,4 +1,7 @@
-"""The key by which the fleet's daemons recognize each other; it lies in the platform's store."""
+"""The key by which the fleet's daemons recognize each other; it lies in the platform's store.
+
+The key itself is never sent to a peer, only a token made with it.
+"""
 
 from __future__ import annotations
 
@@ -45,9 +48,21 @@
         self.value = ""
         self.loaded_at = float("-inf")
 
-    def matches(self, value: str) -> bool:
-        """Return whether a key that a peer presents is the fleet's."""
-        return bool(self.value) and hmac.compare_digest(value.encode(), self.value.encode())
+    def token(self, peer: str, upstream: str) -> str:
+        """Return what proves to a peer that a daemon of the fleet asks for an upstream.
+
+        It is worth nothing at another peer, so that one which only passes for a peer gains nothing.
+
+        Args:
+            peer, upstream: Their "IP:port".
+        """
+        message = f"{peer} {upstream}".encode()
+        return hmac.new(self.value.encode(), message, "sha256").hexdigest()
+
+    def matches(self, token: str, peer: str, upstream: str) -> bool:
+        """Return whether a token that was presented to `peer` is that of a daemon of the fleet."""
+        expected = self.token(peer, upstream).encode()
+        return bool(self.value) and hmac.compare_digest(token.encode(), expected)
 
     async def load(self, delay: float = 0.0) -> None:
         """Read the key after `delay` seconds, and create it if there is none; retry on failure."""
--- a/sequoiabridge/relay/paths/opener.py
+++ b/sequoiabridge/relay/paths/opener.py
@@ -122,7 +122,8 @@
         try:
             async with curio.timeout_after(timeout):
                 link = await open_link(peer.address, self.clock, timeout)
-                head = await self._exchange_heads(link, address)
+                token = self.key.token(peer.address, address)
+                head = await exchange_heads(link, encode_request(address, token))
         except curio.TaskTimeout:
             await close(link)
             raise PeerFailed(f"{peer.vm}: No answer within {timeout:.3f} s.") from None
@@ -140,15 +141,6 @@
         refused = head.status_code == PeerStatus.REFUSED
         raise PeerFailed(f"{peer.vm}: {refusal_text(head)}", head.status_code, refused=refused)
 
-    async def _exchange_heads(self, link: Link, address: str) -> h11.Response:
-        """Send the request for a connection; return the head of the peer's answer."""
-        request = encode_request(address, self.key.value)
-        if link.try_send(request) != len(request):
-            raise link.make_failure("The request for a connection was not sent as a whole.")
-        while (head := link.read_response_head(MAX_HEAD_BYTES)) is None:
-            await link.receive()
-        return head
-
     async def _record_peer_failure(self, peer: PathPeer, address: str, error: PeerFailed) -> None:
         now = self.clock.now()
         if error.refused:
@@ -159,6 +151,15 @@
             await curio.spawn(self.key.reload, daemon=True)
 
 
+async def exchange_heads(link: Link, request: bytes) -> h11.Response:
+    """Send the request for a connection to a peer; return the head of its answer."""
+    if link.try_send(request) != len(request):
+        raise link.make_failure("The request for a connection was not sent as a whole.")
+    while (head := link.read_response_head(MAX_HEAD_BYTES)) is None:
+        await link.receive()
+    return head
+
+
 async def close(link: Link | None) -> None:
     """Close a link if there is one."""
     if link is not None:
--- a/sequoiabridge/relay/paths/peer_port.py
+++ b/sequoiabridge/relay/paths/peer_port.py
@@ -1,6 +1,7 @@
 """Opens connections to upstreams for peers that have lost their own paths.
 
-It serves daemons of the fleet only, which present its key, and leads to listed upstreams only.
+It serves daemons of the fleet only, which prove that they know its key, and leads to listed
+upstreams only.
 """
 
 from __future__ import annotations
@@ -66,6 +67,7 @@
         why_unable: Returns why this VM cannot help now, "" if it can.
 
     Attributes:
+        address: "IP:port" at which it listens, as peers know it.
         tunnels: Number of connections served at present.
         opened: Number of connections that were opened for peers.
         rejected: Number of requests that were rejected, by status.
@@ -84,6 +86,7 @@
         self.listed = listed
         self.why_unable = why_unable
         self.decisions = decisions
+        self.address = ""
         self.listener: socket.socket | None = None
         self.tunnels = 0
         self.opened = 0
@@ -91,6 +94,7 @@
 
     def bind(self, address: str) -> None:
         """Listen on `address` ("IP:port"); on failure, peers are not served."""
+        self.address = address
         host, _, port = address.rpartition(":")
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -153,7 +157,7 @@
         """Return the address that a peer asks for, and what it sent after its request.
 
         Raises:
-            PeerRequestRejected: The request is malformed or has no valid key.
+            PeerRequestRejected: The request is malformed or has no valid token.
         """
         state = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         try:
@@ -165,11 +169,12 @@
         if type(event) is not h11.Request or event.method != b"CONNECT":
             message = "This port takes CONNECT requests of the fleet's daemons only."
             raise PeerRequestRejected(PeerStatus.MALFORMED, message)
-        if not self.key.matches(presented_key(event)):
+        target = event.target.decode("latin-1")
+        if not self.key.matches(presented_token(event), self.address, target):
             await curio.spawn(self.key.reload, daemon=True)
-            message = "The key is not that of the fleet. Read it from the platform's store."
+            message = "The token was not made with the fleet's key. Read it from the store."
             raise PeerRequestRejected(PeerStatus.FORBIDDEN, message)
-        return event.target.decode("latin-1"), state.trailing_data[0]
+        return target, state.trailing_data[0]
 
     async def _open(self, address: str) -> Link:
         """Return a direct link to an upstream.
@@ -212,8 +217,8 @@
             log.debug("Peer %s did not take its answer: %s.", peer, broken)
 
 
-def presented_key(request: h11.Request) -> str:
-    """Return the key in a request, "" if there is none."""
+def presented_token(request: h11.Request) -> str:
+    """Return the token in a request, "" if there is none."""
     for name, value in request.headers:
         if name == AUTHORIZATION and value.startswith(BEARER):
             return value.removeprefix(BEARER).decode("latin-1")
--- a/sequoiabridge/relay/paths/protocol.py
+++ b/sequoiabridge/relay/paths/protocol.py
@@ -1,7 +1,8 @@
-"""The protocol by which a peer opens a connection to an upstream: HTTP's CONNECT with a key.
+"""The protocol by which a peer opens a connection to an upstream: HTTP's CONNECT with a token.
 
-The request names the upstream's address and carries the fleet's key. After a 200, the connection
-carries the bytes to and from the upstream; any other status says why it was not opened.
+The request names the upstream's address and carries a token made with the fleet's key. After a
+200, the connection carries the bytes to and from the upstream; any other status says why it was not
+opened.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
     Attributes:
         OPENED: The connection is open.
         MALFORMED: The bytes are no such request.
-        FORBIDDEN: The key is wrong, or the address is that of no listed upstream.
+        FORBIDDEN: The token is wrong, or the address is that of no listed upstream.
         REFUSED: Nothing listens at the upstream's address.
         NO_PATH: The peer cannot help: it has no path itself, stops, or carries too many.
         TIMED_OUT: The upstream did not answer the peer.
@@ -37,9 +38,9 @@
     TIMED_OUT = 504
 
 
-def encode_request(address: str, key: str) -> bytes:
+def encode_request(address: str, token: str) -> bytes:
     """Return the request for a connection to `address` ("IP:port")."""
-    headers = [("Host", address), ("Authorization", f"Bearer {key}")]
+    headers = [("Host", address), ("Authorization", f"Bearer {token}")]
     request = h11.Request(method="CONNECT", target=address, headers=headers)
     return h11.Connection(h11.CLIENT).send(request)
 
--- a/sequoiabridge/tests/relay/paths/peer_scene.py
+++ b/sequoiabridge/tests/relay/paths/peer_scene.py
@@ -10,6 +10,7 @@
 from ....relay.paths.fleet_key import FleetKey
 from ....relay.paths.opener import PathOpener
 from ....relay.paths.peer_port import RESET_ON_CLOSE, PeerPort
+from ....relay.paths.protocol import encode_request
 from ....selector import LazySelector
 from ....timers import SystemClock
 from ...platform.ports import free_port
@@ -82,6 +83,10 @@
         """Let the opener assume that the direct path to the upstream is lost."""
         self.table.lost_since = 0.0
 
+    def request(self, address, key=KEY, peer=""):
+        """Return a request for a connection to an upstream, with a token for `peer`."""
+        return encode_request(address, make_key(key).token(peer or self.address, address))
+
     async def exchange(self, data):
         """Send bytes to the peer's port; return all that comes back."""
         host, _, port = self.address.rpartition(":")
--- a/sequoiabridge/tests/relay/paths/test_fleet_key.py
+++ b/sequoiabridge/tests/relay/paths/test_fleet_key.py
@@ -51,12 +51,12 @@
 
     curio.run(load_all)
     assert store.writes == 1 and len({key.value for key in keys}) == 1
-    assert keys[0].matches(keys[1].value) and len(keys[0].value) >= 32
+    assert keys[0].matches(keys[1].token("a", "b"), "a", "b") and len(keys[0].value) >= 32
 
 
 def test_a_key_that_is_not_known_matches_nothing():
     key = make_key(OneRow())
-    assert not key.matches("") and not key.matches("a")
+    assert not key.matches("", "a", "b") and not key.matches(key.token("a", "b"), "a", "b")
 
 
 def test_reading_the_key_is_repeated_until_the_store_answers(monkeypatch):
--- a/sequoiabridge/tests/relay/paths/test_peer_port.py
+++ b/sequoiabridge/tests/relay/paths/test_peer_port.py
@@ -11,7 +11,6 @@
 from ....balancing.path_peers import PathPeer
 from ....exceptions import UpstreamFailed
 from ....relay.paths import peer_port
-from ....relay.paths.protocol import encode_request
 from ...platform.ports import free_port
 from .peer_scene import (
     KEY,
@@ -185,14 +184,25 @@
 @pytest.mark.parametrize("key", ["x", KEY[:-1], KEY + "0"])
 def test_only_the_fleets_key_opens_a_connection(key):
     async def test(scene):
-        answer = await scene.exchange(encode_request(scene.upstream, key))
-        assert answer.startswith(b"HTTP/1.1 403 ") and b"key" in answer
+        answer = await scene.exchange(scene.request(scene.upstream, key))
+        assert answer.startswith(b"HTTP/1.1 403 ") and b"token" in answer
         assert scene.port.opened == 0 and rejected(scene) == ["forbidden"]
 
     run_scene(test, echo)
 
 
-def test_a_request_without_a_key_is_rejected():
+def test_a_token_that_another_peer_was_given_opens_no_connection():
+    # Whoever passes for a peer gets tokens of daemons that ask it.
+    async def test(scene):
+        data = scene.request(scene.upstream, peer="127.0.0.1:1")
+        assert (await scene.exchange(data)).startswith(b"HTTP/1.1 403 ")
+        other = scene.request("127.0.0.1:1").replace(b"127.0.0.1:1", scene.upstream.encode())
+        assert (await scene.exchange(other)).startswith(b"HTTP/1.1 403 ")
+
+    run_scene(test, echo)
+
+
+def test_a_request_without_a_token_is_rejected():
     async def test(scene):
         answer = await scene.exchange(b"CONNECT 10.0.0.1:80 HTTP/1.1\r\nHost: 10.0.0.1:80\r\n\r\n")
         assert answer.startswith(b"HTTP/1.1 403 ")
@@ -205,7 +215,7 @@
         scene.port.key = make_key("")
         scene.port.key.loaded_at = float("inf")
         for key in ("x", KEY):
-            answer = await scene.exchange(encode_request(scene.upstream, key))
+            answer = await scene.exchange(scene.request(scene.upstream, key))
             assert answer.startswith(b"HTTP/1.1 403 ")
 
     run_scene(test, echo)
@@ -214,7 +224,7 @@
 def test_only_listed_upstreams_are_reached():
     async def test(scene):
         scene.listed.clear()
-        answer = await scene.exchange(encode_request(scene.upstream, KEY))
+        answer = await scene.exchange(scene.request(scene.upstream))
         assert answer.startswith(b"HTTP/1.1 403 ") and b"no listed upstream" in answer
         assert rejected(scene) == ["forbidden"]
 
@@ -224,7 +234,7 @@
 def test_a_peer_that_cannot_help_says_so():
     async def test(scene):
         scene.why_unable = "This VM stops."
-        answer = await scene.exchange(encode_request(scene.upstream, KEY))
+        answer = await scene.exchange(scene.request(scene.upstream))
         assert answer.startswith(b"HTTP/1.1 503 ") and b"This VM stops. Ask another" in answer
         assert scene.decisions.events == []
 
@@ -237,7 +247,7 @@
     async def test(scene):
         scene.lose_direct_path()
         link = await scene.opener.open(scene.upstream, 1.0)
-        answer = await scene.exchange(encode_request(scene.upstream, KEY))
+        answer = await scene.exchange(scene.request(scene.upstream))
         assert answer.startswith(b"HTTP/1.1 503 ")
         await link.close()
 
@@ -262,7 +272,7 @@
 def test_an_upstream_that_refuses_the_peer_counts_as_refusing():
     async def test(scene):
         scene.listed.add(UNREACHABLE)
-        answer = await scene.exchange(encode_request(UNREACHABLE, KEY))
+        answer = await scene.exchange(scene.request(UNREACHABLE))
         assert answer.startswith(b"HTTP/1.1 502 ")
         with pytest.raises(UpstreamFailed) as caught:
             await scene.opener.open(UNREACHABLE, 1.0)
