--- a/sequoiabridge/relay/crash_detection.py
+++ b/sequoiabridge/relay/crash_detection.py
@@ -9,7 +9,6 @@
 from ..balancing.call import Ending
 from ..balancing.paths import CONNECT_TIMEOUT
 from ..balancing.upstream import Upstream
-from ..balancing.upstream_stats import PROBE_TIMEOUT
 from ..timers import Clock
 from ..upstreams.base import Connector
 from .attempt import Attempt
@@ -17,8 +16,9 @@
 from .probing import Identity, Prober
 from .upstreams import UpstreamList
 
-MAX_OTHERS_TRIED = 3
-"""Maximum number of other upstreams that are tried to find out whether this VM has its paths."""
+MAX_OTHERS_TRIED, MIN_OTHERS_HEARD = 5, 2
+"""Maximum number of other upstreams that are tried to find out whether this VM has its paths, and
+the number that must answer."""
 
 RECENT_ANSWER_SECONDS = 0.2
 """Seconds for which an upstream that answers counts as alive. The answer to an older request may
@@ -84,51 +84,53 @@
         if has_ended(upstream):
             return True
         if attempt.ending is Ending.BROKEN or attempt.is_streamed:
-            is_reachable = await self.connector.is_reachable(upstream.address, CONNECT_TIMEOUT)
-            if not is_reachable and await self._hears_most_others(upstream):
+            if await self._is_down(upstream):
                 return True
         elif upstream.stats.answered_until >= self.clock.now() - RECENT_ANSWER_SECONDS:
             return False
         return await self._is_gone(upstream)
 
+    async def _is_down(self, upstream: Upstream) -> bool:
+        """Return whether an upstream accepts no connection, before and after others are heard."""
+        if await self.connector.is_reachable(upstream.address, CONNECT_TIMEOUT):
+            return False
+        return await self._hears_others(upstream) and not await self.connector.is_reachable(
+            upstream.address, CONNECT_TIMEOUT
+        )
+
     async def _is_gone(self, upstream: Upstream) -> bool:
         """Return whether health checks show that an upstream's lifetime has ended.
 
-        Two checks in a row without an answer show it, if most others answer after them;
-        else this VM may have lost its paths, maybe in the middle of the first check.
+        Two checks without an answer show it, if others are heard between them; else this VM may
+        have lost its paths, maybe in the middle of the first check.
         """
-        end, unanswered = self.clock.now() + RESTART_NOTICE_SECONDS, 0
+        end = self.clock.now() + RESTART_NOTICE_SECONDS
         while not has_ended(upstream):
-            timeout = CONFIRMATION_TIMEOUT if unanswered else PROBE_TIMEOUT
-            identity = await self.prober.check_identity(upstream, timeout)
+            identity = await self.prober.check_identity(upstream)
+            if identity is Identity.NOBODY and await self._hears_others(upstream):
+                identity = await self.prober.check_identity(upstream, CONFIRMATION_TIMEOUT, False)
+                if identity is Identity.NOBODY:
+                    return True
             if identity is Identity.ANOTHER:
                 return True
             if identity is Identity.SAME:
                 return await self._ends_soon(upstream)
-            if identity is Identity.NOBODY:
-                unanswered += 1
-                if unanswered == 1:
-                    continue
-                if await self._hears_most_others(upstream):
-                    return True
             if self.clock.now() >= end:
                 return False
             await curio.sleep(RESTART_POLL_INTERVAL)
         return True
 
-    async def _hears_most_others(self, upstream: Upstream) -> bool:
-        """Return whether most of some other upstreams answer this VM now.
+    async def _hears_others(self, upstream: Upstream) -> bool:
+        """Return whether enough other upstreams answer this VM now.
 
-        If most do not, paths are lost rather than one upstream; one may be left that can be
-        reached.
+        If one alone does, the paths to all others may be lost rather than one upstream.
         """
         since = self.clock.now()
         others = [other for other in self.upstreams.by_id.values() if other is not upstream]
-        tried = self.random.sample(others, min(MAX_OTHERS_TRIED, len(others)))
         heard = 0
-        for other in tried:
+        for other in self.random.sample(others, min(MAX_OTHERS_TRIED, len(others))):
             heard += await self._is_heard(other, since)
-            if 2 * heard > len(tried):
+            if heard >= min(MIN_OTHERS_HEARD, len(others)):
                 return True
         return False
 
@@ -139,7 +141,7 @@
         """
         if upstream.stats.answered_until >= since:
             return True
-        identity = await self.prober.check_identity(upstream, CONFIRMATION_TIMEOUT)
+        identity = await self.prober.check_identity(upstream, CONFIRMATION_TIMEOUT, False)
         if identity is Identity.UNKNOWN:
             return await self.connector.is_reachable(upstream.address, CONNECT_TIMEOUT)
         return identity is not Identity.NOBODY
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -134,12 +134,19 @@
             if connection is not None:
                 await self.connector.release(connection)
 
-    async def check_identity(self, upstream: Upstream, timeout: float = PROBE_TIMEOUT) -> Identity:
-        """Return who answers a health check on a new connection to an upstream's address."""
+    async def check_identity(
+        self, upstream: Upstream, timeout: float = PROBE_TIMEOUT, is_limited: bool = True
+    ) -> Identity:
+        """Return who answers a health check on a new connection to an upstream's address.
+
+        Args:
+            is_limited: Whether the limit on health checks applies; the few that confirm a crash
+                must not depend on it.
+        """
         if not self.policy.may_probe(upstream):
             return Identity.UNKNOWN
         now, known = self.clock.now(), self.upstreams.configured_count
-        if not self.probe_limiter.take(1, known, now):
+        if is_limited and not self.probe_limiter.take(1, known, now):
             return Identity.UNKNOWN
         self.counters.probes += 1
         connection = None
