Remove the stored crash that is left of a request once the request is answered

A daemon that starts later would have read it as evidence against a harmless page.

Cause: an answer removes the rows of a request only if it still has two crashes, as one alone is not stored. When two of three crashes had been withdrawn before the answer, the third was stored all the same. That depends on whether all three upstreams are found answering in the same round.

Rows are now removed too if crashes of the request have been withdrawn. The new test leaves one upstream silent, so that it does not depend on the round: it fails on the parent commit and passes here, with the other three of the file.

--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -156,7 +156,9 @@
         name = survived.fingerprint
         block = self.ledger.blocks.get(name)
         crashes = self.ledger.by_fingerprint.get(name, ())
-        was_stored = len({crash.upstream for crash in crashes}) >= MIN_STORED_CRASHES
+        is_enough = len({crash.upstream for crash in crashes}) >= MIN_STORED_CRASHES
+        # Of crashes that were stored together, some may have been withdrawn since.
+        was_stored = is_enough or bool(crashes and self.ledger.withdrawn_upstreams(name))
         if not self.ledger.record_answer(name, self.clock.now() - survived.age):
             return False
         self.decisions.event("request-cleared", fingerprint=name, seen_by=seen_by)
--- a/sequoiabridge/tests/relay/test_crash_withdrawals.py
+++ b/sequoiabridge/tests/relay/test_crash_withdrawals.py
@@ -61,6 +61,27 @@
     run_in_environment(test, reads=UPSTREAMS)
 
 
+def test_an_answer_removes_the_crash_that_is_left_when_the_others_were_withdrawn(monkeypatch):
+    # One crash alone counted as not stored, so that its row stayed.
+    monkeypatch.setattr(block_trials, "TRIAL_DELAYS", (1000.0,))
+
+    async def test(env):
+        await give_start_times(env)
+        await block_by_silence(env)
+        silent, *others = reads(env)
+        for upstream in others:
+            upstream.is_silent = False
+        withdrawals = env.gateway.crash_withdrawals
+        await env.wait_until(lambda: withdrawals.withdrawn == len(others))
+        await env.wait_until(lambda: not env.gateway.blocked_requests.unsaved)
+        assert [key for key in env.store.rows if key[0] == TABLE]
+        assert (await env.call(PAGE, "served")).status == 200
+        await env.wait_until(lambda: not env.gateway.blocked_requests.unsaved)
+        assert not [key for key in env.store.rows if key[0] == TABLE]
+
+    run_in_environment(test, reads=UPSTREAMS)
+
+
 def test_no_trial_is_sent_to_an_upstream_that_does_not_answer(monkeypatch):
     # Two of three trials were spent on upstreams that were known to be silent.
     monkeypatch.setattr(block_trials, "TRIAL_DELAYS", (0.1,))
