Ask peers again for every upstream once one is found that can help

Cause: a peer that was cut as well, and did not know it yet, was refused by the upstream. That counted as if the upstream refused all, so that no peer was asked for it for up to 2 s; the second check of the crash detector, made after others were heard through vm-4, used the direct path alone. Evidence: the log of vm-0 (not-sent after 1 ms at approvals-10 while other upstreams answer via vm-4).

When a peer opens a connection that did not help before, peers are asked again for all upstreams. The new test fails without that.

--- a/sequoiabridge/balancing/path_peers.py
+++ b/sequoiabridge/balancing/path_peers.py
@@ -42,6 +42,10 @@
         self.unhelpful_until = float("-inf")
         self.stopping = False
 
+    def is_helpful(self, now: float) -> bool:
+        """Return whether it has opened a connection lately, and helped at its last request."""
+        return now >= self.unhelpful_until and now - self.helped_at <= HELPFUL_SECONDS
+
 
 class PathPeers:
     """The peers that may be asked, by VM, and what is known of each."""
--- a/sequoiabridge/balancing/paths.py
+++ b/sequoiabridge/balancing/paths.py
@@ -213,6 +213,8 @@
 
     def record_through_peer(self, address: str, peer: PathPeer, now: float) -> None:
         """Record that a peer opened a connection."""
+        if not peer.is_helpful(now):
+            self._ask_again()
         peer.helped_at, peer.unhelpful_until = now, float("-inf")
         self.opened_at = now
         path = self._path(address)
@@ -326,6 +328,11 @@
             path = self.by_address[address] = UpstreamPath()
         return path
 
+    def _ask_again(self) -> None:
+        """Let peers be asked for every upstream, since one has been found that can help."""
+        for path in self.by_address.values():
+            path.ask_at, path.ask_failures = 0.0, 0
+
     def _has_not_failed(self, address: str) -> bool:
         path = self.by_address.get(address)
         return path is None or path.failed_at is None
--- a/sequoiabridge/tests/balancing/test_paths.py
+++ b/sequoiabridge/tests/balancing/test_paths.py
@@ -188,6 +188,19 @@
     assert len(table.ways(ADDRESSES[0], 1.2)) > 2
 
 
+def test_peers_are_asked_again_for_all_upstreams_once_one_is_found_that_can_help():
+    # A peer without paths that did not know it yet kept the others from being asked for 2 s, and
+    # the upstream counted as crashed meanwhile.
+    table, _ = make_table()
+    fail_all_ways(table, ADDRESSES[0], 1.0, refused=True)
+    assert len(table.ways(ADDRESSES[0], 1.35)) == 2
+    table.record_through_peer(ADDRESSES[1], table.peers.by_vm["vm-2"], 1.35)
+    assert len(table.ways(ADDRESSES[0], 1.35)) > 2
+    fail_all_ways(table, ADDRESSES[0], 1.4, refused=True)
+    table.record_through_peer(ADDRESSES[1], table.peers.by_vm["vm-2"], 1.71)
+    assert len(table.ways(ADDRESSES[0], 1.72)) == 2
+
+
 def test_peers_that_stop_are_not_asked():
     table, _ = make_table(2)
     table.peers.record_stop("vm-1", True)
