Log and dump each path that is lost: since when, why, and which peer reaches the upstream

The on-call engineer saw only that three or more paths were lost. From a request's id the call's line told by which way it went, but not what its VM could not reach, since when, and by which evidence, so that a lost path and an upstream that is down could be told apart only when all paths were lost.

path-lost and path-back now name the upstream, how long direct connections have failed, the reason of the last one, and the peer that reached it; /dump has the same for each path that fails, with the time at which no way was found. A test reads both.

Found by reading: the port for peers tried again at once, without a pause, when no descriptor was left to accept a connection; it now pauses and logs, as the callers' server does.

--- a/sequoiabridge/balancing/paths.py
+++ b/sequoiabridge/balancing/paths.py
@@ -84,6 +84,9 @@
 
     Attributes:
         failed_at: Start of the latest direct attempt if it failed, else None.
+        why: Why that attempt failed.
+        failing_since: Start of the first of the direct attempts that failed in a row, else None.
+        reached_by: VM of the peer that last reached the upstream since then, "" for none.
         is_lost: Whether a peer has reached the upstream since direct attempts fail.
         refused_for_peer: Whether the upstream refused a connection of a peer since then.
         unreachable_at: Start of the latest attempt if it failed by all ways, else None.
@@ -97,6 +100,9 @@
 
     __slots__ = (
         "failed_at",
+        "why",
+        "failing_since",
+        "reached_by",
         "is_lost",
         "refused_for_peer",
         "unreachable_at",
@@ -116,6 +122,9 @@
     def reset(self) -> None:
         """Forget failures, since the direct path works."""
         self.failed_at: float | None = None
+        self.why = ""
+        self.failing_since: float | None = None
+        self.reached_by = ""
         self.is_lost = False
         self.refused_for_peer = False
         self.unreachable_at: float | None = None
@@ -198,15 +207,20 @@
         self.opened_at = self.direct_opened_at = now
         path = self.by_address.get(address)
         if path is not None and path.failed_at is not None:
+            if path.is_lost:
+                lost_for = round(now - path.failing_since, 3)
+                self.on_change("path-back", address=address, after=lost_for)
             path.reset()
         if self.lost_since is not None:
             self.on_change("paths-back", after=round(now - self.lost_since, 3))
             self.lost_since = None
 
-    def record_direct_failure(self, address: str, started: float, now: float) -> None:
-        """Record that no direct connection could be opened."""
+    def record_direct_failure(self, address: str, started: float, why: str, now: float) -> None:
+        """Record that no direct connection could be opened, and why."""
         path = self._path(address)
-        path.failed_at = started
+        path.failed_at, path.why = started, why
+        if path.failing_since is None:
+            path.failing_since = started
         backoff = min(MAX_BACKOFF, MIN_BACKOFF * 2**path.direct_failures)
         path.direct_failures += 1
         path.check_at = now + backoff * self.peers.random.uniform(0.5, 1.0)
@@ -219,9 +233,16 @@
         self.opened_at = now
         path = self._path(address)
         path.unreachable_at, path.ask_failures, path.refused_for_peer = None, 0, False
-        if path.failed_at is not None:
+        if path.failed_at is None:
+            return
+        path.reached_by = peer.vm
+        if not path.is_lost:
             path.is_lost = True
-            self._update_lost()
+            since = round(now - path.failing_since, 3)
+            self.on_change(
+                "path-lost", address=address, peer=peer.vm, failing_for=since, why=path.why
+            )
+        self._update_lost()
 
     def record_peer_failure(self, peer: PathPeer, now: float) -> None:
         """Record that a peer could not be reached, or has no path itself."""
@@ -311,14 +332,20 @@
             del self.by_address[address]
 
     def dump(self) -> dict:
-        """Describe the paths for the state dump."""
+        """Describe the paths that fail for the state dump; times are those of `up` in the log."""
         return {
-            "all_lost": self.lost_since is not None,
+            "all_lost_since": self.lost_since,
             "isolated": self.was_isolated,
-            "lost": [a for a, path in self.by_address.items() if path.is_lost],
-            "unreachable": [
-                a for a, path in self.by_address.items() if path.unreachable_at is not None
-            ],
+            "failing": {
+                address: {
+                    "since": round(path.failing_since, 3),
+                    "why": path.why,
+                    "reached_by": path.reached_by,
+                    "no_way_at": path.unreachable_at,
+                }
+                for address, path in self.by_address.items()
+                if path.failing_since is not None
+            },
             "helpful_peers": [p.vm for p in self.peers.by_vm.values() if p.helped_at > 0.0],
         }
 
--- a/sequoiabridge/gateway_paths.py
+++ b/sequoiabridge/gateway_paths.py
@@ -82,9 +82,15 @@
 
 def build_path_table(gateway: Gateway) -> PathTable:
     """Return the table of paths, which the other parts share."""
-    return PathTable(
-        PathPeers(gateway.random), lambda: listed_addresses(gateway), gateway.decisions.event
-    )
+
+    def log_change(event: str, **fields: object) -> None:
+        address = fields.get("address")
+        if address is not None:
+            upstreams = gateway.upstreams.by_id.values()
+            fields["upstream"] = next((u.id for u in upstreams if u.address == address), None)
+        gateway.decisions.event(event, **fields)
+
+    return PathTable(PathPeers(gateway.random), lambda: listed_addresses(gateway), log_change)
 
 
 def listed_addresses(gateway: Gateway) -> set[str]:
--- a/sequoiabridge/relay/paths/opener.py
+++ b/sequoiabridge/relay/paths/opener.py
@@ -69,8 +69,8 @@
         started = self.clock.now()
         try:
             link = await open_link(address, self.clock, timeout)
-        except UpstreamFailed:
-            self.table.record_direct_failure(address, started, self.clock.now())
+        except UpstreamFailed as error:
+            self.table.record_direct_failure(address, started, str(error), self.clock.now())
             raise
         self.table.record_direct(address, self.clock.now())
         return link
--- a/sequoiabridge/relay/paths/peer_port.py
+++ b/sequoiabridge/relay/paths/peer_port.py
@@ -29,6 +29,9 @@
 BACKLOG = 256
 """Backlog of the listening socket, in connections."""
 
+ACCEPT_RETRY_SECONDS = 0.05
+"""Seconds before the next attempt after accepting a connection failed."""
+
 HEAD_TIMEOUT = 1.0
 """Seconds within which a peer must have sent its request."""
 
@@ -116,8 +119,11 @@
             await _read_wait(self.listener)
             try:
                 sock, peer = self.listener.accept()
+            except BlockingIOError:
+                continue  # The peer has left meanwhile.
             except OSError as error:
-                log.debug("No connection was accepted: %s.", error)
+                log.warning("Cannot accept a connection: %s. Raise the limit of open files.", error)
+                await curio.sleep(ACCEPT_RETRY_SECONDS)
                 continue
             if self.tunnels >= MAX_CONNECTIONS:
                 self._count("too-many")
--- a/sequoiabridge/tests/balancing/test_path_simulation.py
+++ b/sequoiabridge/tests/balancing/test_path_simulation.py
@@ -33,7 +33,7 @@
     def open_directly(self, address, now):
         """Return the seconds that a direct attempt takes, and whether it succeeds."""
         if self.is_cut:
-            self.table.record_direct_failure(address, now, now)
+            self.table.record_direct_failure(address, now, "", now)
             return None
         self.table.record_direct(address, now)
         return ROUND_TRIP
--- a/sequoiabridge/tests/balancing/test_paths.py
+++ b/sequoiabridge/tests/balancing/test_paths.py
@@ -27,13 +27,13 @@
 
 def lose(table, address, at=1.0):
     """Let the direct path to an address fail while a peer reaches it."""
-    table.record_direct_failure(address, at, at + 0.1)
+    table.record_direct_failure(address, at, "No connection.", at + 0.1)
     table.record_through_peer(address, table.peers.by_vm["vm-0"], at + 0.2)
 
 
 def fail_all_ways(table, address, at, refused=False):
     """Let all ways to an address fail."""
-    table.record_direct_failure(address, at, at + 0.1)
+    table.record_direct_failure(address, at, "No connection.", at + 0.1)
     table.record_unreachable(address, FailedAttempt(at, True, True, refused), at + 0.3)
 
 
@@ -67,7 +67,35 @@
     assert table.is_lost(ADDRESSES[9])
     table.record_direct(ADDRESSES[9], 2.0)
     assert not table.is_lost(ADDRESSES[10]) and table.is_lost(ADDRESSES[0])
-    assert events == ["paths-lost", "paths-back"]
+    assert events == ["path-lost"] * MIN_LOST + ["paths-lost", "paths-back"]
+
+
+def test_the_log_and_the_dump_say_which_path_was_lost_when_and_by_which_evidence():
+    table, _ = make_table()
+    events = []
+    table.on_change = lambda event, **fields: events.append((event, fields))
+    address = ADDRESSES[0]
+    table.record_direct_failure(address, 1.0, "No connection.", 1.1)
+    table.record_direct_failure(address, 1.4, "No connection.", 1.5)
+    failing = table.dump()["failing"][address]
+    assert failing == {
+        "since": 1.0,
+        "why": "No connection.",
+        "reached_by": "",
+        "no_way_at": None,
+    }
+    for vm in ("vm-1", "vm-2"):
+        table.record_through_peer(address, table.peers.by_vm[vm], 1.6)
+    assert table.dump()["failing"][address]["reached_by"] == "vm-2"
+    table.record_direct(address, 3.0)
+    assert events == [
+        (
+            "path-lost",
+            {"address": address, "peer": "vm-1", "failing_for": 0.6, "why": "No connection."},
+        ),
+        ("path-back", {"address": address, "after": 2.0}),
+    ]
+    assert table.dump()["failing"] == {}
 
 
 def test_paths_do_not_count_as_lost_while_an_upstream_answers_directly():
