Play lost paths beside stops, rests, limits, crashing requests, a whole data centre and in series

The users ask for these together; only kills, a silent store, starts and one service were scenes of their own. The ways in which paths are lost are drawn where none is given, and the load and the number of cut daemons can be set. One copy of a caller's call serves all soaks.

--- a/sequoiabridge/tests/platform/soak/__main__.py
+++ b/sequoiabridge/tests/platform/soak/__main__.py
@@ -26,6 +26,8 @@
     crashes: CrashScenario | None = None,
     paths: PathScenario | None = None,
     reads: int = 5,
+    count: int = 2,
+    load: float = 1.0,
     rate: float = 60.0,
 ) -> int:
     """Run the soak with one or more seeds, one after the other.
@@ -41,11 +43,13 @@
     :param paths: let daemons lose their paths in this way, instead of mixing all faults
     :param reads: number of upstreams of the service that fails or names limits then
     :param rate: calls per second then
+    :param count: number of daemons that lose their paths, in the fixed series
+    :param load: calls beside lost paths, as a multiple of the usual number
     """
     failed_seeds = 0
     for number in range(seed, seed + seeds):
         if paths is not None:
-            soak = PathSoak(number, seconds, daemons, paths, reads=reads)
+            soak = PathSoak(number, seconds, daemons, paths, None, count, reads, load)
         elif crashes is not None:
             soak = CrashSoak(number, seconds, daemons, crashes, reads)
         elif notices is not None:
--- a/sequoiabridge/tests/platform/soak/crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/crash_soak.py
@@ -10,8 +10,8 @@
 from .crashes import count_crashes, wrong_blocks
 from .deployment import Daemon, UpstreamProcess
 from .limit_soak import MAX_LOSS
-from .record import APPROVE, READ, CallRecord
-from .soak import CALL_TIMEOUT_MS, Soak
+from .record import APPROVE, READ
+from .soak import Soak
 
 CRASH_PATH = "/read/crashing"
 
@@ -191,29 +191,6 @@
         page = f"rare-{self.call_count}" if random.random() < RARE_SHARE else "x"
         return await self.call_target(connection, daemon, kind, f"/{kind}/{page}")
 
-    async def call_target(
-        self, connection: Connection, daemon: Daemon, kind: str, target: str
-    ) -> bool:
-        """Make one call; return whether the connection can be reused."""
-        self.call_count += 1
-        call = CallRecord(f"s{self.seed}-{self.call_count}", kind, daemon.name, self.now(), target)
-        self.deployment.record.calls.append(call)
-        body = b"a" * 200 if kind == APPROVE else b""
-        self.deployment.record.body_sizes[call.id] = len(body)
-        try:
-            async with curio.timeout_after(CALL_TIMEOUT_MS / 1000 + 1.0):
-                method = "POST" if body else "GET"
-                await connection.send(
-                    target, call.id, method=method, body=body, timeout_ms=CALL_TIMEOUT_MS
-                )
-                reply = await connection.reply()
-        except (OSError, curio.TaskTimeout):
-            return False
-        finally:
-            call.ended_at = self.now()
-        call.status, call.is_complete, call.body = reply.status, reply.is_complete, reply.body
-        return reply.is_complete and reply.headers.get(b"connection") != b"close"
-
     async def bring_back_ended(self) -> None:
         """Start upstreams that have ended again, after the time that they are away."""
         while True:
--- a/sequoiabridge/tests/platform/soak/path_soak.py
+++ b/sequoiabridge/tests/platform/soak/path_soak.py
@@ -1,22 +1,30 @@
 """Soak runs in which daemons lose their paths to upstreams, peers or the store, beside faults."""
 
+import signal
 from enum import Enum
 from random import Random
 
 import curio
 
 from ..ports import free_port
+from .crash_soak import CRASH_PATH
 from .deployment import Daemon
 from .faulty_gateway import SILENCE_AT
 from .path_proxy import CUTS, PathState, full_listener
 from .paths import Cut, compared_calls
 from .proxy import LinkFault
 from .record import APPROVE, READ, UPLOAD
-from .soak import Soak
+from .soak import MEAN_CALL_INTERVAL, Soak
 
 SILENT_HOST = "127.0.9.2"
 """Host at which nothing answers, in place of unreachable peers."""
 
+CRASH_INTERVAL = 0.25
+"""Seconds between two requests that crash upstreams."""
+
+BACK_AFTER = 1.0
+"""Seconds after which an upstream that crashed is back."""
+
 QUIET_SECONDS = 2.0
 """Seconds without faults at the start."""
 
@@ -42,6 +50,13 @@
         SERVICE: Some daemons lose their paths to the upstreams of one service.
         KILLS: The others are killed in turn meanwhile.
         STORE: The store falls silent for all meanwhile.
+        DATA_CENTRE: All daemons of one data centre lose all paths.
+        SERIES: Some daemons lose all paths, then some others.
+        STOPS: The others are stopped gracefully in turn meanwhile.
+        RESTS: Some upstreams reject calls and ask for rests meanwhile.
+        LIMITS: Some upstreams name limits meanwhile.
+        CRASHES: Requests that crash upstreams come meanwhile, at all daemons.
+        DOWN: No path is lost; all upstreams of one service end, and start again at the end.
     """
 
     RANDOM = "random"
@@ -51,6 +66,13 @@
     SERVICE = "service"
     KILLS = "kills"
     STORE = "store"
+    DATA_CENTRE = "data-centre"
+    SERIES = "series"
+    STOPS = "stops"
+    RESTS = "rests"
+    LIMITS = "limits"
+    CRASHES = "crashes"
+    DOWN = "down"
 
 
 class PathSoak(Soak):
@@ -60,6 +82,7 @@
         scenario: Which paths are lost.
         state: How they are lost; drawn for each cut if None.
         count: Number of daemons that lose them in the fixed scenarios.
+        load: Calls of each caller, as a multiple of the usual number.
     """
 
     callers_per_daemon = 3
@@ -75,8 +98,10 @@
         state: PathState | None = None,
         count: int = 2,
         reads: int = 8,
+        load: float = 1.0,
     ):
         super().__init__(seed, seconds, daemons)
+        self.mean_call_interval = MEAN_CALL_INTERVAL / load
         self.scenario = scenario
         self.state = state
         self.count = count
@@ -110,13 +135,27 @@
             await super().inject_faults(until)
             await cuts.join()
             return
-        daemons = self.deployment.daemons
-        cut_off = daemons if self.scenario is PathScenario.ALL else daemons[: self.count]
+        if self.scenario is PathScenario.DOWN:
+            await self.end_service("approvals", CUT_SECONDS)
+            return
+        cut_off = self.chosen_daemons()
         beside = await self.start_beside(cut_off)
         await self.cut(cut_off, self.state, CUT_SECONDS)
+        if self.scenario is PathScenario.SERIES:
+            others = [daemon for daemon in self.deployment.daemons if daemon not in cut_off]
+            await self.cut(others[: self.count], self.state, CUT_SECONDS)
         for task in beside:
             await task.join()
 
+    def chosen_daemons(self) -> list[Daemon]:
+        """Return the daemons that lose their paths first in a fixed scenario."""
+        daemons = self.deployment.daemons
+        if self.scenario is PathScenario.ALL:
+            return daemons
+        if self.scenario is PathScenario.DATA_CENTRE:
+            return daemons[::2]
+        return daemons[: self.count]
+
     async def start_beside(self, cut_off: list[Daemon]) -> list[curio.Task]:
         """Start what happens beside a cut in a fixed scenario."""
         others = [daemon for daemon in self.deployment.daemons if daemon not in cut_off]
@@ -124,6 +163,15 @@
             return [await curio.spawn(self.kill_in_turn, others)]
         if self.scenario is PathScenario.STORE:
             return [await curio.spawn(self.silence_store, CUT_SECONDS)]
+        if self.scenario is PathScenario.STOPS:
+            return [await curio.spawn(self.stop_in_turn, others)]
+        if self.scenario is PathScenario.CRASHES:
+            return [await curio.spawn(self.crash_upstreams, CUT_SECONDS)]
+        upstreams = list(self.deployment.upstreams.values())[::3]
+        if self.scenario is PathScenario.RESTS:
+            return [await curio.spawn(self.change_some, upstreams, {"rest": "1", "rejected": 0.3})]
+        if self.scenario is PathScenario.LIMITS:
+            return [await curio.spawn(self.change_some, upstreams, {"limit": "5"})]
         if self.scenario is PathScenario.STARTS:
             for daemon in cut_off:
                 self.kill(daemon)
@@ -139,9 +187,10 @@
             await self.cut(self.draw.sample(daemons, count), self.draw.choice(CUTS), seconds)
             await curio.sleep(self.draw.uniform(0.0, MAX_PAUSE_SECONDS))
 
-    async def cut(self, daemons: list[Daemon], state: PathState, seconds: float) -> None:
+    async def cut(self, daemons: list[Daemon], state: PathState | None, seconds: float) -> None:
         """Cut daemons off from all upstreams, or from those of one service, for some seconds."""
         service = "reads" if self.scenario is PathScenario.SERVICE else ""
+        state = state or self.draw.choice(CUTS)
         cut = Cut(self.now(), frozenset(daemon.name for daemon in daemons))
         self.deployment.record.cuts.append(cut)
         for daemon in daemons:
@@ -210,6 +259,52 @@
             await curio.sleep(CUT_SECONDS / (len(daemons) + 1))
             self.kill(daemon)
 
+    async def stop_in_turn(self, daemons: list[Daemon]) -> None:
+        """Stop one daemon after the other gracefully."""
+        for daemon in daemons:
+            await curio.sleep(CUT_SECONDS / (len(daemons) + 1))
+            self.deployment.record.stops.append((self.now(), daemon.name))
+            daemon.signal(signal.SIGTERM)
+
+    async def change_some(self, upstreams: list, values: dict) -> None:
+        """Let some upstreams reject calls, or name limits."""
+        for upstream in upstreams:
+            upstream.set(**values)
+        await curio.sleep(CUT_SECONDS)
+        for upstream in upstreams:
+            upstream.set(rejected=0.0, limit="")
+
+    async def crash_upstreams(self, seconds: float) -> None:
+        """Send a request that crashes upstreams to random daemons; start the upstreams again."""
+        end = self.now() + seconds
+        faults = {"crash_path": CRASH_PATH, "crash_delay": 0.05}
+        self.deployment.restart_faults = faults
+        for upstream in self.deployment.upstreams.values():
+            upstream.set(**faults)
+        while self.now() < end:
+            daemon = self.random.choice(self.deployment.daemons)
+            connection = await self.open_connection(daemon)
+            if connection is not None:
+                await self.call_target(connection, daemon, READ, f"{CRASH_PATH}-0")
+                await connection.sock.close()
+            for upstream in list(self.deployment.upstreams.values()):
+                if not upstream.find_target() and not upstream.is_restarting:
+                    self.loops.append(
+                        await curio.spawn(self.deployment.restart_upstream, upstream, BACK_AFTER)
+                    )
+            await curio.sleep(CRASH_INTERVAL)
+
+    async def end_service(self, service: str, seconds: float) -> None:
+        """End all upstreams of a service at one moment; start them again after some seconds."""
+        upstreams = [u for u in self.deployment.upstreams.values() if u.service == service]
+        self.record_fault(seconds + 3.0, f"end of {service}")
+        restarts = [
+            await curio.spawn(self.deployment.restart_upstream, upstream, seconds)
+            for upstream in upstreams
+        ]
+        for restart in restarts:
+            await restart.join()
+
     async def silence_store(self, seconds: float) -> None:
         """Let the store fall silent for all daemons."""
         self.record_fault(seconds + 3.0, "silent store")
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -57,6 +57,7 @@
     callers_per_daemon = CALLERS_PER_DAEMON
     call_kinds = CALL_KINDS
     mean_fault_interval = MEAN_FAULT_INTERVAL
+    mean_call_interval = MEAN_CALL_INTERVAL
 
     def __init__(self, seed: int, seconds: float, daemons: int):
         self.seed = seed
@@ -149,7 +150,7 @@
         """Send calls to one daemon until the run ends, reusing the connection while possible."""
         connection = None
         while not self.stopping:
-            await curio.sleep(random.expovariate(1 / MEAN_CALL_INTERVAL))
+            await curio.sleep(random.expovariate(1 / self.mean_call_interval))
             if connection is None:
                 connection = await self.connect(daemon)
             if connection is not None and not await self.call(connection, daemon, random):
@@ -177,10 +178,16 @@
             return None
 
     async def call(self, connection: Connection, daemon: Daemon, random: Random) -> bool:
+        """Make one call of a random kind; return whether the connection can be reused."""
+        kind = random.choices(*zip(*self.call_kinds, strict=True))[0]
+        return await self.call_target(connection, daemon, kind, f"/{kind}/x")
+
+    async def call_target(
+        self, connection: Connection, daemon: Daemon, kind: str, target: str
+    ) -> bool:
         """Make one call; return whether the connection can be reused."""
         self.call_count += 1
-        kind = random.choices(*zip(*self.call_kinds, strict=True))[0]
-        call = CallRecord(f"s{self.seed}-{self.call_count}", kind, daemon.name, self.now())
+        call = CallRecord(f"s{self.seed}-{self.call_count}", kind, daemon.name, self.now(), target)
         body = {APPROVE: b"a" * 200, UPLOAD: b"u" * UPLOAD_SIZE}.get(kind, b"")
         self.deployment.record.calls.append(call)
         self.deployment.record.body_sizes[call.id] = len(body)
@@ -189,7 +196,7 @@
         try:
             async with curio.timeout_after(CALL_TIMEOUT_MS / 1000 + 1.0):
                 await connection.send(
-                    f"/{kind}/x", call.id, method=method, body=body, timeout_ms=CALL_TIMEOUT_MS
+                    target, call.id, method=method, body=body, timeout_ms=CALL_TIMEOUT_MS
                 )
                 call.connected = True
                 reply = await connection.reply()
