Refuse calls at once also when no peer can be asked

What was seen: with daemons that ask no peers, the callers of two cut ones waited 1.00 s each for their refusals (median of 36). Cause: an upstream counts as out of reach once peers were asked as well, or if there are none; when all of them stop there are some, but none to ask. The new test fails without the change.

--- a/sequoiabridge/balancing/paths.py
+++ b/sequoiabridge/balancing/paths.py
@@ -259,7 +259,7 @@
             backoff = min(MAX_ASK_BACKOFF, MIN_ASK_BACKOFF * 2**path.ask_failures)
             path.ask_failures += 1
             path.ask_at = now + backoff * self.peers.random.uniform(0.5, 1.0)
-        if attempt.peers_asked or not self.peers.by_vm:
+        if attempt.peers_asked or not self.peers.to_ask(now):
             path.unreachable_at, path.was_refused = attempt.started, attempt.refused
 
     def record_answer(self, address: str, is_direct: bool, sent_at: float) -> None:
--- a/sequoiabridge/tests/balancing/test_paths.py
+++ b/sequoiabridge/tests/balancing/test_paths.py
@@ -136,6 +136,16 @@
     assert not table.is_isolated(1.1 + EVIDENCE_SECONDS)
 
 
+def test_a_vm_whose_peers_all_stop_knows_that_it_is_isolated():
+    # Calls waited for their whole time, since no peer had been asked.
+    table, _ = make_table(1)
+    table.peers.record_stop("vm-0", True)
+    for address in ADDRESSES[:MIN_UNREACHABLE]:
+        table.record_direct_failure(address, 1.0, "No connection.", 1.1)
+        table.record_unreachable(address, FailedAttempt(1.0), 1.3)
+    assert table.is_isolated(1.5)
+
+
 @pytest.mark.parametrize("by_peer", [True, False])
 def test_a_vm_is_not_isolated_once_any_way_works(by_peer):
     table, _ = make_table()
