Let the soak lose datagrams beside lost paths, and detect daemons that ask no peers

Datagrams between peers, by which a stopping one is announced, were not lost in that soak; the fault moves from the soak of limits to all, unchanged.

--- a/sequoiabridge/tests/platform/soak/crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/crash_soak.py
@@ -9,9 +9,8 @@
 from ..environment import Connection
 from .crashes import count_crashes, wrong_blocks
 from .deployment import Daemon, UpstreamProcess
-from .limit_soak import MAX_LOSS
 from .record import APPROVE, READ
-from .soak import Soak
+from .soak import MAX_LOSS, Soak
 
 CRASH_PATH = "/read/crashing"
 
--- a/sequoiabridge/tests/platform/soak/faulty_gateway.py
+++ b/sequoiabridge/tests/platform/soak/faulty_gateway.py
@@ -24,6 +24,7 @@
 IGNORE_DEPARTURES = "--ignore-departures"
 IGNORE_CRASHES = "--ignore-crashes"
 DIVIDE_BLAME = "--divide-blame"
+ASK_NO_PEERS = "--ask-no-peers"
 
 
 class LossyChannel(Channel):
@@ -84,6 +85,7 @@
 
 def main(settings: str, *options: str) -> int:
     """Run the daemon of a settings file."""
+    from ....balancing.path_peers import PathPeers
     from ....policy.crashes import CrashLedger
     from ....relay import sharing
     from ....relay.departures import Departures
@@ -98,6 +100,8 @@
         CrashLedger.record_crash = lambda *arguments: False
     if DIVIDE_BLAME in options:
         divide_blame(CrashLedger)
+    if ASK_NO_PEERS in options:
+        PathPeers.to_ask = lambda *arguments: []
     if IGNORE_DEPARTURES in options:
         Departures.record = lambda *arguments: None
 
--- a/sequoiabridge/tests/platform/soak/limit_soak.py
+++ b/sequoiabridge/tests/platform/soak/limit_soak.py
@@ -19,9 +19,6 @@
 BAD_LIMITS = ("soon", "-1", "nan", "1e99", "1,2")
 """Values that are no limit."""
 
-MAX_LOSS = 0.3
-"""Maximum share of lost datagrams between daemons."""
-
 
 class LimitScenario(Enum):
     """Which upstreams name limits; `RANDOM` mixes changes of limits with all faults."""
@@ -129,14 +126,3 @@
                 value = random.choice(BAD_LIMITS if bad else (*LIMITS, *LIMITS, "0", ""))
                 upstream.set(limit=value)
             await curio.sleep(random.uniform(1.0, 12.0))
-
-    async def lose_datagrams(self, seconds: float) -> None:
-        """Lose a share of the datagrams that some daemons send to their peers."""
-        daemons = self.deployment.daemons
-        affected = self.random.sample(daemons, self.random.randint(1, len(daemons)))
-        share = self.random.uniform(0.05, MAX_LOSS)
-        for daemon in affected:
-            daemon.set_loss(share)
-        await curio.sleep(2 * seconds)
-        for daemon in affected:
-            daemon.set_loss(0.0)
--- a/sequoiabridge/tests/platform/soak/path_soak.py
+++ b/sequoiabridge/tests/platform/soak/path_soak.py
@@ -217,6 +217,7 @@
             self.cut_one_path,
             self.cut_peers,
             self.cut_peers,
+            self.lose_datagrams,
             self.disturb_store_link,
             self.inject_store_fault,
             self.restart_upstream,
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -40,6 +40,9 @@
 MEAN_FAULT_INTERVAL = 0.4
 """Mean seconds between the starts of two faults; shorter than most faults, so that they overlap."""
 
+MAX_LOSS = 0.3
+"""Maximum share of lost datagrams between daemons."""
+
 STALL_CHECK_INTERVAL = 0.05
 """Seconds between checks whether this process stands still."""
 
@@ -283,6 +286,17 @@
             await self.deployment.change_configuration()
             await curio.sleep(0.15)
 
+    async def lose_datagrams(self, seconds: float) -> None:
+        """Lose a share of the datagrams that some daemons send to their peers."""
+        daemons = self.deployment.daemons
+        affected = self.random.sample(daemons, self.random.randint(1, len(daemons)))
+        share = self.random.uniform(0.05, MAX_LOSS)
+        for daemon in affected:
+            daemon.set_loss(share)
+        await curio.sleep(2 * seconds)
+        for daemon in affected:
+            daemon.set_loss(0.0)
+
     async def replace_upstream(self, seconds: float) -> None:
         """Drain an upstream and add another."""
         ids = [id for id in self.deployment.upstreams if id.startswith("reads")]
--- a/sequoiabridge/tests/platform/soak/test_path_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_path_soak.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from .faulty_gateway import ASK_NO_PEERS
 from .path_proxy import PathState
 from .path_soak import PathScenario, PathSoak
 from .paths import Cut, check_paths
@@ -29,6 +30,12 @@
     assert run_soak(PathSoak(1, 20.0, 5, PathScenario.STARTS, PathState.HANGS)) == []
 
 
+def test_the_soak_detects_daemons_that_ask_no_peers():
+    soak = PathSoak(1, 18.0, 5, PathScenario.SOME, PathState.HANGS)
+    soak.deployment.daemon_options.append(ASK_NO_PEERS)
+    assert any("served" in violation for violation in run_soak(soak))
+
+
 def path_record(served, failed, others):
     """Return a record of a cut from 1.0 to 9.0 with calls at the cut daemon and at another."""
     record = Record()
