--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,7 @@
 INSTANCES = 10
 """As many as `statement-archive` has, with the same slots."""
 
-WORK_SECONDS = 2.7
+WORK_SECONDS = 2.85
 """`statement-pull` takes 0.55 s in the mean and 4.1 s at most."""
 
 FIRST_SEND_SECONDS, SEND_INTERVAL_SECONDS = 3.01, 0.01
--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -35,7 +35,8 @@
     Settings:
         id, service, slots, queue, work: Its identity and capacity; work in seconds.
         seed: Seed of its random choices.
-        reset_share: Share of new connections that it resets at once.
+        reset_share: Share of new connections that it resets, having read nothing.
+        reset_within: Seconds within which it does so.
         hang_share: Share of its answers, once their head and half of their body are sent, that it
             never ends.
     """
@@ -46,6 +47,7 @@
         self.queue = settings.get("queue", 8)
         self.work = settings.get("work", 0.02)
         self.reset_share = settings.get("reset_share", 0.0)
+        self.reset_within = settings.get("reset_within", 0.003)
         self.hang_share = settings.get("hang_share", 0.0)
         self.random = random.Random(settings.get("seed", 1))
         self.running = 0
@@ -80,7 +82,8 @@
             return
         if self.random.random() < self.reset_share:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            sock.close()
+            delay = self.random.uniform(0.0, self.reset_within)
+            asyncio.get_running_loop().call_later(delay, sock.close)
             self.record("reset")
             return
         sock.setblocking(False)
