--- a/review/1/case.py
+++ b/review/1/case.py
@@ -39,17 +39,20 @@
 RESET_SHARE = 0.4
 """Share of new connections that are reset: x (.4) of `srv_grey`, how "reset all"."""
 
-DISRUPTION_SECONDS = 8.5
-"""The longest `srv_grey` in the site files."""
+DISRUPTION_SECONDS = 8.0
+"""The longest `srv_grey` in the site files lasts 8.5 s."""
+
+BODY_COUNT = 24
+"""Number of different bodies; they are made before the traffic starts."""
 
 
 class Upload:
     """One upload and what became of it."""
 
-    def __init__(self, number: int):
+    def __init__(self, number: int, body: bytes, sha256: str):
         self.attempt = f"u{number:05d}"
-        self.body = random.Random(number).randbytes(UPLOAD_BYTES)
-        self.sha256 = hashlib.sha256(self.body).hexdigest()
+        self.body = body
+        self.sha256 = sha256
         self.answer = "no connection"
 
     async def send(self, daemon: Daemon) -> None:
@@ -82,12 +85,15 @@
     ]
     config = desired_state(HOST, [route("/up/", "upload", "intake", 3.0, 0.8)])
     await deployment.start(DAEMONS, settings, config, grace=6)
+    bodies = [random.Random(number).randbytes(UPLOAD_BYTES) for number in range(BODY_COUNT)]
+    digests = [hashlib.sha256(body).hexdigest() for body in bodies]
     uploads: dict[str, Upload] = {}
     tasks = []
 
     async def send_round() -> None:
         for daemon in deployment.daemons * UPLOADS_AT_ONCE:
-            upload = Upload(len(uploads))
+            number = len(uploads) % BODY_COUNT
+            upload = Upload(len(uploads), bodies[number], digests[number])
             uploads[upload.attempt] = upload
             tasks.append(asyncio.create_task(upload.send(daemon)))
         await asyncio.sleep(PAUSE_SECONDS)
@@ -98,8 +104,9 @@
         for instance in deployment.instances:
             await instance.set(reset_share=RESET_SHARE if trouble else 0.0)
         end = time.monotonic() + DISRUPTION_SECONDS
-        while time.monotonic() < end:
+        while time.monotonic() + PAUSE_SECONDS < end:
             await send_round()
+        await asyncio.sleep(max(0.0, end - time.monotonic()))
         for instance in deployment.instances:
             await instance.set(reset_share=0.0)
         for _ in range(ROUNDS_AFTER):
