Derive the steps of a planned stop from the grace period

Requests taken after 3.0 s were cut off at 5.6 s.

Change: StopPlan derives all steps from the grace period. Idle connections are closed at a set time, unless a request has arrived; a call that is complete later is taken only if its own timeout ends it in time, else it is refused as not run; calls that are still open at the end get a last answer.

The test of the server's stop closes idle connections by the new call instead of moving the clock, since the server keeps no wait of its own any more.

--- a/sequoiabridge/assembly/stopping.py
+++ b/sequoiabridge/assembly/stopping.py
@@ -18,6 +18,10 @@
 """Seconds between two checks for work in flight."""
 
 
+IDLE_GRACE = 0.5
+"""Seconds for which open connections may still send a request after the last one was accepted."""
+
+
 def install_signal_handlers(daemon: Daemon) -> None:
     """Begin a planned stop at SIGTERM or SIGINT; a second signal ends the process immediately."""
 
@@ -42,6 +46,8 @@
     path.deliveries.stopping = True
     await curio.sleep(lag)
     await path.callers.stop_accepting()
+    await curio.sleep(IDLE_GRACE)
+    path.callers.close_idle()
     await path.callers.wait_idle()
     while not (daemon.uploads.idle and path.deliveries.idle):
         await curio.sleep(STOP_POLL_INTERVAL)
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -15,7 +15,7 @@
 from .chooser import Chooser
 from .cost_model import CostEstimate
 from .hedging import Hedging
-from .refusals import no_attempt_left, no_upstream, timed_out
+from .refusals import no_attempt_left, no_upstream, stopping, timed_out
 from .retry_budget import RetryBudget
 from .steps import CancelAttempt, Send, Steps, Wait
 
@@ -23,9 +23,10 @@
 """Maximum number of attempts per call, including those that upstreams refused. When four have no
 capacity the service has none, and a later try of the caller does better."""
 
-RESTART_POLL_INTERVAL = 0.5
-"""Seconds between checks whether the upstream of an open attempt has restarted. Without the check,
-a half-open connection after a network partition would hold the call until its deadline."""
+POLL_INTERVAL = 0.5
+"""Seconds between checks whether the upstream of an open attempt has restarted or the daemon stops.
+Without the check, a half-open connection after a network partition would hold the call until its
+deadline."""
 
 MIN_ATTEMPT_TIME = 0.02
 """Minimum time in seconds before the deadline at which a retry is started. A round trip and a probe
@@ -46,6 +47,7 @@
         budgets: The retry budgets by service.
         hedges: Number of attempts started while another attempt of the call was running.
         retries: Number of attempts started after another attempt had failed.
+        stop_at: Time at which all calls get their last answer since the daemon stops, or infinity.
     """
 
     name = "retry_budgets"
@@ -66,6 +68,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.hedges = 0
         self.retries = 0
+        self.stop_at = float("inf")
 
     def run(self, call: Call) -> Steps[CallAttempt]:
         """Run the call; return the attempt that has its final answer.
@@ -82,8 +85,10 @@
             now = self.clock.now()
             if now >= call.deadline:
                 raise timed_out(call)
-            wake_at = min(self.hedging.next_check(call), call.deadline, now + RESTART_POLL_INTERVAL)
-            attempt = yield Wait(wake_at)
+            if now >= self.stop_at:
+                raise stopping(call)
+            end = min(call.deadline, self.stop_at)
+            attempt = yield Wait(min(self.hedging.next_check(call), end, now + POLL_INTERVAL))
             if attempt is None:
                 yield from self._check_attempts(call)
                 continue
--- a/sequoiabridge/balancing/refusals.py
+++ b/sequoiabridge/balancing/refusals.py
@@ -47,6 +47,15 @@
     return Refusal(503, Outcome.NOT_RUN, Reason.TIMEOUT, message, RETRY_AFTER)
 
 
+def stopping(call: Call) -> Refusal:
+    """Return the refusal of a call that this VM cannot answer before it stops."""
+    if call.possible_runs:
+        message = "This VM stops before an upstream has answered. The request may have run."
+        return Refusal(502, Outcome.UNKNOWN, Reason.STOPPING, message)
+    message = "This VM stops; the request did not run. Try another VM at once."
+    return Refusal(503, Outcome.NOT_RUN, Reason.STOPPING, message, retry_after=0.0)
+
+
 def no_attempt_left(call: Call, why: str, overload_ratio: float) -> Refusal:
     """Return the refusal of a call that cannot be sent again.
 
--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -25,8 +25,6 @@
 """Backlog of the listening socket, in connections."""
 SWEEP_INTERVAL = 0.1
 """Seconds between two checks of all connections."""
-IDLE_GRACE_SECONDS = 0.5
-"""Seconds for which an idle connection stays open after `stop_accepting`, for a late request."""
 MAX_REJECTED_SOCKETS = 64
 """Maximum number of rejected sockets kept open until the next sweep, so that callers can read the
 answer."""
@@ -152,7 +150,7 @@
         self.stopping = True
 
     async def stop_accepting(self) -> None:
-        """Close the listening socket and idle connections; requests in flight go on.
+        """Close the listening socket; open connections may still send a request.
 
         Connections in the backlog of the listening socket are still served. Answers carry
         `Connection: close` from now on.
@@ -164,12 +162,13 @@
         while await self._accept_one():
             pass
         self.listener.close()
-        end = self.clock.now() + IDLE_GRACE_SECONDS
-        for connection in self.open_connections:
-            if connection.transport.phase is Phase.IDLE:
-                connection.transport.deadline = min(connection.transport.deadline, end)
         log.info("Stopped accepting connections; %d requests are in flight.", self.in_flight)
 
+    def close_idle(self) -> None:
+        """Close all connections on which no request has arrived; requests in flight go on."""
+        for connection in self.open_connections:
+            connection.transport.close_if_idle()
+
     async def wait_idle(self) -> None:
         """Wait without a timeout until all connections are closed."""
         while self.open_connections:
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -89,6 +89,9 @@
         self.phase = phase
         self.deadline = self.clock.now() + timeout
         while True:
+            if self.expired and phase is Phase.IDLE:
+                # A request that arrives now stays unread, so its caller knows that it did not run.
+                return False
             try:
                 data = self.sock.recv(READ_SIZE)
             except BlockingIOError:
@@ -145,7 +148,7 @@
 
     def expire_wait(self, now: float) -> None:
         """End the current wait if its deadline has passed; called by the sweep."""
-        if now < self.deadline:
+        if now < self.deadline or (self.phase is Phase.IDLE and self._has_input()):
             return
         self.expired = True
         self.deadline = NEVER
@@ -155,6 +158,11 @@
         except OSError as error:
             log.debug("Connection was already closed: %s.", error)
 
+    def close_if_idle(self) -> None:
+        """End the wait for another request unless one has arrived."""
+        if self.phase is Phase.IDLE:
+            self.expire_wait(NEVER)
+
     def send_interim_answer(self) -> None:
         """Check whether a caller that closed its sending side still expects its answer.
 
@@ -169,6 +177,16 @@
         except OSError as error:
             log.debug("Cannot send an interim answer to a caller: %s.", error)
 
+    def _has_input(self) -> bool:
+        """Return whether bytes, or the end of the stream, have arrived and are unread."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            log.debug("Connection was already closed: %s.", error)
+        return True
+
     async def _send_rest(self, rest: memoryview) -> None:
         while rest:
             self.phase = Phase.ANSWER
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -58,6 +58,7 @@
 from .relay.rests import Rests
 from .relay.sender import Sender
 from .relay.sharing import Sharing
+from .relay.stop_plan import StopPlan
 from .relay.unknown_headers import UnknownHeaders
 from .relay.unread import UnreadCalls
 from .relay.upstreams import UpstreamList
@@ -71,14 +72,6 @@
 """Interval in seconds at which callers are checked for having disconnected. The work of a caller
 that has left must end within half a second."""
 
-BALANCER_DELAY = 2.6
-"""Seconds for which new connections are still accepted after a planned stop began, until the
-platform's balancer has noticed it. It asks once a second and acts on the second answer that says
-no."""
-
-STOP_MARGIN = 0.4
-"""Seconds before the end of the grace period at which open calls are cut off."""
-
 STOP_POLL_INTERVAL = 0.05
 """Interval in seconds at which a planned stop checks whether all calls have ended."""
 
@@ -345,16 +338,19 @@
 
     async def _stop(self) -> None:
         """Serve until the balancer sends no more callers, then finish the open calls and end."""
-        began = self.clock.now()
-        self.decisions.event("stop", in_flight=self.callers.in_flight)
+        plan = StopPlan(self.clock.now(), self.settings.bounds.grace)
+        self.decisions.event("stop", in_flight=self.callers.in_flight, **plan.row())
+        self.relay.stop_plan = plan
+        self.sender.dispatch.stop_at = plan.answer_by
         self.callers.announce_stop()
-        await self.paths.announce_stop(BALANCER_DELAY)
+        await self.paths.announce_stop(plan.accept_until - self.clock.now())
         await self.callers.stop_accepting()
-        end = began + self.settings.bounds.grace - STOP_MARGIN
-        while self._is_in_use() and self.clock.now() < end:
+        await curio.sleep(max(0.0, plan.take_until - self.clock.now()))
+        self.callers.close_idle()
+        while self._is_in_use() and self.clock.now() < plan.exit_at:
             await curio.sleep(STOP_POLL_INTERVAL)
         await self.connector.close()
-        self.decisions.event("stopped", cut_off=self.callers.in_flight)
+        self.decisions.event("stopped", cut_off=self.callers.in_flight, refused=plan.refused)
         self.log_writer.flush()
 
     def _is_in_use(self) -> bool:
--- a/sequoiabridge/outcome.py
+++ b/sequoiabridge/outcome.py
@@ -40,4 +40,5 @@
     STORE_DOWN = "store-down"
     UPLOAD_CONFLICT = "upload-conflict"
     NOT_READY = "not-ready"
+    STOPPING = "stopping"
     INTERNAL = "internal"
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -22,6 +22,7 @@
 from .decisions import DecisionLog
 from .dialect import Dialect
 from .sender import Sender
+from .stop_plan import StopPlan
 
 log = get_log("relay")
 
@@ -38,6 +39,9 @@
 
     Args:
         why_not_serving: Returns the reason why no call can be served, or "" if calls can.
+
+    Attributes:
+        stop_plan: The planned stop that has begun, or None.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         self.why_not_serving = why_not_serving
         self.request_ids = count(1)
         self.wait_estimator = PriorWaitEstimator()
+        self.stop_plan: StopPlan | None = None
 
     def next_id(self) -> str:
         """Return an id for a request that has none."""
@@ -105,6 +110,8 @@
         limit = self.configuration.table.limits.max_body
         await buffer_body(call.request, limit, call.deadline - self.clock.now())
         call.body_received(self.clock.now())
+        if self.stop_plan is not None:
+            self.stop_plan.check(call, self.clock.now())
         return await self.sender.send(call)
 
     def _route(self, call: RelayedCall) -> Route:
--- /dev/null
+++ b/sequoiabridge/relay/stop_plan.py
@@ -0,0 +1,71 @@
+"""When a planned stop takes its steps, so that every call it takes is answered in time."""
+
+from __future__ import annotations
+
+from ..balancing.call import Call
+from ..balancing.refusals import stopping
+
+BALANCER_DELAY = 2.6
+"""Seconds for which new connections are accepted, until the platform's balancer has noticed the
+stop. It asks once a second and acts on the second answer that says no."""
+
+MAX_ACCEPT_SHARE = 0.45
+"""Maximum share of the grace period in which new connections are accepted."""
+
+LAST_REQUEST_DELAY = 0.3
+"""Seconds after the last connection was accepted in which it can send its request."""
+
+MAX_TAKE_SHARE = 0.5
+"""Maximum share of the grace period in which calls are taken whatever their timeout is."""
+
+MAX_MARGIN = 0.4
+"""Maximum seconds before the end of the grace period at which open calls are ended."""
+
+MARGIN_SHARE = 1 / 15
+"""Maximum share of the grace period that lies behind the end of open calls."""
+
+
+class StopPlan:
+    """The steps of a planned stop. Times are in seconds on the daemon's clock.
+
+    Args:
+        began: Time at which the stop was requested.
+        grace: Seconds after which the process is killed.
+
+    Attributes:
+        accept_until: Time until which new connections are accepted.
+        take_until: Time at which idle connections are closed; a call that comes later is taken only
+            if its own timeout ends it before `answer_by`.
+        answer_by: Time at which calls that are still open get their last answer.
+        exit_at: Time at which the process ends.
+        refused: Number of calls that came too late and were refused.
+    """
+
+    __slots__ = ("began", "accept_until", "take_until", "answer_by", "exit_at", "refused")
+
+    def __init__(self, began: float, grace: float):
+        accept_seconds = min(BALANCER_DELAY, MAX_ACCEPT_SHARE * grace)
+        take_seconds = min(accept_seconds + LAST_REQUEST_DELAY, MAX_TAKE_SHARE * grace)
+        margin = min(MAX_MARGIN, MARGIN_SHARE * grace)
+        self.began = began
+        self.accept_until = began + accept_seconds
+        self.take_until = began + take_seconds
+        self.answer_by = began + grace - margin
+        self.exit_at = began + grace - margin / 2
+        self.refused = 0
+
+    def check(self, call: Call, now: float) -> None:
+        """Check that a call that no upstream has got can still be answered.
+
+        Raises:
+            Refusal: The stop may end the call before its own timeout does.
+        """
+        if now <= self.take_until or call.deadline <= self.answer_by:
+            return
+        self.refused += 1
+        raise stopping(call)
+
+    def row(self) -> dict:
+        """Return the seconds from the begin of the stop to each step, for the log."""
+        names = ("accept_until", "take_until", "answer_by", "exit_at")
+        return {name: round(getattr(self, name) - self.began, 3) for name in names}
--- a/sequoiabridge/tests/callers/test_server.py
+++ b/sequoiabridge/tests/callers/test_server.py
@@ -179,7 +179,7 @@
         upload = await connect(POST + b"Content-Length: 6\r\n\r\nabc")
         await wait_until(lambda: server.in_flight == 1)
         await server.stop_accepting()
-        server.clock.advance(1)
+        server.close_idle()
         assert await read_all(idle) == b""
         await upload.sendall(b"def")
         data = await read_all(upload)
@@ -192,6 +192,24 @@
     serve(echo, test)
 
 
+@pytest.mark.parametrize("planned", [True, False])
+def test_closing_idle_connections_spares_one_on_which_a_request_has_arrived(planned):
+    # The request was run, and its answer could not be sent any more.
+    async def test(server, handler, connect):
+        sock = await connect()
+        await wait_until(lambda: server.connections == 1)
+        (connection,) = server.open_connections
+        with sock.blocking() as plain:
+            plain.send(GET)
+            if planned:
+                server.close_idle()
+            else:
+                connection.transport.expire_wait(server.clock.now() + 100)
+        assert (await read_until(sock, b"GET/")).startswith(b"HTTP/1.1 200")
+
+    serve(echo, test)
+
+
 def test_handler_error_gets_500_with_unknown_outcome_and_no_finished_call():
     async def faulty(request):
         raise KeyError("x")
--- /dev/null
+++ b/sequoiabridge/tests/relay/test_stop_plan.py
@@ -0,0 +1,36 @@
+"""Tests of the steps of a planned stop."""
+
+import pytest
+
+from ...balancing.call import Call
+from ...exceptions import Refusal
+from ...outcome import Outcome, Reason
+from ...relay.stop_plan import StopPlan
+
+BEGAN = 100.0
+
+
+def make_call(deadline):
+    call = Call(BEGAN)
+    call.deadline = deadline
+    return call
+
+
+@pytest.mark.parametrize("grace", [0.5, 2.0, 3.0, 6.0, 10.0, 60.0])
+def test_the_steps_are_in_order_and_fit_the_grace_period(grace):
+    plan = StopPlan(BEGAN, grace)
+    steps = (BEGAN, plan.accept_until, plan.take_until, plan.answer_by, plan.exit_at, BEGAN + grace)
+    assert list(steps) == sorted(set(steps))
+    assert plan.take_until <= BEGAN + min(3.0, grace / 2)
+    assert plan.answer_by >= BEGAN + grace * 5 / 6
+
+
+def test_a_late_call_is_taken_only_if_its_own_timeout_ends_it_first():
+    plan = StopPlan(BEGAN, 6.0)
+    plan.check(make_call(plan.answer_by + 10.0), plan.take_until)
+    plan.check(make_call(plan.answer_by), plan.take_until + 0.5)
+    with pytest.raises(Refusal) as caught:
+        plan.check(make_call(plan.answer_by + 0.1), plan.take_until + 0.5)
+    refusal = caught.value
+    assert (refusal.status, refusal.outcome, refusal.retry_after) == (503, Outcome.NOT_RUN, 0.0)
+    assert refusal.reason is Reason.STOPPING and plan.refused == 1
