Send a body whole from each attempt, or not at all

Cause: all attempts of a call shared one read position of its body. An attempt whose connection was reset before anything was sent had taken the buffered beginning; since nothing had been sent, the call went to another upstream with what was left.

Change: each attempt opens a reader of its own. A partly buffered body can be sent by one attempt after the other until one has read beyond the buffer; from then on nobody else can open or go on reading it. A call is sent again only while its whole body is held, which now includes attempts that sent part of it and were proven not to have run it. Nothing more of a body is read once its upstream is known to have refused it. The line of a call with a long body has `body_held`.

Related paths: a hedge rewound the body that the first attempt was sending; the fleet's daemon shares the change.

--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -129,7 +129,8 @@
         route: The route of the call, None until it is known.
         service: Name of the service, empty until it is known.
         length: Size of the body in bytes.
-        replayable: Whether the call can be sent again; its body, if any, is in memory.
+        replayable: Whether several attempts can send the call at the same time; its body, if any,
+            is in memory.
         body_seconds: Time in seconds that receiving the body took.
         attempts: All attempts, in order.
         open_attempts: Attempts whose end has not been processed.
@@ -195,6 +196,11 @@
         self.prior_wait = seconds
         self.late_at -= seconds
 
+    @property
+    def can_resend(self) -> bool:
+        """Return whether another attempt can still send the whole body."""
+        return self.replayable
+
     @property
     def possible_runs(self) -> int:
         """Return the number of upstreams that may have run the call or be running it."""
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -155,7 +155,7 @@
             call.note = "it may have run"
         elif possible_runs >= call.route.max_attempts or len(call.attempts) >= MAX_SENDS:
             call.note = "no attempt left"
-        elif not call.replayable and call.was_sent:
+        elif not call.can_resend:
             call.note = "its body has been forwarded"
         elif call.deadline - self.clock.now() < MIN_ATTEMPT_TIME:
             call.note = "no time left"
--- a/sequoiabridge/callers/body.py
+++ b/sequoiabridge/callers/body.py
@@ -43,6 +43,11 @@
         self.received = 0
         self.ended = False
 
+    @property
+    def is_held(self) -> bool:
+        """Whether nothing of the body has been read yet."""
+        return not self.received and not self.ended
+
     def limit(self, size: int) -> None:
         self.max_body = size
 
--- a/sequoiabridge/pipeline/attempt.py
+++ b/sequoiabridge/pipeline/attempt.py
@@ -13,7 +13,7 @@
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
 from ..upstreams.reports import parse_incarnation, parse_load
-from .buffering import MAX_BUFFERED_BYTES, ReplayableBody
+from .buffering import MAX_BUFFERED_BYTES
 from .exchange import Answer, BytesBody, Exchange
 
 MAX_TRUSTED_IDLE_SECONDS = 0.25
@@ -149,17 +149,13 @@
         self.sent = True
         exchange = self.exchange
         exchange.unproven_attempts += 1
-        exchange.body_started = True
         request = exchange.request
-        if isinstance(request.body, ReplayableBody):
-            request.body.rewind()
+        body = request.body.open() if request.body is not None else None
         remaining_ms = int((exchange.deadline - self.clock.now()) * 1000)
         fields = [field for field in request.headers if field[0] not in REPLACED_HEADERS]
         fields.append((headers.REQUEST_ID, exchange.id.encode()))
         fields.append((headers.DEADLINE, b"%d" % max(MIN_DEADLINE_MS, remaining_ms)))
-        outgoing = UpstreamRequest(
-            request.method, request.target, fields, request.length, request.body
-        )
+        outgoing = UpstreamRequest(request.method, request.target, fields, request.length, body)
         await self.connection.send(outgoing)
         self.sending = False
 
--- a/sequoiabridge/pipeline/buffering.py
+++ b/sequoiabridge/pipeline/buffering.py
@@ -10,13 +10,18 @@
 
 
 class ReplayableBody(BytesBody):
-    """A buffered body that can be read again after `rewind`."""
+    """A buffered body that any number of attempts can send, also at the same time."""
 
     __slots__ = ()
 
-    def rewind(self) -> None:
-        """Restart reading at the first byte."""
-        self.data = self.whole
+    def open(self) -> BytesBody:
+        """Return a reader of the whole body."""
+        return BytesBody(self.whole)
+
+    @property
+    def is_held(self) -> bool:
+        """Return True."""
+        return True
 
     def digest(self) -> str:
         """Return the SHA-256 of the body in hexadecimal."""
--- a/sequoiabridge/pipeline/dispatch.py
+++ b/sequoiabridge/pipeline/dispatch.py
@@ -174,7 +174,8 @@
     ) -> bool:
         if server_error is not None and not isinstance(server_error.body, BytesBody | None):
             return False
-        if exchange.body_started and not _is_replayable(exchange):
+        body = exchange.request.body
+        if body is not None and not body.is_held:
             exchange.note(RetryDecision("retry", False, "its body was streamed and is gone"))
             return False
         now = self.clock.now()
--- a/sequoiabridge/pipeline/exchange.py
+++ b/sequoiabridge/pipeline/exchange.py
@@ -31,6 +31,8 @@
     Hooks:
         read: Return the next piece, or b"" at the end. If the body was truncated, raise
             `CallerGone` (a request's body) or `UpstreamFailed` (an answer's body).
+        open: Return a reader for one attempt to send a request's body.
+        is_held: Whether that reader would begin at the first byte.
         limit: Set the maximum size; `read` raises `Refusal` beyond it.
         close: Discard the rest; called when the body is no longer needed. May be called twice.
     """
@@ -41,6 +43,15 @@
     async def read(self) -> bytes:
         """Return the next piece, b"" at the end."""
 
+    def open(self) -> Body:
+        """Return a reader for one attempt; attempts that run at the same time share none."""
+        return self
+
+    @property
+    def is_held(self) -> bool:
+        """Whether a reader that is opened now begins at the first byte."""
+        return False
+
     def limit(self, size: int) -> None:  # noqa: B027
         """Accept at most `size` bytes."""
 
@@ -117,8 +128,6 @@
             `Services.state_of`.
         unproven_attempts: Number of attempts that may have run the request: it may have reached an
             upstream that did not report otherwise.
-        body_started: Whether an attempt has begun to read the body; a streamed body cannot be sent
-            again then.
         upstream: Name of the upstream that answered.
         entered_count: Number of filters to leave.
         notes: Lines, or steps that `str` turns into lines, for the journal of decisions; None if
@@ -139,7 +148,6 @@
         "fingerprint",
         "attempts",
         "unproven_attempts",
-        "body_started",
         "answer",
         "refusal",
         "upstream",
@@ -161,7 +169,6 @@
         self.fingerprint: str | None = None
         self.attempts = 0
         self.unproven_attempts = 0
-        self.body_started = False
         self.answer: Answer | None = None
         self.refusal: Refusal | None = None
         self.upstream = ""
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -11,7 +11,6 @@
 from ..balancing.send_policy import SendPolicy
 from ..balancing.upstream_stats import OpenCall
 from ..exceptions import CallerGone, NoFreeConnection, Refusal, SendWithheld, UpstreamFailed
-from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Answer, BytesBody
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
@@ -158,14 +157,13 @@
 
     def _build_request(self) -> UpstreamRequest:
         request = self.call.request
-        if isinstance(request.body, ReplayableBody):
-            request.body.rewind()
         time_left = self.call.deadline - self.clock.now()
         if time_left <= 0.0:
             raise UpstreamFailed("The deadline passed before anything was sent.", sent=False)
         headers = self.dialect.upstream_headers(request, self.upstream.id, time_left)
+        body = request.body.open() if request.body is not None else None
         return UpstreamRequest(
-            request.method, request.target, headers, request.length, request.body, self._is_answer
+            request.method, request.target, headers, request.length, body, self._is_answer
         )
 
     def _is_answer(self, headers) -> bool:
--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -5,6 +5,7 @@
 import curio
 
 from ..callers.refusals import caller_too_slow
+from ..exceptions import UpstreamFailed
 from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Body, Request
 
@@ -14,7 +15,7 @@
 
 
 class PrefixedBody(Body):
-    """A body whose first bytes have been read and are kept in memory."""
+    """The body of an answer whose first bytes have been read and are kept in memory."""
 
     __slots__ = ("prefix", "rest")
 
@@ -29,6 +30,49 @@
             return prefix
         return await self.rest.read()
 
+    async def close(self) -> None:
+        """Close the rest."""
+        await self.rest.close()
+
+
+class PartlyBufferedBody(Body):
+    """The body of a request of which only the first part is in memory.
+
+    Attempts can send it one after the other until one of them reads beyond the first part. From
+    then on that attempt owns the rest, and no other can send the body.
+
+    Attributes:
+        prefix: The first part; b"" once the rest has an owner.
+        rest: The part that has not been received yet.
+        owner: The reader that has read beyond the first part, or None.
+    """
+
+    __slots__ = ("prefix", "rest", "owner")
+
+    def __init__(self, prefix: bytes, rest: Body):
+        self.prefix = prefix
+        self.rest = rest
+        self.owner: PartlyBufferedReader | None = None
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the rest has not been read, so that the whole body can be sent."""
+        return self.owner is None
+
+    def open(self) -> PartlyBufferedReader:
+        """Return a reader of the whole body.
+
+        Raises:
+            UpstreamFailed: Another attempt has read the rest.
+        """
+        if not self.is_held:
+            raise body_is_gone(sent=False)
+        return PartlyBufferedReader(self)
+
+    async def read(self) -> bytes:
+        """Return the next piece of the rest."""
+        return await self.rest.read()
+
     def limit(self, size: int) -> None:
         """Limit the rest to `size` bytes."""
         self.rest.limit(size)
@@ -38,8 +82,39 @@
         await self.rest.close()
 
 
+class PartlyBufferedReader(Body):
+    """Reads a partly buffered body from its first byte, for one attempt."""
+
+    __slots__ = ("body", "prefix_was_read")
+
+    def __init__(self, body: PartlyBufferedBody):
+        self.body = body
+        self.prefix_was_read = False
+
+    async def read(self) -> bytes:
+        """Return the first part, then pieces of the rest.
+
+        Raises:
+            UpstreamFailed: Another attempt has read the rest; what was sent is incomplete.
+        """
+        body = self.body
+        if body.owner not in (None, self):
+            raise body_is_gone(sent=self.prefix_was_read)
+        if not self.prefix_was_read:
+            self.prefix_was_read = True
+            return body.prefix
+        body.owner, body.prefix = self, b""
+        return await body.read()
+
+
+def body_is_gone(sent: bool) -> UpstreamFailed:
+    """Return the error of an attempt whose body another attempt has read."""
+    message = "Another attempt has read the rest of the body. The caller must send it again."
+    return UpstreamFailed(message, sent=sent)
+
+
 async def buffer_body(request: Request, max_body: int, timeout: float) -> None:
-    """Replace a request's body by a buffered one; a long body is buffered in part.
+    """Replace a request's body by a buffered one; of a long body, buffer the first part.
 
     Raises:
         CallerGone: The caller disconnected before the end of the body.
@@ -59,7 +134,7 @@
         raise caller_too_slow("body") from None
     prefix = b"".join(chunks)
     if size > MAX_BUFFERED_BODY:
-        request.body = PrefixedBody(prefix, body)
+        request.body = PartlyBufferedBody(prefix, body)
         return
     request.body = ReplayableBody(prefix)
     request.length = size
--- a/sequoiabridge/relay/call.py
+++ b/sequoiabridge/relay/call.py
@@ -53,6 +53,11 @@
             self._fingerprint = request_fingerprint(self.request)
         return self._fingerprint
 
+    @property
+    def can_resend(self) -> bool:
+        """Return whether another attempt can still send the whole body."""
+        return self.request.body is None or self.request.body.is_held
+
     @property
     def was_left_unanswered(self) -> bool:
         """Return whether an upstream may have run the call and gave no answer."""
--- a/sequoiabridge/relay/fingerprints.py
+++ b/sequoiabridge/relay/fingerprints.py
@@ -6,7 +6,7 @@
 
 from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Request
-from .bodies import PrefixedBody
+from .bodies import PartlyBufferedBody
 
 HOST = b"host"
 
@@ -35,6 +35,6 @@
 def _known_body(request: Request) -> bytes:
     if isinstance(request.body, ReplayableBody):
         return request.body.whole
-    if isinstance(request.body, PrefixedBody):
+    if isinstance(request.body, PartlyBufferedBody):
         return request.body.prefix
     return b""
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -165,6 +165,8 @@
             row["waited_ms"] = round(call.prior_wait * 1000)
         if call.body_seconds > 0.001:
             row["body_ms"] = round(call.body_seconds * 1000, 1)
+        if not call.replayable:
+            row["body_held"] = call.can_resend
         if call.refusal is not None:
             row["refused"] = call.refusal.reason.value
             row["ran"] = call.refusal.outcome.value
--- a/sequoiabridge/tests/platform/environment.py
+++ b/sequoiabridge/tests/platform/environment.py
@@ -28,6 +28,9 @@
 
 HOST = "reads.example"
 
+CHUNK_BYTES = 65536
+"""Size of the chunks of a chunked body."""
+
 CALLER_IDLE_TIMEOUT = 15
 """Seconds after which the daemon may close an idle connection of a caller."""
 
@@ -87,14 +90,26 @@
         self.sock = sock
         self.state = h11.Connection(h11.CLIENT)
 
-    async def send(self, target, call_id="c1", method="GET", body=b"", timeout_ms=2000, host=HOST):
+    async def send(
+        self,
+        target,
+        call_id="c1",
+        method="GET",
+        body=b"",
+        timeout_ms=2000,
+        host=HOST,
+        chunked=False,
+    ):
         """Send a request."""
         headers = [("host", host), ("x-attempt-id", call_id), ("x-deadline-ms", str(timeout_ms))]
-        if body:
+        if chunked:
+            headers.append(("transfer-encoding", "chunked"))
+        elif body:
             headers.append(("content-length", str(len(body))))
         data = self.state.send(h11.Request(method=method, target=target, headers=headers))
-        if body:
-            data += self.state.send(h11.Data(data=body))
+        piece_size = CHUNK_BYTES if chunked else max(1, len(body))
+        for start in range(0, len(body), piece_size):
+            data += self.state.send(h11.Data(data=body[start : start + piece_size]))
         data += self.state.send(h11.EndOfMessage())
         await self.sock.sendall(data)
 
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -1,5 +1,7 @@
 """Emulator of an upstream: slots, a queue, load reports, health checks and faults."""
 
+import socket
+import struct
 from random import Random
 
 import curio
@@ -7,6 +9,9 @@
 from ..standins.upstream_http import GONE, Incoming, Wire
 from .store_emulator import abort_connection
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Linger option by which closing a socket resets the connection."""
+
 SIGNATURE = (b"x-server-signature", b"signed")
 
 
@@ -18,6 +23,7 @@
         slow: Factor on the processing time that load reports do not include.
         fail: Share of requests answered with status 500.
         shed: Reject all requests as not run.
+        reset_new: Number of new connections that are reset before anything is read from them.
         reset: Share of requests that run and whose connection is then closed without an answer.
         lose: As `reset`.
         cut: Share of answers that end half-way.
@@ -48,6 +54,7 @@
         self.slow = 1.0
         self.fail = 0.0
         self.shed = False
+        self.reset_new = 0
         self.reset = 0.0
         self.lose = 0.0
         self.cut = 0.0
@@ -161,6 +168,11 @@
             await self.crash()
 
     async def serve(self, client, peer) -> None:
+        if self.faults.reset_new:
+            self.faults.reset_new -= 1
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            await client.close()
+            return
         connection = Wire(client)
         self.connections.add(connection)
         try:
--- a/sequoiabridge/tests/relay/test_fingerprints.py
+++ b/sequoiabridge/tests/relay/test_fingerprints.py
@@ -5,7 +5,7 @@
 
 from ...pipeline.buffering import ReplayableBody
 from ...pipeline.exchange import BytesBody, Request
-from ...relay.bodies import PrefixedBody
+from ...relay.bodies import PartlyBufferedBody
 from ...relay.fingerprints import request_fingerprint
 
 
@@ -29,7 +29,7 @@
 
 def streamed(prefix, length=2_000_000):
     """Return a request whose body is streamed."""
-    body = PrefixedBody(prefix, BytesBody(b"rest"))
+    body = PartlyBufferedBody(prefix, BytesBody(b"rest"))
     return Request(b"POST", b"/upload", [(b"host", b"a")], length, body, "10.0.0.1:1")
 
 
@@ -43,4 +43,4 @@
 
 
 def test_the_prefix_of_a_streamed_body_is_read_first():
-    assert curio.run(streamed(b"one").body.read) == b"one"
+    assert curio.run(streamed(b"one").body.open().read) == b"one"
--- a/sequoiabridge/tests/upstreams/test_connections.py
+++ b/sequoiabridge/tests/upstreams/test_connections.py
@@ -132,6 +132,22 @@
     run_against(refuse, test)
 
 
+def test_nothing_more_of_a_body_is_read_once_it_is_known_to_be_refused():
+    # What was read could not be sent to another upstream any more.
+    async def refuse(sock):
+        await sock.sendall(HELLO.replace(b"200 OK", b"503 Full"))
+        await curio.sleep(1)
+
+    async def test(connector, address, connections):
+        body = Pieces(2)
+        connection = await acquire(connector, address)
+        await curio.sleep(0.05)
+        answer, _ = await call(connection, get(b"PUT", length=None, body=body))
+        assert answer.status == 503 and body.read_count == 1
+
+    run_against(refuse, test)
+
+
 def test_early_success_is_not_returned_before_the_body_was_sent():
     async def answer_early(sock):
         await sock.recv(1000)
--- a/sequoiabridge/upstreams/exchange.py
+++ b/sequoiabridge/upstreams/exchange.py
@@ -124,6 +124,9 @@
         piece = await body.read()
         await self._send(head + encode_body_event(writer, h11.Data(piece)))
         while piece and not link.refused:
+            self._check_early_answer()
+            if link.refused:
+                return  # What has not been read can be sent to another upstream.
             piece = await body.read()
             self._check_early_answer()
             if piece and not link.refused:
