End every answer at the timeout of its call

Cause: only the dispatch of a call watches the time, and it has returned once an answer is streamed. The server that sends the rest knew no deadline.

Change: an answer carries the deadline of its call. The server sends until then and breaks the answer off so that it does not look complete, which closes the upstream's connection too. An answer whose task is cancelled is marked as cut as well: without a length it looked complete. The fleet's daemon shares this.

The new tests of the server fail on its parent (6 failures) and pass now. Answers that progress are not cut before the deadline.

--- a/sequoiabridge/callers/connection.py
+++ b/sequoiabridge/callers/connection.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+import curio
 import h11
 
 from ..codec import END_OF_MESSAGE, body_writer, encode_body_event, encode_response_head
@@ -23,10 +24,11 @@
 from ..headers import DRAIN, LOAD, NOT_RUN
 from ..logs import get_log
 from ..pipeline.exchange import Answer, Body, BytesBody, Request
+from ..timers import Clock
 from .body import CallerBody
 from .framing import validate_head
 from .refusals import bad_request, caller_too_slow, internal_error, upstream_failed
-from .transport import CallerTransport, Phase
+from .transport import NEVER, CallerTransport, Phase
 
 if TYPE_CHECKING:
     from .server import CallerServer
@@ -39,6 +41,15 @@
 CHUNKED = (TRANSFER_ENCODING, b"chunked")
 
 
+MIN_SEND_SECONDS = 0.2
+"""Minimum seconds that a caller has to receive an answer, also one that came at the deadline."""
+
+
+def seconds_until(time: float, clock: Clock) -> float | None:
+    """Return the seconds until a time, None if it never comes."""
+    return None if time == NEVER else max(0.0, time - clock.now())
+
+
 def encode_unread_answer(answer: Answer) -> bytes:
     """Return an answer's bytes, with Connection: close, for a caller whose input is not read."""
     fields = ValidatedHeaders([*answer.headers, (CONTENT_LENGTH, b"%d" % answer.length), CLOSE])
@@ -137,8 +148,9 @@
             raise
         except SequoiaError as error:
             log.warning("An answer was truncated. %s", error)
-            self._mark_truncated(answer)
         finally:
+            if not clean:
+                self._mark_truncated(answer)
             if answer.body is not None:
                 await answer.body.close()
             await handler.finished(request, answer, clean)
@@ -192,21 +204,27 @@
         fields = self._header_fields(answer, bodiless)
         reason = REASON_PHRASES.get(status, b"")
         head = encode_response_head(h11.Response(status_code=status, headers=fields, reason=reason))
+        end = max(answer.deadline, self.server.clock.now() + MIN_SEND_SECONDS)
         if bodiless or source is None:
-            await transport.send(head)
+            await transport.send(head, end)
         elif isinstance(source, BytesBody):
-            await transport.send(head + source.data)
+            await transport.send(head + source.data, end)
         else:
-            await transport.send(head)
-            await self._stream(source, answer.length)
+            await transport.send(head, end)
+            await self._stream(source, answer.length, end)
 
-    async def _stream(self, body: Body, length: int | None) -> None:
+    async def _stream(self, body: Body, length: int | None, end: float) -> None:
+        """Send a body piece by piece until the time `end`."""
         writer = body_writer(length, chunked=self.version == HTTP_11)
         try:
-            while piece := await body.read():
-                await self.transport.send(encode_body_event(writer, h11.Data(piece)))
-            if end := encode_body_event(writer, END_OF_MESSAGE):
-                await self.transport.send(end)
+            async with curio.timeout_after(seconds_until(end, self.server.clock)):
+                while piece := await body.read():
+                    await self.transport.send(encode_body_event(writer, h11.Data(piece)), end)
+                if last := encode_body_event(writer, END_OF_MESSAGE):
+                    await self.transport.send(last, end)
+        except curio.TaskTimeout:
+            message = "The answer was not whole at the call's timeout."
+            raise UpstreamFailed(message, sent=True, timed_out=True) from None
         except h11.LocalProtocolError as error:
             message = f"The answer's body does not match its length: {error}."
             raise UpstreamFailed(message, sent=True) from error
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -108,11 +108,15 @@
         self.phase = Phase.HANDLER
         self.deadline = NEVER
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, end: float = NEVER) -> None:
         """Send all of `data`.
 
+        Args:
+            end: Time at which the caller must have received it, in seconds on the daemon's clock.
+
         Raises:
-            CallerGone: The connection failed, or the caller received nothing for `body_timeout`.
+            CallerGone: The connection failed, or the caller received nothing for `body_timeout`, or
+                too little until `end`.
         """
         try:
             sent = self.sock.send(data)
@@ -121,7 +125,7 @@
         except OSError as error:
             raise CallerGone(f"The connection failed: {error}.") from error
         if sent < len(data):
-            await self._send_rest(memoryview(data)[sent:])
+            await self._send_rest(memoryview(data)[sent:], end)
 
     async def drain(self) -> None:
         """Close the sending side, then discard a bounded amount of further input."""
@@ -187,10 +191,10 @@
             log.debug("Connection was already closed: %s.", error)
         return True
 
-    async def _send_rest(self, rest: memoryview) -> None:
+    async def _send_rest(self, rest: memoryview, end: float) -> None:
         while rest:
             self.phase = Phase.ANSWER
-            self.deadline = self.clock.now() + self.limits.body_timeout
+            self.deadline = min(self.clock.now() + self.limits.body_timeout, end)
             await _write_wait(self.descriptor)
             try:
                 rest = rest[self.sock.send(rest) :]
--- a/sequoiabridge/pipeline/exchange.py
+++ b/sequoiabridge/pipeline/exchange.py
@@ -106,15 +106,20 @@
 
 
 class Answer:
-    """The answer to the caller; `length` is as for `Request`."""
+    """The answer to the caller; `length` is as for `Request`.
 
-    __slots__ = ("status", "headers", "length", "body")
+    Attributes:
+        deadline: Time at which the caller must have received it, in seconds on the daemon's clock.
+    """
+
+    __slots__ = ("status", "headers", "length", "body", "deadline")
 
     def __init__(self, status: int, headers: RawHeaders, length: int | None, body: Body | None):
         self.status = status
         self.headers = headers
         self.length = length
         self.body = body
+        self.deadline = float("inf")
 
 
 class Exchange:
--- a/sequoiabridge/pipeline/pipeline.py
+++ b/sequoiabridge/pipeline/pipeline.py
@@ -101,6 +101,7 @@
                 if exchange.answer is not None:
                     return exchange.answer
             exchange.answer = await self.dispatch.run(exchange)
+            exchange.answer.deadline = exchange.deadline
         except Refusal as refusal:
             exchange.refusal = refusal
             exchange.answer = refusal_answer(refusal, exchange.id)
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -79,6 +79,7 @@
         request.exchange = call
         try:
             call.answer = await self._relay(call)
+            call.answer.deadline = call.deadline
         except Refusal as refusal:
             call.answer = self._refuse(call, refusal)
         except Exception:
--- a/sequoiabridge/tests/callers/test_server.py
+++ b/sequoiabridge/tests/callers/test_server.py
@@ -131,6 +131,75 @@
     serve(broken, test)
 
 
+class HangingBody(Body):
+    """A body that never goes on after its first piece."""
+
+    def __init__(self):
+        self.pieces = [b"half"]
+
+    async def read(self):
+        if not self.pieces:
+            await curio.sleep(1000)
+        return self.pieces.pop()
+
+
+@pytest.mark.parametrize("length", [None, 10])
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+def test_a_streamed_answer_that_hangs_is_cut_off_at_its_deadline(length, version):
+    # Its caller waited for good.
+    async def hang(request):
+        answer = Answer(200, [], length, HangingBody())
+        answer.deadline = 0.0
+        return answer
+
+    async def test(server, handler, connect):
+        sock = await connect(GET.replace(b"1.1", version))
+        data, reset = b"", False
+        try:
+            while piece := await sock.recv(65536):
+                data += piece
+        except ConnectionResetError:
+            reset = True
+        assert not data.endswith(b"\r\n0\r\n\r\n")
+        assert reset or length or version == b"1.1", "a clean end to a body without a length"
+        await wait_until(lambda: handler.clean_ends == [False] and server.connections == 0)
+
+    serve(hang, test)
+
+
+def test_an_answer_without_a_length_does_not_look_complete_when_its_task_is_cancelled():
+    # The connection ended in order, as after the whole answer.
+    async def hang(request):
+        return Answer(200, [], None, HangingBody())
+
+    async def test(server, handler, connect):
+        sock = await connect(GET.replace(b"1.1", b"1.0"))
+        await read_until(sock, b"half")
+        (connection,) = server.open_connections
+        await connection.transport.task.cancel()
+        with pytest.raises(ConnectionResetError):
+            await read_all(sock)
+
+    serve(hang, test)
+
+
+def test_a_caller_that_does_not_read_its_answer_is_cut_off_at_the_deadline():
+    # It was given 30 s for each piece, whatever the timeout of its call.
+    async def answer(request):
+        whole = ok(bytes(50_000_000))
+        whole.deadline = 1.0
+        return whole
+
+    async def test(server, handler, connect):
+        sock = await connect(GET)
+        await wait_until(lambda: server.dump()["phases"] == {"answer": 1})
+        server.clock.advance(1.1)
+        await wait_until(lambda: handler.clean_ends == [False] and server.connections == 0)
+        await sock.close()
+
+    serve(answer, test)
+
+
 def test_slow_head_and_slow_body_get_408_and_idle_callers_are_closed():
     async def test(server, handler, connect):
         idle, head = await connect(), await connect(GET[:10])
