Bound what input without end can take: turns, heads, refusals, buffers

A daemon that met interim answers without end answered nobody any more, and callers of the same VM got no end.

Cause: a task of curio runs until it waits. One that finds input whenever it looks never does, so that no other task runs and no timeout takes effect.

Change: whoever reads in a loop takes turns (upstreams, callers, connections for peers, the tools). The heads of an answer share one limit, with interim ones. A refusal counts from its head; a call that no upstream has run goes to another one instead of waiting for the refusal's body. Buffers are arrays of bytes. Answers of the store and of peers have a limit, also decompressed. A link that is closed within its request is reset, and a peer's hang-up ends its connection also while the upstream reads nothing.

--- a/sequoiabridge/callers/body.py
+++ b/sequoiabridge/callers/body.py
@@ -66,6 +66,7 @@
         if self.expects_continue:
             self.expects_continue = False
             await self.transport.send(CONTINUE)
+        await self.transport.turn.step()
         while (event := self._next_event()) is None:
             await self._receive()
         if type(event) is h11.Data:
--- a/sequoiabridge/callers/connection.py
+++ b/sequoiabridge/callers/connection.py
@@ -107,6 +107,7 @@
     async def _read_head(self) -> tuple[h11.Request | None, bytes]:
         """Return the next request and its raw head; None if the caller closed or idled."""
         transport, limits, now = self.transport, self.server.limits, self.server.clock.now
+        await transport.turn.step()
         timeout, head_end = limits.idle_timeout, None
         while True:
             if transport.received:
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -15,6 +15,7 @@
 from ..logs import get_log
 from ..selector import Descriptor
 from ..timers import Clock
+from ..turns import Turn
 from .limits import CallerLimits
 
 log = get_log("callers")
@@ -53,6 +54,7 @@
         task: The task that serves the connection.
         received: Buffer of received bytes that are not parsed yet.
         may_send_interim: True while an interim answer may be sent to check the connection.
+        turn: Lets other tasks run while the caller sends without a pause.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "deadline",
         "expired",
         "may_send_interim",
+        "turn",
     )
 
     def __init__(self, sock: socket.socket, limits: CallerLimits, clock: Clock):
@@ -79,6 +82,7 @@
         self.deadline = clock.now() + limits.idle_timeout
         self.expired = False
         self.may_send_interim = False
+        self.turn = Turn()
 
     async def receive(self, phase: Phase, timeout: float) -> bool:
         """Receive into the buffer; return False at the end of the stream or on a timeout.
@@ -86,6 +90,7 @@
         Raises:
             CallerGone: The connection failed.
         """
+        await self.turn.step()
         self.phase = phase
         self.deadline = self.clock.now() + timeout
         while True:
--- a/sequoiabridge/codec.py
+++ b/sequoiabridge/codec.py
@@ -89,22 +89,30 @@
         Raises:
             h11.LocalProtocolError: The head is malformed.
         """
-        return self._read_head(parse_request)
+        received = bytes(self.buffer)
+        lines = self._extract_head()
+        if lines is None:
+            return None, b""
+        return parse_request(lines), received[: len(received) - len(self.buffer)]
 
-    def read_response(self) -> tuple[h11.Response | h11.InformationalResponse | None, bytes]:
-        """Return the next response and the bytes of its head; see `read_request`."""
-        return self._read_head(parse_response)
+    def read_response(self) -> tuple[h11.Response | h11.InformationalResponse | None, int]:
+        """Return the next response and the size of its head in bytes; see `read_request`."""
+        size = len(self.buffer)
+        lines = self._extract_head()
+        if lines is None:
+            return None, 0
+        return parse_response(lines), size - len(self.buffer)
 
-    def _read_head(self, parse) -> tuple[h11.Event | None, bytes]:
-        received = bytes(self.buffer)
+    def _extract_head(self) -> list[bytearray] | None:
+        """Remove the lines of the next head and return them; None while it is incomplete."""
         lines = self.buffer.maybe_extract_lines()
         if lines is None:
             if self.buffer.is_next_line_obviously_invalid_request_line():
                 raise h11.LocalProtocolError("this is not HTTP")
-            return None, b""
+            return None
         if not lines:
             raise h11.LocalProtocolError("the first line is missing")
-        return parse(lines), received[: len(received) - len(self.buffer)]
+        return lines
 
     def read_body_event(self, reader: BodyReader) -> h11.Data | h11.EndOfMessage | None:
         """Return the next piece or the end of a body; None if more bytes are needed.
--- a/sequoiabridge/operators/fetch.py
+++ b/sequoiabridge/operators/fetch.py
@@ -9,6 +9,7 @@
 from ..config.units import split_address
 from ..exceptions import AdminError
 from ..formatting import describe_error
+from ..turns import Turn
 
 READ_BYTES = 65536
 """Maximum number of bytes per read from the socket."""
@@ -63,7 +64,9 @@
 async def _read_answer(sock: curio.io.Socket, connection: h11.Connection) -> tuple[int, bytearray]:
     status = 0
     body = bytearray()
+    turn = Turn()
     while True:
+        await turn.step()
         event = connection.next_event()
         if event is h11.NEED_DATA:
             connection.receive_data(await sock.recv(READ_BYTES))
--- a/sequoiabridge/pipeline/attempt.py
+++ b/sequoiabridge/pipeline/attempt.py
@@ -62,7 +62,7 @@
         "sending",
         "sent",
         "answer",
-        "pieces",
+        "received",
         "metadata",
         "started",
         "answered_at",
@@ -86,7 +86,7 @@
         self.sending = False
         self.sent = False
         self.answer: Answer | None = None
-        self.pieces: list[bytes] = []
+        self.received = bytearray()
         self.metadata = AnswerMetadata()
         self.started = clock.now()
         self.answered_at = 0.0
@@ -186,8 +186,8 @@
         body = self.answer.body
         if body is not None and not isinstance(body, BytesBody):
             while piece := await body.read():
-                self.pieces.append(piece)
-            self.answer.body = BytesBody(b"".join(self.pieces))
+                self.received += piece
+            self.answer.body = BytesBody(bytes(self.received))
         # The body released the connection when it ended.
         await self.finish()
 
--- a/sequoiabridge/pipeline/buffering.py
+++ b/sequoiabridge/pipeline/buffering.py
@@ -39,7 +39,7 @@
         request = exchange.request
         if request.body is None or request.length is None or request.length > MAX_BUFFERED_BYTES:
             return
-        pieces = []
+        buffered = bytearray()
         while piece := await request.body.read():
-            pieces.append(piece)
-        request.body = ReplayableBody(b"".join(pieces))
+            buffered += piece
+        request.body = ReplayableBody(bytes(buffered))
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -11,20 +11,29 @@
 from ..balancing.send_policy import SendPolicy
 from ..balancing.upstream_stats import OpenCall
 from ..exceptions import CallerGone, NoFreeConnection, Refusal, SendWithheld, UpstreamFailed
-from ..pipeline.exchange import Answer, BytesBody
+from ..logs import get_log
+from ..pipeline.exchange import Answer, Body, BytesBody
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
-from .bodies import PrefixedBody
+from .bodies import PrefixedBody, drain
 from .call import RelayedCall
 from .dialect import Dialect
 from .metadata import AnswerMetadata
 from .notices import Notices
 from .sharing import Sharing
 
+log = get_log("attempt")
+
 MAX_BUFFERED_ANSWER = 256 * 1024
 """Maximum number of bytes of an answer that are buffered. A buffered answer that breaks off can be
 replaced by a retry; a longer one is streamed to the caller. Known answers have 30 KB at most."""
 
+MAX_REFUSAL_BODY = 4096
+"""Maximum number of bytes of a refusal's body that are read."""
+
+REFUSAL_BODY_TIMEOUT = 0.02
+"""Seconds to wait for the body of a refusal; mostly it comes with the head."""
+
 MAX_TRUSTED_IDLE = 0.25
 """Maximum number of seconds since a connection last received data for it to carry a non-idempotent
 call, or any call while the upstream leaves a probe unanswered; an older connection may be dead. A
@@ -139,7 +148,9 @@
         self.paths.record_answer(self.upstream.address, not self.via, self.sent_at)
         self.load = self.metadata.load
         self.notices.record_answer(self.upstream, self.metadata, self.sent_at)
-        if answer.body is not None:
+        if answer.body is not None and self.metadata.proves_not_run:
+            await discard_body(answer.body)
+        elif answer.body is not None:
             await buffer_answer(answer)
         return answer
 
@@ -246,13 +257,25 @@
     Raises:
         UpstreamFailed: The body was cut short.
     """
-    chunks, size = [], 0
-    while size <= MAX_BUFFERED_ANSWER:
+    buffered = bytearray()
+    while len(buffered) <= MAX_BUFFERED_ANSWER:
         chunk = await answer.body.read()
         if not chunk:
-            answer.body = BytesBody(b"".join(chunks))
-            answer.length = size
+            answer.body = BytesBody(bytes(buffered))
+            answer.length = len(buffered)
             return
-        chunks.append(chunk)
-        size += len(chunk)
-    answer.body = PrefixedBody(b"".join(chunks), answer.body)
+        buffered += chunk
+    answer.body = PrefixedBody(bytes(buffered), answer.body)
+
+
+async def discard_body(body: Body) -> None:
+    """Read a refusal's body, so that its connection can be used again, or close it if it is long.
+
+    The head has said all that counts, so the call does not wait for more than that.
+    """
+    try:
+        async with curio.ignore_after(REFUSAL_BODY_TIMEOUT):
+            await drain(body, MAX_REFUSAL_BODY)
+    except UpstreamFailed as error:
+        log.debug("The body of a refusal broke off: %s", error)
+    await body.close()
--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -113,6 +113,14 @@
     return UpstreamFailed(message, sent=sent)
 
 
+async def drain(body: Body, max_bytes: int) -> None:
+    """Read an answer's body, at most about `max_bytes` of it, and close it."""
+    size = 0
+    while size < max_bytes and (chunk := await body.read()):
+        size += len(chunk)
+    await body.close()
+
+
 async def buffer_body(request: Request, max_body: int, timeout: float) -> None:
     """Replace a request's body by a buffered one; of a long body, buffer the first part.
 
@@ -124,17 +132,15 @@
     if body is None:
         return
     body.limit(max_body)
-    chunks, size = [], 0
+    buffered = bytearray()
     try:
         async with curio.timeout_after(max(0.0, timeout)):
-            while size <= MAX_BUFFERED_BODY and (chunk := await body.read()):
-                chunks.append(chunk)
-                size += len(chunk)
+            while len(buffered) <= MAX_BUFFERED_BODY and (chunk := await body.read()):
+                buffered += chunk
     except curio.TaskTimeout:
         raise caller_too_slow("body") from None
-    prefix = b"".join(chunks)
-    if size > MAX_BUFFERED_BODY:
-        request.body = PartlyBufferedBody(prefix, body)
+    if len(buffered) > MAX_BUFFERED_BODY:
+        request.body = PartlyBufferedBody(bytes(buffered), body)
         return
-    request.body = ReplayableBody(prefix)
-    request.length = size
+    request.body = ReplayableBody(bytes(buffered))
+    request.length = len(buffered)
--- a/sequoiabridge/relay/metadata.py
+++ b/sequoiabridge/relay/metadata.py
@@ -69,6 +69,11 @@
         self.departure = departure
         self.unknown = unknown
 
+    @property
+    def proves_not_run(self) -> bool:
+        """Return whether the answer's head alone proves that the request did not run."""
+        return self.not_run or self.other_upstream
+
 
 class HealthMetadata:
     """Metadata of an upstream's answer to a health check.
--- a/sequoiabridge/relay/paths/peer_port.py
+++ b/sequoiabridge/relay/paths/peer_port.py
@@ -6,19 +6,20 @@
 
 from __future__ import annotations
 
+import select
 import socket
-import struct
 from collections.abc import Callable
 from enum import Enum
 
 import curio
 import h11
 from curio.io import Socket
-from curio.traps import _read_wait
+from curio.traps import _io_release, _read_wait
 
 from ...exceptions import PeerRequestRejected, UpstreamFailed
 from ...logs import get_log
-from ...upstreams.link import Link, enable_keepalive
+from ...turns import Turn
+from ...upstreams.link import RESET_ON_CLOSE, Link, enable_keepalive
 from ..decisions import DecisionLog
 from .fleet_key import FleetKey
 from .opener import PathOpener
@@ -50,9 +51,6 @@
 CLOSE_TIMEOUT = 10.0
 """Seconds for which a peer may go on reading once the upstream has ended its answer."""
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Linger option by which closing a socket resets the connection."""
-
 
 class TunnelEnd(Enum):
     """How a forwarded direction ended."""
@@ -244,6 +242,7 @@
     async with curio.TaskGroup(wait=any) as tasks:
         back = await tasks.spawn(copy, upstream, sock)
         await tasks.spawn(copy, sock, upstream)
+        await tasks.spawn(wait_for_hangup, sock)
     if tasks.completed is not back or back.result is not TunnelEnd.CLOSED:
         return
     await sock.shutdown(socket.SHUT_WR)
@@ -251,11 +250,27 @@
         await copy(sock, upstream)
 
 
+async def wait_for_hangup(sock: Socket) -> None:
+    """Return once the other side has ended its stream, also while its bytes are still unread.
+
+    A copy that waits for an upstream which reads nothing would never see it.
+    """
+    epoll = select.epoll()
+    try:
+        epoll.register(sock.fileno(), select.EPOLLRDHUP)
+        await _read_wait(epoll)
+    finally:
+        await _io_release(epoll)
+        epoll.close()
+
+
 async def copy(source: Socket, sink: Socket) -> TunnelEnd:
     """Copy one direction until it ends."""
+    turn = Turn()
     try:
         while data := await source.recv(CHUNK_BYTES):
             await sink.sendall(data)
+            await turn.step()
     except OSError:
         return TunnelEnd.BROKEN
     return TunnelEnd.CLOSED
--- a/sequoiabridge/relay/peer_feeds.py
+++ b/sequoiabridge/relay/peer_feeds.py
@@ -32,6 +32,12 @@
 """Maximum number of encoded responses that are kept. Peers ask for the same few after each
 change."""
 
+MAX_RESPONSE_BYTES = 2 * 1024 * 1024
+"""Maximum size in bytes of a peer's compressed response."""
+
+MAX_ROWS_BYTES = 16 * 1024 * 1024
+"""Maximum size in bytes of the rows in it; 5,600 upstreams and 1,680 routes have 2 MB."""
+
 OK = 200
 
 
@@ -60,7 +66,14 @@
             target += b"/%d" % after
         try:
             async with curio.timeout_after(READ_TIMEOUT):
-                found = await fetch(self.connector, address, b"GET", target, READ_TIMEOUT)
+                found = await fetch(
+                    self.connector,
+                    address,
+                    b"GET",
+                    target,
+                    READ_TIMEOUT,
+                    max_body=MAX_RESPONSE_BYTES,
+                )
         except (UpstreamFailed, curio.TaskTimeout) as error:
             raise StoreUnavailable(f"Peer {address} did not answer: {error!r}.") from error
         if found.status != OK:
@@ -116,7 +129,7 @@
         StoreUnavailable: The response is invalid.
     """
     try:
-        found = as_object(parse_json(zlib.decompress(data)), "the answer")
+        found = as_object(parse_json(decompress(data)), "the answer")
         rows = [_decode_row(as_list(row, "a row")) for row in as_list(found.get("rows"), "rows")]
         version = as_integer(found.get("version"), "version", 0, MAX_VERSION)
     except (BadEntry, zlib.error) as error:
@@ -125,6 +138,20 @@
     return kind(rows, version)
 
 
+def decompress(data: bytes) -> bytes:
+    """Return decompressed rows.
+
+    Raises:
+        BadEntry: They are cut off or too long.
+        zlib.error: They are invalid.
+    """
+    decompressor = zlib.decompressobj()
+    rows = decompressor.decompress(data, MAX_ROWS_BYTES)
+    if not decompressor.eof:
+        raise BadEntry(f"the rows are cut off or have more than {MAX_ROWS_BYTES} bytes")
+    return rows
+
+
 def _decode_row(fields: list) -> StoredRow:
     if len(fields) != len(StoredRow.__slots__):
         raise BadEntry(f"a row has {len(fields)} fields")
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -13,9 +13,10 @@
 from ..balancing.upstream import Upstream
 from ..balancing.upstream_stats import PROBE_TIMEOUT
 from ..exceptions import NoFreeConnection, UpstreamFailed
-from ..pipeline.exchange import Answer, Body
+from ..pipeline.exchange import Answer
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
+from .bodies import drain
 from .configuration import Configuration
 from .counters import Counters
 from .decisions import DecisionLog
@@ -174,7 +175,7 @@
         await connection.send(request)
         answer = await connection.read_head()
         if answer.body is not None:
-            await drain(answer.body)
+            await drain(answer.body, MAX_HEALTH_BODY)
         return answer
 
     def _is_answer(self, headers) -> bool:
@@ -219,11 +220,3 @@
     def __init__(self, count: int):
         self.pending = count
         self.done = curio.Event()
-
-
-async def drain(body: Body) -> None:
-    """Read a body, at most about `MAX_HEALTH_BODY` bytes of it, and close it."""
-    size = 0
-    while size < MAX_HEALTH_BODY and (chunk := await body.read()):
-        size += len(chunk)
-    await body.close()
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -28,6 +28,9 @@
 RETRY_SLACK = 60.0
 """Fixed part of the retry limit, in retries per window."""
 
+RETRY_WINDOW = 10.0
+"""Seconds over which retries are counted."""
+
 RESTART_DELAY = 0.1
 """Seconds between checks whether a daemon has ended and must be restarted."""
 
@@ -49,6 +52,8 @@
         folder: Path,
         retry_slack: float,
         retry_ratio: float,
+        retry_window: float,
+        first_start: bool,
     ):
         self.name = name
         self.store = store
@@ -68,8 +73,10 @@
         text = text.replace("vm-1", name).replace("= here", f"= {data_centre}")
         text = text.replace("callers = 127.0.0.1:0", f"callers = 127.0.0.1:{self.callers}")
         text = text.replace("ready = 127.0.0.1:0", f"ready = 127.0.0.1:{self.ready}")
-        text = text.replace("retry_window = 0.1s", "retry_window = 10s")
+        text = text.replace("retry_window = 0.1s", f"retry_window = {retry_window}s")
         text += f"retry_ratio = {retry_ratio}\n"
+        if first_start:
+            text = text.replace("[listen]", "first_start = true\n[listen]")
         self.settings.write_text(text.replace("= 10000", f"= {retry_slack}"))
         self.process: subprocess.Popen | None = None
         self.starts = 1
@@ -185,9 +192,12 @@
     """Store, upstreams, daemons and proxies; `close` stops the processes.
 
     Attributes:
+        first_start: Whether no daemons ran before, whose retries would count for the new ones.
         uses_proxies: Whether daemons reach upstreams through proxies.
         uses_paths: Whether each daemon reaches each upstream through a proxy of its own.
         restart_faults: Faults of upstreams that start again.
+        extra_routes: Routes that the configuration has beside the usual ones.
+        limits: Limits of the configuration on callers that differ from the usual ones.
     """
 
     def __init__(self, seed: int, daemons: int, clock):
@@ -202,6 +212,8 @@
         self.retry_ratio = RETRY_RATIO
         self.daemon_module = "sequoiabridge.commands.gateway"
         self.daemon_options: list[str] = []
+        self.retry_window = RETRY_WINDOW
+        self.first_start = False
         self.uses_proxies = True
         self.uses_paths = False
         self.restart_faults: dict = {}
@@ -211,6 +223,8 @@
         self.started_upstreams: list[UpstreamProcess] = []
         self.proxies: dict[str, Proxy] = {}
         self.version = 0
+        self.extra_routes: list[dict] = []
+        self.limits: dict = {}
         self.upstream_count = 0
 
     async def start(self) -> None:
@@ -232,7 +246,14 @@
             data_centre = ("here", "there")[number % 2]
             folder = Path(self.folder.name)
             daemon = Daemon(
-                f"vm-{number}", data_centre, proxy, folder, self.retry_slack, self.retry_ratio
+                f"vm-{number}",
+                data_centre,
+                proxy,
+                folder,
+                self.retry_slack,
+                self.retry_ratio,
+                self.retry_window,
+                self.first_start,
             )
             daemon.module, daemon.options = self.daemon_module, list(self.daemon_options)
             self.daemons.append(daemon)
@@ -282,7 +303,8 @@
         service = ("reads", "approvals")[self.version % 2]
         alternating_route = route("/mark/", "idempotent", service)
         self.record.route_changes.append((self.clock(), service))
-        await self.store.put("op", "config", document(self.version, [alternating_route]))
+        routes = [alternating_route, *self.extra_routes]
+        await self.store.put("op", "config", document(self.version, routes, **self.limits))
 
     async def add_upstream(self, service: str) -> str:
         """Start an upstream behind a proxy and add its entry to the store."""
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -2,11 +2,12 @@
 
 import json
 
-READ, APPROVE, UPLOAD, MARK = "read", "approve", "upload", "mark"
+READ, APPROVE, UPLOAD, MARK, LONG = "read", "approve", "upload", "mark", "long"
 """Kinds of calls, each with a route of its own; the route of `MARK` alternates between services."""
 
 ARRIVAL, RUN, LIMIT = "arrival", "run", "limit"
 START, REST, LEAVING, CRASH, STALL = "start", "rest", "leaving", "crash", "stall"
+FLOOD, FLOOD_END = "flood", "flood-end"
 """Kinds of lines in an upstream's log."""
 
 NO_LIMIT = ""
@@ -28,6 +29,7 @@
         self.status = 0
         self.is_complete = False
         self.body = b""
+        self.timeout = 0.0
         self.limit = NO_LIMIT
         self.connected = False
 
@@ -96,6 +98,10 @@
         reported_crashes: Time, daemon and upstream of each crash that the daemon itself saw.
         upstream_stalls: Start, end and upstream of each time in which its process stood still.
         upstream_ends: Time and upstream of each end of an upstream's process.
+        checks_ends: Whether each call must end soon after its timeout.
+        checks_late_calls: Whether calls that are sent late in a planned stop must be answered.
+        flood_starts: Time and upstream of each answer without end.
+        flood_ends: Time and upstream at which a daemon cut such an answer off.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
     """
 
@@ -130,6 +136,10 @@
         self.reported_crashes: list[tuple[float, str, str]] = []
         self.upstream_stalls: list[tuple[float, float, str]] = []
         self.upstream_ends: list[tuple[float, str]] = []
+        self.checks_ends = False
+        self.checks_late_calls = False
+        self.flood_starts: list[tuple[float, str]] = []
+        self.flood_ends: list[tuple[float, str]] = []
 
     def is_fault_free(self, at: float, until: float | None = None) -> bool:
         """Return whether no fault was active from `SETTLE_SECONDS` before `at` to `until`."""
@@ -171,6 +181,10 @@
             record.crashes.append((at, call_id))
         elif what == STALL:
             record.upstream_stalls.append((at - size, at, upstream.id))
+        elif what == FLOOD:
+            record.flood_starts.append((at, upstream.id))
+        elif what == FLOOD_END:
+            record.flood_ends.append((at, upstream.id))
         elif what == START:
             record.upstream_starts.append((at, upstream.id))
         else:
--- a/sequoiabridge/tests/platform/soak/upstream_process.py
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -16,7 +16,19 @@
 
 from ....selector import LazySelector
 from ..upstream_emulator import UpstreamEmulator
-from .record import ARRIVAL, CRASH, LEAVING, LIMIT, NO_LIMIT, REST, RUN, STALL, START
+from .record import (
+    ARRIVAL,
+    CRASH,
+    FLOOD,
+    FLOOD_END,
+    LEAVING,
+    LIMIT,
+    NO_LIMIT,
+    REST,
+    RUN,
+    STALL,
+    START,
+)
 
 STDIN = 0
 
@@ -73,6 +85,14 @@
             self.write_fields(LEAVING, request.header(b"x-attempt-id"), 0)
         return super().common_headers(request)
 
+    async def flood(self, connection, kind, status, headers):
+        """Log the begin and the end of an answer without end."""
+        self.write_fields(FLOOD, kind, 0)
+        try:
+            return await super().flood(connection, kind, status, headers)
+        finally:
+            self.write_fields(FLOOD_END, kind, 0)
+
     async def reject(self, connection, request):
         """Log a rest that the answer asks for, then reject the call.
 
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -1,16 +1,23 @@
 """Emulator of an upstream: slots, a queue, load reports, health checks and faults."""
 
 import socket
-import struct
 from random import Random
 
 import curio
 
+from ...upstreams.link import RESET_ON_CLOSE
 from ..standins.upstream_http import GONE, Incoming, Wire
+from .floods import answer_flood, send_flood
 from .store_emulator import abort_connection
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Linger option by which closing a socket resets the connection."""
+MAX_RESET_DELAY = 0.003
+"""Maximum seconds until a new connection is reset."""
+
+LONG_PATH = "/long/"
+"""Path prefix of calls that take long."""
+
+MIN_LONG_SHARE = 0.7
+"""Minimum share of `long_work` that such a call takes."""
 
 SIGNATURE = (b"x-server-signature", b"signed")
 
@@ -23,7 +30,7 @@
         slow: Factor on the processing time that load reports do not include.
         fail: Share of requests answered with status 500.
         shed: Reject all requests as not run.
-        reset_new: Number of new connections that are reset before anything is read from them.
+        reset_new: Share of new connections that are reset before anything is read from them.
         reset: Share of requests that run and whose connection is then closed without an answer.
         lose: As `reset`.
         cut: Share of answers that end half-way.
@@ -32,6 +39,13 @@
         unsigned: Leave out the signature.
         until_close: Send answers without a length, which end with their connection.
         early: Not used.
+        stalled: Share of answers that are sent half and then never go on.
+        flood: Kind of answers that never end, one of `ANSWER_FLOODS`; "" for none.
+        flood_share: Share of answers that never end.
+        refusal_flood: As `flood`, of answers that reject a call as not run.
+        health_flood: As `flood`, of answers to health checks.
+        flood_pause: Seconds between two blocks of an answer that never ends.
+        long_work: Maximum seconds of work of calls under `LONG_PATH`; 0 for the usual time.
         hang: Never finish a request.
         health_hangs: Never answer a health check.
         health_status: Status of answers to health checks.
@@ -54,7 +68,7 @@
         self.slow = 1.0
         self.fail = 0.0
         self.shed = False
-        self.reset_new = 0
+        self.reset_new = 0.0
         self.reset = 0.0
         self.lose = 0.0
         self.cut = 0.0
@@ -63,6 +77,13 @@
         self.unsigned = False
         self.until_close = False
         self.early = 0
+        self.stalled = 0.0
+        self.flood = ""
+        self.flood_share = 1.0
+        self.refusal_flood = ""
+        self.health_flood = ""
+        self.flood_pause = 0.0
+        self.long_work = 0.0
         self.hang = False
         self.health_hangs = False
         self.health_status = 200
@@ -168,8 +189,8 @@
             await self.crash()
 
     async def serve(self, client, peer) -> None:
-        if self.faults.reset_new:
-            self.faults.reset_new -= 1
+        if self.occurs(self.faults.reset_new):
+            await curio.sleep(self.random.uniform(0.0, MAX_RESET_DELAY))
             client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             await client.close()
             return
@@ -203,6 +224,9 @@
             return await connection.answer(421, [(b"x-instance-id", self.id.encode())], b"")
         if self.occurs(self.faults.rejected):
             return await self.reject(connection, request)
+        if self.faults.refusal_flood:
+            headers = [(b"x-not-executed", b"1"), *self.common_headers(request)]
+            return await self.flood(connection, self.faults.refusal_flood, 503, headers)
         if self.faults.shed or self.running + self.waiting >= self.slots + self.queue:
             return await connection.answer(
                 503, [(b"x-not-executed", b"1"), *self.common_headers(request)], b""
@@ -224,8 +248,17 @@
         headers += optional_header(b"server-limit", self.faults.health_limit)
         headers += optional_header(b"retry-after", self.faults.health_rest)
         headers += optional_header(b"server-leaving", self.faults.leaving)
+        if self.faults.health_flood:
+            return await self.flood(connection, self.faults.health_flood, status, headers)
         return await connection.answer(status, headers, b"")
 
+    async def flood(self, connection: Wire, kind: str, status: int, headers: list) -> bool:
+        """Send an answer without end."""
+        lines = [b"HTTP/1.1 %d -" % status] + [name + b": " + value for name, value in headers]
+        first, block = answer_flood(kind, b"\r\n".join(lines) + b"\r\n")
+        await send_flood(connection.sock, first, block, self.faults.flood_pause)
+        return False
+
     def common_headers(self, request: Incoming) -> list:
         return [
             (b"x-attempt-id", request.header(b"x-attempt-id").encode()),
@@ -247,17 +280,19 @@
             if self.faults.crash_path and request.target.startswith(self.faults.crash_path):
                 await curio.spawn(self.crash_while_running, connection, request, daemon=True)
                 await curio.sleep(3600)
-            if not await self.process(connection):
+            if not await self.process(connection, request):
                 return False
         finally:
             self.running -= 1
             await self.free_slots.release()
         return await self.reply(connection, request)
 
-    async def process(self, connection: Wire) -> bool:
+    async def process(self, connection: Wire, request: Incoming) -> bool:
         """Wait for the processing time; return False if the connection was closed meanwhile."""
         faults = self.faults
         seconds = 3600 if faults.hang else self.processing_time * faults.slow * faults.slowdown
+        if faults.long_work and request.target.startswith(LONG_PATH):
+            seconds = self.random.uniform(MIN_LONG_SHARE, 1.0) * faults.long_work
         watch = await curio.spawn(connection.closed, daemon=True)
         try:
             async with curio.ignore_after(seconds):
@@ -279,6 +314,12 @@
             headers.append(SIGNATURE)
         body = f"{self.id} {request.header(b'x-attempt-id')} {len(request.body)}".encode()
         body = body.ljust(faults.answer_size)
+        if faults.flood and self.occurs(faults.flood_share):
+            return await self.flood(connection, faults.flood, 200, headers)
+        if self.occurs(faults.stalled):
+            await connection.answer(200, headers, body, cut=True)
+            await connection.closed()
+            return False
         if faults.until_close:
             lines = [b"HTTP/1.1 200 OK"] + [name + b": " + value for name, value in headers]
             await connection.sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n" + body)
--- a/sequoiabridge/tests/relay/paths/peer_scene.py
+++ b/sequoiabridge/tests/relay/paths/peer_scene.py
@@ -9,10 +9,11 @@
 from ....balancing.paths import PathTable
 from ....relay.paths.fleet_key import FleetKey
 from ....relay.paths.opener import PathOpener
-from ....relay.paths.peer_port import RESET_ON_CLOSE, PeerPort
+from ....relay.paths.peer_port import PeerPort
 from ....relay.paths.protocol import encode_request
 from ....selector import LazySelector
 from ....timers import SystemClock
+from ....upstreams.link import RESET_ON_CLOSE
 from ...platform.ports import free_port
 
 KEY = "0123456789abcdef"
--- a/sequoiabridge/tests/relay/paths/test_peer_port.py
+++ b/sequoiabridge/tests/relay/paths/test_peer_port.py
@@ -67,6 +67,55 @@
     run_scene(test, answer_and_reset)
 
 
+async def read_nothing(client, address):
+    """Leave what comes unread."""
+    await curio.sleep(100)
+
+
+def test_a_connection_ends_with_its_peer_while_the_upstream_reads_nothing():
+    # It was kept for as long as the upstream held its side, with all that the peer had sent.
+    async def test(scene):
+        scene.lose_direct_path()
+        link = await scene.opener.open(scene.upstream, 1.0)
+        sent = quiet_rounds = 0
+        while quiet_rounds < 20:
+            count = link.try_send(bytes(1 << 20))
+            sent, quiet_rounds = sent + count, 0 if count else quiet_rounds + 1
+            await curio.sleep(0.01)
+        assert sent > peer_port.CHUNK_BYTES and scene.port.tunnels == 1
+        await link.close()
+        async with curio.timeout_after(2):
+            while scene.port.tunnels:
+                await curio.sleep(0.01)
+
+    run_scene(test, read_nothing)
+
+
+def test_an_upstream_that_sends_without_end_leaves_time_for_other_connections():
+    async def send_without_end(client, address):
+        request = await client.recv(65536)
+        while request != b"one":
+            await client.sendall(bytes(1 << 16))
+            await curio.sleep(0)
+        await client.sendall(b"answer")
+
+    async def test(scene):
+        scene.lose_direct_path()
+        flooded = await scene.opener.open(scene.upstream, 1.0)
+        flooded.try_send(b"many")
+        reader = await curio.spawn(read_all, flooded, daemon=True)
+        for _ in range(10):
+            link = await scene.opener.open(scene.upstream, 1.0)
+            link.try_send(b"one")
+            async with curio.timeout_after(0.5):
+                await link.receive()
+            assert link.received.take(100) == b"answer"
+            await link.close()
+        await reader.cancel()
+
+    run_scene(test, send_without_end)
+
+
 PEER_PROCESS = """
 import curio, sys
 from sequoiabridge.tests.relay.paths import peer_scene
--- a/sequoiabridge/tests/relay/test_peer_feeds.py
+++ b/sequoiabridge/tests/relay/test_peer_feeds.py
@@ -2,6 +2,10 @@
 
 import json
 
+import pytest
+
+from ...exceptions import StoreUnavailable
+from ...relay import peer_feeds
 from ...relay.feeds import MAX_REMOVALS, Feed, Follower
 from ...relay.peer_feeds import MAX_CACHED_RESPONSES, FeedResponses, decode_rows, encode_rows
 from ...store.rows import Changes, Rows, StoredRow
@@ -66,6 +70,15 @@
         assert keys(decoded.rows) == keys(rows.rows)
 
 
+def test_rows_beyond_the_limit_are_not_decompressed(monkeypatch):
+    # A few kilobytes can hold gigabytes of one character.
+    monkeypatch.setattr(peer_feeds, "MAX_ROWS_BYTES", 1000)
+    assert decode_rows(encode_rows(Rows([row("a", 1)], 3))).version == 3
+    large = Rows([StoredRow("t", "", "a", b"x" * 2000, 1)], 3)
+    with pytest.raises(StoreUnavailable):
+        decode_rows(encode_rows(large))
+
+
 def large_configuration(routes):
     """Return a configuration's row with `routes` routes, as operators write it."""
     routes = [
--- a/sequoiabridge/tests/relay/test_rests.py
+++ b/sequoiabridge/tests/relay/test_rests.py
@@ -101,9 +101,9 @@
     env = None
     replies: list = []
 
-    async def process(self, connection):
+    async def process(self, connection, request):
         self.replies.append(await self.env.call(READ, "inner"))
-        return await super().process(connection)
+        return await super().process(connection, request)
 
 
 def test_a_call_between_services_does_not_reach_a_resting_upstream():
--- a/sequoiabridge/tests/upstreams/test_connections.py
+++ b/sequoiabridge/tests/upstreams/test_connections.py
@@ -1,5 +1,7 @@
 """Connections to upstreams: reuse, incomplete answers, early answers and shares."""
 
+import time
+
 import curio
 import pytest
 
@@ -7,6 +9,20 @@
 from ...pipeline.exchange import Body
 from .scripted import HELLO, answer_hello, answer_with, call, get, run_against
 
+FLOOD_SECONDS = 2.0
+"""Seconds after which a flood ends, whatever the other side does."""
+
+
+def flood(sock, data):
+    """Send `data` again and again, in a thread of its own as another process would."""
+    with sock.blocking() as plain:
+        end = time.monotonic() + FLOOD_SECONDS
+        try:
+            while time.monotonic() < end:
+                plain.sendall(data)
+        except OSError:
+            return
+
 
 class Pieces(Body):
     """A body that counts how many of its pieces were read."""
@@ -132,6 +148,53 @@
     run_against(refuse, test)
 
 
+@pytest.mark.parametrize(
+    "endless",
+    [
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Attempt: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"1\r\nx\r\n" * 5000,
+    ],
+)
+def test_an_upstream_that_sends_without_end_cannot_keep_a_timeout_from_taking_effect(endless):
+    # The task never waited, so no other ran and no timeout took effect.
+    async def send_without_end(sock):
+        await sock.recv(1000)
+        await curio.spawn_thread(flood, sock.dup(), endless * 100, daemon=True)
+
+    async def count_turns(turns):
+        while True:
+            turns.append(1)
+            await curio.sleep(0.01)
+
+    async def test(connector, address, connections):
+        turns = []
+        other = await curio.spawn(count_turns, turns)
+        connection = await acquire(connector, address)
+        request = get(is_answer=lambda headers: (b"x-attempt", b"other") not in headers)
+        async with curio.ignore_after(0.5):
+            with pytest.raises(UpstreamFailed):
+                await call(connection, request)
+        await connector.release(connection)
+        assert connector.pools[address].count == 0
+        await curio.sleep(0)
+        assert len(turns) > 1
+        await other.cancel()
+
+    run_against(send_without_end, test)
+
+
+def test_a_few_interim_answers_are_skipped():
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+    async def test(connector, address, connections):
+        _, data = await call(await acquire(connector, address))
+        assert data == b"hello"
+
+    run_against(answer_with(interim * 20 + HELLO), test)
+
+
 def test_nothing_more_of_a_body_is_read_once_it_is_known_to_be_refused():
     # What was read could not be sent to another upstream any more.
     async def refuse(sock):
--- a/sequoiabridge/tests/upstreams/test_fetch.py
+++ b/sequoiabridge/tests/upstreams/test_fetch.py
@@ -1,10 +1,13 @@
 """Large bodies to and from the platform do not block other tasks."""
 
 import curio
+import pytest
 
+from ...exceptions import UpstreamFailed
 from ...pipeline.exchange import Answer, Body
 from ...upstreams.base import Connector, UpstreamConnection
 from ...upstreams.fetch import STEP_BYTES, fetch
+from .scripted import run_against
 
 SIZE = 4 << 20
 BODY = bytes(range(256)) * (SIZE // 256)
@@ -81,3 +84,19 @@
 def test_other_tasks_run_while_a_large_answer_is_read():
     answer, turns = curio.run(fetch_and_count_turns, ImmediateConnector(BODY), b"")
     assert answer.body == BODY and turns >= SIZE // STEP_BYTES
+
+
+def test_an_answer_without_end_is_not_read_beyond_its_limit():
+    async def send_without_end(sock):
+        await sock.recv(1000)
+        await sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n")
+        while True:
+            await sock.sendall(bytes(65536))
+            await curio.sleep(0)
+
+    async def test(connector, address, connections):
+        with pytest.raises(UpstreamFailed):
+            await fetch(connector, address, b"GET", b"/", 1.0, max_body=1_000_000)
+        assert connector.pools[address].count == 0
+
+    run_against(send_without_end, test)
--- a/sequoiabridge/upstreams/exchange.py
+++ b/sequoiabridge/upstreams/exchange.py
@@ -156,6 +156,7 @@
         link = self.link
         event = link.early_response
         while True:
+            await link.turn.step()
             while event is None:
                 event = link.read_response_head(self.connector.limits.max_head)
                 if event is None:
@@ -165,6 +166,7 @@
                 return event, head
             await self._discard_answer(head)
             event = link.early_response = None
+            link.head_bytes = 0
 
     async def _discard_answer(self, head: MessageHead) -> None:
         """Read and discard the body of an answer to an earlier request."""
--- a/sequoiabridge/upstreams/fetch.py
+++ b/sequoiabridge/upstreams/fetch.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from ..exceptions import UpstreamFailed
 from ..pipeline.exchange import Body
 from .base import Connector, UpstreamRequest
 
@@ -11,6 +12,10 @@
 """Maximum number of bytes that are sent or read before other tasks get to run."""
 
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Maximum size in bytes of an answer's body; the platform's largest objects have half of that."""
+
+
 class StepwiseBody(Body):
     """A body in memory that is sent in steps, so that other tasks run in between."""
 
@@ -46,14 +51,16 @@
     timeout: float,
     body: bytes = b"",
     headers: tuple[tuple[bytes, bytes], ...] = (),
+    max_body: int = MAX_ANSWER_BYTES,
 ) -> FetchedAnswer:
     """Send one request without retries and return its complete answer.
 
     Args:
         timeout: Maximum seconds to open a connection; the rest has no timeout here.
+        max_body: Maximum size of the answer's body in bytes.
 
     Raises:
-        UpstreamFailed: No complete answer was received.
+        UpstreamFailed: No complete answer was received, or it is larger than `max_body`.
     """
     source = StepwiseBody(body) if body else None
     fields = [(b"host", address.encode()), *headers]
@@ -62,13 +69,16 @@
     try:
         await connection.send(request)
         answer = await connection.read_head()
-        pieces, since_pause = [], 0
+        received, since_pause = bytearray(), 0
         while answer.body is not None and (piece := await answer.body.read()):
-            pieces.append(piece)
+            received += piece
+            if len(received) > max_body:
+                message = f"{address}: The answer has more than {max_body} bytes; it is not read."
+                raise UpstreamFailed(message, sent=True)
             since_pause += len(piece)
             if since_pause >= STEP_BYTES:
                 since_pause = 0
                 await curio.sleep(0)
-        return FetchedAnswer(answer.status, b"".join(pieces))
+        return FetchedAnswer(answer.status, bytes(received))
     finally:
         await connector.release(connection)
--- a/sequoiabridge/upstreams/link.py
+++ b/sequoiabridge/upstreams/link.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import struct
 from errno import EINPROGRESS
 
 import curio
@@ -12,6 +13,7 @@
 from ..exceptions import UpstreamFailed
 from ..selector import Descriptor
 from ..timers import Clock
+from ..turns import Turn
 
 SWITCHING_PROTOCOLS = 101
 MIN_REFUSAL_STATUS = 400
@@ -29,6 +31,10 @@
 also ends keep-alive probes by it, whatever their number."""
 
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Linger option by which closing a socket resets the connection."""
+
+
 class Link:
     """A connection to an upstream: its socket, input buffer and the state of its current request.
 
@@ -40,6 +46,8 @@
         sent: Whether any byte of the current request may have been sent.
         early_response: Head of an answer received before the request's body was sent, or None.
         received: Buffer of received bytes that have not been parsed.
+        head_bytes: Size in bytes of the heads of the current answer, with those of interim ones.
+        turn: Lets other tasks run while the upstream sends without a pause.
         request_ended: Whether the complete request was sent.
         answer_ended: Whether the complete answer was read.
         keeps_alive: Whether the upstream accepts another request after this one.
@@ -54,6 +62,8 @@
         "sock",
         "descriptor",
         "received",
+        "head_bytes",
+        "turn",
         "clock",
         "via",
         "opened_at",
@@ -82,6 +92,7 @@
         self.requests = 0
         self.early_response: h11.Response | None = None
         self.received = InputBuffer()
+        self.turn = Turn()
         self._reset_request_state()
         self.keep_alive_timeout = float("inf")
         self.is_out_of_sync = False
@@ -113,6 +124,7 @@
 
     async def receive(self) -> None:
         """Wait for data from the upstream and add it to the buffer."""
+        await self.turn.step()
         self.waiting = True
         try:
             while not self.try_receive():
@@ -136,14 +148,20 @@
         return True
 
     def read_response_head(self, max_head: int) -> h11.Response | None:
-        """Return the answer's head, or None if it is incomplete; interim answers are skipped."""
+        """Return the answer's head, or None if it is incomplete; interim answers are skipped.
+
+        Args:
+            max_head: Maximum size in bytes of the head and the interim answers before it.
+        """
         while True:
             try:
-                event, raw = self.received.read_response()
+                event, size = self.received.read_response()
             except h11.LocalProtocolError as error:
                 raise self.make_failure(f"The answer is not valid HTTP: {error}.") from error
-            if max(len(raw), 0 if event else len(self.received)) > max_head:
-                raise self.make_failure(f"The answer's head has more than {max_head} bytes.")
+            self.head_bytes += size
+            if self.head_bytes + (0 if event else len(self.received)) > max_head:
+                message = f"The answer's head, with interim answers, exceeds {max_head} bytes."
+                raise self.make_failure(message)
             if type(event) is h11.Response:
                 return event
             if event is None:
@@ -156,6 +174,7 @@
 
     async def read_body_event(self, reader: BodyReader) -> h11.Data | h11.EndOfMessage:
         """Wait for the next piece or the end of the answer's body."""
+        await self.turn.step()
         try:
             while (event := self.received.read_body_event(reader)) is None:
                 if self.received.closed and type(reader) is UntilCloseReader:
@@ -219,6 +238,7 @@
 
     def _reset_request_state(self) -> None:
         self.sent = False
+        self.head_bytes = 0
         self.request_ended = False
         self.answer_ended = False
         self.keeps_alive = False
@@ -233,6 +253,9 @@
                 return
             return
         await _io_release(self.descriptor)
+        if self.sent and not self.request_ended:
+            # Otherwise an upstream that reads nothing would not notice the end, and get it later.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         if self.send_epoll is not None:
             self.send_epoll.close()
         self.sock.close()
