Play long calls and answers without end in the soak and the matrix

The soak `--long` has uploads beyond the buffer, in chunks and with a length, long answers, long work, callers that use idle connections until the daemon has closed them, upstreams that reset new connections, hang half-way or send without end, beside stops, kills, pauses and reloads. Its oracle checks that each call has an end soon after its timeout and that late calls of a stop are answered or not run. The matrix has two rows: answers that hang half-way or never end.

The oracle splits an answer at any white space, since long answers are padded; it still compares all three fields.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 bench-limits: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.benchmarks.policy_limits
 
-.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes soak-paths
+.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes soak-paths soak-long
 soak-platform: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --seeds 3
 
@@ -100,5 +100,8 @@
 soak-paths: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --paths RANDOM --daemons 6 --reads 8 --seconds 40 --seeds 3
 
+soak-long: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --long RANDOM --daemons 4 --reads 9 --seconds 30 --seeds 3
+
 soak-retries: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --retries RANDOM --seconds 40 --seeds 3
--- a/sequoiabridge/tests/features/call.feature
+++ b/sequoiabridge/tests/features/call.feature
@@ -155,6 +155,32 @@
       | answer cut short | relay answer |
       | answer cut short | record outcome |
       | answer cut short | reply |
+      | answer hangs half-way | connect |
+      | answer hangs half-way | read head |
+      | answer hangs half-way | admit |
+      | answer hangs half-way | match rule |
+      | answer hangs half-way | claim |
+      | answer hangs half-way | choose |
+      | answer hangs half-way | open connection |
+      | answer hangs half-way | send head |
+      | answer hangs half-way | send body |
+      | answer hangs half-way | wait |
+      | answer hangs half-way | relay answer |
+      | answer hangs half-way | record outcome |
+      | answer hangs half-way | reply |
+      | answer never ends | connect |
+      | answer never ends | read head |
+      | answer never ends | admit |
+      | answer never ends | match rule |
+      | answer never ends | claim |
+      | answer never ends | choose |
+      | answer never ends | open connection |
+      | answer never ends | send head |
+      | answer never ends | send body |
+      | answer never ends | wait |
+      | answer never ends | relay answer |
+      | answer never ends | record outcome |
+      | answer never ends | reply |
       | answer lost | connect |
       | answer lost | read head |
       | answer lost | admit |
--- a/sequoiabridge/tests/features/configuration.feature
+++ b/sequoiabridge/tests/features/configuration.feature
@@ -63,6 +63,16 @@
       | answer cut short | spread |
       | answer cut short | applied |
       | answer cut short | new VM joins |
+      | answer hangs half-way | proposed |
+      | answer hangs half-way | committed |
+      | answer hangs half-way | spread |
+      | answer hangs half-way | applied |
+      | answer hangs half-way | new VM joins |
+      | answer never ends | proposed |
+      | answer never ends | committed |
+      | answer never ends | spread |
+      | answer never ends | applied |
+      | answer never ends | new VM joins |
       | answer lost | proposed |
       | answer lost | committed |
       | answer lost | spread |
--- a/sequoiabridge/tests/features/stop.feature
+++ b/sequoiabridge/tests/features/stop.feature
@@ -41,6 +41,12 @@
       | answer cut short | drain begins |
       | answer cut short | last request ends |
       | answer cut short | leave |
+      | answer hangs half-way | drain begins |
+      | answer hangs half-way | last request ends |
+      | answer hangs half-way | leave |
+      | answer never ends | drain begins |
+      | answer never ends | last request ends |
+      | answer never ends | leave |
       | answer lost | drain begins |
       | answer lost | last request ends |
       | answer lost | leave |
--- a/sequoiabridge/tests/features/upload.feature
+++ b/sequoiabridge/tests/features/upload.feature
@@ -64,6 +64,16 @@
       | answer cut short | deliver |
       | answer cut short | resume |
       | answer cut short | clean up |
+      | answer hangs half-way | chunk |
+      | answer hangs half-way | commit |
+      | answer hangs half-way | deliver |
+      | answer hangs half-way | resume |
+      | answer hangs half-way | clean up |
+      | answer never ends | chunk |
+      | answer never ends | commit |
+      | answer never ends | deliver |
+      | answer never ends | resume |
+      | answer never ends | clean up |
       | answer lost | chunk |
       | answer lost | commit |
       | answer lost | deliver |
--- a/sequoiabridge/tests/matrix/cells.py
+++ b/sequoiabridge/tests/matrix/cells.py
@@ -6,13 +6,19 @@
 
 from ...benchmarks.oracle import Kind, Violation, judge
 from . import scripts
-from .faults import FAULTS, STORE_STEPS, Fault
+from .faults import ENDLESS_ANSWERS, FAULTS, STORE_STEPS, Fault
 from .steps import Group, Moment, Step, Subject
 from .virtual import CrashList, Stuck, VirtualClock, run
 from .world import World, scene
 
 SEED = 20261202
 
+WINDOWS = {Kind.READ: 1.0, Kind.APPROVAL: 2.0}
+"""Windows in seconds of the rules, by the kind of work."""
+
+END_SLACK = 0.5
+"""Seconds after its window within which a call must have ended."""
+
 
 class State(Enum):
     """What came out of a cell."""
@@ -97,12 +103,24 @@
     await world.start(fresh=any(strike.step is Step.OPEN for strike in strikes))
     armed = [world.steps.arm(s.step, s.moment, striker(world, s.fault)) for s in strikes]
     found: list = list(await scripts.play(world, group, kind))
+    found += late_ends(world)
     # Of two faults, one may keep the step of the other from being reached.
     if not any(each.fired for each in armed):
         found.append(f"hole: the step {armed[0].step.title} was not reached")
     return found
 
 
+def late_ends(world: World) -> list[str]:
+    """Return a message for each call that had no end although only its answer was without one."""
+    if not world.struck or any(fault.name not in ENDLESS_ANSWERS for fault in world.struck):
+        return []
+    return [
+        f"{told.attempt}: no end after {told.ended - told.began:.1f} s"
+        for told in world.told
+        if told.kind in WINDOWS and told.ended - told.began > WINDOWS[told.kind] + END_SLACK
+    ]
+
+
 def striker(world: World, fault: Fault):
     """Return the action of a fault."""
 
--- a/sequoiabridge/tests/matrix/faults.py
+++ b/sequoiabridge/tests/matrix/faults.py
@@ -200,6 +200,9 @@
     return "a planned stop has begun already" if step.group is Group.STOP else ""
 
 
+ENDLESS_ANSWERS = ("answer hangs half-way", "answer never ends")
+"""Names of the faults by which an answer has no end of its own."""
+
 FAULTS = (
     upstream_fault("upstream straggles", slow=40.0),
     Fault("upstream starts draining", drain),
@@ -213,6 +216,8 @@
     Fault("two upstreams die of something else", two_die, breaks=True),
     upstream_fault("answers come late", everywhere=True, late_ms=2500.0),
     upstream_fault("answer cut short", breaks=True, cut=1.0),
+    upstream_fault("answer hangs half-way", breaks=True, hang=1.0),
+    upstream_fault("answer never ends", breaks=True, endless=1.0),
     upstream_fault("answer lost", lost=1.0),
     upstream_fault("all upstreams lose answers", everywhere=True, lost=1.0),
     Fault("open connections go silent", silence, breaks=True),
--- a/sequoiabridge/tests/platform/soak/__main__.py
+++ b/sequoiabridge/tests/platform/soak/__main__.py
@@ -8,6 +8,7 @@
 from ....selector import LazySelector
 from .crash_soak import CrashScenario, CrashSoak
 from .limit_soak import LimitScenario, LimitSoak
+from .long_soak import LongScenario, LongSoak
 from .notice_soak import NoticeScenario, NoticeSoak
 from .path_soak import PathScenario, PathSoak
 from .retry_soak import RetrySoak, Scenario
@@ -25,6 +26,7 @@
     notices: NoticeScenario | None = None,
     crashes: CrashScenario | None = None,
     paths: PathScenario | None = None,
+    long: LongScenario | None = None,
     reads: int = 5,
     count: int = 2,
     load: float = 1.0,
@@ -41,6 +43,7 @@
     :param notices: let upstreams ask for rest or leave in this way, instead of mixing all faults
     :param crashes: send requests that crash upstreams in this way, instead of mixing all faults
     :param paths: let daemons lose their paths in this way, instead of mixing all faults
+    :param long: make long calls and send bytes without end in this way, instead of mixing all
     :param reads: number of upstreams of the service that fails or names limits then
     :param rate: calls per second then
     :param count: number of daemons that lose their paths, in the fixed series
@@ -50,6 +53,8 @@
     for number in range(seed, seed + seeds):
         if paths is not None:
             soak = PathSoak(number, seconds, daemons, paths, None, count, reads, load)
+        elif long is not None:
+            soak = LongSoak(number, seconds, daemons, long, reads)
         elif crashes is not None:
             soak = CrashSoak(number, seconds, daemons, crashes, reads)
         elif notices is not None:
--- a/sequoiabridge/tests/platform/soak/oracle.py
+++ b/sequoiabridge/tests/platform/soak/oracle.py
@@ -1,6 +1,7 @@
 """Checks what callers and upstreams observed against the daemon's guarantees."""
 
 from .crashes import check_crashes
+from .ends import check_ends, check_late_calls
 from .limits import check_limits
 from .notices import DRAIN_SECONDS, check_departures, check_rests
 from .paths import check_paths
@@ -38,6 +39,8 @@
     violations += check_departures(record)
     violations += check_crashes(record)
     violations += check_paths(record)
+    violations += check_ends(record)
+    violations += check_late_calls(record, runs)
     return violations
 
 
@@ -52,7 +55,7 @@
     if call.status in NOT_RUN_STATUSES and call.kind in (APPROVE, UPLOAD) and runs:
         violations.append(f"{label}: answered with {call.status}, but ran")
     if call.status == 200 and call.is_complete:
-        fields = call.body.split(b" ")
+        fields = call.body.split()
         if len(fields) != 3 or fields[1] != call.id.encode():
             violations.append(f"{label}: got a wrong answer: {call.body[:60]!r}")
         elif not any(run.upstream.encode() == fields[0] for run in runs):
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -13,7 +13,7 @@
 from .limits import worst_limits
 from .oracle import find_violations
 from .proxy import LinkFault
-from .record import APPROVE, MARK, READ, UPLOAD, CallRecord
+from .record import APPROVE, LONG, MARK, READ, UPLOAD, CallRecord
 from .repeats import worst_repeats
 
 FAULT_FREE_SECONDS = 6.0
@@ -49,7 +49,15 @@
 MIN_STALL = 0.2
 """Minimum seconds of delay that count as standing still."""
 
-CALL_TIMEOUT_MS = 2000
+CALL_TIMEOUT = 2.0
+"""Seconds for which callers wait."""
+
+LONG_TIMEOUT = 6.0
+"""Timeout in seconds of the route of long calls."""
+
+ROUTE_TIMEOUTS = {READ: 1.0, APPROVE: 1.0, UPLOAD: 1.0, MARK: 1.0, LONG: LONG_TIMEOUT}
+"""Timeouts of the routes in seconds, by the kind of call."""
+
 UPLOAD_SIZE = 70_000
 """Bytes of the body of an upload."""
 
@@ -186,20 +194,31 @@
         return await self.call_target(connection, daemon, kind, f"/{kind}/x")
 
     async def call_target(
-        self, connection: Connection, daemon: Daemon, kind: str, target: str
+        self,
+        connection: Connection,
+        daemon: Daemon,
+        kind: str,
+        target: str,
+        timeout: float = CALL_TIMEOUT,
     ) -> bool:
         """Make one call; return whether the connection can be reused."""
         self.call_count += 1
         call = CallRecord(f"s{self.seed}-{self.call_count}", kind, daemon.name, self.now(), target)
-        body = {APPROVE: b"a" * 200, UPLOAD: b"u" * UPLOAD_SIZE}.get(kind, b"")
+        body, chunked = self.body_of(kind)
+        call.timeout = min(timeout, ROUTE_TIMEOUTS[kind])
         self.deployment.record.calls.append(call)
         self.deployment.record.body_sizes[call.id] = len(body)
         method = "POST" if body else "GET"
         reply = None
         try:
-            async with curio.timeout_after(CALL_TIMEOUT_MS / 1000 + 1.0):
+            async with curio.timeout_after(timeout + 1.0):
                 await connection.send(
-                    target, call.id, method=method, body=body, timeout_ms=CALL_TIMEOUT_MS
+                    target,
+                    call.id,
+                    method=method,
+                    body=body,
+                    timeout_ms=int(timeout * 1000),
+                    chunked=chunked,
                 )
                 call.connected = True
                 reply = await connection.reply()
@@ -212,6 +231,10 @@
         call.limit = reply.headers.get(b"server-limit", b"").decode()
         return reply.is_complete and reply.headers.get(b"connection") != b"close"
 
+    def body_of(self, kind: str) -> tuple[bytes, bool]:
+        """Return the body of a call, and whether it is sent in chunks."""
+        return {APPROVE: b"a" * 200, UPLOAD: b"u" * UPLOAD_SIZE}.get(kind, b""), False
+
     async def inject_faults(self, until: float) -> None:
         """Inject random faults, several at a time, until the time `until`."""
         running = []
--- a/sequoiabridge/tests/standins/upstream.py
+++ b/sequoiabridge/tests/standins/upstream.py
@@ -137,6 +137,10 @@
         headers = [*self.headers(), (b"x-answer-digest", digest)]
         if request.method == "HEAD":
             body = b""
+        is_read = request.method == "GET"
+        hangs = is_read and self.chance(self.faults.hang)
+        if hangs or (is_read and self.chance(self.faults.endless)):
+            await wire.answer_without_end(status, headers, body, hangs)
         return await wire.answer(status, headers, body, cut=self.chance(self.faults.cut))
 
     def result(self, run: Run, request: Incoming) -> tuple[int, bytes]:
--- a/sequoiabridge/tests/standins/upstream_faults.py
+++ b/sequoiabridge/tests/standins/upstream_faults.py
@@ -33,6 +33,10 @@
     """Share of answers that break off in the middle of the body."""
     lost: float = 0.0
     """Share of answers that never leave: run, then the connection is closed."""
+    hang: float = 0.0
+    """Share of answers to reads, without a length, that hang after their first part."""
+    endless: float = 0.0
+    """Share of answers to reads whose body never ends."""
     crash_mark: str = "crash-me"
     """A request whose `x-mark` header has this value ends the process once it runs."""
 
--- a/sequoiabridge/tests/standins/upstream_http.py
+++ b/sequoiabridge/tests/standins/upstream_http.py
@@ -4,6 +4,9 @@
 import h11
 
 READ_SIZE = 65536
+ENDLESS_PAUSE = 0.05
+"""Seconds between two pieces of an answer that never ends."""
+
 SILENCE = 3600.0
 """Seconds for which a connection that has gone silent is held."""
 
@@ -79,6 +82,23 @@
         self.state.start_next_cycle()
         return True
 
+    async def answer_without_end(
+        self, status: int, headers: list, body: bytes, hangs: bool
+    ) -> None:
+        """Send an answer that never ends: it repeats `body`, or `hangs` after the first time.
+
+        Raises:
+            ConnectionError: The other end has closed the connection.
+        """
+        fields = [*headers, (b"transfer-encoding", b"chunked")]
+        await self._write(self.state.send(h11.Response(status_code=status, headers=fields)))
+        while True:
+            await self._write(self.state.send(h11.Data(data=body)))
+            if hangs:
+                await self.closed()
+                raise ConnectionError("The other end has closed the connection.")
+            await curio.sleep(ENDLESS_PAUSE)
+
     async def closed(self) -> None:
         """Return once the other end has closed the connection while its request is being run."""
         data = await self.sock.recv(READ_SIZE)
