Serve rows that came back as present in the changes for peers

Cause: the changes after a version listed present rows first and removals last. A reader that had missed both took the removal for the later change and dropped an upstream that was there.

Change: each key is listed once, as it is now.

Evidence: the test fails on the parent (the reader keeps "c" only) and passes now.

--- a/sequoiabridge/relay/feeds.py
+++ b/sequoiabridge/relay/feeds.py
@@ -138,8 +138,10 @@
         """Return the rows that changed after a version; None if the history starts later."""
         if self.history_start is None or after < self.history_start:
             return None
-        changed = [row for row in self.rows_by_key.values() if row.version > after]
-        return changed + [row for row in self.removals if row.version > after]
+        changed = {row.key: row for row in self.removals if row.version > after}
+        # A row that was removed and is there again is present.
+        changed |= {key: row for key, row in self.rows_by_key.items() if row.version > after}
+        return list(changed.values())
 
     def _record_removal(self, row: StoredRow) -> None:
         if len(self.removals) == MAX_REMOVALS:
--- a/sequoiabridge/tests/relay/test_peer_feeds.py
+++ b/sequoiabridge/tests/relay/test_peer_feeds.py
@@ -46,6 +46,15 @@
     assert keys(known().changes_since(6)) == []
 
 
+def test_a_row_that_was_removed_and_came_back_between_two_reads_is_there_for_the_reader():
+    # The reader took the removal for the later change and dropped an upstream that was there.
+    feed, reader = known(), known()
+    feed.update_rows(Changes([row("b", 7, None)], 7))
+    feed.update_rows(Changes([row("b", 9)], 9))
+    reader.update_rows(Changes(feed.changes_since(6), 9))
+    assert sorted(reader.rows_by_key) == ["b", "c"]
+
+
 def test_changes_before_the_first_read_are_unknown():
     assert known().changes_since(1) is None and KeyFeed().changes_since(0) is None
 
