Serve rows with an empty value to peers

Cause: the encoding of a row's value passed b"" on as it is, which JSON cannot hold.

Evidence: the test fails on the parent (TypeError) and passes now.

--- a/sequoiabridge/relay/peer_feeds.py
+++ b/sequoiabridge/relay/peer_feeds.py
@@ -114,14 +114,18 @@
 def encode_rows(rows: Rows) -> bytes:
     """Return rows as compressed JSON."""
     listed = [
-        [row.table, row.part, row.key, row.value and row.value.decode("latin-1"), row.version]
-        for row in rows.rows
+        [row.table, row.part, row.key, encode_value(row.value), row.version] for row in rows.rows
     ]
     whole = not isinstance(rows, Changes)
     document = {"version": rows.version, "whole": whole, "rows": listed}
     return zlib.compress(json.dumps(document).encode(), COMPRESSION_LEVEL)
 
 
+def encode_value(value: bytes | None) -> str | None:
+    """Return a row's value as text, None for a removed row."""
+    return None if value is None else value.decode("latin-1")
+
+
 def decode_rows(data: bytes) -> Rows:
     """Return the rows of a peer's response.
 
--- a/sequoiabridge/tests/relay/test_peer_feeds.py
+++ b/sequoiabridge/tests/relay/test_peer_feeds.py
@@ -73,10 +73,13 @@
 
 
 def test_rows_and_changes_can_be_decoded_again():
-    for rows in (Rows([row("a", 1)], 3), Changes([row("a", 4, None), row("b", 4)], 4)):
+    # An empty value, which another writer may have stored, made all reads of peers fail.
+    changes = Changes([row("a", 4, None), row("b", 4), row("c", 4, b"")], 4)
+    for rows in (Rows([row("a", 1)], 3), changes):
         decoded = decode_rows(encode_rows(rows))
         assert type(decoded) is type(rows) and decoded.version == rows.version
         assert keys(decoded.rows) == keys(rows.rows)
+        assert [r.value for r in decoded.rows] == [r.value for r in rows.rows]
 
 
 def test_rows_beyond_the_limit_are_not_decompressed(monkeypatch):
