--- a/sequoiabridge/tests/platform/soak/test_long_soak.py
+++ b/sequoiabridge/tests/platform/soak/test_long_soak.py
@@ -9,21 +9,21 @@
 
 
 @pytest.mark.parametrize(
-    ("scenario", "seconds"),
+    ("scenario", "seed", "seconds"),
     [
         # Calls on idle connections were run 3.0 to 3.3 s after a stop began, and cut off.
-        (LongScenario.STOPS, 22.0),
+        (LongScenario.STOPS, 1, 22.0),
         # Uploads were run without their buffered beginning.
-        (LongScenario.RESETS, 16.0),
+        (LongScenario.RESETS, 2, 22.0),
         # Answers beyond the buffer that hung had no end.
-        (LongScenario.HANGS, 16.0),
+        (LongScenario.HANGS, 1, 16.0),
         # Input without end kept a daemon from all other work.
-        (LongScenario.FLOODS, 16.0),
-        (LongScenario.RANDOM, 20.0),
+        (LongScenario.FLOODS, 1, 16.0),
+        (LongScenario.RANDOM, 1, 20.0),
     ],
 )
-def test_long_calls_are_whole_and_end_in_time(scenario, seconds):
-    assert run_soak(LongSoak(1, seconds, 3, scenario, 9)) == []
+def test_long_calls_are_whole_and_end_in_time(scenario, seed, seconds):
+    assert run_soak(LongSoak(seed, seconds, daemons=3, scenario=scenario, reads=12)) == []
 
 
 def make_call(kind, sent_at, ended_at, timeout=6.0):
