--- a/sequoiabridge/tests/platform/soak/test_endless_input.py
+++ b/sequoiabridge/tests/platform/soak/test_endless_input.py
@@ -31,7 +31,7 @@
 PAUSES = [0.0, 0.05]
 
 
-def run_deployment(test, **settings):
+def run_deployment(test):
     """Run `test(deployment)` against one daemon, with upstreams as processes."""
 
     async def main():
