Look for the end of an unread body in a few pieces only

Cause: before an answer is sent to a caller whose body has not been read, the buffered part of the body was parsed to its end in one go, 64 KB in 10,900 chunks: 0.37 s in a run of its own at a load average of 24.

Change: 64 pieces at most; a body that does not end there counts as unread, so its connection is closed after the answer.

--- a/sequoiabridge/callers/body.py
+++ b/sequoiabridge/callers/body.py
@@ -9,6 +9,9 @@
 from .refusals import bad_request, body_too_large, caller_too_slow
 from .transport import CONTINUE, CallerTransport, Phase
 
+MAX_DISCARDED_PIECES = 64
+"""Maximum number of buffered pieces that are parsed to find the end of a body nobody reads."""
+
 
 class CallerBody(Body):
     """Reads a request's body with back pressure: data is received only on a call of `read`.
@@ -75,13 +78,15 @@
         return b""
 
     def discard_buffered(self) -> bool:
-        """Discard the buffered data; return True if it completes the body."""
-        while not self.ended:
+        """Discard some buffered pieces; return True if they complete the body."""
+        for _ in range(MAX_DISCARDED_PIECES):
+            if self.ended:
+                return True
             event = self._next_event()
             if event is None:
                 return False
             self.ended = type(event) is h11.EndOfMessage
-        return True
+        return self.ended
 
     def _take_piece(self, event: h11.Data) -> bytes:
         size = len(event.data)
