--- a/sequoiabridge/pipeline/buffering.py
+++ b/sequoiabridge/pipeline/buffering.py
@@ -20,7 +20,7 @@
 
     @property
     def is_held(self) -> bool:
-        """Return True."""
+        """Whether it can be sent whole again; it always can."""
         return True
 
     def digest(self) -> str:
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -32,7 +32,7 @@
 """Maximum number of bytes of a refusal's body that are read."""
 
 REFUSAL_BODY_TIMEOUT = 0.02
-"""Seconds to wait for the body of a refusal; mostly it comes with the head."""
+"""Seconds to wait for the rest of a refusal's body."""
 
 MAX_TRUSTED_IDLE = 0.25
 """Maximum number of seconds since a connection last received data for it to carry a non-idempotent
