Start no task when an answer is cut off by the end of the process

The daemon ended with an error and exit code 1 if a caller was still reading a streamed answer at the end of a planned stop.

Cause: as the process ends, the event loop cancels the tasks of open connections; the end of a streamed answer that was cut off started a task that checks whether its upstream crashed, and curio allows no new task then.

The test fails before: "New tasks created during shutdown".

--- a/sequoiabridge/relay/crash_guard.py
+++ b/sequoiabridge/relay/crash_guard.py
@@ -79,15 +79,18 @@
         for call, attempt in abandoned:
             await curio.spawn(self._report_if_crashed(call, attempt), daemon=True)
 
-    async def stream_ended(self, call: RelayedCall, is_complete: bool) -> None:
-        """Record the end of an answer that was streamed to the caller, if it was."""
+    def stream_ended(self, call: RelayedCall, is_complete: bool) -> None:
+        """Record the end of an answer that was streamed to the caller, if it was.
+
+        No task is started here, since the call's own task may be ending.
+        """
         for attempt in call.attempts:
             if not attempt.is_streamed:
                 continue
             if is_complete:
                 self._report_survival(call, attempt)
             else:
-                await curio.spawn(self._report_if_crashed(call, attempt), daemon=True)
+                self.abandoned.append((call, attempt))
 
     async def _report_if_crashed(self, call: RelayedCall, attempt: Attempt) -> None:
         if not await self.detector.has_crashed(attempt):
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -95,7 +95,7 @@
         call, request.exchange = request.exchange, None
         if call is None:
             return
-        await self.sender.crash_guard.stream_ended(call, clean)
+        self.sender.crash_guard.stream_ended(call, clean)
         now = self.clock.now()
         in_time = clean and answer.status < 300 and now <= call.late_at
         route = call.route.name if call.route else NO_ROUTE_LABEL
--- a/sequoiabridge/tests/platform/test_planned_stop.py
+++ b/sequoiabridge/tests/platform/test_planned_stop.py
@@ -113,3 +113,16 @@
         assert await env.gateway_task.join() == 0
 
     run_in_environment(test)
+
+
+def test_a_process_that_ends_while_a_caller_reads_its_answer_ends_without_an_error():
+    async def test(env):
+        for upstream in env.upstreams.values():
+            upstream.faults.answer_size = 8_000_000
+        connection = await env.connect()
+        await connection.send("/read/x", "unread")
+        await env.wait_until(lambda: env.run_count("unread"))
+        await stop(env, 1.0)
+        assert await env.gateway_task.join() == 0
+
+    run_in_environment(test)
