Log when the steps of a stop are taken, what is open and how late the VM runs

The record of the calls lost around planned stops cannot tell a daemon that takes its steps late from one that throws answers away: the steps had no lines, an open call at the end of the process was logged as one whose caller had left, and nothing showed a lack of processor time.

`stop` has the delay with which the signal was noticed; `stop-step` tells how late a step was taken and the phases of the open connections, `stopped` the phases at the end; calls have `after_stop_ms`, `late_ms` and the outcome `process-ended`; two gauges tell how late the timers run. A call without a route names the version of the configuration in force, no longer 0, which read as if nothing was known.

--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -95,6 +95,7 @@
         self._build_call_path()
         self._build_servers()
         self.stop_requested = curio.UniversalEvent()
+        self.stop_signalled_at: float | None = None
         self.settings_reloader = SettingsReloader(
             settings, self.route_stats, self.retry_limit, self.store, self.decisions
         )
@@ -247,6 +248,7 @@
             self.counters,
             clock,
             self.readiness.why_not_serving,
+            self.timers.lateness,
         )
 
     def _build_prober(self) -> Prober:
--- a/sequoiabridge/gateway_stop.py
+++ b/sequoiabridge/gateway_stop.py
@@ -19,21 +19,48 @@
     """Serve until the balancer sends no more callers, then finish the open calls."""
     clock, callers = gateway.clock, gateway.callers
     plan = StopPlan(clock.now(), gateway.settings.bounds.grace)
-    gateway.decisions.event("stop", in_flight=callers.in_flight, **plan.row())
+    signalled_at = gateway.stop_signalled_at or plan.began
+    gateway.decisions.event(
+        "stop",
+        in_flight=callers.in_flight,
+        noticed_ms=round((plan.began - signalled_at) * 1000, 1),
+        **plan.row(),
+    )
     gateway.relay.stop_plan = plan
     gateway.sender.dispatch.stop_at = plan.answer_by
     callers.announce_stop()
     await gateway.paths.announce_stop(plan.accept_until - clock.now())
     await callers.stop_accepting()
+    log_step(gateway, "accept_until", plan.accept_until)
     await curio.sleep(max(0.0, plan.take_until - clock.now()))
     callers.close_idle()
+    log_step(gateway, "take_until", plan.take_until)
     while is_in_use(gateway) and clock.now() < plan.exit_at:
         await curio.sleep(POLL_INTERVAL)
     await gateway.connector.close()
-    gateway.decisions.event("stopped", cut_off=callers.in_flight, refused=plan.refused)
+    phases = callers.dump()["phases"]
+    gateway.decisions.event(
+        "stopped",
+        cut_off=callers.in_flight,
+        refused=plan.refused,
+        connections=phases,
+        late_ms=round(gateway.timers.lateness.worst * 1000),
+    )
     gateway.log_writer.flush()
 
 
+def log_step(gateway: Gateway, step: str, due_at: float) -> None:
+    """Log that a step of the stop has been taken, how late, and what is open."""
+    callers, now = gateway.callers, gateway.clock.now()
+    gateway.decisions.event(
+        "stop-step",
+        step=step,
+        late_ms=round((now - due_at) * 1000, 1),
+        in_flight=callers.in_flight,
+        connections=callers.dump()["phases"],
+    )
+
+
 def is_in_use(gateway: Gateway) -> bool:
     """Return whether callers, or peers whose calls this VM forwards, still have connections."""
     return bool(gateway.callers.open_connections or gateway.paths.port.tunnels)
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -270,6 +270,10 @@
 def gauges(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
     """Yield name, help and value of each gauge."""
     yield "sequoia_uptime_seconds", "Seconds since the start.", gateway.uptime
+    lateness = gateway.timers.lateness
+    late = lateness.at(gateway.clock.now())
+    yield "sequoia_lateness_seconds", "Greatest delay of the daemon's timers in the last s.", late
+    yield "sequoia_lateness_worst_seconds", "The same since the start.", lateness.worst
     yield "sequoia_ready", "1 if callers may be sent here.", not gateway.readiness.why_not_ready()
     yield "sequoia_configuration_version", "Version in force.", gateway.configuration.version
     yield "sequoia_upstreams", "Upstreams known.", len(gateway.upstreams.by_id)
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -11,6 +11,7 @@
 from ..balancing.splitting import Splitter
 from ..callers.server import Handler
 from ..exceptions import Refusal
+from ..lateness import Lateness
 from ..logs import get_log
 from ..outcome import Outcome, Reason
 from ..pipeline.exchange import Answer, Request
@@ -30,6 +31,9 @@
 NO_ROUTE_LABEL = "-"
 """Route label in the counters for calls that match no route."""
 
+MIN_LOGGED_LATENESS = 0.05
+"""Seconds from which the lateness of the daemon stands in the row of a call."""
+
 NOT_READY_RETRY_AFTER = 0.3
 """Seconds in the Retry-After header while this VM cannot serve calls."""
 
@@ -39,6 +43,7 @@
 
     Args:
         why_not_serving: Returns the reason why no call can be served, or "" if calls can.
+        lateness: How late the daemon runs.
 
     Attributes:
         stop_plan: The planned stop that has begun, or None.
@@ -54,6 +59,7 @@
         counters: Counters,
         clock: Clock,
         why_not_serving: Callable[[], str],
+        lateness: Lateness,
     ):
         self.configuration = configuration
         self.splitter = splitter
@@ -63,6 +69,7 @@
         self.counters = counters
         self.clock = clock
         self.why_not_serving = why_not_serving
+        self.lateness = lateness
         self.request_ids = count(1)
         self.wait_estimator = PriorWaitEstimator()
         self.stop_plan: StopPlan | None = None
@@ -86,7 +93,7 @@
             log.exception("Internal error while handling call %s.", call.id)
             call.answer = self._refuse(call, internal_error(call))
         except BaseException:
-            self._record_caller_left(call)
+            self._record_cancelled(call)
             raise
         return call.answer
 
@@ -105,6 +112,7 @@
         self.decisions.call(in_time, self._row(call, now, clean))
 
     async def _relay(self, call: RelayedCall) -> Answer:
+        call.version = self.configuration.version
         call.apply_route_version(self._route(call), self.configuration.version)
         call.add_prior_wait(self.wait_estimator.estimate(call.route.name, call.metadata.timeout))
         call.service = self.splitter.service_for(call.route)
@@ -141,12 +149,16 @@
         call.refusal = refusal
         return self.dialect.refusal(refusal, call.id)
 
-    def _record_caller_left(self, call: RelayedCall) -> None:
-        """Count and log a call whose caller disconnected before the answer."""
+    def _record_cancelled(self, call: RelayedCall) -> None:
+        """Count and log a call that was cancelled, by its caller or by the end of the process."""
         call.request.exchange = None
-        self.counters.callers_left += 1
-        row = self._row(call, self.clock.now(), False)
-        row["outcome"] = "caller-left"
+        now = self.clock.now()
+        row = self._row(call, now, False)
+        if self.stop_plan is not None and now >= self.stop_plan.exit_at:
+            row["outcome"] = "process-ended"
+        else:
+            row["outcome"] = "caller-left"
+            self.counters.callers_left += 1
         self.decisions.call(False, row)
 
     def _row(self, call: RelayedCall, now: float, clean: bool) -> dict:
@@ -162,6 +174,11 @@
             "outcome": "answered" if clean else "cut-off",
             "left_ms": round((call.deadline - now) * 1000),
         }
+        if self.stop_plan is not None:
+            row["after_stop_ms"] = round((call.arrived - self.stop_plan.began) * 1000)
+        lateness = self.lateness.at(now)
+        if lateness >= MIN_LOGGED_LATENESS:
+            row["late_ms"] = round(lateness * 1000)
         if call.prior_wait:
             row["waited_ms"] = round(call.prior_wait * 1000)
         if call.body_seconds > 0.001:
--- a/sequoiabridge/tests/platform/test_planned_stop.py
+++ b/sequoiabridge/tests/platform/test_planned_stop.py
@@ -1,5 +1,7 @@
 """End-to-end tests of calls that are sent during a planned stop."""
 
+import json
+
 import curio
 import pytest
 
@@ -46,6 +48,19 @@
         return self.reply is not None and self.reply.status == 200 and self.ended_at < time
 
 
+async def send_and_do_not_read(env):
+    """Make a call with a long answer, which its caller does not read; return the connection."""
+    for upstream in env.upstreams.values():
+        upstream.faults.answer_size = 8_000_000
+    long_route = route("/long/", "idempotent", "reads", timeout_s=20)
+    await env.store.put("op", "config", document(2, [long_route]))
+    await env.wait_until(lambda: env.gateway.configuration.version == 2)
+    connection = await env.connect()
+    await connection.send("/long/x", "unread", timeout_ms=20000)
+    await env.wait_until(lambda: env.run_count("unread"))
+    return connection
+
+
 @pytest.mark.parametrize("grace", [2.0, 6.0])
 def test_calls_sent_late_in_a_stop_are_not_run_and_then_cut_off(grace):
     # Idle connections took calls for longer than the rest of the grace period could serve.
@@ -117,12 +132,37 @@
 
 def test_a_process_that_ends_while_a_caller_reads_its_answer_ends_without_an_error():
     async def test(env):
-        for upstream in env.upstreams.values():
-            upstream.faults.answer_size = 8_000_000
-        connection = await env.connect()
-        await connection.send("/read/x", "unread")
-        await env.wait_until(lambda: env.run_count("unread"))
+        connection = await send_and_do_not_read(env)
         await stop(env, 1.0)
         assert await env.gateway_task.join() == 0
+        await connection.sock.close()
+
+    run_in_environment(test)
+
+
+def test_the_log_of_a_stop_tells_when_its_steps_were_taken_and_which_calls_were_open():
+    # The last line of a lost call said that its caller had left.
+    async def test(env):
+        connection = await send_and_do_not_read(env)
+        env.gateway.stop_signalled_at = env.gateway.clock.now() - 0.25
+        await stop(env, 1.0)
+        assert await env.gateway_task.join() == 0
+        await connection.sock.close()
+        events = [json.loads(line) for line in env.log_lines]
+        began = next(event for event in events if event["event"] == "stop")
+        assert 250 <= began["noticed_ms"] < 1000
+        steps = [event["step"] for event in events if event["event"] == "stop-step"]
+        assert steps == ["accept_until", "take_until"]
+        ended = next(event for event in events if event["event"] == "stopped")
+        assert ended["cut_off"] == 1 and ended["connections"] == {"answer": 1}
+
+    run_in_environment(test)
+
+
+def test_the_row_of_a_call_without_a_route_names_the_configuration():
+    async def test(env):
+        assert (await env.call("/unknown/x", "lost")).status == 404
+        row = next(json.loads(line) for line in env.log_lines if b'"id":"lost"' in line)
+        assert row["configuration"] == 1
 
     run_in_environment(test)
--- a/sequoiabridge/timers.py
+++ b/sequoiabridge/timers.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from .lateness import Lateness
 from .logs import get_log
 
 log = get_log("timers")
@@ -119,10 +120,14 @@
 
     Callbacks are plain functions, called one after the other. If a callback returns a coroutine,
     `run` spawns it as a task.
+
+    Attributes:
+        lateness: How late callbacks are called.
     """
 
     def __init__(self, clock: Clock):
         self.clock = clock
+        self.lateness = Lateness()
         self.heap: list[tuple[float, int, Subscription]] = []
         self.sequence = count()
         self.changed = curio.UniversalEvent()
@@ -141,6 +146,8 @@
         """Call all callbacks that are due and return the coroutines that they returned."""
         now = self.clock.now()
         started: list[Coroutine] = []
+        if self.heap:
+            self.lateness.record(self.heap[0][0], now)
         while self.heap and self.heap[0][0] <= now:
             _, _, subscription = heapq.heappop(self.heap)
             if subscription.cancelled:
