--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 bench-limits: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.benchmarks.policy_limits
 
-.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes soak-paths soak-long
+.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes soak-paths soak-long soak-stops
 soak-platform: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --seeds 3
 
@@ -103,5 +103,8 @@
 soak-long: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --long RANDOM --daemons 4 --reads 9 --seconds 30 --seeds 3
 
+soak-stops: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --stops RANDOM --daemons 4 --reads 12 --seconds 30 --busy 24 --seeds 3
+
 soak-retries: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --retries RANDOM --seconds 40 --seeds 3
--- a/sequoiabridge/tests/platform/environment.py
+++ b/sequoiabridge/tests/platform/environment.py
@@ -31,6 +31,9 @@
 CHUNK_BYTES = 65536
 """Size of the chunks of a chunked body."""
 
+SLOW_PIECES = 10
+"""Number of pieces in which a slow caller sends its request."""
+
 CALLER_IDLE_TIMEOUT = 15
 """Seconds after which the daemon may close an idle connection of a caller."""
 
@@ -99,8 +102,9 @@
         timeout_ms=2000,
         host=HOST,
         chunked=False,
+        seconds=0.0,
     ):
-        """Send a request."""
+        """Send a request; its body is spread over some seconds."""
         headers = [("host", host), ("x-attempt-id", call_id), ("x-deadline-ms", str(timeout_ms))]
         if chunked:
             headers.append(("transfer-encoding", "chunked"))
@@ -111,10 +115,20 @@
         for start in range(0, len(body), piece_size):
             data += self.state.send(h11.Data(data=body[start : start + piece_size]))
         data += self.state.send(h11.EndOfMessage())
-        await self.sock.sendall(data)
-
-    async def reply(self) -> Reply:
-        """Return the answer."""
+        if seconds:
+            await self._send_slowly(data, seconds)
+        else:
+            await self.sock.sendall(data)
+
+    async def _send_slowly(self, data, seconds):
+        """Send bytes in equal pieces over some seconds."""
+        size = -(-len(data) // SLOW_PIECES)
+        for start in range(0, len(data), size):
+            await curio.sleep(seconds / SLOW_PIECES)
+            await self.sock.sendall(data[start : start + size])
+
+    async def reply(self, pause=0.0) -> Reply:
+        """Return the answer, after a pause before each read."""
         reply = Reply()
         while True:
             try:
@@ -123,6 +137,8 @@
                 return reply  # The connection ended before the answer was complete.
             if event is h11.NEED_DATA:
                 try:
+                    if pause:
+                        await curio.sleep(pause)
                     self.state.receive_data(await self.sock.recv(65536))
                 except OSError:
                     return reply
--- a/sequoiabridge/tests/platform/soak/__main__.py
+++ b/sequoiabridge/tests/platform/soak/__main__.py
@@ -13,6 +13,7 @@
 from .path_soak import PathScenario, PathSoak
 from .retry_soak import RetrySoak, Scenario
 from .soak import Soak
+from .stop_soak import StopScenario, StopSoak
 
 
 def main(
@@ -27,6 +28,11 @@
     crashes: CrashScenario | None = None,
     paths: PathScenario | None = None,
     long: LongScenario | None = None,
+    stops: StopScenario | None = None,
+    grace: float = 6.0,
+    busy: int = 0,
+    work: float = 2.2,
+    share: float = 1.0,
     reads: int = 5,
     count: int = 2,
     load: float = 1.0,
@@ -44,6 +50,11 @@
     :param crashes: send requests that crash upstreams in this way, instead of mixing all faults
     :param paths: let daemons lose their paths in this way, instead of mixing all faults
     :param long: make long calls and send bytes without end in this way, instead of mixing all
+    :param stops: stop daemons that serve long calls in this way, instead of mixing all faults
+    :param grace: seconds between a stop and the kill of a daemon then
+    :param busy: number of busy processes beside the daemons then
+    :param work: maximum seconds of work of a long call then
+    :param share: share of the time in which daemons that stop may run then
     :param reads: number of upstreams of the service that fails or names limits then
     :param rate: calls per second then
     :param count: number of daemons that lose their paths, in the fixed series
@@ -53,6 +64,19 @@
     for number in range(seed, seed + seeds):
         if paths is not None:
             soak = PathSoak(number, seconds, daemons, paths, None, count, reads, load)
+        elif stops is not None:
+            soak = StopSoak(
+                number,
+                seconds,
+                daemons,
+                stops,
+                reads,
+                rate,
+                grace,
+                busy,
+                work,
+                share,
+            )
         elif long is not None:
             soak = LongSoak(number, seconds, daemons, long, reads)
         elif crashes is not None:
--- a/sequoiabridge/tests/platform/soak/busy.py
+++ b/sequoiabridge/tests/platform/soak/busy.py
@@ -1,8 +1,11 @@
-"""Processes that keep the machine's processors busy beside daemons and upstreams."""
+"""Takes processor time from daemons: busy processes beside them, or pauses of their processes."""
 
+import signal
 import subprocess
 import sys
 
+import curio
+
 BUSY_PROGRAM = "import sys, time\nend = time.monotonic() + float(sys.argv[1])\n"
 BUSY_PROGRAM += "while time.monotonic() < end:\n    sum(range(10000))\n"
 
@@ -25,3 +28,19 @@
             process.kill()
         for process in self.processes:
             process.wait()
+
+
+THROTTLE_PERIOD = 0.1
+"""Seconds in which a throttled process runs once."""
+
+
+async def throttle(daemon, share: float) -> None:
+    """Let a daemon's process run for a share of the time only, until cancelled."""
+    try:
+        while True:
+            daemon.signal(signal.SIGSTOP)
+            await curio.sleep((1.0 - share) * THROTTLE_PERIOD)
+            daemon.signal(signal.SIGCONT)
+            await curio.sleep(share * THROTTLE_PERIOD)
+    finally:
+        daemon.signal(signal.SIGCONT)
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -16,6 +16,7 @@
 from ..ports import free_port
 from ..store_emulator import StoreEmulator
 from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
+from .ends import GRACE
 from .faulty_gateway import LOSS_SUFFIX, UNREACHABLE_SUFFIX, UPSTREAMS_AT
 from .path_proxy import UPSTREAM_HOST, PathProxy, daemon_host
 from .proxy import Proxy
@@ -51,6 +52,7 @@
         retry_ratio: float,
         retry_window: float,
         first_start: bool,
+        grace: float,
     ):
         self.name = name
         self.store = store
@@ -71,7 +73,7 @@
         text = text.replace("callers = 127.0.0.1:0", f"callers = 127.0.0.1:{self.callers}")
         text = text.replace("ready = 127.0.0.1:0", f"ready = 127.0.0.1:{self.ready}")
         text = text.replace("retry_window = 0.1s", f"retry_window = {retry_window}s")
-        text += f"retry_ratio = {retry_ratio}\n"
+        text += f"retry_ratio = {retry_ratio}\ngrace = {grace}s\n"
         if first_start:
             text = text.replace("[listen]", "first_start = true\n[listen]")
         self.settings.write_text(text.replace("= 10000", f"= {retry_slack}"))
@@ -139,6 +141,7 @@
             "port": free_port(),
             "seconds": self.processing_time,
             "seed": self.seed,
+            "slots": self.slots,
         }
         for name, value in options.items():
             command += [f"--{name}", str(value)]
@@ -195,6 +198,8 @@
         restart_faults: Faults of upstreams that start again.
         extra_routes: Routes that the configuration has beside the usual ones.
         limits: Limits of the configuration on callers that differ from the usual ones.
+        grace: Seconds between a planned stop and the kill of a daemon.
+        slots: Number of calls that an upstream runs at the same time.
     """
 
     def __init__(self, seed: int, daemons: int, clock):
@@ -222,6 +227,8 @@
         self.version = 0
         self.extra_routes: list[dict] = []
         self.limits: dict = {}
+        self.grace = GRACE
+        self.slots = 2
         self.upstream_count = 0
 
     async def start(self) -> None:
@@ -251,6 +258,7 @@
                 self.retry_ratio,
                 self.retry_window,
                 self.first_start,
+                self.grace,
             )
             daemon.module, daemon.options = self.daemon_module, list(self.daemon_options)
             self.daemons.append(daemon)
@@ -315,6 +323,7 @@
             data_centre=data_centre,
             processing_time=0.03,
             seed=self.upstream_count,
+            slots=self.slots,
         )
         upstream.uses_proxy = self.uses_proxies
         upstream.proxy = Proxy("", self.random)
--- a/sequoiabridge/tests/platform/soak/oracle.py
+++ b/sequoiabridge/tests/platform/soak/oracle.py
@@ -5,8 +5,9 @@
 from .limits import check_limits
 from .notices import DRAIN_SECONDS, check_departures, check_rests
 from .paths import check_paths
-from .record import APPROVE, MARK, UPLOAD, CallRecord, Record, UpstreamRun
+from .record import MARK, RUN_ONCE, CallRecord, Record, UpstreamRun
 from .repeats import worst_repeats
+from .stops import check_lost_calls
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which the daemon states that a call did not run."""
@@ -41,6 +42,7 @@
     violations += check_paths(record)
     violations += check_ends(record)
     violations += check_late_calls(record, runs)
+    violations += check_lost_calls(record, runs)
     return violations
 
 
@@ -48,11 +50,11 @@
     """Return the violations of one call."""
     violations = []
     label = f"{call.id} ({call.kind} at {call.daemon}, {call.sent_at:.2f})"
-    if call.kind in (APPROVE, UPLOAD) and len(runs) > 1:
+    if call.kind in RUN_ONCE and len(runs) > 1:
         violations.append(f"{label}: ran {len(runs)} times")
     if len({run.upstream for run in runs}) > MAX_ATTEMPTS:
         violations.append(f"{label}: ran at {len(runs)} upstreams")
-    if call.status in NOT_RUN_STATUSES and call.kind in (APPROVE, UPLOAD) and runs:
+    if call.status in NOT_RUN_STATUSES and call.kind in RUN_ONCE and runs:
         violations.append(f"{label}: answered with {call.status}, but ran")
     if call.status == 200 and call.is_complete:
         fields = call.body.split()
--- a/sequoiabridge/tests/platform/soak/record.py
+++ b/sequoiabridge/tests/platform/soak/record.py
@@ -3,11 +3,17 @@
 import json
 
 READ, APPROVE, UPLOAD, MARK, LONG = "read", "approve", "upload", "mark", "long"
-"""Kinds of calls, each with a route of its own; the route of `MARK` alternates between services."""
+ORDER, BULK = "order", "bulk"
+"""Kinds of calls, each with a route of its own; the route of `MARK` alternates between services,
+`LONG`, `ORDER` and the uploads of `BULK` may take seconds."""
+
+RUN_ONCE = frozenset({APPROVE, UPLOAD, ORDER, BULK})
+"""Kinds of calls that may run once at most."""
 
 ARRIVAL, RUN, LIMIT = "arrival", "run", "limit"
 START, REST, LEAVING, CRASH, STALL = "start", "rest", "leaving", "crash", "stall"
 FLOOD, FLOOD_END = "flood", "flood-end"
+WORK_END = "work-end"
 """Kinds of lines in an upstream's log."""
 
 NO_LIMIT = ""
@@ -32,10 +38,12 @@
         self.timeout = 0.0
         self.limit = NO_LIMIT
         self.connected = False
+        self.sent_whole_at = 0.0
+        self.is_upstreams_own = False
 
 
 class UpstreamRun:
-    """One call that an upstream started to run."""
+    """One call that an upstream started to run; `worked_until` is infinite while it is at work."""
 
     def __init__(self, call_id, upstream, service, started_at, size):
         self.id = call_id
@@ -43,6 +51,8 @@
         self.service = service
         self.started_at = started_at
         self.size = size
+        self.worked_until = float("inf")
+        self.is_finished = False
 
 
 class Arrival:
@@ -100,6 +110,8 @@
         upstream_ends: Time and upstream of each end of an upstream's process.
         checks_ends: Whether each call must end soon after its timeout.
         checks_late_calls: Whether calls that are sent late in a planned stop must be answered.
+        grace: Seconds between a planned stop and the kill; None if lost calls are not checked.
+        expired_stops: Time and daemon of each kill of one that had not ended by then.
         flood_starts: Time and upstream of each answer without end.
         flood_ends: Time and upstream at which a daemon cut such an answer off.
         disturbances: Start, end and daemon of each kill, stop, pause or start of a daemon.
@@ -138,6 +150,8 @@
         self.upstream_ends: list[tuple[float, str]] = []
         self.checks_ends = False
         self.checks_late_calls = False
+        self.grace: float | None = None
+        self.expired_stops: list[tuple[float, str]] = []
         self.flood_starts: list[tuple[float, str]] = []
         self.flood_ends: list[tuple[float, str]] = []
 
@@ -185,12 +199,22 @@
             record.flood_starts.append((at, upstream.id))
         elif what == FLOOD_END:
             record.flood_ends.append((at, upstream.id))
+        elif what == WORK_END:
+            end_run(record, upstream.id, call_id, at, bool(size))
         elif what == START:
             record.upstream_starts.append((at, upstream.id))
         else:
             record.runs.append(UpstreamRun(call_id, upstream.id, upstream.service, at, size))
 
 
+def end_run(record: Record, upstream: str, call_id: str, at: float, is_finished: bool) -> None:
+    """Record the end of an upstream's work on a call."""
+    for run in reversed(record.runs):
+        if run.id == call_id and run.upstream == upstream:
+            run.worked_until, run.is_finished = at, is_finished
+            return
+
+
 def read_daemon_log(record: Record, daemon, clock_start: float) -> None:
     """Add the blocks and fingerprints in a daemon's log to the record."""
     for line in daemon.log.read_text(errors="replace").splitlines():
--- a/sequoiabridge/tests/platform/soak/stop_soak.py
+++ b/sequoiabridge/tests/platform/soak/stop_soak.py
@@ -11,7 +11,7 @@
 import curio
 
 from ..environment import Connection, Reply, route
-from .busy import BusyProcesses
+from .busy import BusyProcesses, throttle
 from .deployment import Daemon
 from .record import APPROVE, BULK, LONG, ORDER, READ, CallRecord
 from .retry_soak import RetrySoak
@@ -65,6 +65,7 @@
         grace: Seconds between a stop and the kill of the daemon.
         busy: Number of busy processes beside daemons and upstreams.
         max_work: Maximum seconds of work of a long call.
+        share: Share of the time in which daemons that stop may run.
     """
 
     callers_per_daemon = 1
@@ -81,11 +82,13 @@
         grace: float = 6.0,
         busy: int = 0,
         max_work: float = 2.2,
+        share: float = 1.0,
     ):
         super().__init__(seed, seconds, daemons, reads=reads, call_rate=call_rate)
         self.stop_scenario = scenario
         self.busy_count = busy
         self.max_work = max_work
+        self.share = share
         self.busy: BusyProcesses | None = None
         self.kills: list[curio.Task] = []
         deployment = self.deployment
@@ -139,7 +142,10 @@
                 )
                 call.sent_whole_at, call.connected = self.now(), True
                 return await connection.reply(READ_PAUSE if is_slow and call.kind == LONG else 0.0)
-        except (OSError, curio.TaskTimeout):
+        except OSError:
+            return None
+        except curio.TaskTimeout:
+            call.connected = False  # The caller has given up, well after its timeout.
             return None
 
     async def make_call(self, daemon: Daemon, random: Random) -> None:
@@ -199,8 +205,11 @@
         self.kills.append(await curio.spawn(self.kill_late, daemon, daemon.process))
 
     async def kill_late(self, daemon: Daemon, process) -> None:
-        """Kill a daemon that has not ended at the end of its grace period."""
+        """Throttle a daemon that stops, and kill it if it has not ended at the end."""
+        throttled = await curio.spawn(throttle, daemon, self.share) if self.share < 1.0 else None
         await curio.sleep(self.deployment.grace)
+        if throttled is not None:
+            await throttled.cancel()
         if process.poll() is None:
             self.deployment.record.expired_stops.append((self.now(), daemon.name))
             process.kill()
--- a/sequoiabridge/tests/platform/soak/stops.py
+++ b/sequoiabridge/tests/platform/soak/stops.py
@@ -49,13 +49,13 @@
     """Return how a call was lost, "" if it was not or the stop is excused."""
     if call.is_complete and (call.is_upstreams_own or not runs):
         return ""
-    if not call.is_complete and not runs:
-        return "closed unanswered" if call.ended_at > call.sent_whole_at + LOSS_SLACK else ""
     answered_by = call.ended_at - ANSWER_SECONDS
     if any(run.is_finished and run.worked_until <= answered_by for run in runs):
         return f"its upstream's answer was replaced by {call.status or 'a close'}"
     if call.ended_at - call.sent_at >= call.timeout:
         return ""
+    if not runs:
+        return "closed unanswered" if call.ended_at > call.sent_whole_at + LOSS_SLACK else ""
     excused_from = began + EXCUSED_SHARE * record.grace
     is_early = call.sent_at <= began + LAST_REQUEST_SECONDS
     if is_early and all(run.worked_until >= excused_from for run in runs):
--- a/sequoiabridge/tests/platform/soak/upstream_process.py
+++ b/sequoiabridge/tests/platform/soak/upstream_process.py
@@ -28,6 +28,7 @@
     RUN,
     STALL,
     START,
+    WORK_END,
 )
 
 STDIN = 0
@@ -63,6 +64,12 @@
         self.write(RUN, request)
         return await super().run(connection, request)
 
+    async def process(self, connection, request):
+        """Work on a call, then log whether the work was finished."""
+        is_finished = await super().process(connection, request)
+        self.write_fields(WORK_END, request.header(b"x-attempt-id"), int(is_finished))
+        return is_finished
+
     async def crash_while_running(self, connection, request):
         """Log the crash, and end the process."""
         if self.is_silent:
@@ -154,7 +161,15 @@
 
 
 def main(
-    *, id: str, service: str, data_centre: str, log: str, port: int, seconds: float, seed: int
+    *,
+    id: str,
+    service: str,
+    data_centre: str,
+    log: str,
+    port: int,
+    seconds: float,
+    seed: int,
+    slots: int,
 ) -> None:
     """Run one upstream.
 
@@ -165,6 +180,7 @@
     :param port: port at which it listens
     :param seconds: processing time of a call
     :param seed: seed of its random faults
+    :param slots: number of calls that it runs at the same time
     """
     upstream = LoggingUpstream(
         log,
@@ -173,6 +189,7 @@
         data_centre=data_centre,
         processing_time=seconds,
         seed=seed,
+        slots=slots,
     )
     curio.run(serve, upstream, port, selector=LazySelector())
 
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -1,5 +1,6 @@
 """Emulator of an upstream: slots, a queue, load reports, health checks and faults."""
 
+import re
 import socket
 from random import Random
 
@@ -16,6 +17,9 @@
 LONG_PATH = "/long/"
 """Path prefix of calls that take long."""
 
+TIMED_TARGET = re.compile(r"/work-(\d+)ms$")
+"""Target of a call that names its work in milliseconds."""
+
 MIN_LONG_SHARE = 0.7
 """Minimum share of `long_work` that such a call takes."""
 
@@ -116,13 +120,19 @@
     """
 
     def __init__(
-        self, id: str, service: str, data_centre: str, processing_time: float = 0.01, seed: int = 1
+        self,
+        id: str,
+        service: str,
+        data_centre: str,
+        processing_time: float = 0.01,
+        seed: int = 1,
+        slots: int = 2,
     ):
         self.id = id
         self.service = service
         self.data_centre = data_centre
         self.processing_time = processing_time
-        self.slots = 2
+        self.slots = slots
         self.queue = 4
         self.random = Random(seed)
         self.faults = UpstreamFaults()
@@ -155,7 +165,7 @@
                 "service": self.service,
                 "version": "v1",
                 "zone": self.data_centre,
-                "slots": 2,
+                "slots": self.slots,
             },
             "status": {
                 "state": "draining" if self.draining else "ready",
@@ -293,6 +303,8 @@
         seconds = 3600 if faults.hang else self.processing_time * faults.slow * faults.slowdown
         if faults.long_work and request.target.startswith(LONG_PATH):
             seconds = self.random.uniform(MIN_LONG_SHARE, 1.0) * faults.long_work
+        if timed := TIMED_TARGET.search(request.target):
+            seconds = int(timed[1]) / 1000
         watch = await curio.spawn(connection.closed, daemon=True)
         try:
             async with curio.ignore_after(seconds):
