Let an answer that has come go before the deadline and the end of a stop

Callers got a 504 or 502 of the daemon's own although an upstream had answered well before: on a late daemon 2.4 s before.

Cause: dispatch looked at the deadline and the stop before it took the next ended attempt, and the search for a hedge, with its health checks, ran to its end although the attempt that it was to help had ended. A failure that an upstream had answered was dropped the same way when the time ran out during a retry.

Now the time is checked only after a wait that found no ended attempt, and such a wait reads answers that have arrived, even if its time has passed. The search for a hedge ends with the attempt. A failure answer of an upstream goes before any refusal of our own. Attempts that lost are cancelled at once instead of one after the other.

Five tests fail before.

--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -76,20 +76,31 @@
         Raises:
             Refusal: No attempt has one.
         """
+        try:
+            return (yield from self._run(call))
+        except Refusal as refusal:
+            if call.fallback is None:
+                raise
+            call.note = f"{refusal.reason.value}; the upstream's failure is the answer"
+            return call.fallback
+
+    def dump(self) -> dict:
+        """Describe the retry budgets for the state dump."""
+        now = self.clock.now()
+        return {service: budget.dump(now) for service, budget in self.budgets.items()}
+
+    def _run(self, call: Call) -> Steps[CallAttempt]:
         refusal = self.chooser.policy.refusal(call)
         if refusal is not None:
             raise refusal
         self._retry_budget(call).record_call(self.clock.now())
         yield from self._send_first(call)
         while True:
-            now = self.clock.now()
-            if now >= call.deadline:
-                raise timed_out(call)
-            if now >= self.stop_at:
-                raise stopping(call)
             end = min(call.deadline, self.stop_at)
-            attempt = yield Wait(min(self.hedging.next_check(call), end, now + POLL_INTERVAL))
+            wake_at = self.clock.now() + POLL_INTERVAL
+            attempt = yield Wait(min(self.hedging.next_check(call), end, wake_at))
             if attempt is None:
+                self._check_time(call)
                 yield from self._check_attempts(call)
                 continue
             call.open_attempts.remove(attempt)
@@ -106,10 +117,17 @@
                 return call.fallback
             raise self._refusal(call, attempt)
 
-    def dump(self) -> dict:
-        """Describe the retry budgets for the state dump."""
+    def _check_time(self, call: Call) -> None:
+        """Check that a call may go on; no attempt has ended that could answer it.
+
+        Raises:
+            Refusal: Its deadline has passed, or the daemon stops.
+        """
         now = self.clock.now()
-        return {service: budget.dump(now) for service, budget in self.budgets.items()}
+        if now >= call.deadline:
+            raise timed_out(call)
+        if now >= self.stop_at:
+            raise stopping(call)
 
     def _refusal(self, call: Call, attempt: CallAttempt) -> Refusal:
         """Return the refusal of a call that cannot be sent again after an attempt failed."""
@@ -179,7 +197,7 @@
             self.hedging.postpone_check(call, attempt)
             call.note = "the retry budget is exhausted"
             return
-        estimate = yield from self.hedging.find_hedge(call, attempt)
+        estimate = yield from until_ended(call, self.hedging.find_hedge(call, attempt))
         if estimate is None or attempt.ending is not None:
             return
         if not self._take_token(call):
@@ -205,3 +223,19 @@
         if budget is None:
             budget = self.budgets[call.service] = self.new_budget(call.service)
         return budget
+
+
+def until_ended(call: Call, steps: Steps[CostEstimate | None]) -> Steps[CostEstimate | None]:
+    """Take the steps of a search for an upstream; return its result.
+
+    Return None once an attempt of the call has ended, since its answer must not wait.
+    """
+    result = None
+    while all(attempt.ending is None for attempt in call.open_attempts):
+        try:
+            step = steps.send(result)
+        except StopIteration as end:
+            return end.value
+        result = yield step
+    steps.close()
+    return None
--- a/sequoiabridge/balancing/steps.py
+++ b/sequoiabridge/balancing/steps.py
@@ -68,7 +68,10 @@
 
 
 class Wait:
-    """Wait until an attempt has ended; the result is that attempt, or None at the time `until`."""
+    """Wait until an attempt has ended; the result is that attempt, or None at the time `until`.
+
+    Answers that have arrived by then are read first, also if `until` has passed already.
+    """
 
     __slots__ = ("until",)
 
--- a/sequoiabridge/relay/race.py
+++ b/sequoiabridge/relay/race.py
@@ -24,7 +24,10 @@
         self.running[attempt] = await curio.spawn(self._run(attempt), daemon=True)
 
     async def next_ended(self, timeout: float) -> Attempt | None:
-        """Return the next attempt that ended, None if none does within `timeout` seconds."""
+        """Return the next attempt that ended, None if none does within `timeout` seconds.
+
+        Attempts whose answers have arrived end first, also if `timeout` is not positive.
+        """
         if not self.ended:
             async with curio.ignore_after(max(0.0, timeout)):
                 await self.wake.wait()
@@ -38,9 +41,12 @@
             await task.cancel()
 
     async def cancel_all(self) -> None:
-        """Cancel all running attempts; each closes its connection."""
-        for task in list(self.running.values()):
-            await task.cancel()
+        """Cancel all running attempts at once; each closes its connection."""
+        tasks = list(self.running.values())
+        for task in tasks:
+            await task.cancel(blocking=False)
+        for task in tasks:
+            await task.wait()
 
     async def _run(self, attempt: Attempt) -> None:
         try:
--- a/sequoiabridge/tests/balancing/test_dispatch.py
+++ b/sequoiabridge/tests/balancing/test_dispatch.py
@@ -13,7 +13,7 @@
 from ...balancing.retry_budget import RetryBudget, RetryLimit
 from ...balancing.route_stats import RouteStats
 from ...balancing.routes import Route, Target
-from ...balancing.steps import CancelAttempt, Send, Wait
+from ...balancing.steps import CancelAttempt, Probe, Send, Wait
 from ...exceptions import Refusal
 from ...relay.upstreams import UpstreamList
 from ...timers import ManualClock
@@ -126,3 +126,41 @@
     driver = CallDriver(max_attempts=1)
     attempt = driver.start()
     assert driver.end(attempt, Ending.ANSWERED, 500) is attempt
+
+
+@pytest.mark.parametrize("is_stop", [False, True])
+def test_an_answer_that_came_before_the_end_of_the_call_is_not_replaced(is_stop):
+    # The search for a hedge went on beyond the deadline, or the end of a stop, meanwhile.
+    driver = CallDriver()
+    first = driver.start()
+    driver.run_until(Probe)
+    if is_stop:
+        driver.dispatch.stop_at = driver.clock.now() + 0.1
+    first.ending, first.status, first.ended_at = Ending.ANSWERED, 200, driver.clock.now()
+    driver.clock.advance(0.2 if is_stop else 5.0)
+    assert isinstance(driver.resume(), Wait)
+    assert driver.end(first, Ending.ANSWERED, 200) is first
+
+
+def test_the_search_for_a_hedge_ends_when_the_answer_has_come():
+    driver = CallDriver()
+    first = driver.start()
+    driver.run_until(Probe)
+    first.ending, first.status, first.ended_at = Ending.ANSWERED, 200, driver.clock.now()
+    assert isinstance(driver.resume(), Wait)
+
+
+@pytest.mark.parametrize("is_stop", [False, True])
+def test_a_failure_answer_of_an_upstream_is_not_replaced_by_a_later_refusal(is_stop):
+    driver = CallDriver(max_attempts=2)
+    failed = driver.start()
+    assert driver.end(failed, Ending.ANSWERED, 500) is None
+    driver.start()
+    if is_stop:
+        driver.dispatch.stop_at = driver.clock.now()
+    with pytest.raises(StopIteration) as end:
+        for _ in range(50):
+            driver.clock.advance(max(0.0, driver.step.until - driver.clock.now()))
+            driver.run_until(Wait)
+            driver.resume()
+    assert end.value.value is failed
