Begin no attempt that the stop is likely to break off

A call that was complete in time but waited for capacity, or was sent again, went out as late as 0.65 s before the last answers, with 1.02 s of work expected, and ended with 502, perhaps run, where 503, not run, was still true. Its caller cannot send an approval again after that.

Cause: the time that a stop leaves was checked once, when the body was complete. Now each first attempt, retry and hedge must have 1.25 times its expected duration left, twice for calls that may run once, unless the call's own timeout ends before. Otherwise the call is refused at once: as not run if nothing ran, so that another VM can serve it.

--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -33,6 +33,14 @@
 take a few milliseconds."""
 
 
+STOP_FACTOR = 1.25
+"""Multiple of its expected duration that an attempt must have left before the daemon stops."""
+
+STOP_FACTOR_RUN_ONCE = 2.0
+"""The same for calls that are not idempotent. Work takes up to twice as long as expected, and their
+callers cannot send them again if the stop breaks them off."""
+
+
 class Dispatch(Component):
     """Runs calls as sequences of steps.
 
@@ -143,8 +151,16 @@
         estimate = yield from self.chooser.choose_or_hold(call)
         if estimate is None:
             raise no_upstream(call)
+        if not self._ends_before_stop(call, estimate):
+            raise stopping(call)
         yield from self._start(call, estimate)
 
+    def _ends_before_stop(self, call: Call, estimate: CostEstimate) -> bool:
+        """Return whether an attempt that starts now is likely to end before the daemon stops."""
+        factor = STOP_FACTOR if call.route.idempotent else STOP_FACTOR_RUN_ONCE
+        end = self.clock.now() + factor * estimate.expected_duration
+        return min(end, call.deadline) <= self.stop_at
+
     def _start(self, call: Call, estimate: CostEstimate) -> Steps[None]:
         attempt = yield Send(estimate)
         call.attempts.append(attempt)
@@ -159,6 +175,8 @@
         if estimate is None or self.chooser.lacks_capacity(call, estimate):
             call.note = "no other upstream has capacity"
             return False
+        if not self._ends_before_stop(call, estimate):
+            raise stopping(call)
         if call.was_sent and not self._take_token(call):
             return False
         self.retries += 1
@@ -200,6 +218,8 @@
         estimate = yield from until_ended(call, self.hedging.find_hedge(call, attempt))
         if estimate is None or attempt.ending is not None:
             return
+        if not self._ends_before_stop(call, estimate):
+            return
         if not self._take_token(call):
             return
         self.hedges += 1
--- a/sequoiabridge/tests/balancing/test_dispatch.py
+++ b/sequoiabridge/tests/balancing/test_dispatch.py
@@ -15,6 +15,7 @@
 from ...balancing.routes import Route, Target
 from ...balancing.steps import CancelAttempt, Probe, Send, Wait
 from ...exceptions import Refusal
+from ...outcome import Outcome, Reason
 from ...relay.upstreams import UpstreamList
 from ...timers import ManualClock
 from ..relay.fakes import decision_log, record
@@ -164,3 +165,60 @@
             driver.run_until(Wait)
             driver.resume()
     assert end.value.value is failed
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_call_is_not_begun_if_the_stop_would_break_it_off(idempotent):
+    # It waited for an upstream until 0.65 s before the end, was sent, and broken off.
+    driver = CallDriver(idempotent=idempotent)
+    expected = driver.run_until(Send).estimate.expected_duration
+    driver = CallDriver(idempotent=idempotent)
+    driver.dispatch.stop_at = driver.clock.now() + expected
+    with pytest.raises(Refusal) as refused:
+        driver.run_until(Send)
+    refusal = refused.value
+    assert (refusal.status, refusal.outcome) == (503, Outcome.NOT_RUN)
+    assert refusal.reason is Reason.STOPPING and refusal.retry_after == 0.0
+
+
+def test_a_call_that_is_not_idempotent_needs_more_time_before_a_stop():
+    driver = CallDriver(idempotent=False)
+    expected = driver.run_until(Send).estimate.expected_duration
+    for idempotent in (True, False):
+        driver = CallDriver(idempotent=idempotent)
+        driver.dispatch.stop_at = driver.clock.now() + 1.6 * expected
+        if idempotent:
+            driver.run_until(Send)
+        else:
+            with pytest.raises(Refusal):
+                driver.run_until(Send)
+
+
+def test_a_call_whose_own_timeout_ends_before_the_stop_is_begun():
+    driver = CallDriver(idempotent=False)
+    driver.call.deadline = driver.clock.now() + 0.01
+    driver.dispatch.stop_at = driver.call.deadline
+    driver.run_until(Send)
+
+
+def test_a_retry_is_not_begun_if_the_stop_would_break_it_off():
+    driver = CallDriver(idempotent=False)
+    attempt = driver.start()
+    driver.dispatch.stop_at = driver.clock.now() + 0.001
+    with pytest.raises(Refusal) as refused:
+        driver.end(attempt, Ending.NOT_RUN)
+        driver.run_until(Send)
+    assert refused.value.reason is Reason.STOPPING and refused.value.outcome is Outcome.NOT_RUN
+
+
+def test_a_hedge_is_not_begun_if_the_stop_would_break_it_off():
+    driver = CallDriver()
+    driver.start()
+    driver.run_until(Send)
+    hedged_at = driver.clock.now()
+    driver = CallDriver()
+    driver.start()
+    driver.dispatch.stop_at = hedged_at + 0.01
+    with pytest.raises(Refusal):
+        driver.run_until(Send)
+    assert driver.dispatch.hedges == 0
