Neither probe nor hedge on a daemon that is late itself

On a starved VM callers still got 504 although their upstream had answered over a second before: the calls that were open when a stop began kept the processor busy with health checks before each choice and each hedge.

Cause: a late daemon takes its own delay for that of its upstreams. Health checks time out unread, answers wait unread in the sockets, and each hedge, with five more health checks, adds to the delay.

While the daemon's timers run 0.15 s late it chooses by the reports that it has and hedges nothing.

--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -9,6 +9,7 @@
 
 from ..component import Component
 from ..exceptions import Refusal
+from ..lateness import Lateness
 from ..timers import Clock
 from .attempt_recorder import AttemptRecorder
 from .call import Call, CallAttempt
@@ -50,6 +51,7 @@
         recorder: Records ended attempts.
         clock: The daemon's clock.
         new_budget: Creates the retry budget of a service, given its name.
+        lateness: How late the daemon runs.
 
     Attributes:
         budgets: The retry budgets by service.
@@ -67,12 +69,14 @@
         recorder: AttemptRecorder,
         clock: Clock,
         new_budget: Callable[[str], RetryBudget],
+        lateness: Lateness | None = None,
     ):
         self.chooser = chooser
         self.hedging = hedging
         self.recorder = recorder
         self.clock = clock
         self.new_budget = new_budget
+        self.lateness = lateness or Lateness()
         self.budgets: dict[str, RetryBudget] = {}
         self.hedges = 0
         self.retries = 0
@@ -210,6 +214,10 @@
                 yield from self._hedge(call, attempt)
 
     def _hedge(self, call: Call, attempt: CallAttempt) -> Steps[None]:
+        if self.lateness.is_late(self.clock.now()):
+            # The answer may have arrived already; a hedge would add to the delay.
+            self.hedging.postpone_check(call, attempt)
+            return
         budget = self._retry_budget(call)
         if not budget.has_token(self.clock.now()):
             self.hedging.postpone_check(call, attempt)
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -251,6 +251,7 @@
             AttemptRecorder(self.route_stats, self.sharing),
             clock,
             self._new_retry_budget,
+            self.timers.lateness,
         )
         self.unread_calls = UnreadCalls(self.prober, self.predecessor, self.decisions, clock)
         self.sender = self._build_sender(dispatch)
@@ -280,6 +281,7 @@
             self.notices,
             self.send_policy,
             self.path_table,
+            self.timers.lateness,
         )
 
     def _build_sender(self, dispatch: Dispatch) -> Sender:
--- a/sequoiabridge/tests/balancing/test_dispatch.py
+++ b/sequoiabridge/tests/balancing/test_dispatch.py
@@ -222,3 +222,16 @@
     with pytest.raises(Refusal):
         driver.run_until(Send)
     assert driver.dispatch.hedges == 0
+
+
+def test_a_late_daemon_hedges_no_call():
+    # It took its own delay for that of the upstream, and hedges made it later.
+    driver = CallDriver()
+    driver.start()
+    driver.run_until(Probe)
+    driver = CallDriver()
+    driver.start()
+    now = driver.clock.now()
+    driver.dispatch.lateness.record(now + 1.7, now + 2.0)
+    with pytest.raises(Refusal):
+        driver.run_until(Probe)
