Refuse a call in a stop whose body comes too late, without waiting for it

A caller that sent its body slowly when a planned stop began got no answer before the process ended, although it was known at half of the grace period that the call would not be taken.

Cause: the time that a stop leaves was looked at only when the body was complete. It is now looked at while the body is awaited too, every 0.25 s, and the call gets 503 `stopping`, not run.

The test fails before: no answer within the 2 s of its grace period.

--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import curio
 
 from ..callers.refusals import caller_too_slow
@@ -13,6 +15,9 @@
 """Maximum number of bytes of a request body that are buffered. A longer body is streamed and can be
 sent only once."""
 
+CHECK_INTERVAL = 0.25
+"""Seconds between checks whether it is still of use to wait for a request's body."""
+
 
 class PrefixedBody(Body):
     """The body of an answer whose first bytes have been read and are kept in memory."""
@@ -121,12 +126,19 @@
     await body.close()
 
 
-async def buffer_body(request: Request, max_body: int, timeout: float) -> None:
+async def buffer_body(
+    request: Request, max_body: int, timeout: float, check: Callable[[], None]
+) -> None:
     """Replace a request's body by a buffered one; of a long body, buffer the first part.
 
+    Args:
+        max_body: Maximum size in bytes.
+        timeout: Seconds within which the body must have come.
+        check: Called while the caller sends nothing; raises `Refusal` if waiting is of no use.
+
     Raises:
         CallerGone: The caller disconnected before the end of the body.
-        Refusal: The body is larger than `max_body` bytes or took longer than `timeout` seconds.
+        Refusal: The body is too large or took too long, or that of `check`.
     """
     body = request.body
     if body is None:
@@ -135,7 +147,7 @@
     buffered = bytearray()
     try:
         async with curio.timeout_after(max(0.0, timeout)):
-            while len(buffered) <= MAX_BUFFERED_BODY and (chunk := await body.read()):
+            while len(buffered) <= MAX_BUFFERED_BODY and (chunk := await _read(body, check)):
                 buffered += chunk
     except curio.TaskTimeout:
         raise caller_too_slow("body") from None
@@ -144,3 +156,11 @@
         return
     request.body = ReplayableBody(bytes(buffered))
     request.length = len(buffered)
+
+
+async def _read(body: Body, check: Callable[[], None]) -> bytes:
+    """Return the next piece of a body; call `check` regularly until it has come."""
+    while True:
+        async with curio.ignore_after(CHECK_INTERVAL):
+            return await body.read()
+        check()
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -117,8 +117,8 @@
         call.add_prior_wait(self.wait_estimator.estimate(call.route.name, call.metadata.timeout))
         call.service = self.splitter.service_for(call.route)
         self._check_stop(call)
-        limit = self.configuration.table.limits.max_body
-        await buffer_body(call.request, limit, call.deadline - self.clock.now())
+        limit, timeout = self.configuration.table.limits.max_body, call.deadline - self.clock.now()
+        await buffer_body(call.request, limit, timeout, lambda: self._check_stop(call))
         call.body_received(self.clock.now())
         self._check_stop(call)
         return await self.sender.send(call)
--- a/sequoiabridge/tests/platform/test_planned_stop.py
+++ b/sequoiabridge/tests/platform/test_planned_stop.py
@@ -111,6 +111,25 @@
     run_in_environment(test)
 
 
+def test_a_body_that_comes_too_late_in_a_stop_is_not_waited_for():
+    # Its caller got no answer before the process ended.
+    async def test(env):
+        long_route = route("/long/", "upload", "reads", timeout_s=20)
+        await env.store.put("op", "config", document(2, [long_route]))
+        await env.wait_until(lambda: env.gateway.configuration.version == 2)
+        connection = await env.connect()
+        head = b"POST /long/x HTTP/1.1\r\nHost: reads.example\r\nX-Attempt-Id: slow\r\n"
+        await connection.sock.sendall(head + b"Content-Length: 4\r\n\r\nab")
+        stopped_at = await stop(env, 2.0)
+        reply = await connection.sock.recv(65536)
+        assert reply.startswith(b"HTTP/1.1 503") and b"stopping" in reply
+        assert env.gateway.clock.now() < stopped_at + 1.5
+        await connection.sock.close()
+        assert await env.gateway_task.join() == 0
+
+    run_in_environment(test)
+
+
 def test_a_call_that_is_still_open_at_the_end_of_a_stop_gets_an_answer():
     # It was cut off without one.
     async def test(env):
