Hand answers that are read slowly to the system before the process ends

A caller that reads its answer slowly lost the rest of it when the process ended at the end of a planned stop, although its upstream had long been done.

Cause: what the system's send buffer did not take stayed in the process. In a stop the send buffers of connections with a waiting answer are now enlarged to 512 KiB, more than an answer that is buffered whole; the system goes on sending after the process has ended. Longer answers are streamed and can still be cut off.

The test fails before: its caller got part of 250,000 bytes.

--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -169,6 +169,11 @@
         for connection in self.open_connections:
             connection.transport.close_if_idle()
 
+    def enlarge_send_buffers(self) -> None:
+        """Let the system take over answers that wait for their callers; it sends them by itself."""
+        for connection in self.open_connections:
+            connection.transport.enlarge_send_buffer()
+
     async def wait_idle(self) -> None:
         """Wait without a timeout until all connections are closed."""
         while self.open_connections:
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -25,6 +25,8 @@
 """Maximum number of input bytes discarded before closing, so that the caller gets its answer."""
 DRAIN_TIMEOUT = 2.0
 """Maximum seconds spent on discarding them."""
+SEND_BUFFER_BYTES = 512 * 1024
+"""Size of an enlarged send buffer; systems may allow less."""
 LINGER_RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 """SO_LINGER enabled with a timeout of 0: closing the socket resets the connection."""
 
@@ -172,6 +174,17 @@
         if self.phase is Phase.IDLE:
             self.expire_wait(NEVER)
 
+    def enlarge_send_buffer(self) -> None:
+        """Enlarge the system's send buffer if an answer waits for its caller to read."""
+        if self.phase is not Phase.ANSWER:
+            return
+        try:
+            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) >= SEND_BUFFER_BYTES:
+                return
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        except OSError as error:
+            log.debug("Cannot enlarge the send buffer: %s.", error)
+
     def send_interim_answer(self) -> None:
         """Check whether a caller that closed its sending side still expects its answer.
 
--- a/sequoiabridge/gateway_stop.py
+++ b/sequoiabridge/gateway_stop.py
@@ -31,6 +31,7 @@
     callers.close_idle()
     log_step(gateway, "take_until", plan.take_until)
     while is_in_use(gateway) and clock.now() < plan.exit_at:
+        callers.enlarge_send_buffers()
         await curio.sleep(POLL_INTERVAL)
     await gateway.connector.close()
     phases = callers.dump()["phases"]
--- a/sequoiabridge/tests/platform/environment.py
+++ b/sequoiabridge/tests/platform/environment.py
@@ -214,10 +214,14 @@
             while not condition():
                 await curio.sleep(0.005)
 
-    async def connect(self, address="", source="127.0.0.1") -> Connection:
-        """Open a connection from the address `source`."""
+    async def connect(self, address="", source="127.0.0.1", receive_buffer=0) -> Connection:
+        """Open a connection from the address `source`; 0 stands for the usual receive buffer."""
         host, _, port = (address or self.gateway.callers.address).rpartition(":")
-        sock = await curio.open_connection(host, int(port), source_addr=(source, 0))
+        sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
+        if receive_buffer:
+            sock.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_RCVBUF, receive_buffer)
+        sock.bind((source, 0))
+        await sock.connect((host, int(port)))
         return Connection(sock)
 
     async def call(self, target, call_id="c1", source="127.0.0.1", **more) -> Reply:
--- a/sequoiabridge/tests/platform/test_planned_stop.py
+++ b/sequoiabridge/tests/platform/test_planned_stop.py
@@ -1,6 +1,7 @@
 """End-to-end tests of calls that are sent during a planned stop."""
 
 import json
+import socket
 
 import curio
 import pytest
@@ -13,7 +14,7 @@
 async def stop(env, grace):
     """Request a planned stop with the given grace period; return its time."""
     env.gateway.settings.bounds.grace = grace
-    env.gateway.readiness.stopping = True
+    env.gateway.begin_stop()
     await env.gateway.stop_requested.set()
     return env.gateway.clock.now()
 
@@ -111,6 +112,29 @@
     run_in_environment(test)
 
 
+def test_an_answer_that_its_caller_reads_slowly_is_whole_after_the_process_has_ended():
+    # What the system had not taken from the process yet was lost.
+    async def test(env):
+        for upstream in env.upstreams.values():
+            upstream.faults.answer_size = 250_000
+        long_route = route("/long/", "idempotent", "reads", timeout_s=20)
+        await env.store.put("op", "config", document(2, [long_route]))
+        await env.wait_until(lambda: env.gateway.configuration.version == 2)
+        connection = await env.connect(receive_buffer=4096)
+        await env.wait_until(lambda: env.gateway.callers.open_connections)
+        for open_connection in env.gateway.callers.open_connections:
+            open_connection.transport.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await connection.send("/long/x", "slow", timeout_ms=20000)
+        await env.wait_until(lambda: env.gateway.callers.dump()["phases"] == {"answer": 1})
+        await stop(env, 1.0)
+        assert await env.gateway_task.join() == 0
+        reply = await connection.reply()
+        assert reply.is_complete and len(reply.body) == 250_000
+        await connection.sock.close()
+
+    run_in_environment(test)
+
+
 def test_a_body_that_comes_too_late_in_a_stop_is_not_waited_for():
     # Its caller got no answer before the process ended.
     async def test(env):
