Keep a late daemon's measures to stops, and measure what is overdue

- A daemon that was late by 0.15 s once, stop or not, probed nothing for a second, so that calls could be refused for lack of capacity by old reports; `test_an_idempotent_call_that_hangs_is_sent_to_a_second_upstream` failed once beside load since nothing was hedged.
Probes and hedges now pause only in a stop, from a delay of 0.3 s.
- In the first turn after a pause, calls that had come were taken before the timers showed the delay: what is overdue now counts at once.
- An earlier time for the last answers reached waiting calls up to 0.5 s late; in a stop they look every 0.1 s.
- Calls open at the end of the process started crash checks while the event loop was ending ("New tasks created during shutdown", exit code 1, in runs of the soak).
Their connections are ended before that.
- A failure answer of an upstream went before refusals that have nothing to do with time (a body that is too large, a blocked request); now only before those for lack of time.
A call whose attempt is answered waits for it whatever the time.
- A body that came in small pieces was never checked while it came.

--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -9,10 +9,10 @@
 
 from ..component import Component
 from ..exceptions import Refusal
-from ..lateness import Lateness
+from ..outcome import Reason
 from ..timers import Clock
 from .attempt_recorder import AttemptRecorder
-from .call import Call, CallAttempt
+from .call import Call, CallAttempt, Ending
 from .chooser import Chooser
 from .cost_model import CostEstimate
 from .hedging import Hedging
@@ -34,12 +34,18 @@
 take a few milliseconds."""
 
 
+STOP_POLL_INTERVAL = 0.1
+"""The same in a stop, since `stop_at` may be set to an earlier time."""
+
+OUT_OF_TIME = frozenset({Reason.TIMEOUT, Reason.STOPPING})
+"""Reasons of refusals that go behind a failure answer of an upstream."""
+
 STOP_FACTOR = 1.25
 """Multiple of its expected duration that an attempt must have left before the daemon stops."""
 
 STOP_FACTOR_RUN_ONCE = 2.0
 """The same for calls that are not idempotent. Work takes up to twice as long as expected, and their
-callers cannot send them again if the stop breaks them off."""
+callers must not send them again if the stop breaks them off."""
 
 
 class Dispatch(Component):
@@ -51,13 +57,13 @@
         recorder: Records ended attempts.
         clock: The daemon's clock.
         new_budget: Creates the retry budget of a service, given its name.
-        lateness: How late the daemon runs.
 
     Attributes:
         budgets: The retry budgets by service.
         hedges: Number of attempts started while another attempt of the call was running.
         retries: Number of attempts started after another attempt had failed.
         stop_at: Time at which all calls get their last answer since the daemon stops, or infinity.
+        hedging_paused: Whether no call is hedged.
     """
 
     name = "retry_budgets"
@@ -69,18 +75,17 @@
         recorder: AttemptRecorder,
         clock: Clock,
         new_budget: Callable[[str], RetryBudget],
-        lateness: Lateness | None = None,
     ):
         self.chooser = chooser
         self.hedging = hedging
         self.recorder = recorder
         self.clock = clock
         self.new_budget = new_budget
-        self.lateness = lateness or Lateness()
         self.budgets: dict[str, RetryBudget] = {}
         self.hedges = 0
         self.retries = 0
         self.stop_at = float("inf")
+        self.hedging_paused = False
 
     def run(self, call: Call) -> Steps[CallAttempt]:
         """Run the call; return the attempt that has its final answer.
@@ -91,7 +96,7 @@
         try:
             return (yield from self._run(call))
         except Refusal as refusal:
-            if call.fallback is None:
+            if call.fallback is None or refusal.reason not in OUT_OF_TIME:
                 raise
             call.note = f"{refusal.reason.value}; the upstream's failure is the answer"
             return call.fallback
@@ -109,7 +114,8 @@
         yield from self._send_first(call)
         while True:
             end = min(call.deadline, self.stop_at)
-            wake_at = self.clock.now() + POLL_INTERVAL
+            is_stopping = self.stop_at < float("inf")
+            wake_at = self.clock.now() + (STOP_POLL_INTERVAL if is_stopping else POLL_INTERVAL)
             attempt = yield Wait(min(self.hedging.next_check(call), end, wake_at))
             if attempt is None:
                 self._check_time(call)
@@ -130,11 +136,13 @@
             raise self._refusal(call, attempt)
 
     def _check_time(self, call: Call) -> None:
-        """Check that a call may go on; no attempt has ended that could answer it.
+        """Check that a call may go on: none of its attempts is answered, and there is time left.
 
         Raises:
             Refusal: Its deadline has passed, or the daemon stops.
         """
+        if any(attempt.ending is Ending.ANSWERED for attempt in call.open_attempts):
+            return
         now = self.clock.now()
         if now >= call.deadline:
             raise timed_out(call)
@@ -214,8 +222,7 @@
                 yield from self._hedge(call, attempt)
 
     def _hedge(self, call: Call, attempt: CallAttempt) -> Steps[None]:
-        if self.lateness.is_late(self.clock.now()):
-            # The answer may have arrived already; a hedge would add to the delay.
+        if self.hedging_paused:
             self.hedging.postpone_check(call, attempt)
             return
         budget = self._retry_budget(call)
--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -174,6 +174,14 @@
         for connection in self.open_connections:
             connection.transport.enlarge_send_buffer()
 
+    async def end_connections(self) -> None:
+        """End all connections, also those with requests in flight."""
+        tasks = [connection.transport.task for connection in self.open_connections]
+        for task in tasks:
+            await task.cancel(blocking=False)
+        for task in tasks:
+            await task.wait()
+
     async def wait_idle(self) -> None:
         """Wait without a timeout until all connections are closed."""
         while self.open_connections:
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -116,7 +116,7 @@
     def begin_stop(self) -> None:
         """Begin a planned stop, unless one has begun.
 
-        A signal handler calls it, so that all steps count from the signal and no task delays them.
+        A signal handler calls it, so that no task delays the time from which all steps count.
         """
         if self.stop_plan is not None:
             return
@@ -251,7 +251,6 @@
             AttemptRecorder(self.route_stats, self.sharing),
             clock,
             self._new_retry_budget,
-            self.timers.lateness,
         )
         self.unread_calls = UnreadCalls(self.prober, self.predecessor, self.decisions, clock)
         self.sender = self._build_sender(dispatch)
@@ -281,7 +280,6 @@
             self.notices,
             self.send_policy,
             self.path_table,
-            self.timers.lateness,
         )
 
     def _build_sender(self, dispatch: Dispatch) -> Sender:
--- a/sequoiabridge/gateway_stop.py
+++ b/sequoiabridge/gateway_stop.py
@@ -33,24 +33,31 @@
     while is_in_use(gateway) and clock.now() < plan.exit_at:
         callers.enlarge_send_buffers()
         await curio.sleep(POLL_INTERVAL)
+    phases, cut_off = callers.dump()["phases"], callers.in_flight
+    await callers.end_connections()
     await gateway.connector.close()
-    phases = callers.dump()["phases"]
     gateway.decisions.event(
         "stopped",
-        cut_off=callers.in_flight,
+        cut_off=cut_off,
         refused=plan.refused,
         connections=phases,
+        answered_by=round(plan.answer_by - plan.began, 3),
         late_ms=round(gateway.timers.lateness.worst * 1000),
     )
     gateway.log_writer.flush()
 
 
 async def allow_for_delay(gateway: Gateway) -> None:
-    """Answer open calls earlier while the daemon is late, until cancelled."""
+    """Leave work undone and answer open calls earlier while the daemon is late, until cancelled.
+
+    A late daemon takes its own delay for that of its upstreams; probes and hedges add to it.
+    """
     plan, dispatch = gateway.stop_plan, gateway.sender.dispatch
     while True:
-        plan.allow_for_delay(gateway.clock.now())
+        now = gateway.clock.now()
+        plan.allow_for_delay(now)
         dispatch.stop_at = plan.answer_by
+        dispatch.hedging_paused = gateway.prober.paused = plan.lateness.is_late(now)
         await curio.sleep(POLL_INTERVAL)
 
 
--- a/sequoiabridge/lateness.py
+++ b/sequoiabridge/lateness.py
@@ -7,9 +7,9 @@
 WINDOW_SECONDS = 1.0
 """Seconds for which a delay counts as recent."""
 
-MAX_DELAY = 0.15
-"""Delay in seconds from which a process counts as late: it cannot tell a slow upstream from its own
-delay, and must not take on work that it could leave undone."""
+MAX_DELAY = 0.3
+"""Delay in seconds from which a process counts as late. An answer takes some turns of the event loop,
+so then about a second."""
 
 
 class Lateness:
@@ -17,13 +17,15 @@
 
     Attributes:
         worst: The greatest delay since the start.
+        due_at: Time at which the event loop should call something next, infinite if that is open.
     """
 
-    __slots__ = ("recent", "worst")
+    __slots__ = ("recent", "worst", "due_at")
 
     def __init__(self) -> None:
         self.recent: deque[tuple[float, float]] = deque()
         self.worst = 0.0
+        self.due_at = float("inf")
 
     def record(self, due_at: float, now: float) -> None:
         """Record that what was due at one time was called at another."""
@@ -34,12 +36,13 @@
             self.recent.pop()
         self.recent.append((now, delay))
 
-    def at(self, now: float) -> float:
-        """Return the greatest recent delay in seconds."""
+    def recent_delay(self, now: float) -> float:
+        """Return the greatest recent delay in seconds, with that of what is overdue."""
         while self.recent and self.recent[0][0] < now - WINDOW_SECONDS:
             self.recent.popleft()
-        return self.recent[0][1] if self.recent else 0.0
+        recorded = self.recent[0][1] if self.recent else 0.0
+        return max(recorded, now - self.due_at)
 
     def is_late(self, now: float) -> bool:
         """Return whether the process runs late."""
-        return self.at(now) > MAX_DELAY
+        return self.recent_delay(now) > MAX_DELAY
--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -134,7 +134,7 @@
     Args:
         max_body: Maximum size in bytes.
         timeout: Seconds within which the body must have come.
-        check: Called while the caller sends nothing; raises `Refusal` if waiting is of no use.
+        check: Called regularly until the body has come; raises `Refusal` if waiting is of no use.
 
     Raises:
         CallerGone: The caller disconnected before the end of the body.
@@ -161,6 +161,6 @@
 async def _read(body: Body, check: Callable[[], None]) -> bytes:
     """Return the next piece of a body; call `check` regularly until it has come."""
     while True:
+        check()
         async with curio.ignore_after(CHECK_INTERVAL):
             return await body.read()
-        check()
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -271,7 +271,7 @@
     """Yield name, help and value of each gauge."""
     yield "sequoia_uptime_seconds", "Seconds since the start.", gateway.uptime
     lateness = gateway.timers.lateness
-    late = lateness.at(gateway.clock.now())
+    late = lateness.recent_delay(gateway.clock.now())
     yield "sequoia_lateness_seconds", "Greatest delay of the daemon's timers in the last s.", late
     yield "sequoia_lateness_worst_seconds", "The same since the start.", lateness.worst
     yield "sequoia_ready", "1 if callers may be sent here.", not gateway.readiness.why_not_ready()
--- a/sequoiabridge/relay/probing.py
+++ b/sequoiabridge/relay/probing.py
@@ -13,7 +13,6 @@
 from ..balancing.upstream import Upstream
 from ..balancing.upstream_stats import PROBE_TIMEOUT
 from ..exceptions import NoFreeConnection, UpstreamFailed
-from ..lateness import Lateness
 from ..pipeline.exchange import Answer
 from ..timers import Clock
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
@@ -52,7 +51,9 @@
         probe_limiter: Limits the rate of health checks.
         policy: Decides which upstreams may get health checks.
         paths: Is told which upstreams answer.
-        lateness: How late the daemon runs.
+
+    Attributes:
+        paused: Whether no upstreams are probed before calls.
     """
 
     def __init__(
@@ -69,10 +70,9 @@
         notices: Notices,
         policy: SendPolicy,
         paths: PathTable,
-        lateness: Lateness,
     ):
         self.paths = paths
-        self.lateness = lateness
+        self.paused = False
         self.probe_limiter = probe_limiter
         self.connector = connector
         self.dialect = dialect
@@ -89,10 +89,9 @@
         """Probe `upstreams` and return when all probes have ended, or after `timeout` seconds.
 
         Later answers are still recorded. Only the first upstreams are probed if the limit on health
-        checks does not allow more, none while the daemon is late: it would take its own delay for
-        the upstreams', and its calls would wait longer.
+        checks does not allow more.
         """
-        if self.lateness.is_late(self.clock.now()):
+        if self.paused:
             return
         upstreams = [upstream for upstream in upstreams if self.policy.may_probe(upstream)]
         now, known = self.clock.now(), self.upstreams.configured_count
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -130,7 +130,7 @@
             Refusal: It does not.
         """
         if self.stop_plan is not None:
-            self.stop_plan.check(call, self.clock.now())
+            self.stop_plan.check_call(call, self.clock.now())
 
     def _route(self, call: RelayedCall) -> Route:
         """Return the route that matches a call.
@@ -185,7 +185,7 @@
         }
         if self.stop_plan is not None:
             row["after_stop_ms"] = round((call.arrived - self.stop_plan.began) * 1000)
-        lateness = self.lateness.at(now)
+        lateness = self.lateness.recent_delay(now)
         if lateness >= MIN_LOGGED_LATENESS:
             row["late_ms"] = round(lateness * 1000)
         if call.prior_wait:
--- a/sequoiabridge/relay/stop_plan.py
+++ b/sequoiabridge/relay/stop_plan.py
@@ -20,15 +20,17 @@
 """Maximum share of the grace period in which calls are taken whatever their timeout is."""
 
 MAX_MARGIN = 0.4
-"""Maximum seconds before the end of the grace period at which open calls are ended."""
+"""Maximum seconds before the end of the grace period at which open calls are ended, unless the
+daemon is late."""
 
 MARGIN_SHARE = 1 / 15
 """Maximum share of the grace period that lies behind the end of open calls."""
 
 MAX_MARGIN_SHARE = 1 / 6
-"""Maximum share of the grace period behind the end of open calls if the daemon is late."""
+"""The same if the daemon is late."""
 
-LATE_MARGIN_FACTOR = 4.0
+
+LATE_MARGIN_FACTOR = 3.0
 """Seconds before the kill at which open calls are ended, for each second that the daemon is late.
 An answer takes some turns of the event loop."""
 
@@ -49,7 +51,7 @@
         earliest_answer_by: Earliest `answer_by` of a daemon that is late.
         exit_at: Time at which the process ends.
         kill_at: Time at which it is killed.
-        refused: Number of calls that could not be served and were refused.
+        refused: Number of calls that were refused before an upstream was chosen.
     """
 
     __slots__ = (
@@ -78,7 +80,7 @@
         self.exit_at = began + grace - margin / 2
         self.refused = 0
 
-    def check(self, call: Call, now: float) -> None:
+    def check_call(self, call: Call, now: float) -> None:
         """Check that a call that no upstream has got can still be answered.
 
         Raises:
@@ -92,7 +94,7 @@
 
     def allow_for_delay(self, now: float) -> None:
         """Give open calls their last answer earlier if the daemon is late."""
-        answer_by = self.kill_at - LATE_MARGIN_FACTOR * self.lateness.at(now)
+        answer_by = self.kill_at - LATE_MARGIN_FACTOR * self.lateness.recent_delay(now)
         self.answer_by = min(self.answer_by, max(answer_by, self.earliest_answer_by))
 
     def row(self) -> dict:
--- a/sequoiabridge/timers.py
+++ b/sequoiabridge/timers.py
@@ -175,7 +175,7 @@
             for coroutine in self.run_due():
                 await curio.spawn(coroutine, daemon=True)
             wait = self.next_due()
-            self.wake_at = self.clock.now() + wait
+            self.wake_at = self.lateness.due_at = self.clock.now() + wait
             async with curio.ignore_after(wait):
                 await self.changed.wait()
             self.changed.clear()
@@ -196,5 +196,6 @@
     def _add(self, subscription: Subscription) -> Subscription:
         heapq.heappush(self.heap, (subscription.due_at, next(self.sequence), subscription))
         if subscription.due_at < self.wake_at:
+            self.lateness.due_at = subscription.due_at
             self.changed.set()
         return subscription
