Hold a retry of a call that has not run for capacity, as a new call

Callers got a 503 `upstream-shed` at once when the first upstream had not run their call and the only other one seemed to be full for a moment. A new call at the same time would have waited for it.

Cause: a retry took one choice; if the chosen upstream lacked capacity, it was over. Now a retry of a call that no upstream can have run chooses again every 10 ms. The time of all holds of a call together is bounded as that of a new one; time spent in attempts does not count. The hold also ends 20 ms before the deadline and at the end of a stop, which is then the reason of the refusal. A token of the retry budget is taken after the hold only. A retry of a call that may have run is not held, as before.

Seven tests of test_dispatch fail before: test_a_call_that_did_not_run_is_held_for_capacity_when_it_is_sent_again (three endings), test_a_call_that_did_not_run_is_held_no_longer_than_a_new_one, test_the_holds_of_a_call_together_last_no_longer_than_that_of_a_new_one, test_a_held_retry_is_refused_as_not_run_when_the_daemon_stops, test_a_retry_is_not_held_up_to_its_deadline.

--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -132,6 +132,7 @@
         replayable: Whether several attempts can send the call at the same time; its body, if any,
             is in memory.
         body_seconds: Time in seconds that receiving the body took.
+        held_seconds: Time in seconds for which it has been held for capacity.
         attempts: All attempts, in order.
         open_attempts: Attempts whose end has not been processed.
         fallback: Attempt that the upstream answered with a failure. Its answer is used if no other
@@ -153,6 +154,7 @@
         "length",
         "replayable",
         "body_seconds",
+        "held_seconds",
         "attempts",
         "open_attempts",
         "fallback",
@@ -173,6 +175,7 @@
         self.length = 0
         self.replayable = True
         self.body_seconds = 0.0
+        self.held_seconds = 0.0
         self.attempts: list[CallAttempt] = []
         self.open_attempts: list[CallAttempt] = []
         self.fallback: CallAttempt | None = None
--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -92,27 +92,30 @@
         Raises:
             Refusal: No upstream had capacity in that time, or none may get calls for longer.
         """
-        hold_until = call.arrived + call.body_seconds + HOLD_SHARE * call.route.target_latency
+        hold_until = call.arrived + call.body_seconds + self._max_hold(call)
         best = yield from self.choose_with_capacity(call)
         if not call.prior_wait:
             no_capacity = best is not None and self.lacks_capacity(call, best)
             self.overload.record(call.service, no_capacity, self.clock.now())
-        while True:
-            if best is None:
-                later = self._chosen_later(call)
-                if not later:
-                    return None
-                seconds = max(HOLD_POLL_INTERVAL, self._wait(call, later))
-                if self.clock.now() + seconds >= hold_until:
-                    raise self._refusal(call, later)
-            elif self.lacks_capacity(call, best):
-                seconds = HOLD_POLL_INTERVAL
-                if self.clock.now() >= hold_until:
-                    raise overloaded(call)
-            else:
-                return best
-            yield Sleep(seconds)
-            best = yield from self.choose_with_capacity(call)
+        best = yield from self._hold(call, best, hold_until)
+        if best is None:
+            later = self._chosen_later(call)
+            if not later:
+                return None
+            raise self._refusal(call, later)
+        if self.lacks_capacity(call, best):
+            raise overloaded(call)
+        return best
+
+    def choose_again_or_hold(self, call: Call, latest: float) -> Steps[CostEstimate | None]:
+        """Return the best upstream for a retry of a call that cannot have run, None without one.
+
+        The call is held as a new one is, up to the time `latest`; all holds of a call together last
+        no longer than that of a new one. The upstream lacks capacity if none had it in that time.
+        """
+        best = yield from self.choose_with_capacity(call)
+        hold_until = self.clock.now() + self._max_hold(call) - call.held_seconds
+        return (yield from self._hold(call, best, min(hold_until, latest)))
 
     def choose_with_capacity(self, call: Call) -> Steps[CostEstimate | None]:
         """Return the best upstream, as `choose`; it needs no permit if it lacks capacity."""
@@ -235,6 +238,40 @@
         spare = self.candidates.for_service(call.service).spare
         return [upstream for upstream in spare if upstream.stats.request_limit.rate is None]
 
+    def _max_hold(self, call: Call) -> float:
+        """Return the maximum number of seconds for which a call is held."""
+        return HOLD_SHARE * call.route.target_latency
+
+    def _hold(
+        self, call: Call, best: CostEstimate | None, hold_until: float
+    ) -> Steps[CostEstimate | None]:
+        """Choose again until the choice has capacity or the hold ends; return the last choice.
+
+        Args:
+            best: The first choice.
+        """
+        started = self.clock.now()
+        while seconds := self._seconds_to_next_choice(call, best, hold_until):
+            yield Sleep(seconds)
+            best = yield from self.choose_with_capacity(call)
+        call.held_seconds += self.clock.now() - started
+        return best
+
+    def _seconds_to_next_choice(
+        self, call: Call, best: CostEstimate | None, hold_until: float
+    ) -> float:
+        """Return the seconds after which a held call chooses again, 0.0 if the hold ends."""
+        now = self.clock.now()
+        if best is not None:
+            is_held = self.lacks_capacity(call, best) and now < hold_until
+            return HOLD_POLL_INTERVAL if is_held else 0.0
+        tried_ids = call.tried_ids
+        later = [upstream for upstream in self._chosen_later(call) if upstream.id not in tried_ids]
+        if not later:
+            return 0.0
+        seconds = max(HOLD_POLL_INTERVAL, self._wait(call, later))
+        return seconds if now + seconds < hold_until else 0.0
+
     def _chosen_later(self, call: Call) -> list[Upstream]:
         """Return the candidates of the call's service that rest or have a limit."""
         candidates = self.candidates.for_service(call.service).all
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -152,10 +152,21 @@
         self.hedging.schedule_first_check(call, attempt)
 
     def _retry(self, call: Call) -> Steps[bool]:
-        """Retry the call on another upstream if that is allowed; return whether it was sent."""
+        """Retry the call on another upstream if that is allowed; return whether it was sent.
+
+        Raises:
+            Refusal: It has not run, and its time ended while it was held for capacity.
+        """
         if not self._may_retry(call):
             return False
-        estimate = yield from self.chooser.choose_with_capacity(call)
+        if call.possible_runs:
+            estimate = yield from self.chooser.choose_with_capacity(call)
+        else:
+            latest = min(call.deadline - MIN_ATTEMPT_TIME, self.stop_at)
+            estimate = yield from self.chooser.choose_again_or_hold(call, latest)
+            self._check_time(call)
+            if not self._may_retry(call):
+                return False
         if estimate is None or self.chooser.lacks_capacity(call, estimate):
             call.note = "no other upstream has capacity"
             return False
--- a/sequoiabridge/tests/balancing/test_dispatch.py
+++ b/sequoiabridge/tests/balancing/test_dispatch.py
@@ -5,20 +5,24 @@
 import pytest
 
 from ...balancing.attempt_recorder import AttemptRecorder, UpstreamObserver
-from ...balancing.call import Call, CallAttempt, Ending
+from ...balancing.call import PROVEN_NOT_RUN, Call, CallAttempt, Ending
 from ...balancing.candidates import Candidates
-from ...balancing.chooser import Chooser
-from ...balancing.dispatch import Dispatch
+from ...balancing.chooser import HOLD_POLL_INTERVAL, HOLD_SHARE, Chooser
+from ...balancing.dispatch import MIN_ATTEMPT_TIME, Dispatch
 from ...balancing.hedging import Hedging
+from ...balancing.load import UpstreamLoad
 from ...balancing.retry_budget import RetryBudget, RetryLimit
 from ...balancing.route_stats import RouteStats
 from ...balancing.routes import Route, Target
-from ...balancing.steps import CancelAttempt, Probe, Send, Wait
+from ...balancing.steps import CancelAttempt, Probe, Send, Sleep, Wait
 from ...exceptions import Refusal
+from ...outcome import Reason
 from ...relay.upstreams import UpstreamList
 from ...timers import ManualClock
 from ..relay.fakes import decision_log, record
 
+FREE, FULL = UpstreamLoad(0, 0, 2, 1.0), UpstreamLoad(2, 4, 2, 1.0)
+
 
 class NullObserver(UpstreamObserver):
     """Ignores all observations."""
@@ -63,15 +67,30 @@
         return self.step
 
     def run_until(self, kind):
-        """Answer steps with None until one of type `kind` is reached; `Wait` advances the clock."""
+        """Answer steps with None until one of type `kind` is reached; waits advance the clock."""
         for _ in range(50):
             if isinstance(self.step, kind):
                 return self.step
             if isinstance(self.step, Wait):
                 self.clock.advance(max(0.0, self.step.until - self.clock.now()))
+            elif isinstance(self.step, Sleep):
+                self.clock.advance(self.step.seconds)
             self.resume()
         raise AssertionError(f"no {kind.__name__} within 50 steps")
 
+    def report(self, load, *attempts):
+        """Record a load report of all upstreams but those of the given attempts."""
+        tried = {attempt.upstream.id for attempt in attempts}
+        for one in self.known.by_id.values():
+            if one.id not in tried:
+                one.stats.record_load_report(load, self.clock.now())
+
+    def hold(self, polls=1):
+        """Hold the call until it has checked for capacity `polls` times more."""
+        for _ in range(polls):
+            self.clock.advance(self.run_until(Sleep).seconds)
+            self.resume()
+
     def start(self):
         """Run until the call is sent; return the attempt."""
         attempt = CallAttempt(self.run_until(Send).estimate, self.clock.now())
@@ -164,3 +183,87 @@
             driver.run_until(Wait)
             driver.resume()
     assert end.value.value is failed
+
+
+@pytest.mark.parametrize("ending", sorted(PROVEN_NOT_RUN, key=str))
+def test_a_call_that_did_not_run_is_held_for_capacity_when_it_is_sent_again(ending):
+    # It was refused at once, although a new call would have waited for the other upstream.
+    driver = CallDriver(upstreams=2, idempotent=False)
+    first = driver.start()
+    driver.report(FULL, first)
+    assert driver.end(first, ending) is None
+    driver.hold()
+    assert driver.call.retry_tokens == 0, "no retry budget is spent while it is held"
+    driver.report(FREE, first)
+    second = driver.start()
+    assert second.upstream is not first.upstream and driver.call.retry_tokens == 1
+    assert driver.end(second, Ending.ANSWERED, 200) is second
+
+
+def test_a_call_that_did_not_run_is_held_no_longer_than_a_new_one():
+    driver = CallDriver(upstreams=4)
+    max_hold = HOLD_SHARE * driver.call.route.target_latency
+    driver.report(FULL)
+    driver.hold(3)
+    driver.report(FREE)
+    first = driver.start()
+    driver.clock.advance(0.2)
+    driver.report(FULL, first)
+    started = driver.clock.now()
+    driver.end(first, Ending.NOT_RUN)
+    with pytest.raises(Refusal) as refused:
+        driver.run_until(Send)
+    assert refused.value.reason is Reason.UPSTREAM_SHED
+    held = driver.clock.now() - started
+    assert 0.0 < held <= max_hold + HOLD_POLL_INTERVAL - 3 * HOLD_POLL_INTERVAL
+
+
+def test_the_holds_of_a_call_together_last_no_longer_than_that_of_a_new_one():
+    driver = CallDriver(upstreams=4)
+    attempts, start = [], driver.clock.now()
+    for _ in range(3):
+        driver.report(FREE, *attempts)
+        attempts.append(driver.start())
+        driver.report(FULL, *attempts)
+        driver.end(attempts[-1], Ending.NOT_RUN)
+        driver.hold(2)
+    with pytest.raises(Refusal):
+        driver.run_until(Send)
+    max_hold = HOLD_SHARE * driver.call.route.target_latency
+    assert driver.clock.now() - start <= max_hold + HOLD_POLL_INTERVAL
+
+
+def test_a_call_that_may_have_run_is_not_held_when_it_is_sent_again():
+    driver = CallDriver(upstreams=2)
+    first = driver.start()
+    driver.report(FULL, first)
+    started = driver.clock.now()
+    with pytest.raises(Refusal) as refused:
+        driver.end(first, Ending.BROKEN)
+        driver.run_until(Send)
+    assert refused.value.status == 502 and driver.clock.now() == started
+
+
+def test_a_held_retry_is_refused_as_not_run_when_the_daemon_stops():
+    driver = CallDriver(upstreams=2)
+    first = driver.start()
+    driver.report(FULL, first)
+    driver.end(first, Ending.NOT_RUN)
+    driver.dispatch.stop_at = driver.clock.now() + HOLD_POLL_INTERVAL
+    driver.hold()
+    driver.report(FREE, first)
+    with pytest.raises(Refusal) as refused:
+        driver.run_until(Send)
+    assert refused.value.reason is Reason.STOPPING and refused.value.status == 503
+
+
+def test_a_retry_is_not_held_up_to_its_deadline():
+    driver = CallDriver(upstreams=2)
+    first = driver.start()
+    driver.report(FULL, first)
+    driver.call.deadline = driver.clock.now() + MIN_ATTEMPT_TIME + HOLD_POLL_INTERVAL
+    driver.end(first, Ending.NOT_RUN)
+    with pytest.raises(Refusal) as refused:
+        driver.run_until(Send)
+    assert refused.value.reason is Reason.UPSTREAM_SHED
+    assert driver.clock.now() < driver.call.deadline
