Pass over upstreams to which no connection is free

Calls were refused late with "no attempt left" though another upstream could have taken them: attempts found "All 8 connections are in use", sent nothing, and used up the four attempts of the call.

Cause: the choice did not know the connection pool. Now SendPolicy asks it (Connector.has_free, through the abstract FreeConnections) before and after the health checks; such an upstream is passed over as `no-connection`. If no upstream can be chosen and only connections to some are lacking, the call is held as for capacity, then refused with `queue-full`. Another call may still take the last connection after the choice: such an attempt does not count against MAX_SENDS, and the upstream may be chosen again. All attempts together are limited to 16.

--- a/sequoiabridge/balancing/call.py
+++ b/sequoiabridge/balancing/call.py
@@ -55,6 +55,7 @@
         load: Load report in the answer, or None.
         wrong_upstream: Whether another upstream answered at the address.
         via: VM of the peer through which it was sent, "" if it was sent directly.
+        lacked_connection: Whether it was not sent since this VM had no free connection.
         connection_failed: Whether its connection failed before any answer, which may be the path's
             fault; another part decides whether it counts as a failure of the upstream.
         next_check_at: Time of the next check whether to hedge the attempt.
@@ -75,6 +76,7 @@
         "load",
         "wrong_upstream",
         "via",
+        "lacked_connection",
         "connection_failed",
         "next_check_at",
     )
@@ -94,6 +96,7 @@
         self.load: UpstreamLoad | None = None
         self.wrong_upstream = False
         self.via = ""
+        self.lacked_connection = False
         self.connection_failed = False
         self.next_check_at = 0.0
 
@@ -223,4 +226,9 @@
     @property
     def tried_ids(self) -> set[str]:
         """Return the ids of the upstreams that the call was sent to."""
-        return {one.upstream.id for one in self.attempts}
+        return {one.upstream.id for one in self.attempts if not one.lacked_connection}
+
+    @property
+    def tried_count(self) -> int:
+        """Return the number of attempts, without those for which no connection was free."""
+        return sum(not one.lacked_connection for one in self.attempts)
--- a/sequoiabridge/balancing/chooser.py
+++ b/sequoiabridge/balancing/chooser.py
@@ -95,9 +95,13 @@
         hold_until = call.arrived + call.body_seconds + self._max_hold(call)
         best = yield from self.choose_with_capacity(call)
         if not call.prior_wait:
-            no_capacity = best is not None and self.lacks_capacity(call, best)
+            no_capacity = self._lacks_connections(call, best) or (
+                best is not None and self.lacks_capacity(call, best)
+            )
             self.overload.record(call.service, no_capacity, self.clock.now())
         best = yield from self._hold(call, best, hold_until)
+        if self._lacks_connections(call, best):
+            raise overloaded(call)
         if best is None:
             later = self._chosen_later(call)
             if not later:
@@ -208,7 +212,7 @@
 
     def _is_still_usable(self, call: Call, upstream: Upstream) -> bool:
         """Return whether nothing has excluded an upstream while it was probed."""
-        reason = self.policy.exclusion(upstream)
+        reason = self.policy.why_not_now(upstream)
         if reason is not None:
             self._exclude(call, upstream, reason)
         return reason is None
@@ -220,12 +224,12 @@
     def refusal_while_excluded(self, call: Call) -> Refusal | None:
         """Return the refusal of a call while all upstreams rest or have used up their limits.
 
-        None if one of them can be chosen now, or none later.
+        None if one of them can be chosen now or lacks a connection only, or none later.
         """
         later = self._chosen_later(call)
         candidates = self.candidates.for_service(call.service).all
         is_any_usable = any(
-            self.policy.why_not(upstream, call.route.priority) is None
+            self.policy.why_not(upstream, call.route.priority) in (None, Exclusion.NO_CONNECTION)
             for upstream in candidates + self._unlimited_spare(call)
         )
         return self._refusal(call, later) if later and not is_any_usable else None
@@ -262,9 +266,9 @@
     ) -> float:
         """Return the seconds after which a held call chooses again, 0.0 if the hold ends."""
         now = self.clock.now()
-        if best is not None:
-            is_held = self.lacks_capacity(call, best) and now < hold_until
-            return HOLD_POLL_INTERVAL if is_held else 0.0
+        if best is not None or self._lacks_connections(call, best):
+            no_capacity = best is None or self.lacks_capacity(call, best)
+            return HOLD_POLL_INTERVAL if no_capacity and now < hold_until else 0.0
         tried_ids = call.tried_ids
         later = [upstream for upstream in self._chosen_later(call) if upstream.id not in tried_ids]
         if not later:
@@ -272,6 +276,10 @@
         seconds = max(HOLD_POLL_INTERVAL, self._wait(call, later))
         return seconds if now + seconds < hold_until else 0.0
 
+    def _lacks_connections(self, call: Call, best: CostEstimate | None) -> bool:
+        """Return whether nothing was chosen, and only connections to some upstream were lacking."""
+        return best is None and Exclusion.NO_CONNECTION.value in call.excluded.values()
+
     def _chosen_later(self, call: Call) -> list[Upstream]:
         """Return the candidates of the call's service that rest or have a limit."""
         candidates = self.candidates.for_service(call.service).all
--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -23,6 +23,10 @@
 """Maximum number of attempts per call, including those that upstreams refused. When four have no
 capacity the service has none, and a later try of the caller does better."""
 
+MAX_ATTEMPTS = 16
+"""Maximum number of attempts per call, including those for which no connection was free. Such an
+attempt lost the last connection to another call after the choice, so there are few."""
+
 POLL_INTERVAL = 0.5
 """Seconds between checks whether the upstream of an open attempt has restarted or the daemon stops.
 Without the check, a half-open connection after a network partition would hold the call until its
@@ -182,7 +186,7 @@
             call.note = "it is refused by now"
         elif possible_runs and not call.route.idempotent:
             call.note = "it may have run"
-        elif possible_runs >= call.route.max_attempts or len(call.attempts) >= MAX_SENDS:
+        elif possible_runs >= call.route.max_attempts or has_no_attempt_left(call):
             call.note = "no attempt left"
         elif not call.can_resend:
             call.note = "its body has been forwarded"
@@ -236,6 +240,11 @@
         return budget
 
 
+def has_no_attempt_left(call: Call) -> bool:
+    """Return whether the call has had its maximum number of attempts."""
+    return call.tried_count >= MAX_SENDS or len(call.attempts) >= MAX_ATTEMPTS
+
+
 def until_ended(call: Call, steps: Steps[CostEstimate | None]) -> Steps[CostEstimate | None]:
     """Take the steps of a search for an upstream; return its result.
 
--- a/sequoiabridge/balancing/send_policy.py
+++ b/sequoiabridge/balancing/send_policy.py
@@ -54,6 +54,22 @@
         return None
 
 
+class FreeConnections(ABC):
+    """Knows to which upstreams this VM has a free connection."""
+
+    @abstractmethod
+    def has_free(self, upstream: Upstream) -> bool:
+        """Return whether a call to an upstream would get a connection now."""
+
+
+class UnlimitedConnections(FreeConnections):
+    """Has a free connection to every upstream."""
+
+    def has_free(self, upstream: Upstream) -> bool:
+        """Return True."""
+        return True
+
+
 class SendPolicy:
     """Knows every reason for which a call is not sent, or an upstream gets no call.
 
@@ -63,6 +79,7 @@
     Attributes:
         blocks: Tells which requests are blocked.
         reach: Tells which upstreams can be reached.
+        connections: Tells to which upstreams a connection is free.
         counts: Number of times that an upstream was passed over or a send withheld, by reason.
     """
 
@@ -71,6 +88,7 @@
         self.permits = permits or NoPermits()
         self.blocks: RequestBlocks = NoBlocks()
         self.reach: Reach = FullReach()
+        self.connections: FreeConnections = UnlimitedConnections()
         self.counts: dict[Exclusion, int] = {}
 
     def refusal(self, call: Call) -> Refusal | None:
@@ -100,18 +118,29 @@
             return Exclusion.LAPSED
         return Exclusion.RESTING if upstream.stats.rest.is_active(now) else None
 
+    def why_not_now(self, upstream: Upstream) -> Exclusion | None:
+        """Return why an upstream cannot be chosen now for a call of any kind, None if it can.
+
+        Limits are not considered.
+        """
+        reason = self.exclusion(upstream)
+        if reason is None and not self.connections.has_free(upstream):
+            return Exclusion.NO_CONNECTION
+        return reason
+
     def why_not(self, upstream: Upstream, priority: int) -> Exclusion | None:
         """Return why an upstream cannot be chosen for a call, None if it can.
 
         Args:
             priority: Priority of the call; 0 is the most urgent.
         """
-        reason = self.exclusion(upstream)
-        if reason is not None:
+        reason = self.why_not_now(upstream)
+        if reason not in (None, Exclusion.NO_CONNECTION):
             return reason
-        if upstream.stats.request_limit.rate is None:
-            return None
-        return None if self.permits.may_request(upstream, priority) else Exclusion.LIMIT
+        is_limited = upstream.stats.request_limit.rate is not None
+        if is_limited and not self.permits.may_request(upstream, priority):
+            return Exclusion.LIMIT
+        return reason
 
     def wait(self, upstream: Upstream, priority: int) -> float:
         """Return the seconds until an upstream may be chosen, infinite if that is not known."""
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -43,6 +43,7 @@
 from .relay.decisions import DecisionLog, DecisionLogHandler, LineWriter
 from .relay.departures import Departures
 from .relay.feeds import Follower, Update
+from .relay.free_connections import PooledConnections
 from .relay.members import Members
 from .relay.messages import Hello
 from .relay.notices import Notices
@@ -222,6 +223,7 @@
         bounds, clock = self.settings.bounds, self.clock
         self.retry_limit = RetryLimit(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
         self.send_policy = SendPolicy(clock, self.permits)
+        self.send_policy.connections = PooledConnections(self.connector)
         self.paths = Paths(self)
         self.prober = self._build_prober()
         self.route_stats = RouteStats(self.settings.choice.far_megabyte)
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -108,6 +108,7 @@
         except SendWithheld as error:
             self._set_ending(Ending.WITHHELD, str(error))
         except NoFreeConnection as error:
+            self.lacked_connection = True
             self.policy.count(Exclusion.NO_CONNECTION, self.upstream)
             await self._failed(error)
         except UpstreamFailed as error:
--- a/sequoiabridge/tests/balancing/test_dispatch.py
+++ b/sequoiabridge/tests/balancing/test_dispatch.py
@@ -8,12 +8,14 @@
 from ...balancing.call import PROVEN_NOT_RUN, Call, CallAttempt, Ending
 from ...balancing.candidates import Candidates
 from ...balancing.chooser import HOLD_POLL_INTERVAL, HOLD_SHARE, Chooser
-from ...balancing.dispatch import MIN_ATTEMPT_TIME, Dispatch
+from ...balancing.dispatch import MAX_ATTEMPTS, MAX_SENDS, MIN_ATTEMPT_TIME, Dispatch
+from ...balancing.exclusion import Exclusion
 from ...balancing.hedging import Hedging
 from ...balancing.load import UpstreamLoad
 from ...balancing.retry_budget import RetryBudget, RetryLimit
 from ...balancing.route_stats import RouteStats
 from ...balancing.routes import Route, Target
+from ...balancing.send_policy import FreeConnections
 from ...balancing.steps import CancelAttempt, Probe, Send, Sleep, Wait
 from ...exceptions import Refusal
 from ...outcome import Reason
@@ -37,6 +39,16 @@
         pass
 
 
+class ScriptedConnections(FreeConnections):
+    """Connections to all upstreams but those in `busy` are free."""
+
+    def __init__(self):
+        self.busy = set()
+
+    def has_free(self, upstream):
+        return upstream.id not in self.busy
+
+
 class CallDriver:
     """Performs the steps of one call to a service."""
 
@@ -47,6 +59,7 @@
         self.known.update([record(f"u{n}", born=1) for n in range(upstreams)], [], 1)
         route_stats = RouteStats(0.0)
         chooser = Chooser(Candidates("vm", self.known), route_stats, self.clock, Random(1))
+        self.connections = chooser.policy.connections = ScriptedConnections()
         self.dispatch = Dispatch(
             chooser,
             Hedging(chooser, route_stats, self.clock),
@@ -98,6 +111,14 @@
         self.resume(attempt)
         return attempt
 
+    def lose_connection(self):
+        """Run until the call is sent; find that no connection is free; return the upstream."""
+        attempt = CallAttempt(self.run_until(Send).estimate, self.clock.now())
+        attempt.lacked_connection = True
+        self.resume(attempt)
+        self.end(attempt, Ending.NOT_SENT)
+        return attempt.upstream.id
+
     def end(self, attempt, ending, status=0):
         """End an attempt; return the result of the call, None while it has none."""
         attempt.ending, attempt.status, attempt.ended_at = ending, status, self.clock.now()
@@ -267,3 +288,79 @@
         driver.run_until(Send)
     assert refused.value.reason is Reason.UPSTREAM_SHED
     assert driver.clock.now() < driver.call.deadline
+
+
+def test_an_upstream_to_which_no_connection_is_free_is_passed_over():
+    # It was chosen all the same; four such upstreams used up the attempts of a call.
+    driver = CallDriver(upstreams=6)
+    driver.connections.busy = {"u0", "u1", "u2", "u3", "u4"}
+    first = driver.start()
+    assert first.upstream.id == "u5"
+    assert driver.call.excluded == dict.fromkeys(
+        sorted(driver.connections.busy), Exclusion.NO_CONNECTION.value
+    )
+    with pytest.raises(Refusal):
+        driver.end(first, Ending.NOT_RUN)
+        driver.run_until(Send)
+
+
+def test_an_upstream_that_loses_its_last_connection_during_the_health_checks_is_passed_over():
+    driver = CallDriver(upstreams=2)
+    assert isinstance(driver.step, Probe)
+    driver.connections.busy = {"u0"}
+    assert driver.start().upstream.id == "u1"
+
+
+def test_a_call_is_held_until_a_connection_is_free():
+    driver = CallDriver(upstreams=2)
+    driver.connections.busy = {"u0", "u1"}
+    driver.hold(2)
+    driver.connections.busy = {"u0"}
+    assert driver.start().upstream.id == "u1"
+
+
+def test_a_call_is_refused_after_a_short_hold_while_no_connection_is_free():
+    # Calls were refused up to seconds after their arrival.
+    driver = CallDriver(upstreams=6)
+    driver.connections.busy = set(driver.known.by_id)
+    with pytest.raises(Refusal) as refused:
+        driver.run_until(Send)
+    assert refused.value.reason is Reason.QUEUE_FULL and not driver.call.attempts
+    held = driver.clock.now() - driver.call.arrived
+    assert 0.0 < held <= HOLD_SHARE * driver.call.route.target_latency + HOLD_POLL_INTERVAL
+
+
+def test_a_call_of_which_one_upstream_rests_is_held_for_a_connection_to_the_other():
+    driver = CallDriver(upstreams=2)
+    driver.known.by_id["u0"].stats.rest.ask(3.0, driver.clock.now())
+    driver.connections.busy = {"u1"}
+    driver.hold(2)
+    driver.connections.busy = set()
+    assert driver.start().upstream.id == "u1"
+
+
+def test_attempts_that_find_no_connection_do_not_use_up_those_of_the_call():
+    driver = CallDriver(upstreams=8)
+    for _ in range(MAX_SENDS + 1):
+        driver.connections.busy.add(driver.lose_connection())
+    last = driver.start()
+    assert last.upstream.id not in driver.connections.busy
+    assert driver.end(last, Ending.ANSWERED, 200) is last
+
+
+def test_a_call_that_lost_a_connection_is_held_for_the_only_upstream():
+    driver = CallDriver(upstreams=1, idempotent=False)
+    driver.connections.busy.add(driver.lose_connection())
+    driver.hold(2)
+    driver.connections.busy.clear()
+    second = driver.start()
+    assert driver.end(second, Ending.ANSWERED, 200) is second
+    assert not driver.call.retry_tokens
+
+
+def test_a_call_that_finds_no_connection_again_and_again_ends():
+    driver = CallDriver(upstreams=1)
+    with pytest.raises(Refusal) as refused:
+        for _ in range(MAX_ATTEMPTS + 1):
+            driver.lose_connection()
+    assert refused.value.status == 503 and len(driver.call.attempts) == MAX_ATTEMPTS
--- a/sequoiabridge/tests/pipeline/fakes.py
+++ b/sequoiabridge/tests/pipeline/fakes.py
@@ -109,6 +109,9 @@
         self.connections.append(connection)
         return connection
 
+    def has_free(self, address):
+        return True
+
     async def release(self, connection):
         return None
 
--- a/sequoiabridge/tests/upstreams/test_connections.py
+++ b/sequoiabridge/tests/upstreams/test_connections.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 
-from ...exceptions import UpstreamFailed
+from ...exceptions import NoFreeConnection, UpstreamFailed
 from ...pipeline.exchange import Body
 from .scripted import HELLO, answer_hello, answer_with, call, get, run_against
 
@@ -84,6 +84,22 @@
     run_against(answer_with(answer), test, max_head=8192)
 
 
+def test_a_connection_is_free_while_one_is_idle_or_the_share_has_room():
+    async def test(connector, address, connections):
+        assert connector.has_free(address)
+        connector.set_share(address, 2)
+        first, second = await acquire(connector, address), await acquire(connector, address)
+        assert not connector.has_free(address)
+        with pytest.raises(NoFreeConnection):
+            await acquire(connector, address)
+        await call(first)
+        assert connector.has_free(address)
+        await connector.release(second)
+        assert connector.has_free(address)
+
+    run_against(answer_hello, test)
+
+
 def test_connection_with_bytes_after_the_answer_is_not_reused():
     async def test(connector, address, connections):
         await call(await acquire(connector, address))
--- a/sequoiabridge/tests/upstreams/test_fetch.py
+++ b/sequoiabridge/tests/upstreams/test_fetch.py
@@ -26,6 +26,9 @@
     async def acquire(self, address, *, fresh, timeout):
         return self
 
+    def has_free(self, address):
+        return True
+
     async def release(self, connection):
         pass
 
--- a/sequoiabridge/upstreams/base.py
+++ b/sequoiabridge/upstreams/base.py
@@ -103,6 +103,10 @@
             UpstreamFailed: It could not be opened, or the share is in use; `sent` is false.
         """
 
+    @abstractmethod
+    def has_free(self, address: str) -> bool:
+        """Return whether the share leaves a connection to `address` for another `acquire`."""
+
     @abstractmethod
     async def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool; it is closed if it cannot be reused."""
--- a/sequoiabridge/upstreams/connections.py
+++ b/sequoiabridge/upstreams/connections.py
@@ -124,6 +124,10 @@
             raise NoFreeConnection(message, sent=False)
         return HttpConnection(self, await self._open(pool, address, timeout))
 
+    def has_free(self, address: str) -> bool:
+        pool = self.pools.get(address)
+        return pool is None or bool(pool.idle) or pool.count < pool.share
+
     async def release(self, connection: UpstreamConnection) -> None:
         await connection.release()
 
