--- a/sequoiabridge/lateness.py
+++ b/sequoiabridge/lateness.py
@@ -8,8 +8,8 @@
 """Seconds for which a delay counts as recent."""
 
 MAX_DELAY = 0.3
-"""Delay in seconds from which a process counts as late. An answer takes some turns of the event loop,
-so then about a second."""
+"""Delay in seconds from which a process counts as late. An answer takes some turns of the event
+loop, so then about a second."""
 
 
 class Lateness:
