--- a/sequoiabridge/tests/platform/environment.py
+++ b/sequoiabridge/tests/platform/environment.py
@@ -253,5 +253,7 @@
         if configured:
             await env.wait_until_ready()
         await curio.timeout_after(25, test, env)
+        # The event loop takes no new tasks while it ends, and calls that are cancelled start some.
+        await env.gateway.callers.end_connections()
 
     curio.run(main, selector=LazySelector())
--- a/sequoiabridge/tests/platform/soak/crash_soak.py
+++ b/sequoiabridge/tests/platform/soak/crash_soak.py
@@ -8,9 +8,10 @@
 
 from ..environment import Connection
 from .crashes import count_crashes, wrong_blocks
-from .deployment import Daemon, UpstreamProcess
+from .deployment import Daemon
 from .record import APPROVE, READ
 from .soak import MAX_LOSS, Soak
+from .upstream_control import UpstreamProcess
 
 CRASH_PATH = "/read/crashing"
 
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -1,7 +1,5 @@
 """The soak's deployment: daemon processes, and an emulated store and upstreams behind proxies."""
 
-import json
-import os
 import signal
 import subprocess
 import sys
@@ -15,13 +13,14 @@
 from ..environment import SETTINGS, Connection, document, route
 from ..ports import free_port
 from ..store_emulator import StoreEmulator
-from ..upstream_emulator import UpstreamEmulator, UpstreamFaults
+from ..upstream_emulator import UpstreamFaults
 from .ends import GRACE
 from .faulty_gateway import LOSS_SUFFIX, UNREACHABLE_SUFFIX, UPSTREAMS_AT
 from .path_proxy import UPSTREAM_HOST, PathProxy, daemon_host
 from .proxy import Proxy
 from .record import Record, read_daemon_log, read_upstream_log
 from .repeats import RETRY_RATIO, RETRY_WINDOW
+from .upstream_control import UpstreamProcess, signal_process
 
 READY_TIMEOUT = 15.0
 """Seconds within which a started daemon should be ready."""
@@ -33,12 +32,6 @@
 """Seconds between checks whether a daemon has ended and must be restarted."""
 
 
-def signal_process(process: subprocess.Popen, number: int) -> None:
-    """Send a signal to a process if it runs."""
-    if process.poll() is None:
-        os.kill(process.pid, number)
-
-
 class Daemon:
     """A daemon process, its settings, and the proxy for its connections to the store."""
 
@@ -117,77 +110,6 @@
         self.process.wait()
 
 
-class UpstreamProcess(UpstreamEmulator):
-    """Describes an upstream that runs as a process, and controls that process."""
-
-    def __init__(self, log: Path, **more):
-        super().__init__(**more)
-        self.log = log
-        self.process: subprocess.Popen | None = None
-        self.uses_proxy = True
-        self.is_restarting = False
-        self.proxy: Proxy | None = None
-        self.seed = more["seed"]
-
-    async def start(self) -> None:
-        """Start the process as a new lifetime of the upstream and point the proxy at it."""
-        command = [sys.executable, "-m", "sequoiabridge.tests.platform.soak.upstream_process"]
-        options = {
-            "id": self.id,
-            "service": self.service,
-            "data-centre": self.data_centre,
-            "log": self.log,
-            # A port that the system picks may be one that another run's proxy still connects to.
-            "port": free_port(),
-            "seconds": self.processing_time,
-            "seed": self.seed,
-            "slots": self.slots,
-        }
-        for name, value in options.items():
-            command += [f"--{name}", str(value)]
-        self.process = subprocess.Popen(
-            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
-        )
-        self.born = int(time.time() * 1000)
-        address = (await curio.run_in_thread(self.process.stdout.readline)).strip()
-        if not address:
-            return  # It has been killed meanwhile.
-        self.proxy.target = address
-        if not self.uses_proxy:
-            self.address = self.proxy.target
-
-    def set(self, **values) -> None:
-        """Set faults of the upstream, or whether it is draining."""
-        for name, value in values.items():
-            setattr(self if name == "draining" else self.faults, name, value)
-        if self.process.poll() is not None:
-            return
-        try:
-            self.process.stdin.write(json.dumps(values) + "\n")
-            self.process.stdin.flush()
-        except BrokenPipeError:
-            return  # It has been killed meanwhile.
-
-    def find_target(self) -> str:
-        """Return the address of the process, "" while it does not run."""
-        if self.process is None or self.process.poll() is not None:
-            return ""
-        return self.proxy.target
-
-    def signal(self, number: int) -> None:
-        """Send a signal to the process if it runs."""
-        signal_process(self.process, number)
-
-    async def crash(self) -> None:
-        """Kill the process."""
-        self.kill()
-
-    def kill(self) -> None:
-        """Kill the process and wait for its end."""
-        self.signal(signal.SIGKILL)
-        self.process.wait()
-
-
 class Deployment:
     """Store, upstreams, daemons and proxies; `close` stops the processes.
 
--- a/sequoiabridge/tests/platform/soak/soak.py
+++ b/sequoiabridge/tests/platform/soak/soak.py
@@ -9,12 +9,13 @@
 import curio
 
 from ..environment import Connection
-from .deployment import Daemon, Deployment, signal_process
+from .deployment import Daemon, Deployment
 from .limits import worst_limits
 from .oracle import find_violations
 from .proxy import LinkFault
 from .record import APPROVE, LONG, MARK, READ, UPLOAD, CallRecord
 from .repeats import worst_repeats
+from .upstream_control import signal_process
 
 FAULT_FREE_SECONDS = 6.0
 """Seconds without new faults at the end of a run."""
--- a/sequoiabridge/tests/platform/soak/stop_soak.py
+++ b/sequoiabridge/tests/platform/soak/stop_soak.py
@@ -124,7 +124,7 @@
         self, connection: Connection, daemon: Daemon, random: Random, kind: str, work: float
     ) -> bool:
         """Make one call, with some seconds of work if it is long."""
-        target = f"/{kind}/work-{int(1000 * work)}ms" if TIMEOUTS[kind] > 1.0 else f"/{kind}/x"
+        target = f"/{kind}/takes-{int(1000 * work)}ms" if TIMEOUTS[kind] > 1.0 else f"/{kind}/x"
         self.call_count += 1
         call = CallRecord(f"s{self.seed}-{self.call_count}", kind, daemon.name, self.now(), target)
         call.timeout = TIMEOUTS[kind]
--- a/sequoiabridge/tests/platform/upstream_emulator.py
+++ b/sequoiabridge/tests/platform/upstream_emulator.py
@@ -17,7 +17,7 @@
 LONG_PATH = "/long/"
 """Path prefix of calls that take long."""
 
-TIMED_TARGET = re.compile(r"/work-(\d+)ms$")
+TIMED_TARGET = re.compile(r"/takes-(\d+)ms$")
 """Target of a call that names its work in milliseconds."""
 
 MIN_LONG_SHARE = 0.7
