--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -39,7 +39,7 @@
 
 
 STOP_POLL_INTERVAL = 0.1
-"""The same in a stop, since `stop_at` may be set to an earlier time."""
+"""Seconds between these checks in a stop, since `stop_at` may be set to an earlier time."""
 
 OUT_OF_TIME = frozenset({Reason.TIMEOUT, Reason.STOPPING})
 """Reasons of refusals that go behind a failure answer of an upstream."""
@@ -48,8 +48,8 @@
 """Multiple of its expected duration that an attempt must have left before the daemon stops."""
 
 STOP_FACTOR_RUN_ONCE = 2.0
-"""The same for calls that are not idempotent. Work takes up to twice as long as expected, and their
-callers must not send them again if the stop breaks them off."""
+"""The same multiple for calls that are not idempotent. Work takes up to twice as long as expected,
+and their callers must not send them again if the stop breaks them off."""
 
 
 class Dispatch(Component):
