--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -380,7 +380,7 @@
 
     def __init__(self, folder, name, store, zone="zone-a", first=True):
         self.name = name
-        self.folder = folder
+        self.zone = zone
         self.front, self.ready = free_port(), free_port()
         self.first_port, self.last_port = free_port(), free_port()
         self.settings = Path(folder) / f"{name}.ini"
@@ -457,9 +457,9 @@
         self.idle = []
         self.answers = {}
 
-    async def call(self, id, path, method="POST", body=b"x", deadline_ms=1000):
+    async def call(self, id, path, method="POST", body=b"x", deadline_ms=1000, at=""):
         """Make one request; return its status, 0 without an answer."""
-        self.record.add("sent", id=id, path=path)
+        self.record.add("sent", id=id, path=path, at=at)
         status, why, reader, writer = 0, "", None, None
         try:
             if self.idle:
