--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -44,10 +45,16 @@
 
 
 def free_port():
-    """Return a free port, for TCP and UDP."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that is free for TCP and UDP, below those that the system picks itself."""
+    while True:
+        port = random.randrange(15_000, 32_000)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return port
 
 
 class Record:
