--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -409,8 +409,8 @@
         )
         self.settings.write_text(text)
 
-    def start(self):
-        """Start the process."""
+    def start(self, unread_stderr=False):
+        """Start the process; its output goes to a file, its errors too or to a pipe unread."""
         deploy = (REPOSITORY / "deploy" / "system.toml").read_text()
         run = next(line for line in deploy.splitlines() if line.startswith("run = "))
         words = run.partition('"')[2].rstrip('"').split()
@@ -418,8 +418,9 @@
         environment["PYTHONPATH"] = str(REPOSITORY / "target" / "deps")
         environment["SEQUOIABRIDGE_CONFIG"] = str(self.settings)
         with open(self.log, "ab") as log:
+            errors = subprocess.PIPE if unread_stderr else log
             self.process = subprocess.Popen(
-                words, cwd=REPOSITORY, env=environment, stdout=log, stderr=log
+                words, cwd=REPOSITORY, env=environment, stdout=log, stderr=errors
             )
 
     def signal(self, number):
