--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -484,6 +484,10 @@
             if answer is not None:
                 status = answer.status
                 why = answer.body[:90].decode("latin-1").strip() if status != 200 else ""
+        except asyncio.CancelledError:  # The requester leaves.
+            if writer is not None:
+                writer.close()
+            raise
         except (OSError, TimeoutError) as error:
             why = repr(error)
         if status and answer.headers.get("connection") != "close":
