--- a/review/6/run.py
+++ b/review/6/run.py
@@ -172,7 +172,7 @@
     folder = tempfile.mkdtemp(prefix="review-6-")
     try:
         if not await case.start(folder):
-            finish(2, "a daemon is not ready")
+            raise RuntimeError("a daemon is not ready")
         case.record.began += (passed := case.record.now())
         case.acks = [ack - passed for ack in case.acks]
         disturbing = asyncio.create_task(case.disturb())
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -16,6 +16,9 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
+# A case that is stopped from outside still ends its daemons.
+signal.signal(signal.SIGTERM, signal.default_int_handler)
+
 REPOSITORY = Path(__file__).resolve().parents[2]
 HOST = "reviewed.example"
 
