Test crowds of callers that stop short against one daemon on a small machine

What callers saw: a crowd of clients that we do not control ended a process, which ran out of memory; ordinary callers got no answer.

These tests start the daemons as processes on a machine that the settings make small (64 MB and 400 descriptors; 128 MB for the fleets' daemon), let a crowd come, and check that the process lives, that memory and descriptors stay within the machine, and that an ordinary request is answered while the crowd stays.

The settings name the machine's memory and descriptors so that tests can lower them; nothing uses them yet.

--- a/sequoiabridge/benchmarks/scene.py
+++ b/sequoiabridge/benchmarks/scene.py
@@ -101,8 +101,15 @@
 class Scene:
     """Everything that runs in a trial."""
 
-    def __init__(self, trial: Trial, daemons: int, balancer_lag: str = "1s"):
+    def __init__(
+        self,
+        trial: Trial,
+        daemons: int,
+        balancer_lag: str = "1s",
+        vm_options: dict[str, object] | None = None,
+    ):
         self.trial = trial
+        self.vm_options = vm_options or {}
         self.token = secrets.token_hex(16)
         self.key = secrets.token_hex(32)
         self.balancer_lag = balancer_lag
@@ -153,7 +160,7 @@
         others = [d.fleet for d in self.daemons if d is not daemon][:3]
         platform = self.platform.ready["address"]
         sections = {
-            "vm": {"name": daemon.name, "data_centre": "dc-1"},
+            "vm": {"name": daemon.name, "data_centre": "dc-1", **self.vm_options},
             "callers": {"address": daemon.callers, "balancer_lag": self.balancer_lag},
             "admin": {"address": daemon.admin, "token": self.token},
             "fleet": {"address": daemon.fleet, "seeds": ", ".join(others), "key": self.key},
--- a/sequoiabridge/config/gateway_settings.py
+++ b/sequoiabridge/config/gateway_settings.py
@@ -7,13 +7,14 @@
 
 from .fields import Boolean, Integer, ListOf, Name, Number
 from .ini import read_sections, read_text_file
+from .machine import MachineSection
 from .problem import Invalid, Problem
 from .section import Section
 from .units import Address, Duration
 
 
-class VmSection(Section):
-    """Identity and network link of this VM."""
+class VmSection(MachineSection):
+    """Identity, network link and size of this VM."""
 
     heading = "vm"
 
--- a/sequoiabridge/config/settings.py
+++ b/sequoiabridge/config/settings.py
@@ -10,13 +10,14 @@
 
 from .fields import Choice, Integer, ListOf, Name, Secret
 from .ini import read_file, read_sections
+from .machine import MachineSection
 from .problem import Problem
 from .section import Section
 from .units import Address, Duration, Size, split_address
 
 
-class VmSettings(Section):
-    """Identity of this VM."""
+class VmSettings(MachineSection):
+    """Identity and size of this VM."""
 
     heading = "vm"
 
--- a/sequoiabridge/tests/platform/soak/deployment.py
+++ b/sequoiabridge/tests/platform/soak/deployment.py
@@ -46,6 +46,7 @@
         retry_window: float,
         first_start: bool,
         grace: float,
+        vm_options: str = "",
     ):
         self.name = name
         self.store = store
@@ -69,6 +70,7 @@
         text += f"retry_ratio = {retry_ratio}\ngrace = {grace}s\n"
         if first_start:
             text = text.replace("[listen]", "first_start = true\n[listen]")
+        text = text.replace("[listen]", f"{vm_options}[listen]")
         self.settings.write_text(text.replace("= 10000", f"= {retry_slack}"))
         self.process: subprocess.Popen | None = None
         self.starts = 1
@@ -122,6 +124,7 @@
         limits: Limits of the configuration on callers that differ from the usual ones.
         grace: Seconds between a planned stop and the kill of a daemon.
         slots: Number of calls that an upstream runs at the same time.
+        vm_options: Lines with further options of the daemons' section [vm].
     """
 
     def __init__(self, seed: int, daemons: int, clock):
@@ -151,6 +154,7 @@
         self.limits: dict = {}
         self.grace = GRACE
         self.slots = 2
+        self.vm_options = ""
         self.upstream_count = 0
 
     async def start(self) -> None:
@@ -181,6 +185,7 @@
                 self.retry_window,
                 self.first_start,
                 self.grace,
+                self.vm_options,
             )
             daemon.module, daemon.options = self.daemon_module, list(self.daemon_options)
             self.daemons.append(daemon)
