Bound the memory for the bodies of all callers together

What callers saw: a crowd whose bodies stop one byte short ended the process, which ran out of memory; while a crowd reset and came again, nobody got an answer.

Cause: `buffer_body` keeps up to 1 MiB of each call, a process takes 2,000 connections, and nothing limited the product. Callers that came again were read side by side with those that had left.

Change: a `MemoryBudget` of a quarter of the machine's memory for all ports of a process. A body is reserved before it is read, by its announced length or in steps. A reservation that does not fit evicts callers that have made no progress for a second, the largest first; a byte now and then is no progress. If nobody has stalled, the new request gets 503 at once: nothing of it was sent, so the promise holds, and it costs no reading. A quarter of the budget is open to small requests only. All failures while a body is buffered now say that the request has not run, as 408 promises.

--- a/sequoiabridge/callers/body.py
+++ b/sequoiabridge/callers/body.py
@@ -6,7 +6,7 @@
 from ..exceptions import CallerGone
 from ..outcome import Outcome
 from ..pipeline.exchange import Body
-from .refusals import bad_request, body_too_large, caller_too_slow
+from .refusals import bad_request, body_too_large, caller_stalled, caller_too_slow
 from .transport import CONTINUE, CallerTransport, Phase
 
 MAX_DISCARDED_PIECES = 64
@@ -54,6 +54,12 @@
     def limit(self, size: int) -> None:
         self.max_body = size
 
+    def reserve(self, size: int) -> None:
+        self.transport.holding.reserve(size)
+
+    def release(self, size: int | None = None) -> None:
+        self.transport.holding.release(size)
+
     async def read(self) -> bytes:
         """Return the next piece, or b"" at the end of the body.
 
@@ -108,6 +114,8 @@
         transport = self.transport
         if await transport.receive(Phase.BODY, transport.limits.body_timeout):
             return
+        if transport.evicted:
+            raise caller_stalled(self._outcome())
         if transport.expired:
             raise caller_too_slow("body", self._outcome())
         raise CallerGone("The caller closed the connection before the end of the request's body.")
--- a/sequoiabridge/callers/connection.py
+++ b/sequoiabridge/callers/connection.py
@@ -69,7 +69,7 @@
 
     def __init__(self, server: CallerServer, sock: socket.socket, peer: str):
         self.server = server
-        self.transport = CallerTransport(sock, server.limits, server.clock)
+        self.transport = CallerTransport(sock, server.limits, server.clock, server.memory)
         self.peer = peer
         self.keeps_alive = True
         self.version = HTTP_11
@@ -99,10 +99,12 @@
         except Refusal as refusal:
             return await self._refuse_head(refusal)
         self.server.in_flight += 1
+        self.transport.holding.restart()
         try:
             return await self._exchange(event, head)
         finally:
             self.server.in_flight -= 1
+            self.transport.holding.release()
 
     async def _read_head(self) -> tuple[h11.Request | None, bytes]:
         """Return the next request and its raw head; None if the caller closed or idled."""
@@ -254,6 +256,7 @@
 
     async def _prepare_next(self, body: CallerBody | None = None) -> bool:
         """Return True if the connection can be reused; otherwise drain it and return False."""
+        self.transport.holding.release()
         if self.keeps_alive and (body is None or body.ended):
             return True
         await self.transport.drain()
--- a/sequoiabridge/callers/limits.py
+++ b/sequoiabridge/callers/limits.py
@@ -48,6 +48,10 @@
         self.head_timeout = head_timeout
         self.body_timeout = body_timeout
 
+    def cap_connections(self, count: int) -> None:
+        """Lower the maximum number of open connections to `count`."""
+        self.max_connections = min(self.max_connections, count)
+
     def apply(self, limits: CallLimits) -> None:
         """Apply the limits of a configuration."""
         self.max_head = limits.max_head
--- a/sequoiabridge/callers/refusals.py
+++ b/sequoiabridge/callers/refusals.py
@@ -11,6 +11,9 @@
 RefusalWriter = Callable[[Refusal, str], Answer]
 """Makes the answer for a refusal and a request id."""
 
+NO_MEMORY_RETRY_AFTER = 0.3
+"""Seconds in the Retry-After header when memory is short; stalled callers make room meanwhile."""
+
 MIN_RETRY_AFTER_SECONDS = 1
 """Minimum value of Retry-After, which has a resolution of one second."""
 
@@ -42,6 +45,18 @@
     return Refusal(408, outcome, Reason.CALLER_TOO_SLOW, message)
 
 
+def caller_stalled(outcome: Outcome) -> Refusal:
+    """Return the refusal of a body that stopped coming while others needed what it occupied."""
+    message = "The request's body stopped coming while others waited. Send it without a pause."
+    return Refusal(408, outcome, Reason.CALLER_STALLED, message)
+
+
+def out_of_memory() -> Refusal:
+    """Return the refusal of a request for which there is no memory."""
+    message = "The daemon has no memory left for this request. Try another VM, or come back later."
+    return Refusal(503, Outcome.NOT_RUN, Reason.NO_MEMORY, message, NO_MEMORY_RETRY_AFTER)
+
+
 def body_too_large(limit: int, outcome: Outcome) -> Refusal:
     """Return the refusal of a body of more than `limit` bytes."""
     message = f"The request's body has more than {limit} bytes. Send a smaller one."
--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -16,11 +16,13 @@
 from ..timers import Clock
 from .connection import CallerConnection, encode_unread_answer
 from .limits import CallerLimits
+from .memory import MemoryBudget
 from .refusals import RefusalWriter, refusal_answer, too_many_connections
 from .transport import Phase
 
 log = get_log("callers")
 
+NO_LIMIT = float("inf")
 BACKLOG = 1024
 """Backlog of the listening socket, in connections."""
 SWEEP_INTERVAL = 0.1
@@ -67,6 +69,7 @@
             callers that never half-close and do not support interim answers. Otherwise an interim
             answer is sent to check the connection.
         sweep_interval: Seconds between two checks of all connections.
+        memory: Bounds what is held for all callers; no bound if None.
 
     Attributes:
         address: The bound "IP:port", after `bind`.
@@ -85,7 +88,9 @@
         write_refusal: RefusalWriter = refusal_answer,
         cancel_on_half_close: bool = False,
         sweep_interval: float = SWEEP_INTERVAL,
+        memory: MemoryBudget | None = None,
     ):
+        self.memory = memory or MemoryBudget(NO_LIMIT, clock)
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -212,6 +217,7 @@
             "accepted": self.accepted_count,
             "turned_away": self.rejected_count,
             "phases": dict(phases),
+            "memory": self.memory.dump(),
             "limits": {name: getattr(self.limits, name) for name in self.limits.__slots__},
         }
 
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -17,6 +17,7 @@
 from ..timers import Clock
 from ..turns import Turn
 from .limits import CallerLimits
+from .memory import Holder, Holding, MemoryBudget
 
 log = get_log("callers")
 
@@ -46,7 +47,7 @@
     CLOSING = "closing"
 
 
-class CallerTransport:
+class CallerTransport(Holder):
     """Sends and receives the bytes of a caller's connection, with timeouts.
 
     Attributes:
@@ -57,6 +58,8 @@
         received: Buffer of received bytes that are not parsed yet.
         may_send_interim: True while an interim answer may be sent to check the connection.
         turn: Lets other tasks run while the caller sends without a pause.
+        holding: The memory that is held for the caller.
+        evicted: Whether the present wait was ended because others needed what it occupied.
     """
 
     __slots__ = (
@@ -71,9 +74,13 @@
         "expired",
         "may_send_interim",
         "turn",
+        "holding",
+        "evicted",
     )
 
-    def __init__(self, sock: socket.socket, limits: CallerLimits, clock: Clock):
+    def __init__(
+        self, sock: socket.socket, limits: CallerLimits, clock: Clock, budget: MemoryBudget
+    ):
         self.sock = sock
         self.descriptor = Descriptor(sock.fileno())
         self.limits = limits
@@ -85,6 +92,8 @@
         self.expired = False
         self.may_send_interim = False
         self.turn = Turn()
+        self.holding = Holding(budget, self)
+        self.evicted = False
 
     async def receive(self, phase: Phase, timeout: float) -> bool:
         """Receive into the buffer; return False at the end of the stream or on a timeout.
@@ -102,10 +111,12 @@
             try:
                 data = self.sock.recv(READ_SIZE)
             except BlockingIOError:
+                self.holding.begin_wait()
                 await _read_wait(self.descriptor)
                 continue
             except OSError as error:
                 raise CallerGone(f"The connection failed: {error}.") from error
+            self.holding.end_wait(len(data))
             self.enter_handler_phase()
             self.received.feed(data)
             return bool(data)
@@ -157,6 +168,11 @@
         await _io_release(self.descriptor)
         self.sock.close()
 
+    def evict(self) -> None:
+        """End the wait for the caller, since others need what it occupies."""
+        self.evicted = True
+        self.expire_wait(NEVER)
+
     def expire_wait(self, now: float) -> None:
         """End the current wait if its deadline has passed; called by the sweep."""
         if now < self.deadline or (self.phase is Phase.IDLE and self._has_input()):
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -27,6 +27,8 @@
 from .balancing.splitting import Splitter
 from .balancing.upstream import Upstream, UpstreamRecord
 from .callers.limits import CallerLimits
+from .callers.machine import MachineLimits
+from .callers.memory import MemoryBudget
 from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
 from .gateway_crashes import build_crash_parts
@@ -89,6 +91,8 @@
         self.random = Random()
         listen = settings.listen
         self.operators_address = f"{listen.fleet_ip}:{listen.fleet_ports[0]}"
+        self.machine_limits = MachineLimits(settings.vm.memory, settings.vm.descriptors)
+        self.memory = MemoryBudget(self.machine_limits.buffers, self.clock)
         self.counters = Counters()
         self.log_writer = LineWriter()
         self.decisions = DecisionLog(settings.vm.name, self.clock, self.log_writer.write)
@@ -315,6 +319,7 @@
             self.dialect.refusal,
             cancel_on_half_close=True,
             sweep_interval=CALLER_POLL_INTERVAL,
+            memory=self.memory,
         )
         self.ready = CallerServer(
             ReadyHandler(self.readiness),
@@ -322,6 +327,7 @@
             clock,
             self.relay.next_id,
             sweep_interval=SWEEP_INTERVAL,
+            memory=self.memory,
         )
         self.operators = OperatorPort(self.operators_address, self)
 
--- a/sequoiabridge/outcome.py
+++ b/sequoiabridge/outcome.py
@@ -21,6 +21,8 @@
     HEAD_TOO_LARGE = "head-too-large"
     BODY_TOO_LARGE = "body-too-large"
     CALLER_TOO_SLOW = "caller-too-slow"
+    CALLER_STALLED = "caller-stalled"
+    NO_MEMORY = "no-memory"
     NO_SERVICE = "no-service"
     KEY_REQUIRED = "key-required"
     KEY_REUSED = "key-reused"
--- a/sequoiabridge/pipeline/exchange.py
+++ b/sequoiabridge/pipeline/exchange.py
@@ -34,6 +34,9 @@
         open: Return a reader for one attempt to send a request's body.
         is_held: Whether that reader would begin at the first byte.
         limit: Set the maximum size; `read` raises `Refusal` beyond it.
+        reserve: Account for bytes that the reader keeps in memory; raises `Refusal` if there is
+            no room for them.
+        release: Account for the end of that, of some bytes or of all.
         close: Discard the rest; called when the body is no longer needed. May be called twice.
     """
 
@@ -55,6 +58,12 @@
     def limit(self, size: int) -> None:  # noqa: B027
         """Accept at most `size` bytes."""
 
+    def reserve(self, size: int) -> None:  # noqa: B027
+        """Account for `size` bytes that the reader keeps in memory."""
+
+    def release(self, size: int | None = None) -> None:  # noqa: B027
+        """Account for `size` bytes, or all, that are no longer kept."""
+
     async def close(self) -> None:  # noqa: B027
         """Discard the rest of the body."""
 
--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -7,7 +7,8 @@
 import curio
 
 from ..callers.refusals import caller_too_slow
-from ..exceptions import UpstreamFailed
+from ..exceptions import Refusal, UpstreamFailed
+from ..outcome import Outcome
 from ..pipeline.buffering import ReplayableBody
 from ..pipeline.exchange import Body, Request
 
@@ -15,6 +16,9 @@
 """Maximum number of bytes of a request body that are buffered. A longer body is streamed and can be
 sent only once."""
 
+RESERVED_STEP = 64 * 1024
+"""Number of bytes for which memory is reserved at a time if a body's length is not known."""
+
 CHECK_INTERVAL = 0.25
 """Seconds between checks whether it is still of use to wait for a request's body."""
 
@@ -108,7 +112,9 @@
         if not self.prefix_was_read:
             self.prefix_was_read = True
             return body.prefix
-        body.owner, body.prefix = self, b""
+        if body.owner is None:
+            body.owner, body.prefix = self, b""
+            body.rest.release()
         return await body.read()
 
 
@@ -138,7 +144,8 @@
 
     Raises:
         CallerGone: The caller disconnected before the end of the body.
-        Refusal: The body is too large or took too long, or that of `check`.
+        Refusal: The body is too large or took too long, there is no memory for it, or that of
+            `check`. The call has not run.
     """
     body = request.body
     if body is None:
@@ -146,11 +153,17 @@
     body.limit(max_body)
     buffered = bytearray()
     try:
+        announced = request.length or 0
+        body.reserve(min(announced, MAX_BUFFERED_BODY) if announced <= max_body else 0)
         async with curio.timeout_after(max(0.0, timeout)):
-            while len(buffered) <= MAX_BUFFERED_BODY and (chunk := await _read(body, check)):
-                buffered += chunk
+            await _fill(buffered, body, announced, check)
     except curio.TaskTimeout:
+        buffered.clear()
         raise caller_too_slow("body") from None
+    except Refusal as refusal:
+        refusal.outcome = Outcome.NOT_RUN
+        buffered.clear()  # The refusal refers to it until the call has ended.
+        raise
     if len(buffered) > MAX_BUFFERED_BODY:
         request.body = PartlyBufferedBody(bytes(buffered), body)
         return
@@ -158,6 +171,15 @@
     request.length = len(buffered)
 
 
+async def _fill(buffered: bytearray, body: Body, reserved: int, check: Callable[[], None]) -> None:
+    """Buffer a body; reserve memory for what is more than the bytes that are reserved already."""
+    while len(buffered) <= MAX_BUFFERED_BODY and (chunk := await _read(body, check)):
+        while len(buffered) + len(chunk) > reserved:
+            body.reserve(RESERVED_STEP)
+            reserved += RESERVED_STEP
+        buffered += chunk
+
+
 async def _read(body: Body, check: Callable[[], None]) -> bytes:
     """Return the next piece of a body; call `check` regularly until it has come."""
     while True:
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -47,7 +47,12 @@
         """Start listening; a failure is only logged, since calls do not need this port."""
         gateway = self.gateway
         server = CallerServer(
-            self, LIMITS, gateway.clock, gateway.relay.next_id, sweep_interval=SWEEP_INTERVAL
+            self,
+            LIMITS,
+            gateway.clock,
+            gateway.relay.next_id,
+            sweep_interval=SWEEP_INTERVAL,
+            memory=gateway.memory,
         )
         try:
             server.bind(self.address)
