Buffer bodies in blocks, and read less where the end of a message is not known

Cause: each body grew one buffer by reallocation, and the buffers of all calls grew side by side, which fragments the memory. Up to 64 KB were read at once also where a message may end sooner, and what follows it stayed in the input buffer until the message was answered.

Change: bodies are kept in blocks of 64 KB; of heads and chunked bodies 16 KB are read at once, of bodies with a length up to 64 KB but hardly more than the length.

--- a/sequoiabridge/callers/body.py
+++ b/sequoiabridge/callers/body.py
@@ -2,12 +2,12 @@
 
 import h11
 
-from ..codec import body_reader
+from ..codec import READ_SIZE, body_reader
 from ..exceptions import CallerGone
 from ..outcome import Outcome
 from ..pipeline.exchange import Body
 from .refusals import bad_request, body_too_large, caller_stalled, caller_too_slow
-from .transport import CONTINUE, CallerTransport, Phase
+from .transport import CONTINUE, SMALL_READ_BYTES, CallerTransport, Phase
 
 MAX_DISCARDED_PIECES = 64
 """Maximum number of buffered pieces that are parsed to find the end of a body nobody reads."""
@@ -112,7 +112,10 @@
 
     async def _receive(self) -> None:
         transport = self.transport
-        if await transport.receive(Phase.BODY, transport.limits.body_timeout):
+        max_bytes = SMALL_READ_BYTES
+        if self.length is not None:
+            max_bytes = max(max_bytes, min(READ_SIZE, self.length - self.received))
+        if await transport.receive(Phase.BODY, transport.limits.body_timeout, max_bytes):
             return
         if transport.evicted:
             raise caller_stalled(self._outcome())
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -10,7 +10,7 @@
 import curio
 from curio.traps import _io_release, _read_wait, _write_wait
 
-from ..codec import READ_SIZE, InputBuffer
+from ..codec import InputBuffer
 from ..exceptions import CallerGone
 from ..logs import get_log
 from ..selector import Descriptor
@@ -26,6 +26,9 @@
 """Maximum number of input bytes discarded before closing, so that the caller gets its answer."""
 DRAIN_TIMEOUT = 2.0
 """Maximum seconds spent on discarding them."""
+SMALL_READ_BYTES = 16 * 1024
+"""Maximum number of bytes read at once where the end of the present message is not known. What
+follows it stays in the input buffer until the message has been answered."""
 SEND_BUFFER_BYTES = 512 * 1024
 """Size of an enlarged send buffer; systems may allow less."""
 LINGER_RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
@@ -95,9 +98,14 @@
         self.holding = Holding(budget, self)
         self.evicted = False
 
-    async def receive(self, phase: Phase, timeout: float) -> bool:
+    async def receive(
+        self, phase: Phase, timeout: float, max_bytes: int = SMALL_READ_BYTES
+    ) -> bool:
         """Receive into the buffer; return False at the end of the stream or on a timeout.
 
+        Args:
+            max_bytes: Maximum number of bytes to receive.
+
         Raises:
             CallerGone: The connection failed.
         """
@@ -109,7 +117,7 @@
                 # A request that arrives now stays unread, so its caller knows that it did not run.
                 return False
             try:
-                data = self.sock.recv(READ_SIZE)
+                data = self.sock.recv(max_bytes)
             except BlockingIOError:
                 self.holding.begin_wait()
                 await _read_wait(self.descriptor)
--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -16,8 +16,9 @@
 """Maximum number of bytes of a request body that are buffered. A longer body is streamed and can be
 sent only once."""
 
-RESERVED_STEP = 64 * 1024
-"""Number of bytes for which memory is reserved at a time if a body's length is not known."""
+BLOCK_BYTES = 64 * 1024
+"""Size of the blocks in which a body is buffered, and for which memory is reserved if the length is
+not known. One buffer that grows for each call would fragment the memory."""
 
 CHECK_INTERVAL = 0.25
 """Seconds between checks whether it is still of use to wait for a request's body."""
@@ -124,6 +125,38 @@
     return UpstreamFailed(message, sent=sent)
 
 
+class BlockBuffer:
+    """Bytes that are appended in pieces of any size.
+
+    Attributes:
+        size: Number of bytes.
+    """
+
+    __slots__ = ("blocks", "size")
+
+    def __init__(self) -> None:
+        self.blocks: list[bytearray] = []
+        self.size = 0
+
+    def append(self, piece: bytes) -> None:
+        """Append a piece."""
+        if not self.blocks or len(self.blocks[-1]) + len(piece) > BLOCK_BYTES:
+            self.blocks.append(bytearray())
+        self.blocks[-1] += piece
+        self.size += len(piece)
+
+    def take(self) -> bytes:
+        """Return all bytes and forget them."""
+        whole = b"".join(self.blocks)
+        self.clear()
+        return whole
+
+    def clear(self) -> None:
+        """Forget all bytes."""
+        self.blocks.clear()
+        self.size = 0
+
+
 async def drain(body: Body, max_bytes: int) -> None:
     """Read an answer's body, at most about `max_bytes` of it, and close it."""
     size = 0
@@ -151,7 +184,7 @@
     if body is None:
         return
     body.limit(max_body)
-    buffered = bytearray()
+    buffered = BlockBuffer()
     try:
         announced = request.length or 0
         body.reserve(min(announced, MAX_BUFFERED_BODY) if announced <= max_body else 0)
@@ -164,20 +197,22 @@
         refusal.outcome = Outcome.NOT_RUN
         buffered.clear()  # The refusal refers to it until the call has ended.
         raise
-    if len(buffered) > MAX_BUFFERED_BODY:
-        request.body = PartlyBufferedBody(bytes(buffered), body)
+    if buffered.size > MAX_BUFFERED_BODY:
+        request.body = PartlyBufferedBody(buffered.take(), body)
         return
-    request.body = ReplayableBody(bytes(buffered))
-    request.length = len(buffered)
+    request.length = buffered.size
+    request.body = ReplayableBody(buffered.take())
 
 
-async def _fill(buffered: bytearray, body: Body, reserved: int, check: Callable[[], None]) -> None:
+async def _fill(
+    buffered: BlockBuffer, body: Body, reserved: int, check: Callable[[], None]
+) -> None:
     """Buffer a body; reserve memory for what is more than the bytes that are reserved already."""
-    while len(buffered) <= MAX_BUFFERED_BODY and (chunk := await _read(body, check)):
-        while len(buffered) + len(chunk) > reserved:
-            body.reserve(RESERVED_STEP)
-            reserved += RESERVED_STEP
-        buffered += chunk
+    while buffered.size <= MAX_BUFFERED_BODY and (chunk := await _read(body, check)):
+        while buffered.size + len(chunk) > reserved:
+            body.reserve(BLOCK_BYTES)
+            reserved += BLOCK_BYTES
+        buffered.append(chunk)
 
 
 async def _read(body: Body, check: Callable[[], None]) -> bytes:
