Let the limits on connections follow from the machine, and close those that wait

What callers saw: a crowd of open connections took all descriptors of the process (1,665 at all ports where there are 400); with 2,000 of them open, every new caller was refused.

Cause: each port had a fixed limit, and their sum was above what the process may open. At the limit newcomers were refused, however long the open connections had sent nothing.

Change: `MachineLimits` divides the descriptors between the ports (callers, peers, operators, readiness; the rest is for upstreams and stores) and lowers the number of callers' connections to what the memory has room for, with a whole head on each. At the limit a port closes connections that have waited for half a second: those within a head first, then the idle ones, the longest waiting first. If all are busy, the newcomer gets 503 as before. Metrics and a log line for each.

--- a/sequoiabridge/callers/connection.py
+++ b/sequoiabridge/callers/connection.py
@@ -105,6 +105,7 @@
         finally:
             self.server.in_flight -= 1
             self.transport.holding.release()
+            self.transport.holding.restart()
 
     async def _read_head(self) -> tuple[h11.Request | None, bytes]:
         """Return the next request and its raw head; None if the caller closed or idled."""
--- a/sequoiabridge/callers/limits.py
+++ b/sequoiabridge/callers/limits.py
@@ -17,16 +17,20 @@
     Args:
         max_head: Maximum size of a request's head.
         max_body: Maximum size of a request's body, unless the pipeline sets another.
-        max_connections: Maximum number of open connections.
+        max_connections: Maximum number of open connections, if the machine has room for them.
         idle_timeout: Maximum wait for the next request on an open connection.
         head_timeout: Maximum time from the first byte of a request to the end of its head.
         body_timeout: Maximum time without progress while a body is received or an answer is sent.
+
+    Attributes:
+        allowed_connections: Maximum number of open connections on this machine.
     """
 
     __slots__ = (
         "max_head",
         "max_body",
         "max_connections",
+        "allowed_connections",
         "idle_timeout",
         "head_timeout",
         "body_timeout",
@@ -44,13 +48,14 @@
         self.max_head = max_head
         self.max_body = max_body
         self.max_connections = max_connections
+        self.allowed_connections = max_connections
         self.idle_timeout = idle_timeout
         self.head_timeout = head_timeout
         self.body_timeout = body_timeout
 
     def cap_connections(self, count: int) -> None:
-        """Lower the maximum number of open connections to `count`."""
-        self.max_connections = min(self.max_connections, count)
+        """Allow at most `count` open connections, since the machine has no room for more."""
+        self.allowed_connections = max(1, min(self.max_connections, count))
 
     def apply(self, limits: CallLimits) -> None:
         """Apply the limits of a configuration."""
--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -18,7 +18,7 @@
 from .limits import CallerLimits
 from .memory import MemoryBudget
 from .refusals import RefusalWriter, refusal_answer, too_many_connections
-from .transport import Phase
+from .transport import NEVER, Phase
 
 log = get_log("callers")
 
@@ -28,8 +28,13 @@
 SWEEP_INTERVAL = 0.1
 """Seconds between two checks of all connections."""
 MAX_REJECTED_SOCKETS = 64
+REJECTED_SHARE = 1 / 16
 """Maximum number of rejected sockets kept open until the next sweep, so that callers can read the
-answer."""
+answer: a number, and a share of the open connections."""
+ROOM_SHARE = 1 / 16
+"""Share of the connections that are closed at once to make room."""
+ROOM_INTERVAL = 0.1
+"""Minimum seconds between two searches for such connections after one that found none."""
 ACCEPT_RETRY_SECONDS = 0.05
 """Seconds before the next attempt after accepting a connection failed."""
 DISCONNECTED_EVENTS = select.POLLERR | select.POLLHUP
@@ -74,6 +79,8 @@
     Attributes:
         address: The bound "IP:port", after `bind`.
         in_flight: Number of requests whose answer is not complete.
+        closed_waiting_count: Number of waiting connections that were closed to make room.
+        closing_count: Number of these that are still open.
         stopping: True once a planned stop has begun; answers then carry Connection: close.
     """
 
@@ -104,6 +111,9 @@
         self.rejected_sockets: deque[socket.socket] = deque()
         self.in_flight = 0
         self.accepted_count = 0
+        self.closed_waiting_count = 0
+        self.closing_count = 0
+        self.next_room_search = 0.0
         self.rejected_count = 0
         self.stopping = False
         self.listener_closed = False
@@ -216,6 +226,7 @@
             "in_flight": self.in_flight,
             "accepted": self.accepted_count,
             "turned_away": self.rejected_count,
+            "closed_waiting": self.closed_waiting_count,
             "phases": dict(phases),
             "memory": self.memory.dump(),
             "limits": {name: getattr(self.limits, name) for name in self.limits.__slots__},
@@ -257,7 +268,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.accepted_count += 1
-        if self.connections >= self.limits.max_connections:
+        if not self._has_room():
             self._reject_connection(sock)
             return True
         connection = CallerConnection(self, sock, f"{peer[0]}:{peer[1]}")
@@ -270,6 +281,33 @@
             await connection.run()
         finally:
             self.open_connections.discard(connection)
+            self.closing_count -= connection.transport.makes_room
+
+    def _has_room(self) -> bool:
+        """Return whether another connection may be opened, also once others have been closed.
+
+        Of the connections that wait for a request, those in the middle of a head are closed first,
+        then those that are idle, the longest waiting first.
+        """
+        limit = self.limits.allowed_connections
+        if self.connections - self.closing_count < limit:
+            return True
+        count, now = max(1, int(limit * ROOM_SHARE)), self.clock.now()
+        if self.closing_count >= count or now < self.next_room_search:
+            return False
+        waiting = [c.transport for c in self.open_connections if c.transport.may_make_room]
+        if not waiting:
+            self.next_room_search = now + ROOM_INTERVAL
+            return False
+        waiting.sort(key=lambda t: (t.phase is Phase.IDLE, -t.holding.stalled_seconds()))
+        closed = waiting[:count]
+        for transport in closed:
+            transport.makes_room = True
+            transport.expire_wait(NEVER)
+        self.closing_count += len(closed)
+        self.closed_waiting_count += len(closed)
+        log.info("Closed %d waiting connections, since %d are open.", len(closed), limit)
+        return True
 
     def _reject_connection(self, sock: socket.socket) -> None:
         """Send a refusal on a connection beyond the limit; the next sweep closes the socket."""
@@ -280,6 +318,8 @@
             sock.shutdown(socket.SHUT_WR)
         except OSError as error:
             log.debug("Cannot send a refusal to a caller: %s.", error)
+        log.info("Refused a connection, since %d are open.", self.connections)
         self.rejected_sockets.append(sock)
-        if len(self.rejected_sockets) > MAX_REJECTED_SOCKETS:
+        share = int(self.limits.allowed_connections * REJECTED_SHARE)
+        if len(self.rejected_sockets) > min(MAX_REJECTED_SOCKETS, share):
             self.rejected_sockets.popleft().close()
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -22,6 +22,8 @@
 log = get_log("callers")
 
 NEVER = float("inf")
+MIN_WAIT_SECONDS = 0.5
+"""Seconds of waiting for a request after which a connection may be closed to make room."""
 MAX_DRAIN_BYTES = 256 * 1024
 """Maximum number of input bytes discarded before closing, so that the caller gets its answer."""
 DRAIN_TIMEOUT = 2.0
@@ -63,6 +65,7 @@
         turn: Lets other tasks run while the caller sends without a pause.
         holding: The memory that is held for the caller.
         evicted: Whether the present wait was ended because others needed what it occupied.
+        makes_room: Whether the connection is being closed to make room for another.
     """
 
     __slots__ = (
@@ -79,6 +82,7 @@
         "turn",
         "holding",
         "evicted",
+        "makes_room",
     )
 
     def __init__(
@@ -97,6 +101,13 @@
         self.turn = Turn()
         self.holding = Holding(budget, self)
         self.evicted = False
+        self.makes_room = False
+
+    @property
+    def may_make_room(self) -> bool:
+        """Whether the connection waits for a request, for so long that it may be closed."""
+        is_waiting = self.phase in (Phase.IDLE, Phase.HEAD) and not self.expired
+        return is_waiting and self.holding.stalled_seconds() >= MIN_WAIT_SECONDS
 
     async def receive(
         self, phase: Phase, timeout: float, max_bytes: int = SMALL_READ_BYTES
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -55,7 +55,7 @@
 from .relay.peer_feeds import PeerReader
 from .relay.permits import Permits
 from .relay.probing import Prober
-from .relay.readiness import READY_LIMITS, SWEEP_INTERVAL, Readiness, ReadyHandler
+from .relay.readiness import MAX_READINESS_CONNECTIONS, SWEEP_INTERVAL, Readiness, ReadyHandler
 from .relay.relay import Relay
 from .relay.reloading import SettingsReloader
 from .relay.request_limits import RequestLimits
@@ -311,6 +311,9 @@
         """Build the servers of the callers', the readiness and the operators' ports."""
         clock = self.clock
         self.caller_limits = CallerLimits()
+        self.machine_limits.cap_connections(self.caller_limits)
+        ready_limits = CallerLimits(max_connections=MAX_READINESS_CONNECTIONS)
+        self.machine_limits.cap_readiness(ready_limits)
         self.callers = CallerServer(
             self.relay,
             self.caller_limits,
@@ -323,7 +326,7 @@
         )
         self.ready = CallerServer(
             ReadyHandler(self.readiness),
-            READY_LIMITS,
+            ready_limits,
             clock,
             self.relay.next_id,
             sweep_interval=SWEEP_INTERVAL,
@@ -381,6 +384,7 @@
         """Apply the services and the caller limits of a new configuration."""
         self.upstreams.set_services(table.services)
         self.caller_limits.apply(table.limits)
+        self.machine_limits.cap_connections(self.caller_limits)
 
     def _replace_upstreams(self, update: Update[UpstreamRecord]) -> None:
         self.upstreams.replace(update.entries, update.version, update.unusable)
--- a/sequoiabridge/gateway_paths.py
+++ b/sequoiabridge/gateway_paths.py
@@ -39,7 +39,12 @@
         self.checks = PathChecks(table, opener, gateway.members, clock)
         self.failures = ConnectionFailures(table, opener, gateway.sharing, decisions, clock)
         self.port = PeerPort(
-            opener, gateway.fleet_key, self._is_listed, self._why_unable, decisions
+            opener,
+            gateway.fleet_key,
+            self._is_listed,
+            self._why_unable,
+            decisions,
+            gateway.machine_limits,
         )
         self.reach = UpstreamReach(table, gateway.upstreams, clock)
         gateway.send_policy.reach = self.reach
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -252,9 +252,21 @@
     withdrawn = gateway.crash_withdrawals.withdrawn
     yield "sequoia_crashes_withdrawn", "Upstreams found alive after a crash.", withdrawn
     yield from path_counters(gateway)
+    yield from caller_counters(gateway)
     yield "sequoia_log_omitted", "Lines left out of the log.", gateway.decisions.omitted
 
 
+def caller_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
+    """Yield name, help and value of each counter about callers that were closed or refused."""
+    callers, memory = gateway.callers, gateway.memory
+    refused = callers.rejected_count
+    yield "sequoia_caller_connections_refused", "Connections beyond the limit.", refused
+    closed = callers.closed_waiting_count
+    yield "sequoia_caller_connections_closed", "Connections closed to make room.", closed
+    yield "sequoia_caller_memory_refused", "Requests refused for lack of memory.", memory.refused
+    yield "sequoia_callers_evicted", "Stalled callers that gave up memory.", memory.evicted
+
+
 def path_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
     """Yield name, help and value of each counter about paths to upstreams."""
     through_peers = gateway.path_opener.opened_through_peers
@@ -278,6 +290,8 @@
     yield "sequoia_configuration_version", "Version in force.", gateway.configuration.version
     yield "sequoia_upstreams", "Upstreams known.", len(gateway.upstreams.by_id)
     yield "sequoia_calls_in_flight", "Calls under way.", gateway.callers.in_flight
+    yield "sequoia_caller_connections", "Callers' open connections.", gateway.callers.connections
+    yield "sequoia_caller_memory_bytes", "Memory held for callers.", gateway.memory.held
     unread = gateway.sender.unread_calls.count
     yield "sequoia_unread_calls", "Calls given up that an upstream may still read.", unread
     ledger = gateway.blocked_requests.ledger
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -23,8 +23,8 @@
 
 METRICS_PATH, DUMP_PATH = b"/metrics", b"/dump"
 
-LIMITS = CallerLimits(max_connections=256)
-"""Limits for the connections of operators, and of the peers that read feeds."""
+MAX_CONNECTIONS = 256
+"""Maximum number of connections of operators, and of the peers that read feeds."""
 
 TEXT = (b"content-type", b"text/plain; charset=utf-8")
 JSON = (b"content-type", b"application/json")
@@ -46,9 +46,11 @@
     async def start(self) -> None:
         """Start listening; a failure is only logged, since calls do not need this port."""
         gateway = self.gateway
+        limits = CallerLimits(max_connections=MAX_CONNECTIONS)
+        gateway.machine_limits.cap_operators(limits)
         server = CallerServer(
             self,
-            LIMITS,
+            limits,
             gateway.clock,
             gateway.relay.next_id,
             sweep_interval=SWEEP_INTERVAL,
--- a/sequoiabridge/relay/paths/peer_port.py
+++ b/sequoiabridge/relay/paths/peer_port.py
@@ -16,6 +16,7 @@
 from curio.io import Socket
 from curio.traps import _io_release, _read_wait
 
+from ...callers.machine import MachineLimits
 from ...exceptions import PeerRequestRejected, UpstreamFailed
 from ...logs import get_log
 from ...turns import Turn
@@ -43,7 +44,7 @@
 """Maximum number of bytes forwarded at a time."""
 
 MAX_TUNNELS = 400
-"""Maximum number of connections served at a time; each needs two descriptors."""
+"""Maximum number of connections forwarded at a time, if the machine has room for them."""
 
 MAX_CONNECTIONS = 600
 """Maximum number of connections, with those that have not sent a request; more are closed."""
@@ -66,6 +67,7 @@
         opener: Opens direct connections to upstreams.
         listed: Returns whether an address is that of a listed upstream.
         why_unable: Returns why this VM cannot help now, "" if it can.
+        machine: Limits of the machine; those of the system if None.
 
     Attributes:
         address: "IP:port" at which it listens, as peers know it.
@@ -81,7 +83,11 @@
         listed: Callable[[str], bool],
         why_unable: Callable[[], str],
         decisions: DecisionLog,
+        machine: MachineLimits | None = None,
     ):
+        machine = machine or MachineLimits()
+        self.max_tunnels = min(MAX_TUNNELS, machine.tunnels)
+        self.max_connections = min(MAX_CONNECTIONS, machine.peer_connections)
         self.opener = opener
         self.key = key
         self.listed = listed
@@ -123,8 +129,9 @@
                 log.warning("Cannot accept a connection: %s. Raise the limit of open files.", error)
                 await curio.sleep(ACCEPT_RETRY_SECONDS)
                 continue
-            if self.tunnels >= MAX_CONNECTIONS:
+            if self.tunnels >= self.max_connections:
                 self._count("too-many")
+                log.info("Closed a peer's connection, since %d are open.", self.tunnels)
                 sock.close()
                 continue
             sock.setblocking(False)
@@ -191,8 +198,8 @@
             message = f"{address} is the address of no listed upstream. Ask for one that is."
             raise PeerRequestRejected(PeerStatus.FORBIDDEN, message)
         why = self.why_unable()
-        if not why and self.tunnels > MAX_TUNNELS:
-            why = f"It serves {MAX_TUNNELS} connections already."
+        if not why and self.tunnels > self.max_tunnels:
+            why = f"It serves {self.max_tunnels} connections already."
         if why:
             raise PeerRequestRejected(PeerStatus.NO_PATH, f"{why} Ask another peer.")
         try:
--- a/sequoiabridge/relay/readiness.py
+++ b/sequoiabridge/relay/readiness.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from ..callers.limits import CallerLimits
 from ..callers.server import Handler
 from ..pipeline.exchange import Answer, BytesBody, Request
 from .configuration import Configuration
 from .upstreams import UpstreamList
 
-READY_LIMITS = CallerLimits(max_connections=64)
-"""Limits for the connections of the balancer, and of people who check by hand."""
+MAX_READINESS_CONNECTIONS = 64
+"""Maximum number of connections of the balancer, and of people who check by hand."""
 
 SWEEP_INTERVAL = 2.0
 """Interval in seconds at which the readiness and operators' ports check their connections."""
