Free the bodies of calls as soon as they have ended

What callers saw: after a crowd had gone, the process stayed at 117 to 366 MB (observation of the users' team), so that the next crowd met a machine that was already full.

Cause: not the allocator alone. A call and its attempts refer to each other; a refused call refers to its refusal, whose traceback refers to the frames of the call; and a task of curio that was cancelled refers to its exception, whose frames refer to the task. The bodies of such calls stayed until the garbage collector found the cycles, for refused, answered and abandoned calls alike; checks for crashes kept a call with its body for some seconds more.

Change: a call that has ended forgets the bodies of its request and its answers, with the fingerprint computed before; what a task or a call keeps of an exception has no traceback.

--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -14,6 +14,7 @@
 from ..logs import get_log
 from ..pipeline.exchange import Answer, Request
 from ..timers import Clock
+from ..tracebacks import drop_traceback
 from .connection import CallerConnection, encode_unread_answer
 from .limits import CallerLimits
 from .memory import MemoryBudget
@@ -279,6 +280,9 @@
     async def _run(self, connection: CallerConnection) -> None:
         try:
             await connection.run()
+        except curio.CancelledError as error:
+            drop_traceback(error)
+            raise
         finally:
             self.open_connections.discard(connection)
             self.closing_count -= connection.transport.makes_room
--- a/sequoiabridge/operators/admin.py
+++ b/sequoiabridge/operators/admin.py
@@ -16,6 +16,7 @@
 from ..component import Component
 from ..config.units import join_address, split_address
 from ..logs import get_log
+from ..tracebacks import drop_traceback
 from .errors import RequestRejected
 from .messages import AdminAnswer, AdminHandler, AdminRequest
 from .reply import error_answer
@@ -237,6 +238,9 @@
                 await connection.serve()
         except (curio.TaskTimeout, OSError):
             pass  # The client disconnected or timed out, so it cannot receive an answer.
+        except curio.CancelledError as error:
+            drop_traceback(error)
+            raise
         finally:
             self.open_connections.pop(connection, None)
 
--- a/sequoiabridge/relay/attempt.py
+++ b/sequoiabridge/relay/attempt.py
@@ -14,6 +14,7 @@
 from ..logs import get_log
 from ..pipeline.exchange import Answer, Body, BytesBody
 from ..timers import Clock
+from ..tracebacks import drop_traceback
 from ..upstreams.base import Connector, UpstreamConnection, UpstreamRequest
 from .bodies import PrefixedBody, drain
 from .call import RelayedCall
@@ -115,6 +116,7 @@
             self.connection_failed = self.metadata is None
             await self._failed(error)
         except (Refusal, CallerGone) as error:
+            drop_traceback(error)
             self.error = error
             await self._failed(UpstreamFailed(str(error), sent=self.sent))
         except curio.CancelledError:
--- a/sequoiabridge/relay/call.py
+++ b/sequoiabridge/relay/call.py
@@ -68,6 +68,18 @@
         self.version = version
         self.apply_route(route, self.metadata.timeout)
 
+    def release_bodies(self) -> None:
+        """Forget the bodies of the request and its answers once the call has ended.
+
+        The call and its attempts refer to each other, and checks for crashes keep them for longer.
+        """
+        if self.was_sent:
+            self._fingerprint = self.fingerprint
+        self.request.body = None
+        for holder in (self, *self.attempts):
+            if holder.answer is not None:
+                holder.answer.body = None
+
     def body_received(self, now: float) -> None:
         """Record that the body has been buffered, in full or in part."""
         body = self.request.body
--- a/sequoiabridge/relay/race.py
+++ b/sequoiabridge/relay/race.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from ..tracebacks import drop_traceback
 from .attempt import Attempt
 
 
@@ -51,6 +52,9 @@
     async def _run(self, attempt: Attempt) -> None:
         try:
             await attempt.run()
+        except curio.CancelledError as error:
+            drop_traceback(error)
+            raise
         finally:
             self.running.pop(attempt, None)
             self.ended.append(attempt)
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -16,6 +16,7 @@
 from ..outcome import Outcome, Reason
 from ..pipeline.exchange import Answer, Request
 from ..timers import Clock
+from ..tracebacks import drop_traceback
 from .bodies import buffer_body
 from .call import RelayedCall
 from .configuration import Configuration
@@ -110,6 +111,7 @@
         if call.refusal is not None:
             self.counters.count_refusal(call.refusal.reason.value)
         self.decisions.call(in_time, self._row(call, now, clean))
+        call.release_bodies()
 
     async def _relay(self, call: RelayedCall) -> Answer:
         call.version = self.configuration.version
@@ -155,6 +157,7 @@
         raise Refusal(404, Outcome.NOT_RUN, Reason.NO_SERVICE, message)
 
     def _refuse(self, call: RelayedCall, refusal: Refusal) -> Answer:
+        drop_traceback(refusal)
         call.refusal = refusal
         return self.dialect.refusal(refusal, call.id)
 
@@ -169,6 +172,7 @@
             row["outcome"] = "caller-left"
             self.counters.callers_left += 1
         self.decisions.call(False, row)
+        call.release_bodies()
 
     def _row(self, call: RelayedCall, now: float, clean: bool) -> dict:
         """Return the fields of the decision log for a call."""
