Bound what the fleets' daemon holds for uploads and connections

What callers saw: 80 uploads that stop one byte short took the daemon to 378 MB on a machine of 128 MB, and 600 connections opened 616 descriptors where there are 400.

Cause: an upload keeps one chunk of 4 MiB, a small body 64 KiB, and nothing limited the sum. Pieces of a chunk were kept as a list, which costs some times the bytes for very small pieces.

Change: the daemon has the memory budget and the limits of its machine, as the gateway has. A chunk is reserved before it is read if the length is known, else as it comes; an upload for which there is no memory gets 503 before anything of it is stored, or keeps what was stored and can be resumed. A head that is not whole may make room at once: its caller gets 408, and its request did not run.

Evidence: both tests failed on the parent (378 MB; 616 descriptors) and pass with 72 MB and 158.

--- a/sequoiabridge/callers/machine.py
+++ b/sequoiabridge/callers/machine.py
@@ -54,13 +54,13 @@
         by_memory = int(self.memory * CONNECTION_SHARE) // (CONNECTION_BYTES + limits.max_head)
         limits.cap_connections(min(by_memory, self._descriptors(CALLERS_SHARE)))
 
-    def cap_operators(self, limits: CallerLimits) -> None:
-        """Lower the number of connections at the operators' port in the same way."""
-        limits.cap_connections(self._descriptors(OPERATORS_SHARE))
+    def operator_connections(self, count: int) -> int:
+        """Return how many connections of operators there is room for, at most `count`."""
+        return min(count, self._descriptors(OPERATORS_SHARE))
 
-    def cap_readiness(self, limits: CallerLimits) -> None:
-        """Lower the number of connections at the readiness port in the same way."""
-        limits.cap_connections(self._descriptors(READINESS_SHARE))
+    def readiness_connections(self, count: int) -> int:
+        """Return how many connections for readiness checks there is room for, at most `count`."""
+        return min(count, self._descriptors(READINESS_SHARE))
 
     @property
     def tunnels(self) -> int:
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -22,8 +22,9 @@
 log = get_log("callers")
 
 NEVER = float("inf")
-MIN_WAIT_SECONDS = 0.5
-"""Seconds of waiting for a request after which a connection may be closed to make room."""
+MIN_IDLE_SECONDS = 0.5
+"""Seconds without a request after which a connection may be closed to make room. One in the middle
+of a head may be closed at once, since the caller is told that its request did not run."""
 MAX_DRAIN_BYTES = 256 * 1024
 """Maximum number of input bytes discarded before closing, so that the caller gets its answer."""
 DRAIN_TIMEOUT = 2.0
@@ -105,9 +106,13 @@
 
     @property
     def may_make_room(self) -> bool:
-        """Whether the connection waits for a request, for so long that it may be closed."""
-        is_waiting = self.phase in (Phase.IDLE, Phase.HEAD) and not self.expired
-        return is_waiting and self.holding.stalled_seconds() >= MIN_WAIT_SECONDS
+        """Whether the connection waits for a request in a way in which it may be closed."""
+        if self.expired or self.holding.wait_began is None:
+            return False
+        is_idle = self.phase is Phase.IDLE
+        return self.phase is Phase.HEAD or (
+            is_idle and self.holding.stalled_seconds() >= MIN_IDLE_SECONDS
+        )
 
     async def receive(
         self, phase: Phase, timeout: float, max_bytes: int = SMALL_READ_BYTES
--- a/sequoiabridge/daemon.py
+++ b/sequoiabridge/daemon.py
@@ -15,6 +15,8 @@
 from .assembly.call_path import CallPath
 from .assembly.operators import build_admin, declare_daemon_metrics
 from .assembly.schedule import Schedule
+from .callers.machine import MachineLimits
+from .callers.memory import MemoryBudget
 from .component import Component
 from .config.document import Document
 from .config.settings import Settings
@@ -45,6 +47,8 @@
         self.clock = clock or SystemClock()
         self.timers = Timers(self.clock)
         self.random = Random()
+        self.machine_limits = MachineLimits(settings.vm.memory, settings.vm.descriptors)
+        self.memory = MemoryBudget(self.machine_limits.buffers, self.clock)
         self.metrics = Metrics()
         self.journal = Journal(self.clock, self.vm)
         self.fleet = self._build_fleet()
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -312,8 +312,7 @@
         clock = self.clock
         self.caller_limits = CallerLimits()
         self.machine_limits.cap_connections(self.caller_limits)
-        ready_limits = CallerLimits(max_connections=MAX_READINESS_CONNECTIONS)
-        self.machine_limits.cap_readiness(ready_limits)
+        count = self.machine_limits.readiness_connections(MAX_READINESS_CONNECTIONS)
         self.callers = CallerServer(
             self.relay,
             self.caller_limits,
@@ -326,7 +325,7 @@
         )
         self.ready = CallerServer(
             ReadyHandler(self.readiness),
-            ready_limits,
+            CallerLimits(max_connections=count),
             clock,
             self.relay.next_id,
             sweep_interval=SWEEP_INTERVAL,
--- a/sequoiabridge/pipeline/buffering.py
+++ b/sequoiabridge/pipeline/buffering.py
@@ -39,6 +39,7 @@
         request = exchange.request
         if request.body is None or request.length is None or request.length > MAX_BUFFERED_BYTES:
             return
+        request.body.reserve(request.length)
         buffered = bytearray()
         while piece := await request.body.read():
             buffered += piece
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -46,8 +46,8 @@
     async def start(self) -> None:
         """Start listening; a failure is only logged, since calls do not need this port."""
         gateway = self.gateway
-        limits = CallerLimits(max_connections=MAX_CONNECTIONS)
-        gateway.machine_limits.cap_operators(limits)
+        count = gateway.machine_limits.operator_connections(MAX_CONNECTIONS)
+        limits = CallerLimits(max_connections=count)
         server = CallerServer(
             self,
             limits,
--- a/sequoiabridge/store/upload_chunks.py
+++ b/sequoiabridge/store/upload_chunks.py
@@ -49,18 +49,34 @@
     Yields to other tasks after each `HASH_BLOCK_SIZE` bytes, since reads of data that has already
     arrived do not.
 
+    Args:
+        body: The body; memory for one piece is reserved with it.
+        length: Size of the body in bytes, None if it is not known.
+
     Attributes:
         unread: Bytes read from the body beyond the last piece.
+        reserved: Bytes reserved for the present piece.
         body_hash: SHA-256 of all pieces returned so far.
         read_error: Why the body ended early (caller gone or too slow), or None.
         bytes_since_yield: Bytes read since other tasks last got to run.
     """
 
-    __slots__ = ("body", "sleep", "unread", "body_hash", "read_error", "bytes_since_yield")
-
-    def __init__(self, body: Body | None, sleep=curio.sleep):
+    __slots__ = (
+        "body",
+        "sleep",
+        "length",
+        "unread",
+        "reserved",
+        "body_hash",
+        "read_error",
+        "bytes_since_yield",
+    )
+
+    def __init__(self, body: Body | None, sleep=curio.sleep, length: int | None = None):
         self.body = body
         self.sleep = sleep
+        self.length = length
+        self.reserved = 0
         self.bytes_since_yield = 0
         self.unread = b""
         self.body_hash = hashlib.sha256()
@@ -68,17 +84,40 @@
 
     async def next_piece(self, size: int) -> Piece:
         """Return the next `size` bytes; fewer only at the end or when `read_error` is set."""
-        parts, missing, digest = [], size, hashlib.sha256()
-        while missing:
+        piece, digest = bytearray(), hashlib.sha256()
+        self._begin_piece(size)
+        while len(piece) < size:
             data = self.unread or await self._read()
             if not data:
                 break
+            missing = size - len(piece)
             part, self.unread = data[:missing], data[missing:]
             digest.update(part)
             self.body_hash.update(part)
-            parts.append(part)
-            missing -= len(part)
-        return Piece(b"".join(parts), digest.digest())
+            piece += part
+            if not self._reserve(len(piece)):
+                break
+        if self.length is not None:
+            self.length -= len(piece)
+        return Piece(bytes(piece), digest.digest())
+
+    def _begin_piece(self, size: int) -> None:
+        """Release the memory of the last piece, and reserve that of the next if it is known."""
+        if self.body is not None:
+            self.body.release()
+        self.reserved = 0
+        self._reserve(min(size, self.length or 0))
+
+    def _reserve(self, size: int) -> bool:
+        """Reserve memory for a piece of `size` bytes; without any, set `read_error`."""
+        try:
+            if self.body is not None and size > self.reserved:
+                self.body.reserve(size - self.reserved)
+                self.reserved = size
+        except Refusal as error:
+            self.read_error = error
+            return False
+        return True
 
     async def _read(self) -> bytes:
         if self.body is None or self.read_error is not None:
--- a/sequoiabridge/store/upload_writer.py
+++ b/sequoiabridge/store/upload_writer.py
@@ -126,7 +126,7 @@
         self.uploads = uploads
         self.current = current
         self.incoming = incoming
-        self.chunker = BodyChunker(incoming.body, uploads.chunks.sleep)
+        self.chunker = BodyChunker(incoming.body, uploads.chunks.sleep, incoming.length)
         self.start_offset = incoming.offset or 0
         self.pending: list[Chunk] = []
         self.last_commit_at = uploads.clock.now()
--- a/sequoiabridge/tests/callers/test_connection_limit.py
+++ b/sequoiabridge/tests/callers/test_connection_limit.py
@@ -4,7 +4,7 @@
 
 from ...callers.limits import CallerLimits
 from ...callers.machine import MachineLimits
-from ...callers.transport import MIN_WAIT_SECONDS
+from ...callers.transport import MIN_IDLE_SECONDS
 from .server_fixture import GET, ok, read_all, read_until, serve, wait_until
 
 OK_END = b"\r\n\r\nx"
@@ -30,7 +30,7 @@
 def test_an_idle_connection_is_closed_to_make_room_for_a_new_one():
     async def test(server, handler, connect):
         (idle,) = await connected(server, connect, 1)
-        server.clock.advance(MIN_WAIT_SECONDS)
+        server.clock.advance(MIN_IDLE_SECONDS)
         sock = await connect(GET)
         assert (await read_until(sock, OK_END)).startswith(b"HTTP/1.1 200")
         assert await idle.recv(1) == b"" and server.closed_waiting_count == 1
@@ -42,10 +42,10 @@
 def test_an_unfinished_head_makes_room_before_idle_connections_do():
     async def test(server, handler, connect):
         (idle,) = await connected(server, connect, 1)
-        server.clock.advance(MIN_WAIT_SECONDS)
+        server.clock.advance(MIN_IDLE_SECONDS)
         slow = await connect(b"GET / HT")
         await wait_until(lambda: waiting_count(server) == 2)
-        server.clock.advance(MIN_WAIT_SECONDS)
+        server.clock.advance(MIN_IDLE_SECONDS)
         sock = await connect(GET)
         assert (await read_until(sock, OK_END)).startswith(b"HTTP/1.1 200")
         assert b" 408 " in await read_all(slow)
@@ -62,7 +62,7 @@
     async def test(server, handler, connect):
         await connect(GET)
         await wait_until(lambda: handler.requests)
-        server.clock.advance(10 * MIN_WAIT_SECONDS)
+        server.clock.advance(10 * MIN_IDLE_SECONDS)
         sock = await connect(GET)
         assert b" 503 " in await read_all(sock)
         assert server.rejected_count == 1 and server.closed_waiting_count == 0
--- a/sequoiabridge/tests/platform/crowds/test_fleet_daemon_crowds.py
+++ b/sequoiabridge/tests/platform/crowds/test_fleet_daemon_crowds.py
@@ -27,6 +27,11 @@
 SPOOLED += b"x" * (UPLOAD_BYTES - 1)
 UNFINISHED_HEAD = b"GET / HTTP/1.1\r\nX-Long: " + b"x" * 12_000
 
+COMMAND_BYTES = 3_900_000
+"""Size of a command to the admin port; a little less than what it accepts."""
+
+COMMAND = head("POST", "/apply", f"Content-Length: {COMMAND_BYTES}") + b"x" * (COMMAND_BYTES - 1)
+
 READ_HOST = "spendview.example.org"
 
 
@@ -46,6 +51,7 @@
     watch = await curio.spawn(observer.watch_descriptors, daemon=True)
     await crowd.come()
     await observer.wait_until_read(daemon.callers, READ_TIMEOUT)
+    await observer.wait_until_read(daemon.admin, READ_TIMEOUT)
     await check_ordinary_request(daemon.callers)
     await watch.cancel()
     memory, descriptors = observer.peak_memory(), observer.peak_descriptors
@@ -71,6 +77,11 @@
     run_scene(lambda daemon: [CrowdCaller(daemon.callers, SPOOLED) for _ in range(CROWD)])
 
 
+def test_many_commands_that_stop_short_of_their_end_fit_into_memory():
+    # The admin port read 4 MB on each of its 64 connections before it looked at the token.
+    run_scene(lambda daemon: [CrowdCaller(daemon.admin, COMMAND) for _ in range(CROWD)])
+
+
 @pytest.mark.parametrize("port", ["callers", "admin"])
 def test_many_connections_at_a_port_leave_descriptors_for_the_rest(port):
     # The ports' limits did not follow from the descriptors that the process may open.
