Bound the memory for commands at the admin port

What callers saw: 80 commands that stop one byte short took the fleets' daemon to 342 MB on a machine of 128 MB, and the balancer's health check, which is at the same port, failed.

Cause: a body of up to 4 MB is read on each of 64 connections before the token is looked at, and a connection counted as busy, which cannot make room for another, as soon as its head had come.

Change: the bodies of commands come out of the memory budget that all ports share; one that does not fit gets 503 `no-memory`, a client that stalls gives its memory up. A connection is busy only once its request is whole, so health checks displace the longest waiting command. The number of connections follows from the machine's descriptors.

--- a/sequoiabridge/assembly/operators.py
+++ b/sequoiabridge/assembly/operators.py
@@ -10,7 +10,7 @@
     declare_store_metrics,
     declare_upload_metrics,
 )
-from ..operators.admin import AdminServer
+from ..operators.admin import AdminLimits, AdminServer
 from ..operators.dump import StateDump
 from ..operators.executor import Executor
 from ..operators.gather import Gatherer, Peer
@@ -27,7 +27,9 @@
     token = daemon.settings.admin.token
     dump = StateDump(daemon.vm, daemon.components, [token, *daemon.settings.fleet.key.split()])
     routes = AdminRoutes(token, daemon.readiness, daemon.metrics, dump, build_executor(daemon))
-    return AdminServer(daemon.settings.admin.address, routes)
+    limits = AdminLimits()
+    limits.max_connections = daemon.machine_limits.operator_connections(limits.max_connections)
+    return AdminServer(daemon.settings.admin.address, routes, limits, daemon.memory)
 
 
 def build_executor(daemon: Daemon) -> Executor:
--- a/sequoiabridge/operators/admin.py
+++ b/sequoiabridge/operators/admin.py
@@ -6,16 +6,19 @@
 
 from __future__ import annotations
 
-from socket import AF_INET, AF_INET6, SHUT_WR
+from socket import AF_INET, AF_INET6, SHUT_RDWR, SHUT_WR
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import curio
 import h11
 from curio import network
 
+from ..callers.memory import Holder, Holding, MemoryBudget
 from ..component import Component
 from ..config.units import join_address, split_address
+from ..exceptions import Refusal
 from ..logs import get_log
+from ..timers import SystemClock
 from ..tracebacks import drop_traceback
 from .errors import RequestRejected
 from .messages import AdminAnswer, AdminHandler, AdminRequest
@@ -29,6 +32,9 @@
 ACCEPT_RETRY_SECONDS = 0.1
 """Seconds before accepting is retried after an error, such as a lack of file descriptors."""
 
+RESERVED_STEP = 64 * 1024
+"""Number of bytes for which memory is reserved at a time if a body's length is not known."""
+
 LINGER_SECONDS = 1.0
 """Maximum time for which data of a rejected client is read before the connection is closed."""
 
@@ -53,12 +59,24 @@
         self.max_connections = max_connections
 
 
-class AdminConnection:
-    """A connection of a client, with its requests in sequence."""
+class AdminConnection(Holder):
+    """A connection of a client, with its requests in sequence.
+
+    Attributes:
+        busy: Whether a request has come whole and is not answered yet.
+        holding: The memory that is held for the client.
+    """
 
-    __slots__ = ("sock", "handler", "limits", "h11", "busy", "head_only")
+    __slots__ = ("sock", "handler", "limits", "h11", "busy", "head_only", "holding")
 
-    def __init__(self, sock: curio.io.Socket, handler: AdminHandler, limits: AdminLimits):
+    def __init__(
+        self,
+        sock: curio.io.Socket,
+        handler: AdminHandler,
+        limits: AdminLimits,
+        memory: MemoryBudget,
+    ):
+        self.holding = Holding(memory, self)
         self.sock = sock
         self.handler = handler
         self.limits = limits
@@ -88,11 +106,12 @@
         if type(head) is not h11.Request:
             return False
         self._check_head(head)
-        self.busy = True
         self.head_only = head.method == b"HEAD"
         async with curio.timeout_after(self.limits.body_timeout):
             body = await self._read_body(head)
+        self.busy = True
         answer = await self.handler.handle(admin_request(head, body))
+        self.holding.release()
         await self._send(answer)
         if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
             return False
@@ -102,6 +121,8 @@
     async def _read_body(self, head: h11.Request) -> bytes:
         length = next((v for n, v in head.headers if n == b"content-length"), b"0")
         self._check_size(int(length))
+        reserved = int(length)
+        self._reserve(reserved)
         if self.h11.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self.sock.sendall(self.h11.send(interim))
@@ -109,8 +130,24 @@
         while type(event := await self._next_event()) is h11.Data:
             body += event.data
             self._check_size(len(body))
+            if len(body) > reserved:
+                self._reserve(RESERVED_STEP)
+                reserved += RESERVED_STEP
         return bytes(body)
 
+    def evict(self) -> None:
+        """Break the connection off, since others need its memory."""
+        try:
+            self.sock._socket.shutdown(SHUT_RDWR)
+        except OSError as error:
+            log.debug("A connection was already closed: %s.", error)
+
+    def _reserve(self, size: int) -> None:
+        try:
+            self.holding.reserve(size)
+        except Refusal as refusal:
+            raise RequestRejected(refusal.status, refusal.reason.value, str(refusal)) from None
+
     def _check_head(self, head: h11.Request) -> None:
         # h11 limits the head only if it arrives in several reads.
         size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
@@ -126,7 +163,10 @@
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while (event := self.h11.next_event()) is h11.NEED_DATA:
-            self.h11.receive_data(await self.sock.recv(READ_BYTES))
+            self.holding.begin_wait()
+            data = await self.sock.recv(READ_BYTES)
+            self.holding.end_wait(len(data))
+            self.h11.receive_data(data)
         return event
 
     async def _send(self, answer: AdminAnswer, close: bool = False) -> None:
@@ -161,11 +201,19 @@
 
     Args:
         address: `IP:port` to bind; port 0 selects a free port.
+        memory: Bounds what is held for all clients; no bound if None.
     """
 
     name = "admin"
 
-    def __init__(self, address: str, handler: AdminHandler, limits: AdminLimits | None = None):
+    def __init__(
+        self,
+        address: str,
+        handler: AdminHandler,
+        limits: AdminLimits | None = None,
+        memory: MemoryBudget | None = None,
+    ):
+        self.memory = memory or MemoryBudget(float("inf"), SystemClock())
         self.address = address
         self.handler = handler
         self.limits = limits or AdminLimits()
@@ -216,10 +264,11 @@
             and not await self._close_idle_connection()
         ):
             self.rejected += 1
+            log.info("Refused a connection, since %d are busy.", len(self.open_connections))
             await client.close()
             return
         self.accepted += 1
-        connection = AdminConnection(client, self.handler, self.limits)
+        connection = AdminConnection(client, self.handler, self.limits, self.memory)
         self.open_connections[connection] = await curio.spawn(self._serve(connection), daemon=True)
 
     async def _close_idle_connection(self) -> bool:
@@ -229,6 +278,7 @@
         if oldest is None:
             return False
         self.rejected += 1
+        log.info("Closed a waiting connection, since %d are open.", len(self.open_connections))
         await self.open_connections.pop(oldest).cancel(blocking=False)
         return True
 
@@ -242,6 +292,7 @@
             drop_traceback(error)
             raise
         finally:
+            connection.holding.release()
             self.open_connections.pop(connection, None)
 
 
--- a/sequoiabridge/tests/operators/test_admin.py
+++ b/sequoiabridge/tests/operators/test_admin.py
@@ -108,3 +108,13 @@
             return await exchange(daemon.server.address, one + one + last)
 
     assert curio.run(run).count(b"HTTP/1.1 200") == 3
+
+
+def test_commands_for_which_there_is_no_memory_are_rejected():
+    async def main():
+        async with FakeDaemon() as daemon:
+            daemon.server.memory.limit = 100
+            return await exchange(daemon.server.address, request("POST", "/apply", b"x" * 200))
+
+    answer = curio.run(main)
+    assert answer.startswith(b"HTTP/1.1 503 ") and b"no-memory" in answer
