Let new connections send their heads before the search for room

Cause: all connections in the backlog are accepted in one turn of the event loop. None of their tasks had run, so none seemed to wait, and no room was looked for in the next 0.1 s.

Change: at the limit, the accepting task lets the others run once before it searches, and searches at most each 10 ms.

--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -34,7 +34,7 @@
 answer: a number, and a share of the open connections."""
 ROOM_SHARE = 1 / 16
 """Share of the connections that are closed at once to make room."""
-ROOM_INTERVAL = 0.1
+ROOM_INTERVAL = 0.01
 """Minimum seconds between two searches for such connections after one that found none."""
 ACCEPT_RETRY_SECONDS = 0.05
 """Seconds before the next attempt after accepting a connection failed."""
@@ -269,7 +269,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.accepted_count += 1
-        if not self._has_room():
+        if not await self._has_room():
             self._reject_connection(sock)
             return True
         connection = CallerConnection(self, sock, f"{peer[0]}:{peer[1]}")
@@ -287,7 +287,7 @@
             self.open_connections.discard(connection)
             self.closing_count -= connection.transport.makes_room
 
-    def _has_room(self) -> bool:
+    async def _has_room(self) -> bool:
         """Return whether another connection may be opened, also once others have been closed.
 
         Of the connections that wait for a request, those in the middle of a head are closed first,
@@ -296,6 +296,8 @@
         limit = self.limits.allowed_connections
         if self.connections - self.closing_count < limit:
             return True
+        # Connections that were just accepted, or are being closed, get to run before the search.
+        await curio.sleep(0)
         count, now = max(1, int(limit * ROOM_SHARE)), self.clock.now()
         if self.closing_count >= count or now < self.next_room_search:
             return False
