Promise nothing of an upload that stops after a part was forwarded

What callers saw: an upload of more than 1 MiB whose caller stopped was answered 408, which promises that the request has not run and never will, although an upstream had received a part of it and may begin to run before it has read all.

Cause: what breaks the body off while an attempt forwards it ends the call as it is. The refusal was made where nothing is known of attempts.

Change: once an attempt may have run the call, refusals whose status is a promise (408, 421, 429, 503) become 502 with the same reason.

Evidence: the test got 408 before for both framings, and gets 502; a body that stops while it is buffered still gets 408.

--- a/sequoiabridge/balancing/dispatch.py
+++ b/sequoiabridge/balancing/dispatch.py
@@ -16,7 +16,7 @@
 from .chooser import Chooser
 from .cost_model import CostEstimate
 from .hedging import Hedging
-from .refusals import no_attempt_left, no_upstream, stopping, timed_out
+from .refusals import broken_body, no_attempt_left, no_upstream, stopping, timed_out
 from .retry_budget import RetryBudget
 from .steps import CancelAttempt, Send, Steps, Wait
 
@@ -132,7 +132,7 @@
             if attempt.status:
                 call.fallback = attempt
             if attempt.error is not None:
-                raise attempt.error
+                raise broken_body(call, attempt.error)
             if call.open_attempts or (yield from self._retry(call)):
                 continue
             if call.fallback is not None:
--- a/sequoiabridge/balancing/refusals.py
+++ b/sequoiabridge/balancing/refusals.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..exceptions import Refusal
+from ..exceptions import Refusal, SequoiaError
 from ..outcome import Outcome, Reason
 from .call import Call
 
@@ -23,6 +23,22 @@
 try reaches another VM, which may have one."""
 
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which callers are promised that a call has not run and never will."""
+
+
+def broken_body(call: Call, error: SequoiaError) -> SequoiaError:
+    """Return the error of a call whose body broke off while it was being forwarded.
+
+    Once a part has been sent, the call may have run, which some refusals deny.
+    """
+    denies_run = isinstance(error, Refusal) and error.status in NOT_RUN_STATUSES
+    if not denies_run or not call.possible_runs:
+        return error
+    message = f"{error} A part of it was forwarded, so the request may have run."
+    return Refusal(502, Outcome.UNKNOWN, error.reason, message)
+
+
 def no_path(call: Call) -> Refusal:
     """Return the refusal of a call whose upstreams neither this VM nor its peers can reach."""
     if call.possible_runs:
