Keep upstreams free while the callers of long uploads stop

Cause: an upload of more than 1 MiB is forwarded while it comes in, and held a place and a connection at an upstream for as long as its caller liked, up to the route's timeout.

Change: uploads that are not whole occupy at most half of a service's slots from one VM. The next one breaks off the longest stalled, or gets 503 before anything of it is sent. Those that have stalled for a second occupy at most a quarter; a timer breaks the others off, with 502, since a part was sent. One upload is always admitted. The upstream sees its connection reset and frees its place, and its load reports tell the fleet.

--- a/sequoiabridge/balancing/refusals.py
+++ b/sequoiabridge/balancing/refusals.py
@@ -39,6 +39,12 @@
     return Refusal(502, Outcome.UNKNOWN, error.reason, message)
 
 
+def too_many_uploads() -> Refusal:
+    """Return the refusal of a long upload while others are forwarded that are not whole."""
+    message = "Too many long uploads are coming in for this service. Try another VM."
+    return Refusal(503, Outcome.NOT_RUN, Reason.UPLOAD_CAPACITY, message, RETRY_AFTER)
+
+
 def no_path(call: Call) -> Refusal:
     """Return the refusal of a call whose upstreams neither this VM nor its peers can reach."""
     if call.possible_runs:
--- a/sequoiabridge/callers/body.py
+++ b/sequoiabridge/callers/body.py
@@ -60,6 +60,12 @@
     def release(self, size: int | None = None) -> None:
         self.transport.holding.release(size)
 
+    def stalled_seconds(self) -> float:
+        return self.transport.holding.stalled_seconds()
+
+    def evict(self) -> None:
+        self.transport.evict()
+
     async def read(self) -> bytes:
         """Return the next piece, or b"" at the end of the body.
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -63,6 +63,7 @@
 from .relay.sender import Sender
 from .relay.sharing import Sharing
 from .relay.stop_plan import StopPlan
+from .relay.unfinished_uploads import UnfinishedUploads
 from .relay.unknown_headers import UnknownHeaders
 from .relay.unread import UnreadCalls
 from .relay.upstreams import UpstreamList
@@ -260,6 +261,7 @@
         )
         self.unread_calls = UnreadCalls(self.prober, self.predecessor, self.decisions, clock)
         self.sender = self._build_sender(dispatch)
+        self.uploads = UnfinishedUploads(self.upstreams.slots, self.decisions)
         self.relay = Relay(
             self.configuration,
             Splitter(self.random),
@@ -270,6 +272,7 @@
             clock,
             self.readiness.why_not_serving,
             self.timers.lateness,
+            self.uploads,
         )
 
     def _build_prober(self) -> Prober:
--- a/sequoiabridge/gateway_timers.py
+++ b/sequoiabridge/gateway_timers.py
@@ -10,6 +10,7 @@
 from .relay.crash_withdrawals import WITHDRAWAL_CHECK_INTERVAL
 from .relay.members import REFRESH_INTERVAL
 from .relay.paths.path_checks import CHECK_INTERVAL, UPDATE_INTERVAL
+from .relay.unfinished_uploads import CHECK_INTERVAL as UPLOAD_CHECK_INTERVAL
 from .relay.unread import PREDECESSOR_PROBE_INTERVAL
 from .relay.watchers import HEARTBEAT_INTERVAL
 
@@ -49,6 +50,7 @@
         gateway.unread_calls.probe_predecessor_calls,
     )
     timers.every(CRASH_CHECK_INTERVAL, "crash checks", gateway.sender.crash_guard.check_abandoned)
+    timers.every(UPLOAD_CHECK_INTERVAL, "stalled uploads", gateway.uploads.check)
     timers.every(CHECK_INTERVAL, "lost paths", gateway.paths.checks.check)
     timers.every(UPDATE_INTERVAL, "path peers", gateway.paths.checks.update)
     timers.every(WITHDRAWAL_CHECK_INTERVAL, "crash withdrawals", gateway.crash_withdrawals.check)
--- a/sequoiabridge/outcome.py
+++ b/sequoiabridge/outcome.py
@@ -28,6 +28,7 @@
     KEY_REUSED = "key-reused"
     DUPLICATE = "duplicate"
     CRASHES_UPSTREAMS = "crashes-upstreams"
+    UPLOAD_CAPACITY = "upload-capacity"
     QUEUE_FULL = "queue-full"
     CANNOT_MEET_WINDOW = "cannot-meet-window"
     CALLER_SHARE = "caller-share"
--- a/sequoiabridge/pipeline/exchange.py
+++ b/sequoiabridge/pipeline/exchange.py
@@ -37,6 +37,8 @@
         reserve: Account for bytes that the reader keeps in memory; raises `Refusal` if there is
             no room for them.
         release: Account for the end of that, of some bytes or of all.
+        stalled_seconds: Return for how long a caller has been waited for without progress.
+        evict: End that wait, since others need what the request occupies.
         close: Discard the rest; called when the body is no longer needed. May be called twice.
     """
 
@@ -64,6 +66,13 @@
     def release(self, size: int | None = None) -> None:  # noqa: B027
         """Account for `size` bytes, or all, that are no longer kept."""
 
+    def stalled_seconds(self) -> float:
+        """Return the seconds for which the caller has been waited for without progress."""
+        return 0.0
+
+    def evict(self) -> None:  # noqa: B027
+        """End the wait for the caller."""
+
     async def close(self) -> None:  # noqa: B027
         """Discard the rest of the body."""
 
--- a/sequoiabridge/relay/bodies.py
+++ b/sequoiabridge/relay/bodies.py
@@ -55,14 +55,16 @@
         prefix: The first part; b"" once the rest has an owner.
         rest: The part that has not been received yet.
         owner: The reader that has read beyond the first part, or None.
+        is_whole: Whether all of it has been received.
     """
 
-    __slots__ = ("prefix", "rest", "owner")
+    __slots__ = ("prefix", "rest", "owner", "is_whole")
 
     def __init__(self, prefix: bytes, rest: Body):
         self.prefix = prefix
         self.rest = rest
         self.owner: PartlyBufferedReader | None = None
+        self.is_whole = False
 
     @property
     def is_held(self) -> bool:
@@ -81,12 +83,22 @@
 
     async def read(self) -> bytes:
         """Return the next piece of the rest."""
-        return await self.rest.read()
+        piece = await self.rest.read()
+        self.is_whole = not piece
+        return piece
 
     def limit(self, size: int) -> None:
         """Limit the rest to `size` bytes."""
         self.rest.limit(size)
 
+    def stalled_seconds(self) -> float:
+        """Return the seconds for which the rest has been waited for without progress."""
+        return self.rest.stalled_seconds()
+
+    def evict(self) -> None:
+        """End the wait for the rest."""
+        self.rest.evict()
+
     async def close(self) -> None:
         """Close the rest."""
         await self.rest.close()
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -264,6 +264,9 @@
     closed = callers.closed_waiting_count
     yield "sequoia_caller_connections_closed", "Connections closed to make room.", closed
     yield "sequoia_caller_memory_refused", "Requests refused for lack of memory.", memory.refused
+    uploads = gateway.uploads
+    yield "sequoia_uploads_refused", "Long uploads refused as too many.", uploads.refused
+    yield "sequoia_uploads_evicted", "Stalled uploads broken off.", uploads.evicted
     yield "sequoia_callers_evicted", "Stalled callers that gave up memory.", memory.evicted
 
 
--- a/sequoiabridge/relay/operators.py
+++ b/sequoiabridge/relay/operators.py
@@ -108,6 +108,7 @@
             gateway.notices,
             gateway.permits,
             gateway.blocked_requests,
+            gateway.uploads,
             gateway.sender.dispatch,
             *gateway.followers.values(),
         )
--- a/sequoiabridge/relay/relay.py
+++ b/sequoiabridge/relay/relay.py
@@ -25,6 +25,7 @@
 from .dialect import Dialect
 from .sender import Sender
 from .stop_plan import StopPlan
+from .unfinished_uploads import UnfinishedUploads
 
 log = get_log("relay")
 
@@ -45,6 +46,7 @@
     Args:
         why_not_serving: Returns the reason why no call can be served, or "" if calls can.
         lateness: How late the daemon runs.
+        uploads: Bounds the uploads that are forwarded while they come in.
 
     Attributes:
         stop_plan: The planned stop that has begun, or None.
@@ -61,7 +63,9 @@
         clock: Clock,
         why_not_serving: Callable[[], str],
         lateness: Lateness,
+        uploads: UnfinishedUploads,
     ):
+        self.uploads = uploads
         self.configuration = configuration
         self.splitter = splitter
         self.sender = sender
@@ -123,7 +127,8 @@
         await buffer_body(call.request, limit, timeout, lambda: self._check_stop(call))
         call.body_received(self.clock.now())
         self._check_stop(call)
-        return await self.sender.send(call)
+        with self.uploads.admit(call):
+            return await self.sender.send(call)
 
     def _check_stop(self, call: RelayedCall) -> None:
         """Check that a planned stop, if one has begun, leaves time for a call.
--- a/sequoiabridge/relay/upstreams.py
+++ b/sequoiabridge/relay/upstreams.py
@@ -105,6 +105,10 @@
         now = self.clock.now()
         return [u for u in known if u.forget_at is None or now < u.forget_at]
 
+    def slots(self, service: str) -> int:
+        """Return the number of slots of all upstreams of a service that may get calls."""
+        return sum(upstream.record.slots for upstream in self.for_service(service))
+
     def find_lifetime(self, name: str) -> Upstream | None:
         """Return the upstream whose present lifetime has this name, or None."""
         upstream = self.by_id.get(name) or self.by_id.get(name.rpartition("@")[0])
