Take no answer whose head is not HTTP/1

What callers saw: an answer with status 600, 700 or 999 or of HTTP/0.9 to 3.0 was passed on; one in which the name of a field began with a blank was passed on with that line as a part of the field before it. If the damaged field was Content-Length, the body was what followed until the connection ended, here with the next answer in it.

Cause: h11 takes statuses up to 999 and any version, and joins folded lines, as old HTTP allowed. The framing of requests is checked against folded lines, that of answers was not.

Change: `parse_response`, by which calls, probes, the store's client, feeds and the heads of peers are read in both daemons, takes statuses 100 to 599, versions 1.0 and 1.1, and no folded line. Such an answer counts as broken: 502, or another attempt where that is allowed.

A status of 000 to 099 and a blank or control byte within a name or after it were refused before, too: the users' case of a 000 did not show on this code.

--- a/sequoiabridge/codec.py
+++ b/sequoiabridge/codec.py
@@ -31,8 +31,12 @@
 MAX_LINE_BYTES = 16 * 1024
 """Maximum size of a chunk header or of the trailers."""
 
+MIN_STATUS = 100
 MIN_FINAL_STATUS = 200
 """Lowest status code of a response that is not an interim one."""
+MAX_STATUS = 599
+SPOKEN_VERSIONS = frozenset({b"1.0", HTTP_11})
+BLANKS = (b" ", b"\t")
 HEADER_CACHE = HeaderCache()
 """Cache of parsed header lines, shared by all connections."""
 
@@ -137,16 +141,27 @@
 
 
 def parse_response(lines: list[bytearray]) -> h11.Response | h11.InformationalResponse:
-    """Return the response with these head lines; see `parse_request`."""
+    """Return the response with these head lines; see `parse_request`.
+
+    h11 accepts statuses that HTTP does not define, other versions, and folded fields. A folded line
+    may be a field whose name is damaged.
+    """
     first = validate(status_line_re, lines[0], "illegal status line: {!r}", lines[0])
     status = int(first["status_code"])
+    version = first["http_version"] or HTTP_11
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        raise h11.LocalProtocolError(f"the status {status} is none of HTTP")
+    if version not in SPOKEN_VERSIONS:
+        raise h11.LocalProtocolError(f"the version {version!r} is not spoken here")
+    if any(line[:1] in BLANKS for line in lines[1:]):
+        raise h11.LocalProtocolError("a field begins with a blank")
     kind = h11.Response if status >= MIN_FINAL_STATUS else h11.InformationalResponse
     return kind(
         headers=HEADER_CACHE.parse(lines[1:]),
         _parsed=True,
         status_code=status,
         reason=first["reason"] or b"",
-        http_version=first["http_version"] or HTTP_11,
+        http_version=version,
     )
 
 
