Take no end of a stream for the end of an answer while the request is under way

What callers saw: an upstream answered a long upload at once with 200 without a length, sent a part of its body and broke off while the upload was being written. Its caller got that part as a complete answer.

Cause: the end of the stream was the end of such an answer, whatever had become of the request. If an upstream ends its stream before it resets the connection, Linux reports the end only, and the reset to who sends. After early refusals the error of a failed send was passed over on purpose, and took the reset away from the read that followed.

Change: the end of the stream ends an answer without a length only if the request was written whole, the socket has no error, and the other side has acknowledged all. Else the answer is broken.

An answer without a length to a request that was received is still whole.

--- a/sequoiabridge/tests/upstreams/test_broken_answers.py
+++ b/sequoiabridge/tests/upstreams/test_broken_answers.py
@@ -2,10 +2,94 @@
 
 import socket
 
+import curio
 import pytest
 
 from ...exceptions import UpstreamFailed
-from .scripted import HELLO, call, run_against
+from ...pipeline.exchange import Body
+from ...upstreams.link import RESET_ON_CLOSE
+from .scripted import HELLO, call, get, run_against
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\n"
+"""Head of an answer that ends with its connection."""
+
+PIECE = b"x" * 65536
+
+
+class PausingBody(Body):
+    """A request's body whose caller pauses before its last piece.
+
+    Attributes:
+        left: Number of pieces that are left.
+    """
+
+    def __init__(self, count, pause):
+        self.left = count
+        self.pause = pause
+
+    async def read(self):
+        if not self.left:
+            return b""
+        self.left -= 1
+        if not self.left:
+            await curio.sleep(self.pause)
+        return PIECE
+
+
+def part_of_an_answer(status, part, ending):
+    """Return an upstream that answers a request before it has read its body."""
+
+    async def upstream(sock):
+        await sock.recv(65536)
+        await sock.sendall(HELLO)
+        await sock.recv(1)
+        await sock.sendall(HEAD.replace(b"200 OK", status) + b"p" * part)
+        if ending != "reset":
+            await sock.shutdown(socket.SHUT_WR)
+            await curio.sleep(0.05)
+        if ending != "end":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            await sock.close()
+
+    return upstream
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.1])
+@pytest.mark.parametrize("pieces", [6, 100])
+@pytest.mark.parametrize("part", [10, 40_000])
+@pytest.mark.parametrize("ending", ["reset", "end-and-reset", "end"])
+@pytest.mark.parametrize("status", [b"200 OK", b"500 Failed"])
+def test_an_answer_without_a_length_that_ends_before_its_request_was_received_is_not_whole(
+    status, ending, part, pieces, pause
+):
+    # Callers got the part as a complete answer.
+    async def test(connector, address, connections):
+        await call(await connector.acquire(address, fresh=False, timeout=1))
+        connection = await connector.acquire(address, fresh=False, timeout=1)
+        request = get(b"POST", length=pieces * len(PIECE), body=PausingBody(pieces, pause))
+        with pytest.raises(UpstreamFailed):
+            await call(connection, request)
+        await connector.release(connection)
+
+    run_against(part_of_an_answer(status, part, ending), test, allow_until_close=True)
+
+
+def test_an_answer_without_a_length_is_whole_once_the_request_was_received():
+    async def upstream(sock):
+        received = 0
+        while received < 6 * len(PIECE):
+            received += len(await sock.recv(65536))
+        await sock.sendall(HEAD + b"whole")
+        await sock.close()
+
+    async def test(connector, address, connections):
+        connection = await connector.acquire(address, fresh=False, timeout=1)
+        request = get(b"POST", length=6 * len(PIECE), body=PausingBody(6, 0.0))
+        answer, data = await call(connection, request)
+        assert answer.status == 200 and data == b"whole"
+
+    run_against(upstream, test, allow_until_close=True)
+
 
 FRAMED = b"\r\nContent-Length: 5\r\n\r\nhello"
 FIRST_LINES = [
--- a/sequoiabridge/upstreams/link.py
+++ b/sequoiabridge/upstreams/link.py
@@ -3,7 +3,10 @@
 import select
 import socket
 import struct
+from array import array
 from errno import EINPROGRESS
+from fcntl import ioctl
+from termios import TIOCOUTQ
 
 import curio
 import h11
@@ -11,10 +14,13 @@
 
 from ..codec import END_OF_MESSAGE, READ_SIZE, BodyReader, InputBuffer, UntilCloseReader
 from ..exceptions import UpstreamFailed
+from ..logs import get_log
 from ..selector import Descriptor
 from ..timers import Clock
 from ..turns import Turn
 
+log = get_log("upstreams")
+
 SWITCHING_PROTOCOLS = 101
 MIN_REFUSAL_STATUS = 400
 """An answer with at least this status stops the sending of the request's body."""
@@ -178,6 +184,7 @@
         try:
             while (event := self.received.read_body_event(reader)) is None:
                 if self.received.closed and type(reader) is UntilCloseReader:
+                    self._check_end()
                     return END_OF_MESSAGE
                 if self.received.closed:
                     raise self.make_failure("It closed the connection within its answer.")
@@ -186,6 +193,18 @@
             raise self.make_failure(f"The answer's body is malformed: {error}.") from error
         return event
 
+    def _check_end(self) -> None:
+        """Check that the end of the stream is that of an answer.
+
+        An upstream that ends its stream before it has received its request may have broken off: the
+        system reports a reset that follows to the next send only.
+
+        Raises:
+            UpstreamFailed: It is not.
+        """
+        if not (self.request_ended and has_delivered_all(self.sock)):
+            raise self.make_failure("It ended its answer before it had received the request.")
+
     def try_send(self, data: bytes | memoryview) -> int:
         """Send without waiting; return the number of bytes sent, 0 if the buffer is full."""
         if self.closed:
@@ -261,6 +280,27 @@
         self.sock.close()
 
 
+def has_delivered_all(sock: socket.socket) -> bool:
+    """Return whether the other side has acknowledged all bytes and has not reset the connection."""
+    return not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) and not waiting_bytes(
+        sock.fileno(), TIOCOUTQ
+    )
+
+
+def waiting_bytes(descriptor: int, buffer: int) -> int:
+    """Return how many bytes wait in a buffer of a socket, 0 if the system does not tell.
+
+    Args:
+        buffer: `TIOCOUTQ` for bytes that are not acknowledged, `FIONREAD` for those not read.
+    """
+    count = array("i", [0])
+    try:
+        ioctl(descriptor, buffer, count)
+    except OSError as error:
+        log.debug("The system does not tell what waits in a socket: %s.", error)
+    return count[0]
+
+
 def enable_keepalive(sock: socket.socket) -> None:
     """Enable TCP keep-alive, so that a connection with an unresponsive peer fails.
 
