Pass no end of an upstream's stream on to a peer before its request was delivered

Cause: the port for peers copies the two directions in two tasks. The end of the upstream's stream was passed on while bytes of the request were still unread, unsent or unacknowledged there; the daemon behind it had written its whole request, and all had been acknowledged by the peer. The task that sent was cancelled in the middle of a piece, and later pieces could follow without the rest.

Change: a peer that finds bytes of the request left when the upstream ends its stream resets the connection.

--- a/sequoiabridge/relay/paths/peer_port.py
+++ b/sequoiabridge/relay/paths/peer_port.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Callable
 from enum import Enum
+from termios import FIONREAD
 
 import curio
 import h11
@@ -20,7 +21,13 @@
 from ...exceptions import PeerRequestRejected, UpstreamFailed
 from ...logs import get_log
 from ...turns import Turn
-from ...upstreams.link import RESET_ON_CLOSE, Link, enable_keepalive
+from ...upstreams.link import (
+    RESET_ON_CLOSE,
+    Link,
+    enable_keepalive,
+    has_delivered_all,
+    waiting_bytes,
+)
 from ..decisions import DecisionLog
 from .fleet_key import FleetKey
 from .opener import PathOpener
@@ -236,25 +243,62 @@
     return ""
 
 
+class Direction:
+    """One direction of a forwarded connection.
+
+    Attributes:
+        is_sending: Whether bytes have been received that are not sent yet.
+    """
+
+    __slots__ = ("source", "sink", "is_sending")
+
+    def __init__(self, source: Socket, sink: Socket):
+        self.source = source
+        self.sink = sink
+        self.is_sending = False
+
+    async def copy(self) -> TunnelEnd:
+        """Copy until the direction ends."""
+        turn = Turn()
+        try:
+            while data := await self.source.recv(CHUNK_BYTES):
+                self.is_sending = True
+                await self.sink.sendall(data)
+                self.is_sending = False
+                await turn.step()
+        except OSError:
+            return TunnelEnd.BROKEN
+        return TunnelEnd.CLOSED
+
+    def has_delivered_all(self) -> bool:
+        """Return whether all that has come from the source has reached the other side."""
+        if self.is_sending or waiting_bytes(self.source.fileno(), FIONREAD):
+            return False
+        return has_delivered_all(self.sink._socket)
+
+
 async def forward(sock: Socket, link: Link, early: bytes) -> None:
     """Forward bytes between a peer and an upstream until one of them ends the connection.
 
     The end of the upstream's stream is passed on; that of the peer's ends both at once. A broken
     connection to the upstream resets the peer's, so that an answer that broke off does not look
-    complete.
+    complete; so does an upstream that ends its stream before it has received its request.
     """
     upstream = Socket(link.sock)
     if early:
         await upstream.sendall(early)
+    request, answer = Direction(sock, upstream), Direction(upstream, sock)
     async with curio.TaskGroup(wait=any) as tasks:
-        back = await tasks.spawn(copy, upstream, sock)
-        await tasks.spawn(copy, sock, upstream)
+        back = await tasks.spawn(answer.copy)
+        await tasks.spawn(request.copy)
         await tasks.spawn(wait_for_hangup, sock)
     if tasks.completed is not back or back.result is not TunnelEnd.CLOSED:
         return
+    if not request.has_delivered_all():
+        return
     await sock.shutdown(socket.SHUT_WR)
     async with curio.ignore_after(CLOSE_TIMEOUT):
-        await copy(sock, upstream)
+        await request.copy()
 
 
 async def wait_for_hangup(sock: Socket) -> None:
@@ -269,15 +313,3 @@
     finally:
         await _io_release(epoll)
         epoll.close()
-
-
-async def copy(source: Socket, sink: Socket) -> TunnelEnd:
-    """Copy one direction until it ends."""
-    turn = Turn()
-    try:
-        while data := await source.recv(CHUNK_BYTES):
-            await sink.sendall(data)
-            await turn.step()
-    except OSError:
-        return TunnelEnd.BROKEN
-    return TunnelEnd.CLOSED
--- a/sequoiabridge/tests/relay/paths/test_peer_port.py
+++ b/sequoiabridge/tests/relay/paths/test_peer_port.py
@@ -1,6 +1,7 @@
 """Tests of the port at which a daemon opens connections to upstreams for its peers."""
 
 import signal
+import socket
 import subprocess
 import sys
 from random import Random
@@ -11,6 +12,7 @@
 from ....balancing.path_peers import PathPeer
 from ....exceptions import UpstreamFailed
 from ....relay.paths import peer_port
+from ....upstreams.link import RESET_ON_CLOSE
 from ...platform.ports import free_port
 from .peer_scene import (
     KEY,
@@ -22,6 +24,9 @@
     run_scene,
 )
 
+REQUEST = b"x" * 600_000
+"""More than an upstream that reads nothing receives."""
+
 
 async def read_all(link):
     """Return all bytes until the end of the stream."""
@@ -186,6 +191,31 @@
     run_scene(test, wait_for_end)
 
 
+@pytest.mark.parametrize("ending", ["reset", "end-and-reset", "end"])
+def test_an_answer_that_ends_before_its_request_was_received_is_reset(ending):
+    # The end of the upstream's stream was passed on although bytes of the request were left.
+    async def answer_early(client, address):
+        await client.recv(1)
+        await client.sendall(b"part")
+        if ending != "reset":
+            await client.shutdown(socket.SHUT_WR)
+            await curio.sleep(0.1)
+        if ending != "end":
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            await client.close()
+        await curio.sleep(100)
+
+    async def test(scene):
+        scene.lose_direct_path()
+        link = await scene.opener.open(scene.upstream, 1.0)
+        link.try_send(REQUEST)
+        with pytest.raises(UpstreamFailed):
+            await read_all(link)
+        await link.close()
+
+    run_scene(test, answer_early)
+
+
 def rejected(scene):
     """Return the status and peer-visible reason of the events that were logged."""
     return [fields["status"] for event, fields in scene.decisions.events]
