Account for answers that their callers do not take

What callers saw: nothing yet; a process could hold an answer of up to 256 KiB for each of its connections until the calls' deadlines, twice, which is more than the machines have.

Cause: the memory for callers counted bodies of requests only, and an answer was copied to be sent together with its head.

Change: what is left of an answer after the first write is reserved. If there is no room, callers that have stalled make it; else the answer breaks off and its connection is closed, which promises nothing. Bodies of more than 64 KB are not copied for their head. The fleets' daemon has the same metrics as the gateway.

--- a/sequoiabridge/callers/connection.py
+++ b/sequoiabridge/callers/connection.py
@@ -41,6 +41,9 @@
 CHUNKED = (TRANSFER_ENCODING, b"chunked")
 
 
+MAX_JOINED_BYTES = 64 * 1024
+"""Maximum size of an answer's body that is copied to be sent together with its head."""
+
 MIN_SEND_SECONDS = 0.2
 """Minimum seconds that a caller has to receive an answer, also one that came at the deadline."""
 
@@ -188,7 +191,7 @@
         return await self._prepare_next()
 
     async def _send(self, answer: Answer, method: bytes, body: CallerBody | None) -> None:
-        """Send an answer, in a single write if its body is in memory.
+        """Send an answer, in a single write if its body is short.
 
         Raises:
             CallerGone: The caller disconnected.
@@ -211,8 +214,11 @@
         end = max(answer.deadline, self.server.clock.now() + MIN_SEND_SECONDS)
         if bodiless or source is None:
             await transport.send(head, end)
-        elif isinstance(source, BytesBody):
+        elif isinstance(source, BytesBody) and len(source.data) <= MAX_JOINED_BYTES:
             await transport.send(head + source.data, end)
+        elif isinstance(source, BytesBody):
+            await transport.send(head, end)
+            await transport.send(source.data, end)
         else:
             await transport.send(head, end)
             await self._stream(source, answer.length, end)
--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -297,7 +297,8 @@
         if self.connections - self.closing_count < limit:
             return True
         # Connections that were just accepted, or are being closed, get to run before the search.
-        await curio.sleep(0)
+        async with curio.disable_cancellation():
+            await curio.sleep(0)
         count, now = max(1, int(limit * ROOM_SHARE)), self.clock.now()
         if self.closing_count >= count or now < self.next_room_search:
             return False
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -11,7 +11,7 @@
 from curio.traps import _io_release, _read_wait, _write_wait
 
 from ..codec import InputBuffer
-from ..exceptions import CallerGone
+from ..exceptions import CallerGone, Refusal
 from ..logs import get_log
 from ..selector import Descriptor
 from ..timers import Clock
@@ -250,14 +250,31 @@
         return True
 
     async def _send_rest(self, rest: memoryview, end: float) -> None:
-        while rest:
-            self.phase = Phase.ANSWER
-            self.deadline = min(self.clock.now() + self.limits.body_timeout, end)
-            await _write_wait(self.descriptor)
-            try:
-                rest = rest[self.sock.send(rest) :]
-            except BlockingIOError:
-                continue
-            except OSError as error:
-                raise CallerGone(f"The connection failed: {error}.") from error
+        size = len(rest)
+        self.holding.restart()
+        try:
+            self.holding.reserve(size)
+        except Refusal as refusal:
+            log.info("Broke an answer of %d bytes off that its caller does not take.", size)
+            raise CallerGone("There is no memory for an answer that is not taken.") from refusal
+        try:
+            while rest:
+                rest = rest[await self._send_some(rest, end) :]
+        finally:
+            self.holding.release(size)
         self.enter_handler_phase()
+
+    async def _send_some(self, rest: memoryview, end: float) -> int:
+        """Wait until the caller takes bytes; return how many were sent."""
+        self.phase = Phase.ANSWER
+        self.deadline = min(self.clock.now() + self.limits.body_timeout, end)
+        self.holding.begin_wait()
+        await _write_wait(self.descriptor)
+        try:
+            sent = self.sock.send(rest)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            raise CallerGone(f"The connection failed: {error}.") from error
+        self.holding.end_wait(sent)
+        return sent
--- a/sequoiabridge/daemon_metrics.py
+++ b/sequoiabridge/daemon_metrics.py
@@ -48,6 +48,15 @@
     metrics.gauge(
         "sequoia_caller_connections", "Callers' open connections.", lambda: callers.connections
     )
+    memory = callers.memory
+    metrics.gauge("sequoia_caller_memory_bytes", "Memory held for callers.", lambda: memory.held)
+    for name, about, read in (
+        ("connections_refused", "Connections beyond the limit.", lambda: callers.rejected_count),
+        ("connections_closed", "Closed to make room.", lambda: callers.closed_waiting_count),
+        ("memory_refused", "Requests refused for lack of memory.", lambda: memory.refused),
+        ("evictions", "Stalled callers that gave up memory.", lambda: memory.evicted),
+    ):
+        metrics.counter(f"sequoia_caller_{name}", about, lambda read=read: [((), read())])
 
 
 def declare_fleet_metrics(
--- a/sequoiabridge/relay/metrics.py
+++ b/sequoiabridge/relay/metrics.py
@@ -267,7 +267,7 @@
     uploads = gateway.uploads
     yield "sequoia_uploads_refused", "Long uploads refused as too many.", uploads.refused
     yield "sequoia_uploads_evicted", "Stalled uploads broken off.", uploads.evicted
-    yield "sequoia_callers_evicted", "Stalled callers that gave up memory.", memory.evicted
+    yield "sequoia_caller_evictions", "Stalled callers that gave up memory.", memory.evicted
 
 
 def path_counters(gateway: Gateway) -> Iterator[tuple[str, str, float]]:
--- a/sequoiabridge/relay/reloading.py
+++ b/sequoiabridge/relay/reloading.py
@@ -14,8 +14,8 @@
 class SettingsReloader:
     """Reloads the settings after a signal, or when their file has changed.
 
-    Limits, costs and the store's address take effect at once; addresses to listen on need a
-    restart. Invalid settings are ignored and logged.
+    Limits, costs and the store's address take effect at once; addresses to listen on and the size
+    of the machine need a restart. Invalid settings are ignored and logged.
 
     Args:
         settings: Settings of the daemon, changed in place.
