Build the gateway's servers in a module of their own

A connection that is closed gives up its holding, so that the two do not refer to each other until the garbage collector runs. Two methods of the same name have names of their own.

--- a/sequoiabridge/assembly/call_path.py
+++ b/sequoiabridge/assembly/call_path.py
@@ -48,7 +48,7 @@
         ids = RequestIds(daemon.vm, fleet.membership.own_member.incarnation)
         self.pipeline = Pipeline(self._filters(daemon), self._dispatch(daemon), ids, clock)
         limits = caller_limits(daemon.settings)
-        daemon.machine_limits.cap_connections(limits)
+        daemon.machine_limits.apply_to(limits)
         self.callers = CallerServer(self.pipeline, limits, clock, ids.next, memory=daemon.memory)
         sender = UploadSender(self.services, self.connector, self.sharing, clock)
         self.deliveries = UploadDeliverer(daemon.uploads, sender.send, clock)
--- a/sequoiabridge/callers/limits.py
+++ b/sequoiabridge/callers/limits.py
@@ -53,7 +53,7 @@
         self.head_timeout = head_timeout
         self.body_timeout = body_timeout
 
-    def cap_connections(self, count: int) -> None:
+    def allow_connections(self, count: int) -> None:
         """Allow at most `count` open connections, since the machine has no room for more."""
         self.allowed_connections = max(1, min(self.max_connections, count))
 
--- a/sequoiabridge/callers/machine.py
+++ b/sequoiabridge/callers/machine.py
@@ -49,10 +49,10 @@
         """Maximum number of bytes of bodies and answers that wait for callers."""
         return int(self.memory * BUFFER_SHARE)
 
-    def cap_connections(self, limits: CallerLimits) -> None:
+    def apply_to(self, limits: CallerLimits) -> None:
         """Lower the number of callers' connections to what the machine has room for."""
         by_memory = int(self.memory * CONNECTION_SHARE) // (CONNECTION_BYTES + limits.max_head)
-        limits.cap_connections(min(by_memory, self._descriptors(CALLERS_SHARE)))
+        limits.allow_connections(min(by_memory, self._descriptors(CALLERS_SHARE)))
 
     def operator_connections(self, count: int) -> int:
         """Return how many connections of operators there is room for, at most `count`."""
--- a/sequoiabridge/callers/memory.py
+++ b/sequoiabridge/callers/memory.py
@@ -52,7 +52,7 @@
 
     def __init__(self, budget: MemoryBudget, holder: Holder):
         self.budget = budget
-        self.holder = holder
+        self.holder: Holder | None = holder
         self.size = 0
         self.waited = 0.0
         self.wait_began: float | None = None
@@ -70,6 +70,11 @@
         """Release `size` bytes, or all."""
         self.budget.release(self, self.size if size is None else min(size, self.size))
 
+    def end(self) -> None:
+        """Release all for good, since the connection is closed."""
+        self.release()
+        self.holder = None
+
     def begin_wait(self) -> None:
         """Record that the caller is waited for from now on."""
         if self.wait_began is None:
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -189,6 +189,7 @@
 
     async def close(self) -> None:
         """Close the socket; only the task that serves the connection may do so."""
+        self.holding.end()
         await _io_release(self.descriptor)
         self.sock.close()
 
--- a/sequoiabridge/gateway.py
+++ b/sequoiabridge/gateway.py
@@ -26,13 +26,12 @@
 from .balancing.send_policy import SendPolicy
 from .balancing.splitting import Splitter
 from .balancing.upstream import Upstream, UpstreamRecord
-from .callers.limits import CallerLimits
 from .callers.machine import MachineLimits
 from .callers.memory import MemoryBudget
-from .callers.server import CallerServer
 from .config.gateway_settings import GatewaySettings
 from .gateway_crashes import build_crash_parts
 from .gateway_paths import Paths, build_path_table
+from .gateway_servers import build_callers_port, build_readiness_port
 from .gateway_stop import stop
 from .gateway_timers import schedule_periodic_work
 from .logs import ROOT_LOGGER, get_log, silence_curio_timeouts
@@ -55,7 +54,7 @@
 from .relay.peer_feeds import PeerReader
 from .relay.permits import Permits
 from .relay.probing import Prober
-from .relay.readiness import MAX_READINESS_CONNECTIONS, SWEEP_INTERVAL, Readiness, ReadyHandler
+from .relay.readiness import Readiness
 from .relay.relay import Relay
 from .relay.reloading import SettingsReloader
 from .relay.request_limits import RequestLimits
@@ -73,10 +72,6 @@
 
 log = get_log("gateway")
 
-CALLER_POLL_INTERVAL = 0.2
-"""Interval in seconds at which callers are checked for having disconnected. The work of a caller
-that has left must end within half a second."""
-
 UPSTREAM_IDLE_TIMEOUT = 30.0
 """Seconds after which an idle upstream connection is closed, unless the upstream asks for less."""
 
@@ -312,28 +307,8 @@
 
     def _build_servers(self) -> None:
         """Build the servers of the callers', the readiness and the operators' ports."""
-        clock = self.clock
-        self.caller_limits = CallerLimits()
-        self.machine_limits.cap_connections(self.caller_limits)
-        count = self.machine_limits.readiness_connections(MAX_READINESS_CONNECTIONS)
-        self.callers = CallerServer(
-            self.relay,
-            self.caller_limits,
-            clock,
-            self.relay.next_id,
-            self.dialect.refusal,
-            cancel_on_half_close=True,
-            sweep_interval=CALLER_POLL_INTERVAL,
-            memory=self.memory,
-        )
-        self.ready = CallerServer(
-            ReadyHandler(self.readiness),
-            CallerLimits(max_connections=count),
-            clock,
-            self.relay.next_id,
-            sweep_interval=SWEEP_INTERVAL,
-            memory=self.memory,
-        )
+        self.callers, self.ready = build_callers_port(self), build_readiness_port(self)
+        self.caller_limits = self.callers.limits
         self.operators = OperatorPort(self.operators_address, self)
 
     async def _start(self) -> None:
@@ -386,7 +361,7 @@
         """Apply the services and the caller limits of a new configuration."""
         self.upstreams.set_services(table.services)
         self.caller_limits.apply(table.limits)
-        self.machine_limits.cap_connections(self.caller_limits)
+        self.machine_limits.apply_to(self.caller_limits)
 
     def _replace_upstreams(self, update: Update[UpstreamRecord]) -> None:
         self.upstreams.replace(update.entries, update.version, update.unusable)
--- a/sequoiabridge/operators/admin.py
+++ b/sequoiabridge/operators/admin.py
@@ -292,7 +292,7 @@
             drop_traceback(error)
             raise
         finally:
-            connection.holding.release()
+            connection.holding.end()
             self.open_connections.pop(connection, None)
 
 
--- a/sequoiabridge/tests/callers/test_connection_limit.py
+++ b/sequoiabridge/tests/callers/test_connection_limit.py
@@ -72,12 +72,12 @@
 
 def test_the_limits_follow_from_the_memory_and_the_descriptors():
     limits = CallerLimits()
-    MachineLimits(300_000_000, 4100).cap_connections(limits)
+    MachineLimits(300_000_000, 4100).apply_to(limits)
     assert limits.allowed_connections == 1560
-    MachineLimits(100_000_000, 4100).cap_connections(limits)
+    MachineLimits(100_000_000, 4100).apply_to(limits)
     assert limits.allowed_connections == 813
     limits.max_head *= 2
-    MachineLimits(100_000_000, 4100).cap_connections(limits)
+    MachineLimits(100_000_000, 4100).apply_to(limits)
     assert limits.allowed_connections == 488
 
 
