Send bodies over the limit in the test that says so

The test of bodies far over the limit repeated the head of the request with its body, so that the chunked ones were cut off as malformed after 262 KB, far below the limit; the soak of crowds, which comes next, showed it by a body that was completed in this way. The head is sent once now, and blocks are repeated until the daemon ends the connection or 200 MB are sent.

--- a/sequoiabridge/tests/platform/crowds/crowd.py
+++ b/sequoiabridge/tests/platform/crowds/crowd.py
@@ -44,8 +44,8 @@
         in_pieces: Send it in pieces, so that the pieces of all callers mix.
         visits: How often it comes; after each visit but the last it resets its connection.
         takes_answers: Whether it reads what comes back.
-        repeats: Send `data` again and again until the daemon ends the connection or `max_bytes`
-            are sent.
+        block: What it sends again and again after that, until the daemon ends the connection or
+            `max_bytes` are sent.
 
     Attributes:
         opened: Number of connections that were opened.
@@ -61,7 +61,7 @@
         in_pieces: bool = False,
         visits: int = 1,
         takes_answers: bool = True,
-        repeats: bool = False,
+        block: bytes = b"",
         max_bytes: int = 0,
     ):
         self.address = address
@@ -69,7 +69,7 @@
         self.in_pieces = in_pieces
         self.visits = visits
         self.takes_answers = takes_answers
-        self.repeats = repeats
+        self.block = block
         self.max_bytes = max_bytes
         self.opened = 0
         self.sent = 0
@@ -104,14 +104,12 @@
         if raw.connect_ex((host, int(port))) == EINPROGRESS:
             await curio.traps._write_wait(raw)
         self.opened += not raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if not self.in_pieces:
-            await self._send(self.data)
-        while self.in_pieces or self.repeats:
-            for piece in pieces(self.data):
-                await self._send(piece)
-                await curio.sleep(0)
-            if not self.repeats or self.sent >= self.max_bytes:
-                return
+        for piece in pieces(self.data) if self.in_pieces else [self.data]:
+            await self._send(piece)
+            await curio.sleep(0)
+        while self.block and self.sent < self.max_bytes:
+            await self._send(self.block)
+            await curio.sleep(0)
 
     async def _send(self, data: bytes) -> None:
         await self.sock.sendall(data)
--- a/sequoiabridge/tests/platform/crowds/test_body_crowds.py
+++ b/sequoiabridge/tests/platform/crowds/test_body_crowds.py
@@ -79,10 +79,7 @@
     async def test(scene):
         first, block = TOO_LONG_BODIES[kind]
         callers = [
-            CrowdCaller(
-                scene.address, first + 4 * block, in_pieces=True, repeats=True, max_bytes=TOO_LONG
-            )
-            for _ in range(CROWD)
+            CrowdCaller(scene.address, first, block=block, max_bytes=TOO_LONG) for _ in range(CROWD)
         ]
         await scene.let_in(Crowd(callers))
 
