Soak daemons under crowds of callers that do not behave

Draws crowds at any port of any daemon: bodies that stop short, whole, in pieces or in chunks of three sizes, bodies without end, long uploads, connections with and without a part of a head, and callers that reset and come again; beside ordinary callers, planned stops, kills, pauses, faults of upstreams and new configurations. Each daemon has a machine of 96 MB and 600 descriptors; a process that ends by itself or leaves these bounds is a violation, with the usual ones.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 bench-limits: $(VENV)/ready
 	$(BIN)/python -m sequoiabridge.benchmarks.policy_limits
 
-.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes soak-paths soak-long soak-stops
+.PHONY: soak-platform soak-retries soak-limits soak-notices soak-crashes soak-paths soak-long soak-stops soak-crowds
 soak-platform: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --seeds 3
 
@@ -106,5 +106,8 @@
 soak-stops: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --stops RANDOM --daemons 4 --reads 12 --seconds 30 --busy 24 --seeds 3
 
+soak-crowds: $(VENV)/ready
+	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --crowds RANDOM --daemons 3 --seconds 30 --seeds 3
+
 soak-retries: $(VENV)/ready
 	$(BIN)/python -W ignore -m sequoiabridge.tests.platform.soak --retries RANDOM --seconds 40 --seeds 3
--- a/sequoiabridge/tests/platform/crowds/observer.py
+++ b/sequoiabridge/tests/platform/crowds/observer.py
@@ -22,11 +22,28 @@
 
     Attributes:
         peak_descriptors: Highest number of open descriptors seen.
+        highest_memory: Highest memory seen by `look`, in bytes.
+        is_reported: Whether a violation of the process has been reported.
     """
 
     def __init__(self, pid: int):
         self.pid = pid
         self.peak_descriptors = 0
+        self.highest_memory = 0
+        self.is_reported = False
+
+    def look(self) -> None:
+        """Update the peaks, unless the process has just ended."""
+        try:
+            self.count_descriptors()
+            self.highest_memory = max(self.highest_memory, self.peak_memory())
+        except (OSError, IndexError):
+            return
+
+    def count_descriptors(self) -> None:
+        """Update the peak of the open descriptors."""
+        count = len(os.listdir(f"/proc/{self.pid}/fd"))
+        self.peak_descriptors = max(self.peak_descriptors, count)
 
     def peak_memory(self) -> int:
         """Return the highest resident memory of the process so far, in bytes."""
@@ -36,8 +53,7 @@
     async def watch_descriptors(self) -> None:
         """Count the open descriptors until cancelled."""
         while True:
-            count = len(os.listdir(f"/proc/{self.pid}/fd"))
-            self.peak_descriptors = max(self.peak_descriptors, count)
+            self.count_descriptors()
             await curio.sleep(SAMPLE_INTERVAL)
 
     async def wait_until_read(self, address: str, seconds: float) -> None:
--- a/sequoiabridge/tests/platform/soak/__main__.py
+++ b/sequoiabridge/tests/platform/soak/__main__.py
@@ -7,6 +7,7 @@
 
 from ....selector import LazySelector
 from .crash_soak import CrashScenario, CrashSoak
+from .crowd_soak import CrowdScenario, CrowdSoak
 from .limit_soak import LimitScenario, LimitSoak
 from .long_soak import LongScenario, LongSoak
 from .notice_soak import NoticeScenario, NoticeSoak
@@ -29,6 +30,7 @@
     paths: PathScenario | None = None,
     long: LongScenario | None = None,
     stops: StopScenario | None = None,
+    crowds: CrowdScenario | None = None,
     grace: float = 6.0,
     busy: int = 0,
     work: float = 2.2,
@@ -51,6 +53,7 @@
     :param paths: let daemons lose their paths in this way, instead of mixing all faults
     :param long: make long calls and send bytes without end in this way, instead of mixing all
     :param stops: stop daemons that serve long calls in this way, instead of mixing all faults
+    :param crowds: let crowds of callers that stop short come in this way, instead of mixing all
     :param grace: seconds between a stop and the kill of a daemon then
     :param busy: number of busy processes beside the daemons then
     :param work: maximum seconds of work of a long call then
@@ -62,7 +65,9 @@
     """
     failed_seeds = 0
     for number in range(seed, seed + seeds):
-        if paths is not None:
+        if crowds is not None:
+            soak = CrowdSoak(number, seconds, daemons, crowds)
+        elif paths is not None:
             soak = PathSoak(number, seconds, daemons, paths, None, count, reads, load)
         elif stops is not None:
             soak = StopSoak(
