Let upstreams notice that they were cut off before their logs are read

Cause, by the times in its record: the refusals without end began at 2.95, 4.58, 4.56, 4.66 and 6.07 s, and the first four were cut off 51 to 144 ms later. The last call had been served elsewhere, and the logs were read before the upstream sent its next block, 50 ms later, and noticed. The test waits for the routes' timeout now, as the other tests of this file do before the same check: every answer must have been cut off by then. The check itself is the same.

--- a/sequoiabridge/tests/platform/soak/test_endless_input.py
+++ b/sequoiabridge/tests/platform/soak/test_endless_input.py
@@ -165,6 +165,8 @@
                 upstream.set(refusal_flood=refuses, flood_pause=0.05)
             calls = await check_calls(deployment)
             assert [c.id for c in calls if c.status != 200] == []
+        # An upstream notices that it was cut off when it sends the next block.
+        await curio.sleep(ROUTE_TIMEOUT)
 
     check_cut_off(run_deployment(test))
 
