Count a connection as closing only if it was closed to make room

What callers saw: nothing yet. Read in the diff: an idle connection on which a request has just come is not closed, but counted as closing for as long as it was served. A sixteenth of the limit of such connections would have kept the port from making room at all.

Evidence: the test fails on the parent (one connection counts as closing) and passes now.

--- a/sequoiabridge/callers/server.py
+++ b/sequoiabridge/callers/server.py
@@ -19,7 +19,7 @@
 from .limits import CallerLimits
 from .memory import MemoryBudget
 from .refusals import RefusalWriter, refusal_answer, too_many_connections
-from .transport import NEVER, Phase
+from .transport import Phase
 
 log = get_log("callers")
 
@@ -307,10 +307,9 @@
             self.next_room_search = now + ROOM_INTERVAL
             return False
         waiting.sort(key=lambda t: (t.phase is Phase.IDLE, -t.holding.stalled_seconds()))
-        closed = waiting[:count]
-        for transport in closed:
-            transport.makes_room = True
-            transport.expire_wait(NEVER)
+        closed = [transport for transport in waiting[:count] if transport.make_room()]
+        if not closed:
+            return False
         self.closing_count += len(closed)
         self.closed_waiting_count += len(closed)
         log.info("Closed %d waiting connections, since %d are open.", len(closed), limit)
--- a/sequoiabridge/callers/transport.py
+++ b/sequoiabridge/callers/transport.py
@@ -193,6 +193,12 @@
         await _io_release(self.descriptor)
         self.sock.close()
 
+    def make_room(self) -> bool:
+        """Close the connection unless a request has just come; return whether it was closed."""
+        self.expire_wait(NEVER)
+        self.makes_room = self.expired
+        return self.makes_room
+
     def evict(self) -> None:
         """End the wait for the caller, since others need what it occupies."""
         self.evicted = True
--- a/sequoiabridge/tests/callers/test_connection_limit.py
+++ b/sequoiabridge/tests/callers/test_connection_limit.py
@@ -4,7 +4,7 @@
 
 from ...callers.limits import CallerLimits
 from ...callers.machine import MachineLimits
-from ...callers.transport import MIN_IDLE_SECONDS
+from ...callers.transport import MIN_IDLE_SECONDS, CallerTransport
 from .server_fixture import GET, ok, read_all, read_until, serve, wait_until
 
 OK_END = b"\r\n\r\nx"
@@ -70,6 +70,21 @@
     serve(hang, test, max_connections=1)
 
 
+def test_a_connection_on_which_a_request_has_just_come_makes_no_room(monkeypatch):
+    # It counted as being closed for as long as it was served, and nobody else made room.
+    monkeypatch.setattr(CallerTransport, "_has_input", lambda self: True)
+
+    async def test(server, handler, connect):
+        (idle,) = await connected(server, connect, 1)
+        server.clock.advance(MIN_IDLE_SECONDS)
+        assert b" 503 " in await read_all(await connect(GET))
+        assert server.closing_count == server.closed_waiting_count == 0
+        await idle.sendall(GET)
+        assert (await read_until(idle, OK_END)).startswith(b"HTTP/1.1 200")
+
+    serve(answer, test, max_connections=1)
+
+
 def test_the_limits_follow_from_the_memory_and_the_descriptors():
     limits = CallerLimits()
     MachineLimits(300_000_000, 4100).apply_to(limits)
