Keep no piece of an upload that was sent while the next is waited for

What callers saw: nothing yet. Read in the diff: an upload whose caller stops kept its first MiB, in a variable of the task that forwards it, although the memory budget had been given it back. On a site with hundreds of instances that is another hundred MB.

--- a/sequoiabridge/tests/upstreams/test_connections.py
+++ b/sequoiabridge/tests/upstreams/test_connections.py
@@ -1,6 +1,7 @@
 """Connections to upstreams: reuse, incomplete answers, early answers and shares."""
 
 import time
+import tracemalloc
 
 import curio
 import pytest
@@ -28,6 +29,26 @@
     return False
 
 
+class HangingBody(Body):
+    """A body whose caller sends a large first piece and stops.
+
+    Attributes:
+        is_waiting: Whether the rest is waited for.
+    """
+
+    def __init__(self):
+        self.is_waiting = False
+        self.reads = 0
+
+    async def read(self):
+        self.reads += 1
+        if self.reads == 1:
+            return bytes(LARGE_PIECE)
+        self.is_waiting = True
+        await curio.sleep(3600)
+        return b""
+
+
 class Pieces(Body):
     """A body that counts how many of its pieces were read."""
 
@@ -43,6 +64,9 @@
         return b"x" * 65536
 
 
+LARGE_PIECE = 8 << 20
+
+
 async def acquire(connector, address, fresh=False):
     return await connector.acquire(address, fresh=fresh, timeout=1)
 
@@ -295,3 +319,28 @@
         assert len(connections) == 2
 
     run_against(keep_alive(b"Connection", b"close"), test)
+
+
+def test_a_piece_that_was_sent_is_not_kept_while_the_next_is_waited_for():
+    # Each upload whose caller stopped kept its first MiB, which counted as free.
+    async def upstream(sock):
+        while await sock.recv(1 << 20):
+            pass
+
+    async def test(connector, address, connections):
+        body = HangingBody()
+        connection = await acquire(connector, address)
+        tracemalloc.start()
+        try:
+            sending = await curio.spawn(
+                connection.send, get(b"POST", length=2 * LARGE_PIECE, body=body)
+            )
+            while not body.is_waiting:
+                await curio.sleep(0)
+            assert tracemalloc.get_traced_memory()[0] < LARGE_PIECE / 2
+        finally:
+            tracemalloc.stop()
+        await sending.cancel()
+        await connector.release(connection)
+
+    run_against(upstream, test)
--- a/sequoiabridge/upstreams/exchange.py
+++ b/sequoiabridge/upstreams/exchange.py
@@ -127,6 +127,7 @@
             self._check_early_answer()
             if link.refused:
                 return  # What has not been read can be sent to another upstream.
+            piece = b""  # The caller may take long; what was sent is not kept meanwhile.
             piece = await body.read()
             self._check_early_answer()
             if piece and not link.refused:
